--- /dev/null
+++ b/crates/cli/src/cmd/mod.rs
@@ -0,0 +1,83 @@
+//! The subcommands: one file each, with what it accepts and what it does.
+
+mod apply;
+mod bill;
+mod budget;
+mod diff;
+mod history;
+mod init;
+mod key;
+mod member;
+mod status;
+
+use getopts::{Options, ParsingStyle};
+
+use crate::context::Context;
+use crate::error::Error;
+
+/// One subcommand.
+pub struct Subcommand {
+    /// Its name.
+    pub name: &'static str,
+    /// The words it takes.
+    pub takes: &'static str,
+    /// What it does, in a line.
+    pub about: &'static str,
+    run: fn(&Context) -> Result<String, Error>,
+}
+
+/// All subcommands.
+pub const ALL: &[Subcommand] = &[
+    init::COMMAND,
+    apply::CHECK,
+    apply::COMMAND,
+    diff::COMMAND,
+    history::COMMAND,
+    history::ROLLBACK,
+    status::COMMAND,
+    budget::SHOW,
+    budget::LEASES,
+    budget::TOP_UP,
+    budget::RELEASE,
+    bill::COMMAND,
+    member::COMMAND,
+    key::COMMAND,
+];
+
+fn options() -> Options {
+    let mut o = Options::new();
+    o.parsing_style(ParsingStyle::FloatingFrees);
+    o.optopt("s", "settings", "settings file (cypressfork.yaml)", "FILE");
+    o.optflag("", "json", "answer in JSON");
+    o.optopt("", "op", "id of the operation, to send it again", "ID");
+    o.optopt("", "base", "version that the change was made from", "VERSION");
+    o.optflag("h", "help", "show this help");
+    o.optflag("V", "version", "show the version");
+    o
+}
+
+fn help() -> String {
+    let line =
+        |c: &Subcommand| format!("    {:<32} {}\n", format!("{} {}", c.name, c.takes), c.about);
+    let commands: String = ALL.iter().map(line).collect();
+    let brief = format!(
+        "Operates a cypressfork fleet.\n\nUsage: cypressfork SUBCOMMAND [WORDS] [OPTIONS]\n\nSubcommands:\n{commands}"
+    );
+    options().usage(&brief)
+}
+
+/// Runs the command line; returns what to print.
+pub fn run(words: &[String]) -> Result<String, Error> {
+    let options = options().parse(words).map_err(|e| Error::Usage(e.to_string()))?;
+    if options.opt_present("version") {
+        return Ok(format!("cypressfork {}\n", env!("CARGO_PKG_VERSION")));
+    }
+    let Some((name, rest)) = options.free.split_first().filter(|_| !options.opt_present("help"))
+    else {
+        return Ok(help());
+    };
+    let unknown = || Error::Usage(format!("there is no subcommand '{name}': see --help"));
+    let command = ALL.iter().find(|c| c.name == name).ok_or_else(unknown)?;
+    let words = rest.to_vec();
+    (command.run)(&Context { options, words })
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,9 @@
+//! The control process: a region's replicated, durable state.
+
+pub mod disk;
+mod duty;
+pub mod machine;
+mod read;
+pub mod run;
+pub mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/control/src/read.rs
@@ -0,0 +1,224 @@
+//! Queries: confirmed by a quorum, then answered from the state machine.
+
+use std::collections::BTreeMap;
+
+use cypressfork_core::code::Code;
+use cypressfork_core::member::{Router, SUSPECT_AFTER};
+use cypressfork_core::query::{News, NodeStatus, Query, Reply, RouterStatus, Site, Status, digest};
+use cypressfork_core::unit::{HolderId, Index, Millis, Time, Version};
+use cypressfork_wire::body;
+
+use crate::disk::Storage;
+use crate::machine::{Machine, Moment};
+
+/// How long a router's standing question waits for news.
+const FOLLOW_SPAN: Millis = Millis(1_000);
+
+/// A replica that has not answered for this long is shown as not heard.
+const HEARD_WITHIN: Millis = Millis(1_000);
+
+/// Queries on their way.
+pub struct Reads<T> {
+    tokens: u64,
+    /// Waiting for a quorum's confirmation.
+    unconfirmed: BTreeMap<u64, (Query, T)>,
+    /// Confirmed, waiting for a position to be applied.
+    confirmed: Vec<(Index, Query, T)>,
+    /// Routers' standing questions.
+    standing: Vec<Standing<T>>,
+}
+
+struct Standing<T> {
+    question: Question,
+    until: Time,
+    to: T,
+}
+
+/// A router's standing question.
+#[derive(Clone, Copy)]
+struct Question {
+    holder: HolderId,
+    version: Version,
+    sites: u64,
+}
+
+impl<T> Default for Reads<T> {
+    fn default() -> Reads<T> {
+        Reads {
+            tokens: 0,
+            unconfirmed: BTreeMap::new(),
+            confirmed: Vec::new(),
+            standing: Vec::new(),
+        }
+    }
+}
+
+impl<S: Storage, T> Machine<S, T> {
+    pub(crate) fn ask(&mut self, q: Query, from: T) {
+        self.reads.tokens += 1;
+        let token = self.reads.tokens;
+        match self.raft.read(token) {
+            Ok(()) => {
+                self.reads.unconfirmed.insert(token, (q, from));
+            }
+            Err(code) => self.reply(from, Err(code)),
+        }
+    }
+
+    pub(crate) fn read_ready(&mut self, at: Moment, token: u64, index: Index) {
+        if let Some((q, to)) = self.reads.unconfirmed.remove(&token) {
+            self.reads.confirmed.push((index, q, to));
+            self.answer_reads(at);
+        }
+    }
+
+    pub(crate) fn read_failed(&mut self, token: u64) {
+        if let Some((_, to)) = self.reads.unconfirmed.remove(&token) {
+            self.reply(to, Err(Code::NotLeader));
+        }
+    }
+
+    pub(crate) fn fail_reads(&mut self) {
+        let reads = std::mem::take(&mut self.reads);
+        self.reads.tokens = reads.tokens;
+        let unconfirmed = reads.unconfirmed.into_values().map(|(_, to)| to);
+        let confirmed = reads.confirmed.into_iter().map(|(_, _, to)| to);
+        let standing = reads.standing.into_iter().map(|s| s.to);
+        for to in unconfirmed.chain(confirmed).chain(standing) {
+            self.reply(to, Err(Code::NotLeader));
+        }
+    }
+
+    pub(crate) fn answer_reads(&mut self, at: Moment) {
+        let applied = self.applied;
+        let (due, rest) =
+            std::mem::take(&mut self.reads.confirmed).into_iter().partition(|r| r.0 <= applied);
+        self.reads.confirmed = rest;
+        let due: Vec<(Index, Query, T)> = due;
+        for (_, q, to) in due {
+            self.answer(at, q, to);
+        }
+    }
+
+    fn answer(&mut self, at: Moment, q: Query, to: T) {
+        let reply = match q {
+            Query::Follow { holder, version, sites } => {
+                self.signs.note(at.now, holder, version);
+                let question = Question { holder, version, sites };
+                let until = at.now.after(FOLLOW_SPAN);
+                self.reads.standing.push(Standing { question, until, to });
+                return self.answer_followers(at);
+            }
+            Query::Status => Reply::Status(self.status(at)),
+            Query::Budgets(only) => Reply::Budgets(self.state.budgets(at.wall, only.as_deref())),
+            Query::Leases(budget) => Reply::Leases(self.state.leases(at.wall, &budget)),
+            Query::Bill(id) => Reply::Bill(self.state.bills().get(&id).copied()),
+            Query::Config => Reply::Config {
+                version: self.state.config().version(),
+                templates: self.state.config().templates().values().cloned().collect(),
+                applications: self.state.config().applications().values().cloned().collect(),
+            },
+            Query::History(most) => Reply::History(
+                self.state.config().history().iter().rev().take(most).cloned().collect(),
+            ),
+            Query::BackTo(version) => {
+                Reply::Items(self.state.config().version(), self.state.config().back_to(version))
+            }
+        };
+        self.reply(to, Ok(body::pack(&reply)));
+    }
+
+    /// Answers the standing questions for which there is news, or whose wait is over.
+    pub(crate) fn answer_followers(&mut self, at: Moment) {
+        if self.reads.standing.is_empty() {
+            return;
+        }
+        let sites = self.sites(at);
+        let known = digest(&sites);
+        let standing = std::mem::take(&mut self.reads.standing);
+        for s in standing {
+            let news = self.news(at, &s.question, &sites, known);
+            if at.now >= s.until || is_news(&news, &s.question) {
+                self.signs.note(at.now, s.question.holder, s.question.version);
+                self.reply(s.to, Ok(body::pack(&Reply::News(news))));
+            } else {
+                self.reads.standing.push(s);
+            }
+        }
+    }
+
+    fn news(&self, at: Moment, q: &Question, sites: &[Site], known: u64) -> News {
+        let recalls = self.state.ledger().recalls(at.wall, q.holder);
+        News {
+            difference: self.state.config().difference(q.version),
+            recalls: recalls.map(str::to_owned).collect(),
+            sites: (q.sites != known).then(|| sites.to_vec()),
+            stranger: self.state.routers().get(q.holder).is_none(),
+        }
+    }
+
+    fn site(&self, at: Moment, r: &Router) -> Site {
+        let heard = self.signs.silence(at.now, r.holder) < SUSPECT_AFTER;
+        Site {
+            vm: r.vm.clone(),
+            data_centre: r.data_centre.clone(),
+            address: r.address.clone(),
+            usable: heard && !r.leaving,
+        }
+    }
+
+    fn sites(&self, at: Moment) -> Vec<Site> {
+        self.state.routers().iter().map(|r| self.site(at, r)).collect()
+    }
+
+    fn status(&self, at: Moment) -> Status {
+        let nodes = self.nodes(at);
+        let heard = nodes.iter().filter(|n| n.voter && n.heard).count();
+        let whole = nodes.iter().filter(|n| n.voter).all(|n| n.heard && n.behind == 0);
+        let spare = heard.saturating_sub(self.raft.members().quorum());
+        Status {
+            region: self.region.clone(),
+            term: self.raft.term(),
+            committed: self.raft.committed(),
+            version: self.state.config().version(),
+            spare,
+            safe: whole && spare > 0,
+            nodes,
+            routers: self.state.routers().iter().map(|r| self.router(at, r)).collect(),
+        }
+    }
+
+    fn nodes(&self, at: Moment) -> Vec<NodeStatus> {
+        let members = self.raft.members();
+        let me = self.raft.id();
+        let last = self.raft.log().last_index();
+        let followers: BTreeMap<_, _> = self.raft.followers().collect();
+        let node = |id: u64| {
+            let p = followers.get(&id);
+            NodeStatus {
+                id,
+                address: members.addresses.get(&id).cloned().unwrap_or_default(),
+                voter: members.voters.contains(&id),
+                leader: id == me,
+                heard: id == me || p.is_some_and(|p| at.now.since(p.heard) < HEARD_WITHIN),
+                behind: if id == me { 0 } else { last - p.map_or(0, |p| p.matched) },
+            }
+        };
+        members.all().map(node).collect()
+    }
+
+    fn router(&self, at: Moment, r: &Router) -> RouterStatus {
+        RouterStatus {
+            site: self.site(at, r),
+            holder: r.holder,
+            version: self.signs.get(r.holder).map(|s| s.version),
+            silent_ms: self.signs.silence(at.now, r.holder).0,
+            leaving: r.leaving,
+        }
+    }
+}
+
+fn is_news(n: &News, q: &Question) -> bool {
+    let changed = n.difference.version > q.version || n.sites.is_some();
+    changed || !n.recalls.is_empty() || n.stranger
+}
--- /dev/null
+++ b/crates/control/src/server.rs
@@ -0,0 +1,222 @@
+//! Sockets and timers round the machine.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cypressfork_core::code::Code;
+use cypressfork_core::raft::Message;
+use cypressfork_core::unit::NodeId;
+use cypressfork_node::emit;
+use cypressfork_node::event::Event;
+use cypressfork_node::link::{self, Credentials, Link, Writer};
+use cypressfork_node::process::{Failure, stop_signal};
+use cypressfork_node::time::{Clock, wall};
+use cypressfork_wire::{Ask, Frame, Return, from_raft, into_raft};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::disk::Disk;
+use crate::machine::{Machine, Moment, Output};
+
+/// How often the machine's time passes.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Inputs that share one sync at most.
+const BATCH: usize = 1024;
+
+/// Messages that may wait for one link; more are dropped, and the link with them.
+const QUEUE: usize = 1024;
+
+/// How long to wait before a peer that cannot be reached is tried again.
+const RECONNECT: Duration = Duration::from_millis(100);
+
+/// How long a planned stop leaves the next leader to take over.
+const HAND_OVER: Duration = Duration::from_millis(300);
+
+/// Where an answer goes.
+pub struct ReplyTo {
+    id: i64,
+    tx: mpsc::Sender<Frame>,
+}
+
+enum Input {
+    Call(Ask, ReplyTo),
+    Raft(Message),
+}
+
+/// One control process.
+pub struct Server {
+    machine: Machine<Disk, ReplyTo>,
+    clock: Clock,
+    me: Credentials,
+    peers: Rc<RefCell<BTreeMap<NodeId, Peer>>>,
+}
+
+/// The sending end towards another replica.
+struct Peer {
+    address: String,
+    tx: mpsc::Sender<Message>,
+}
+
+impl Server {
+    /// Wraps a machine.
+    pub fn new(machine: Machine<Disk, ReplyTo>, clock: Clock, me: Credentials) -> Server {
+        Server { machine, clock, me, peers: Rc::default() }
+    }
+
+    /// Serves until a signal asks to stop, or the machine cannot go on.
+    pub async fn run(mut self, listener: TcpListener) -> Result<(), Failure> {
+        let (tx, mut rx) = mpsc::channel(QUEUE);
+        actix_rt::spawn(accept_all(listener, self.me.clone(), tx));
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let stop = stop_signal();
+        tokio::pin!(stop);
+        loop {
+            tokio::select! {
+                () = &mut stop => break,
+                Some(input) = rx.recv() => self.take_all(input, &mut rx),
+                _ = ticks.tick() => self.machine.tick(self.moment()),
+            }
+            self.finish()?;
+        }
+        emit!(Event::Stopping);
+        self.machine.hand_over();
+        self.finish()?;
+        sleep(HAND_OVER).await;
+        Ok(())
+    }
+
+    fn moment(&self) -> Moment {
+        Moment { now: self.clock.now(), wall: wall() }
+    }
+
+    fn take_all(&mut self, first: Input, rx: &mut mpsc::Receiver<Input>) {
+        self.take(first);
+        for _ in 1..BATCH {
+            let Ok(input) = rx.try_recv() else { break };
+            self.take(input);
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let at = self.moment();
+        match input {
+            Input::Call(ask, to) => self.machine.call(at, ask, to),
+            Input::Raft(m) => self.machine.step(at, m),
+        }
+    }
+
+    fn finish(&mut self) -> Result<(), Failure> {
+        let at = self.moment();
+        for out in self.machine.finish(at) {
+            match out {
+                Output::Reply(to, result) => self.reply(to, result),
+                Output::Send(m) => self.send(m),
+                Output::Stop(code, why) => return Err((code, why)),
+            }
+        }
+        Ok(())
+    }
+
+    fn reply(&self, to: ReplyTo, result: Result<Vec<u8>, Code>) {
+        let (code, bytes) = match result {
+            Ok(bytes) => (0, Some(bytes)),
+            Err(code) => (i32::from(code.number()), None),
+        };
+        let leader = match code {
+            0 => None,
+            _ => self.machine.leader_address(),
+        };
+        let r = Return::new(to.id, code, bytes, leader);
+        if to.tx.try_send(Frame::Answer(r)).is_err() {
+            emit!(Event::LinkSlow);
+        }
+    }
+
+    fn send(&mut self, m: Message) {
+        let Some(address) = self.machine.members().addresses.get(&m.to).cloned() else { return };
+        let mut peers = self.peers.borrow_mut();
+        let known = peers.get(&m.to).is_some_and(|p| p.address == address && !p.tx.is_closed());
+        if !known {
+            let (tx, rx) = mpsc::channel(QUEUE);
+            actix_rt::spawn(send_all(address.clone(), self.me.clone(), rx));
+            peers.insert(m.to, Peer { address, tx });
+        }
+        // A full queue drops the message, as a network may.
+        let _ = peers[&m.to].tx.try_send(m);
+    }
+}
+
+async fn accept_all(listener: TcpListener, me: Credentials, tx: mpsc::Sender<Input>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                actix_rt::spawn(serve(stream, from, me.clone(), tx.clone()));
+            }
+            // Out of descriptors, most likely: those in use come free again.
+            Err(_) => sleep(RECONNECT).await,
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, from: SocketAddr, me: Credentials, tx: mpsc::Sender<Input>) {
+    let link = match link::accept(stream, &me).await {
+        Ok(link) => link,
+        Err(e) => return emit!(Event::LinkRefused, address = from, why = e),
+    };
+    emit!(Event::LinkOpened, peer = link.peer, address = from);
+    let Link { peer, mut reader, writer } = link;
+    let (answers, rx) = mpsc::channel(QUEUE);
+    let writing = actix_rt::spawn(write_all(writer, rx));
+    let why = loop {
+        let input = match reader.next().await {
+            Ok(Frame::Call(c)) => Input::Call(c.ask, ReplyTo { id: c.id, tx: answers.clone() }),
+            Ok(Frame::Raft(m)) => match into_raft(m) {
+                Ok(m) => Input::Raft(m),
+                Err(e) => break e.to_string(),
+            },
+            Ok(_) => break "an unexpected message".to_owned(),
+            Err(e) => break e.to_string(),
+        };
+        if tx.send(input).await.is_err() {
+            break "the process stops".to_owned();
+        }
+    };
+    writing.abort();
+    emit!(Event::LinkClosed, peer = peer, why = why);
+}
+
+async fn write_all(mut writer: Writer, mut rx: mpsc::Receiver<Frame>) {
+    while let Some(f) = rx.recv().await {
+        if let Err(e) = writer.send(&f).await {
+            return emit!(Event::LinkSlow, why = e);
+        }
+    }
+}
+
+/// Sends to one replica, connecting again whenever the link breaks.
+async fn send_all(address: String, me: Credentials, mut rx: mpsc::Receiver<Message>) {
+    let Ok(to) = address.parse::<SocketAddr>() else { return };
+    while !rx.is_closed() {
+        match link::connect(to, &me).await {
+            Ok(mut link) => pump(&mut link.writer, &mut rx).await,
+            Err(e) => emit!(Event::LinkFailed, address = to, why = e),
+        }
+        sleep(RECONNECT).await;
+        // What waits for a broken link is out of date.
+        while rx.try_recv().is_ok() {}
+    }
+}
+
+async fn pump(writer: &mut Writer, rx: &mut mpsc::Receiver<Message>) {
+    while let Some(m) = rx.recv().await {
+        if writer.send(&Frame::Raft(from_raft(&m))).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget/ledger.rs
@@ -0,0 +1,351 @@
+//! The grantor's side: who holds how much of each budget.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::Policy;
+use crate::unit::{HolderId, LeaseId, Millis, Time, Tokens};
+
+/// How long a recall may take before an asker is told that it found too little.
+const RECALL_SPAN: Millis = Millis(1_000);
+
+/// How soon to ask again while a recall runs.
+const RECALL_POLL: Millis = Millis(50);
+
+/// How soon tokens reserved by running requests may come back.
+const SETTLE_SPAN: Millis = Millis(2_000);
+
+/// What a lease's end is stretched by at the grantor, as a fraction, for clocks that drift.
+const DRIFT: (u64, u64) = (12, 10);
+
+/// A request for tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Who asks.
+    pub holder: HolderId,
+    /// The budget's name.
+    pub budget: String,
+    /// Number of the request at its holder for this budget; a resend has the same one.
+    pub seq: u64,
+    /// What the waiting request needs at least.
+    pub need: Tokens,
+    /// What the holder would like.
+    pub want: Tokens,
+}
+
+/// What a holder says of one lease; cumulative, so that lost, doubled and reordered reports do
+/// no harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The lease.
+    pub lease: LeaseId,
+    /// All that was spent from it so far; never falls.
+    pub used: Tokens,
+    /// What the holder keeps of it, spent part included; never rises.
+    pub keep: Tokens,
+    /// Nothing of what it keeps is idle.
+    pub tight: bool,
+}
+
+/// Tokens granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The lease.
+    pub lease: LeaseId,
+    /// Its size.
+    pub amount: Tokens,
+    /// How long it lasts, counted by the holder from before it first asked.
+    pub span: Millis,
+}
+
+/// Why nothing was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shortage {
+    /// Tokens are being called back, or running requests may leave some: ask again after this.
+    Busy(Millis),
+    /// All that can be reached was called back and is too little.
+    Spent,
+}
+
+/// The answer to an [`Ask`].
+pub type Decision = Result<Grant, Shortage>;
+
+/// A part of a budget that one holder may spend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Who holds it.
+    pub holder: HolderId,
+    /// Number of the ask that it answered.
+    pub seq: u64,
+    /// What the holder may spend from it in all.
+    pub keep: Tokens,
+    /// What it has reported as spent.
+    pub used: Tokens,
+    /// When the holder has stopped starting requests on it, by any clock within the drift.
+    pub end: Time,
+    /// The holder has said that nothing of it is idle.
+    pub tight: bool,
+}
+
+impl Lease {
+    /// What may have been spent without a report.
+    pub fn open(&self) -> Tokens {
+        self.keep - self.used
+    }
+}
+
+/// One budget.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Funds {
+    /// Prepaid tokens, top-ups included.
+    pub funded: Tokens,
+    /// Spent on leases that have closed.
+    pub closed: Tokens,
+    /// Slice policy.
+    pub policy: Policy,
+    leases: BTreeMap<LeaseId, Lease>,
+    held: Tokens,
+    recall: Option<Recall>,
+}
+
+/// A call for idle tokens on behalf of one waiting ask, or of a cut of the budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Recall {
+    holder: HolderId,
+    seq: u64,
+    until: Time,
+}
+
+impl Funds {
+    /// Tokens that are neither spent nor held.
+    pub fn free(&self) -> Tokens {
+        self.funded.saturating_sub(self.closed).saturating_sub(self.held)
+    }
+
+    /// Tokens reported as spent.
+    pub fn spent(&self) -> Tokens {
+        self.closed + self.leases.values().map(|l| l.used).sum::<Tokens>()
+    }
+
+    /// Tokens held under leases and not reported as spent.
+    pub fn open(&self) -> Tokens {
+        self.leases.values().map(Lease::open).sum()
+    }
+
+    /// Tokens of leases past their end, which count as spent until their holder reports.
+    pub fn stranded(&self, now: Time) -> Tokens {
+        self.leases.values().filter(|l| l.end <= now).map(Lease::open).sum()
+    }
+
+    /// The open leases.
+    pub fn leases(&self) -> impl Iterator<Item = (&LeaseId, &Lease)> {
+        self.leases.iter()
+    }
+
+    /// Whether idle tokens are called back at `now`.
+    pub fn recalling(&self, now: Time) -> bool {
+        self.recall.is_some_and(|r| now < r.until) || self.overdrawn()
+    }
+
+    /// Whether more is spent and held than is prepaid, as after a cut of the budget.
+    pub fn overdrawn(&self) -> bool {
+        self.closed + self.held > self.funded
+    }
+
+    fn holders(&self) -> u64 {
+        let mut ids: Vec<_> = self.leases.values().map(|l| l.holder).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        ids.len() as u64
+    }
+
+    fn granted(&self, ask: &Ask) -> Option<(LeaseId, Lease)> {
+        let same = |l: &Lease| l.holder == ask.holder && l.seq == ask.seq;
+        self.leases.iter().find(|(_, l)| same(l)).map(|(id, l)| (*id, *l))
+    }
+
+    fn grant(&mut self, now: Time, id: LeaseId, ask: &Ask, amount: Tokens) -> Grant {
+        let span = self.policy.offline;
+        let end = now.after(span.scale(DRIFT.0, DRIFT.1));
+        let lease =
+            Lease { holder: ask.holder, seq: ask.seq, keep: amount, used: 0, end, tight: false };
+        self.leases.insert(id, lease);
+        self.held += amount;
+        Grant { lease: id, amount, span }
+    }
+
+    fn blocked_by_recall(&self, now: Time, ask: &Ask) -> bool {
+        self.recall.is_some_and(|r| now < r.until && (r.holder, r.seq) != (ask.holder, ask.seq))
+    }
+
+    fn shortage(&mut self, now: Time, ask: &Ask) -> Shortage {
+        if ask.need == 0 {
+            return Shortage::Busy(SETTLE_SPAN);
+        }
+        let free = self.free();
+        let others = || self.leases.values().filter(|l| l.holder != ask.holder && l.end > now);
+        let idle: Tokens = others().filter(|l| !l.tight).map(Lease::open).sum();
+        let running: Tokens = self.leases.values().filter(|l| l.end > now).map(Lease::open).sum();
+        let mine = |r: &Recall| (r.holder, r.seq) == (ask.holder, ask.seq);
+        if free + running < ask.need {
+            return Shortage::Spent;
+        }
+        if idle == 0 {
+            return Shortage::Busy(SETTLE_SPAN);
+        }
+        match self.recall {
+            Some(r) if now < r.until => Shortage::Busy(RECALL_POLL),
+            Some(r) if mine(&r) && now < r.until.after(SETTLE_SPAN) => Shortage::Busy(SETTLE_SPAN),
+            _ => {
+                self.start_recall(now, ask);
+                Shortage::Busy(RECALL_POLL)
+            }
+        }
+    }
+
+    fn start_recall(&mut self, now: Time, ask: &Ask) {
+        for l in self.leases.values_mut() {
+            l.tight = false;
+        }
+        let until = now.after(RECALL_SPAN);
+        self.recall = Some(Recall { holder: ask.holder, seq: ask.seq, until });
+    }
+
+    fn ask(&mut self, now: Time, id: LeaseId, ask: &Ask) -> Decision {
+        if let Some((lease, l)) = self.granted(ask) {
+            return Ok(Grant { lease, amount: l.keep, span: self.policy.offline });
+        }
+        if self.blocked_by_recall(now, ask) {
+            return Err(Shortage::Busy(RECALL_POLL));
+        }
+        let recalled = self.recall.is_some();
+        let want = if recalled { ask.need } else { ask.want };
+        let holders = self.holders().max(1);
+        match self.policy.give(self.free(), holders, ask.need, want) {
+            Some(amount) => {
+                self.recall = None;
+                Ok(self.grant(now, id, ask, amount))
+            }
+            None => Err(self.shortage(now, ask)),
+        }
+    }
+
+    fn report(&mut self, now: Time, holder: HolderId, r: &Report) -> bool {
+        let span = self.policy.offline.scale(DRIFT.0, DRIFT.1);
+        let Some(l) = self.leases.get_mut(&r.lease).filter(|l| l.holder == holder) else {
+            return false;
+        };
+        l.used = l.used.max(r.used.min(l.keep));
+        let keep = r.keep.clamp(l.used, l.keep);
+        self.held -= l.keep - keep;
+        l.keep = keep;
+        l.tight = r.tight;
+        l.end = l.end.max(now.after(span));
+        if l.keep == l.used {
+            self.close(r.lease);
+        }
+        true
+    }
+
+    fn close(&mut self, id: LeaseId) {
+        if let Some(l) = self.leases.remove(&id) {
+            self.held -= l.keep;
+            self.closed += l.used;
+        }
+    }
+}
+
+/// All budgets of one grantor.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Ledger {
+    funds: BTreeMap<String, Funds>,
+    budget_of: BTreeMap<LeaseId, String>,
+    /// The budgets that may be calling tokens back.
+    recalling: BTreeSet<String>,
+}
+
+impl Ledger {
+    /// Sets what is prepaid for `budget` in all, and its slice policy.
+    ///
+    /// A total below what is spent and held is taken: no more is granted, idle tokens are called
+    /// back, and what was leased may still be spent.
+    pub fn fund(&mut self, budget: &str, funded: Tokens, policy: Policy) {
+        let f = self.funds.entry(budget.to_owned()).or_default();
+        f.funded = funded;
+        f.policy = policy;
+        self.note_recall(budget);
+    }
+
+    fn note_recall(&mut self, budget: &str) {
+        let active = self.funds.get(budget).is_some_and(|f| f.recall.is_some() || f.overdrawn());
+        if !active {
+            self.recalling.remove(budget);
+        } else if !self.recalling.contains(budget) {
+            self.recalling.insert(budget.to_owned());
+        }
+    }
+
+    /// One budget.
+    pub fn get(&self, budget: &str) -> Option<&Funds> {
+        self.funds.get(budget)
+    }
+
+    /// All budgets by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &Funds)> {
+        self.funds.iter()
+    }
+
+    /// The budget that a lease belongs to.
+    pub fn budget_of(&self, lease: LeaseId) -> Option<&str> {
+        self.budget_of.get(&lease).map(String::as_str)
+    }
+
+    /// Decides an ask; `id` names the lease if one is granted. `None`: no such budget.
+    pub fn ask(&mut self, now: Time, id: LeaseId, ask: &Ask) -> Option<Decision> {
+        let decision = self.funds.get_mut(&ask.budget)?.ask(now, id, ask);
+        if decision.is_ok_and(|g| g.lease == id) {
+            self.budget_of.insert(id, ask.budget.clone());
+        }
+        self.note_recall(&ask.budget);
+        Some(decision)
+    }
+
+    /// Takes a holder's report; false if the lease is not open or not that holder's.
+    pub fn report(&mut self, now: Time, holder: HolderId, r: &Report) -> bool {
+        let Some(f) = self.budget_of.get(&r.lease).and_then(|b| self.funds.get_mut(b)) else {
+            return false;
+        };
+        let known = f.report(now, holder, r);
+        if !f.leases.contains_key(&r.lease) {
+            self.budget_of.remove(&r.lease);
+        }
+        known
+    }
+
+    /// Closes a lease whose holder is known never to spend from it again, and frees what it had
+    /// not reported. Returns what came free; `None` if the lease is not open.
+    ///
+    /// The caller vouches for it: this is the one place where tokens come back without a proof.
+    pub fn release(&mut self, id: LeaseId) -> Option<Tokens> {
+        let f = self.budget_of.remove(&id).and_then(|b| self.funds.get_mut(&b))?;
+        let open = f.leases.get(&id).map(Lease::open)?;
+        f.close(id);
+        Some(open)
+    }
+
+    /// The budgets of which `holder` is asked to return what is idle.
+    pub fn recalls(&self, now: Time, holder: HolderId) -> impl Iterator<Item = &str> {
+        let holds = move |f: &&Funds| f.leases.values().any(|l| l.holder == holder && !l.tight);
+        self.recalling
+            .iter()
+            .filter(move |b| self.funds.get(*b).is_some_and(|f| f.recalling(now) && holds(&f)))
+            .map(String::as_str)
+    }
+
+    /// Whether every derived sum agrees with the leases: for tests and for the check at start.
+    pub fn consistent(&self) -> bool {
+        self.funds.values().all(|f| f.held == f.leases.values().map(|l| l.keep).sum::<Tokens>())
+            && self.budget_of.len() == self.funds.values().map(|f| f.leases.len()).sum::<usize>()
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget/policy.rs
@@ -0,0 +1,88 @@
+//! How large a slice a holder asks for and a grantor gives.
+
+use serde::{Deserialize, Serialize};
+
+use crate::unit::{Millis, Time, Tokens};
+
+/// Weight of the newest sample in a [`Rate`], as a divisor.
+const SMOOTHING: u64 = 4;
+
+/// The slice policy of one budget; the template sets it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Policy {
+    /// How much of its own spending a holder keeps in hand.
+    pub horizon: Millis,
+    /// The smallest slice asked for.
+    pub floor: Tokens,
+    /// The largest part of the free tokens that one grant may take beyond what a waiting request
+    /// needs: `free / (share * holders)`.
+    pub share: u64,
+    /// How long a holder that cannot reach its grantor may go on spending what it has.
+    pub offline: Millis,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            horizon: Millis::seconds(10),
+            floor: 2_000,
+            share: 2,
+            offline: Millis::seconds(7_200),
+        }
+    }
+}
+
+impl Policy {
+    /// What a holder that spends at `rate` asks for when a request of `need` waits.
+    pub fn want(&self, rate: &Rate, need: Tokens) -> Tokens {
+        let ahead = rate.per_second() * self.horizon.0 / 1000;
+        need.saturating_add(ahead.max(self.floor))
+    }
+
+    /// What a grantor gives out of `free`, with `holders` sharing the budget, or `None` if the
+    /// need does not fit.
+    ///
+    /// The slice shrinks as the free rest does, down to the bare need.
+    pub fn give(&self, free: Tokens, holders: u64, need: Tokens, want: Tokens) -> Option<Tokens> {
+        if need > free || free == 0 {
+            return None;
+        }
+        let spare = (free - need) / (self.share.max(1) * holders.max(1));
+        Some(need + spare.min(want.saturating_sub(need)))
+    }
+}
+
+/// A smoothed rate of spending.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rate {
+    smoothed: u64,
+    running: Tokens,
+    since: Time,
+}
+
+impl Rate {
+    /// Counts `tokens` spent at `now`.
+    pub fn add(&mut self, now: Time, tokens: Tokens) {
+        self.roll(now);
+        self.running += tokens;
+    }
+
+    /// Closes the sample once it is a second old.
+    pub fn roll(&mut self, now: Time) {
+        let span = now.since(self.since);
+        if span < Millis::seconds(1) {
+            return;
+        }
+        let sample = self.running * 1000 / span.0;
+        let old = if span > Millis::seconds(60) { 0 } else { self.smoothed };
+        self.smoothed = old - old / SMOOTHING + sample.div_ceil(SMOOTHING);
+        self.running = 0;
+        self.since = now;
+    }
+
+    /// Tokens a second, the open sample included.
+    pub fn per_second(&self) -> u64 {
+        self.smoothed.max(self.running)
+    }
+}
--- /dev/null
+++ b/crates/core/src/command.rs
@@ -0,0 +1,111 @@
+//! The commands of a group's replicated log, and their answers.
+
+use serde::{Deserialize, Serialize};
+
+use crate::bill::{Bill, Posting};
+use crate::budget::{Ask, Decision, Report};
+use crate::claim::{BodyDigest, End, Verdict};
+use crate::code::Code;
+use crate::config::{Change, Refusal};
+use crate::unit::{HolderId, LeaseId, RequestId, Tokens, Version};
+
+/// A change of a group's state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// A router has started.
+    Register {
+        /// Name of its `Vm`.
+        vm: String,
+        /// Its data centre.
+        data_centre: String,
+        /// Address for callers.
+        address: String,
+        /// Drawn at its start.
+        nonce: u64,
+    },
+    /// A router is stopping: it takes no new callers.
+    Leave(HolderId),
+    /// A router has stopped, with nothing in hand.
+    Gone(HolderId),
+    /// The leader has not heard of a router for long.
+    Lapse(HolderId),
+    /// A holder asks for tokens.
+    Ask(Ask),
+    /// A holder tells what it spent, and sends bills.
+    Tally {
+        /// Who.
+        holder: HolderId,
+        /// On its leases.
+        reports: Vec<Report>,
+        /// Of requests that ended.
+        bills: Vec<Bill>,
+    },
+    /// Claims a request that may run at most once.
+    Claim {
+        /// Who would run it.
+        holder: HolderId,
+        /// Number of the claim at this holder.
+        seq: u64,
+        /// The request.
+        id: RequestId,
+        /// What it consists of.
+        body: BodyDigest,
+    },
+    /// Tells how a claimed request ended.
+    Conclude {
+        /// Who claimed it.
+        holder: HolderId,
+        /// Number of the claim at this holder.
+        seq: u64,
+        /// The request.
+        id: RequestId,
+        /// How.
+        end: End,
+    },
+    /// Changes the configuration.
+    Apply(Change),
+    /// Adds tokens to a budget.
+    TopUp {
+        /// The operation's id.
+        op: String,
+        /// The budget.
+        budget: String,
+        /// How many.
+        tokens: Tokens,
+    },
+    /// Frees what a lost holder had not reported, on an operator's word.
+    Release {
+        /// The operation's id.
+        op: String,
+        /// The lease.
+        lease: LeaseId,
+    },
+}
+
+/// What a command came to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The router's registration.
+    Registered(HolderId),
+    /// The answer to an ask.
+    Decided(Decision),
+    /// For each report whether its lease is open, and what became of each bill.
+    Tallied {
+        /// In the order of the reports.
+        known: Vec<bool>,
+        /// In the order of the bills.
+        postings: Vec<Posting>,
+    },
+    /// The answer to a claim.
+    Claimed(Verdict),
+    /// The version that the change made, or why it was refused.
+    Applied(Result<Version, Refusal>),
+    /// What a budget holds in all after a top-up.
+    Funded(Tokens),
+    /// What came free.
+    Released(Tokens),
+    /// Nothing more to say.
+    Done,
+    /// Not done.
+    Refused(Code),
+}
--- /dev/null
+++ b/crates/core/src/member.rs
@@ -0,0 +1,112 @@
+//! The routers that have registered, and which of them are heard of.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::unit::{HolderId, Millis, Time, Version};
+
+/// Without a word for this long, a router is left out of entry answers.
+pub const SUSPECT_AFTER: Millis = Millis::seconds(3);
+
+/// Without a word for this long, a router's open claims are taken to have an unknown outcome.
+pub const LAPSE_AFTER: Millis = Millis::seconds(15);
+
+/// A registered router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Router {
+    /// Its registration.
+    pub holder: HolderId,
+    /// Name of its `Vm`.
+    pub vm: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Address for callers.
+    pub address: String,
+    /// Number that the process drew at its start: a resent registration has the same one.
+    pub nonce: u64,
+    /// It has said that it is stopping.
+    pub leaving: bool,
+}
+
+/// The registrations of one group; part of its replicated state.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Routers {
+    by_vm: BTreeMap<String, Router>,
+}
+
+impl Routers {
+    /// Registers `r`, in place of any other of the same `Vm`. Returns its holder id and the
+    /// registration that it replaces.
+    pub fn register(&mut self, r: Router) -> (HolderId, Option<HolderId>) {
+        let old = self.by_vm.get(&r.vm).map(|o| (o.holder, o.nonce));
+        match old {
+            Some((holder, nonce)) if nonce == r.nonce => (holder, None),
+            _ => {
+                let holder = r.holder;
+                self.by_vm.insert(r.vm.clone(), r);
+                (holder, old.map(|o| o.0))
+            }
+        }
+    }
+
+    /// The router of this registration, unless it was replaced or removed.
+    pub fn get(&self, holder: HolderId) -> Option<&Router> {
+        self.by_vm.values().find(|r| r.holder == holder)
+    }
+
+    /// Notes that a router is stopping.
+    pub fn leave(&mut self, holder: HolderId) {
+        if let Some(r) = self.by_vm.values_mut().find(|r| r.holder == holder) {
+            r.leaving = true;
+        }
+    }
+
+    /// Removes a registration.
+    pub fn remove(&mut self, holder: HolderId) {
+        self.by_vm.retain(|_, r| r.holder != holder);
+    }
+
+    /// All of them, by `Vm` name.
+    pub fn iter(&self) -> impl Iterator<Item = &Router> {
+        self.by_vm.values()
+    }
+}
+
+/// What a group's leader has heard of one router; not replicated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sign {
+    /// When it was last heard of.
+    pub at: Time,
+    /// The configuration that it has in force.
+    pub version: Version,
+}
+
+/// What a group's leader has heard of its routers since it began to lead.
+#[derive(Clone, Debug, Default)]
+pub struct Signs {
+    since: Time,
+    last: BTreeMap<HolderId, Sign>,
+}
+
+impl Signs {
+    /// Begins anew at `now`: a new leader has heard of nobody and suspects nobody yet.
+    pub fn restart(&mut self, now: Time) {
+        *self = Signs { since: now, last: BTreeMap::new() };
+    }
+
+    /// Notes a word from `holder`.
+    pub fn note(&mut self, now: Time, holder: HolderId, version: Version) {
+        self.last.insert(holder, Sign { at: now, version });
+    }
+
+    /// The last sign of `holder`.
+    pub fn get(&self, holder: HolderId) -> Option<Sign> {
+        self.last.get(&holder).copied()
+    }
+
+    /// How long `holder` has been silent.
+    pub fn silence(&self, now: Time, holder: HolderId) -> Millis {
+        now.since(self.last.get(&holder).map_or(self.since, |s| s.at))
+    }
+}
--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,265 @@
+//! A control group's state machine: the same commands in the same order give the same state.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::bill::Bills;
+use crate::budget::{Ask, Ledger, Report};
+use crate::claim::Claims;
+use crate::code::Code;
+use crate::command::{Answer, Command};
+use crate::config::{Change, Config, Object, ObjectName};
+use crate::member::{Router, Routers};
+use crate::query::{BudgetStatus, LeaseStatus};
+use crate::unit::{HolderId, LeaseId, Time, Tokens, Version};
+
+/// How many operations on budgets are remembered for resends.
+const OPERATIONS_KEPT: usize = 10_000;
+
+/// The state of one group.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    clock: Time,
+    config: Config,
+    ledger: Ledger,
+    topped_up: BTreeMap<String, Tokens>,
+    bills: Bills,
+    claims: Claims,
+    routers: Routers,
+    operations: Operations,
+}
+
+/// The answers to the latest operations on budgets.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Operations {
+    answers: BTreeMap<String, (Command, Answer)>,
+    order: VecDeque<String>,
+}
+
+impl Operations {
+    /// The first answer to this operation, or a refusal if its id was used for another.
+    fn find(&self, op: &str, c: &Command) -> Option<Answer> {
+        let (first, answer) = self.answers.get(op)?;
+        Some(if first == c { answer.clone() } else { Answer::Refused(Code::OperationReused) })
+    }
+
+    fn note(&mut self, op: &str, c: &Command, a: &Answer) {
+        if self.order.len() == OPERATIONS_KEPT
+            && let Some(old) = self.order.pop_front()
+        {
+            self.answers.remove(&old);
+        }
+        self.order.push_back(op.to_owned());
+        self.answers.insert(op.to_owned(), (c.clone(), a.clone()));
+    }
+}
+
+impl State {
+    /// Applies the command at log position `pos`, stamped with `at` by its leader. Time never
+    /// goes back, whatever the stamps say.
+    pub fn apply(&mut self, at: Time, pos: LeaseId, c: &Command) -> Answer {
+        self.clock = self.clock.max(at);
+        let now = self.clock;
+        match c {
+            Command::Register { vm, data_centre, address, nonce } => {
+                let holder = HolderId(pos.index);
+                let (vm, data_centre) = (vm.clone(), data_centre.clone());
+                let (address, nonce) = (address.clone(), *nonce);
+                let r = Router { holder, vm, data_centre, address, nonce, leaving: false };
+                self.register(now, r)
+            }
+            Command::Leave(h) => {
+                self.routers.leave(*h);
+                Answer::Done
+            }
+            Command::Gone(h) => {
+                self.routers.remove(*h);
+                self.claims.abandon(now, *h);
+                Answer::Done
+            }
+            Command::Lapse(h) => {
+                self.claims.abandon(now, *h);
+                Answer::Done
+            }
+            Command::Ask(ask) => self.ask(now, pos, ask),
+            Command::Tally { holder, reports, bills } => {
+                let known = self.report(now, *holder, reports);
+                let postings = bills.iter().map(|b| self.bills.post(now, b)).collect();
+                Answer::Tallied { known, postings }
+            }
+            Command::Claim { holder, seq, id, body } => {
+                if self.routers.get(*holder).is_none() {
+                    return Answer::Refused(Code::HolderStale);
+                }
+                Answer::Claimed(self.claims.claim(now, *holder, *seq, *id, *body))
+            }
+            Command::Conclude { holder, seq, id, end } => {
+                self.claims.conclude(now, *holder, *seq, *id, end.clone());
+                Answer::Done
+            }
+            Command::Apply(change) => self.change(now, change),
+            Command::TopUp { op, budget, tokens } => {
+                self.once(op, c, |s| s.top_up(budget, *tokens))
+            }
+            Command::Release { op, lease } => self.once(op, c, |s| s.release(*lease)),
+        }
+    }
+
+    fn once(&mut self, op: &str, c: &Command, run: impl FnOnce(&mut State) -> Answer) -> Answer {
+        if let Some(first) = self.operations.find(op, c) {
+            return first;
+        }
+        let answer = run(self);
+        self.operations.note(op, c, &answer);
+        answer
+    }
+
+    fn register(&mut self, now: Time, r: Router) -> Answer {
+        let (holder, replaced) = self.routers.register(r);
+        if let Some(old) = replaced {
+            self.claims.abandon(now, old);
+        }
+        Answer::Registered(holder)
+    }
+
+    fn ask(&mut self, now: Time, pos: LeaseId, ask: &Ask) -> Answer {
+        if self.routers.get(ask.holder).is_none() {
+            return Answer::Refused(Code::HolderStale);
+        }
+        if !self.may_grant(&ask.budget) {
+            return Answer::Refused(Code::AccountClosed);
+        }
+        match self.ledger.ask(now, pos, ask) {
+            Some(decision) => Answer::Decided(decision),
+            None => Answer::Refused(Code::BudgetUnknown),
+        }
+    }
+
+    /// Whether the budget is still configured and its client account open.
+    fn may_grant(&self, budget: &str) -> bool {
+        let Some(Object::Budget(b)) = self.config.object(&ObjectName::budget(budget)) else {
+            return false;
+        };
+        let account = self.config.object(&ObjectName::account(&b.client_account));
+        matches!(account, Some(Object::Account(a)) if !a.closed)
+    }
+
+    fn report(&mut self, now: Time, holder: HolderId, reports: &[Report]) -> Vec<bool> {
+        reports.iter().map(|r| self.ledger.report(now, holder, r)).collect()
+    }
+
+    fn change(&mut self, now: Time, change: &Change) -> Answer {
+        let before = self.config.version();
+        let spent = |b: &str| self.ledger.get(b).map_or(0, |f| f.spent());
+        let topped_up = |b: &str| self.topped_up.get(b).copied().unwrap_or(0);
+        let beyond = |b: &str| spent(b).saturating_sub(topped_up(b));
+        let result = self.config.apply(now, change, beyond);
+        if result.is_ok() {
+            self.fund_changed(before);
+        }
+        Answer::Applied(result)
+    }
+
+    fn fund_changed(&mut self, before: Version) {
+        for (name, object) in self.config.difference(before).objects {
+            if ObjectName::budget(&name.name) != name {
+                continue;
+            }
+            match object {
+                Some(Object::Budget(b)) => {
+                    let extra = self.topped_up.get(&name.name).copied().unwrap_or(0);
+                    self.ledger.fund(&name.name, b.tokens + extra, b.policy());
+                }
+                _ => self.ledger.fund(&name.name, 0, Default::default()),
+            }
+        }
+    }
+
+    fn top_up(&mut self, budget: &str, tokens: Tokens) -> Answer {
+        let Some(f) = self.ledger.get(budget) else {
+            return Answer::Refused(Code::BudgetUnknown);
+        };
+        let Some(funded) = f.funded.checked_add(tokens) else {
+            return Answer::Refused(Code::ParameterBad);
+        };
+        let policy = f.policy;
+        *self.topped_up.entry(budget.to_owned()).or_default() += tokens;
+        self.ledger.fund(budget, funded, policy);
+        Answer::Funded(funded)
+    }
+
+    fn release(&mut self, lease: LeaseId) -> Answer {
+        match self.ledger.release(lease) {
+            Some(tokens) => Answer::Released(tokens),
+            None => Answer::Refused(Code::LeaseUnknown),
+        }
+    }
+
+    /// The newest stamp of an applied command.
+    pub fn clock(&self) -> Time {
+        self.clock
+    }
+
+    /// The configuration.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// The budgets' ledger.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// The bills.
+    pub fn bills(&self) -> &Bills {
+        &self.bills
+    }
+
+    /// The claims.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// The registered routers.
+    pub fn routers(&self) -> &Routers {
+        &self.routers
+    }
+
+    /// All budgets, or the one named.
+    pub fn budgets(&self, now: Time, only: Option<&str>) -> Vec<BudgetStatus> {
+        let named = |n: &str| only.is_none_or(|o| o == n);
+        self.ledger.iter().filter(|(n, _)| named(n)).map(|(n, _)| self.budget(now, n)).collect()
+    }
+
+    fn budget(&self, now: Time, name: &str) -> BudgetStatus {
+        let f = self.ledger.get(name).cloned().unwrap_or_default();
+        let client_account = match self.config.object(&ObjectName::budget(name)) {
+            Some(Object::Budget(b)) => b.client_account.clone(),
+            _ => String::new(),
+        };
+        BudgetStatus {
+            name: name.to_owned(),
+            client_account,
+            funded: f.funded,
+            spent: f.spent(),
+            held: f.open(),
+            stranded: f.stranded(now),
+            free: f.free(),
+            total: self.bills.total(name),
+        }
+    }
+
+    /// The open leases of a budget.
+    pub fn leases(&self, now: Time, budget: &str) -> Vec<LeaseStatus> {
+        let Some(f) = self.ledger.get(budget) else { return Vec::new() };
+        f.leases()
+            .map(|(id, l)| LeaseStatus {
+                id: *id,
+                vm: self.routers.get(l.holder).map(|r| r.vm.clone()),
+                lease: *l,
+                left_ms: l.end.since(now).0,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/cypressfork/src/bin/cypressfork-control.rs
@@ -0,0 +1,12 @@
+//! `cypressfork-control`: a replica of a region's control group: accounts, budgets, claims and bills.
+
+use std::process::ExitCode;
+
+use cypressfork_control::run::{run, settings};
+use cypressfork_node::process::daemon;
+
+const ABOUT: &str = "A replica of a region's control group: accounts, budgets, claims and bills.";
+
+fn main() -> ExitCode {
+    daemon("cypressfork-control", ABOUT, settings, run)
+}
--- /dev/null
+++ b/crates/cypressfork/src/bin/cypressfork-router.rs
@@ -0,0 +1,12 @@
+//! `cypressfork-router`: the entry router: admits, bills and routes the requests of callers.
+
+use std::process::ExitCode;
+
+use cypressfork_node::process::daemon;
+use cypressfork_router::run::{run, settings};
+
+const ABOUT: &str = "The entry router: admits, bills and routes the requests of callers.";
+
+fn main() -> ExitCode {
+    daemon("cypressfork-router", ABOUT, settings, run)
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,101 @@
+//! Development stand-ins, met by their published protocols: an engine, a plain service and the
+//! platform's list of VMs.
+
+mod engine;
+mod plain;
+mod vms;
+
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::rc::Rc;
+
+use actix_http::{Request, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use cypressfork_http::{Body, serve};
+use futures_util::StreamExt;
+use getopts::{Matches, Options};
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+/// The largest body that a stand-in reads, in bytes.
+const BODY_CAP: usize = 8 * 1024 * 1024;
+
+fn options() -> Options {
+    let mut o = Options::new();
+    o.optopt("l", "listen", "address to listen on (127.0.0.1:0)", "ADDRESS");
+    o.optopt("", "tokens", "tokens of an answer, unless fewer are asked for (24)", "N");
+    o.optopt("", "token-ms", "milliseconds for each token (0)", "MS");
+    o.optopt(
+        "",
+        "fault",
+        "what it does wrong: see the engine's and the plain service's page",
+        "NAME",
+    );
+    o.optopt("", "file", "file with the list of VMs", "FILE");
+    o
+}
+
+/// Runs `engine`, `plain` or `vms` until it is ended; `ports N` prints free addresses.
+pub fn run(words: &[String]) -> Result<(), String> {
+    let m = options().parse(words).map_err(|e| e.to_string())?;
+    let name = m.free.first().map_or("", String::as_str);
+    match name {
+        "engine" | "plain" | "vms" => actix_rt::System::new().block_on(listen(name, &m)),
+        "ports" => ports(m.free.get(1).and_then(|n| n.parse().ok()).unwrap_or(1)),
+        _ => Err(options().usage("Usage: cypressfork-fakes engine|plain|vms|ports N")),
+    }
+}
+
+/// Prints addresses that were free a moment ago.
+fn ports(n: usize) -> Result<(), String> {
+    let bound: Result<Vec<_>, _> = (0..n).map(|_| StdListener::bind("127.0.0.1:0")).collect();
+    for l in bound.map_err(|e| e.to_string())? {
+        println!("{}", l.local_addr().map_err(|e| e.to_string())?);
+    }
+    Ok(())
+}
+
+async fn listen(name: &str, m: &Matches) -> Result<(), String> {
+    let address = m.opt_str("listen").unwrap_or_else(|| "127.0.0.1:0".to_owned());
+    let address: SocketAddr = address.parse().map_err(|_| format!("'{address}' is no address"))?;
+    let listener = TcpListener::bind(address).await.map_err(|e| e.to_string())?;
+    println!("listening {}", listener.local_addr().map_err(|e| e.to_string())?);
+    match name {
+        "engine" => {
+            let engine = Rc::new(engine::Engine::new(m)?);
+            serve(listener, move |req| engine::handle(engine.clone(), req)).await;
+        }
+        "plain" => {
+            let plain = Rc::new(plain::Plain::new(m));
+            serve(listener, move |req| plain::handle(plain.clone(), req)).await;
+        }
+        _ => {
+            let file = m.opt_str("file").ok_or("--file is missing")?;
+            serve(listener, move |req| vms::handle(file.clone(), req)).await;
+        }
+    }
+    Ok(())
+}
+
+fn number(m: &Matches, name: &str, default: u64) -> Result<u64, String> {
+    let given = m.opt_get::<u64>(name).map_err(|e| format!("--{name}: {e}"))?;
+    Ok(given.unwrap_or(default))
+}
+
+async fn body(req: Request) -> Bytes {
+    let mut payload = req.into_parts().1;
+    let mut all = BytesMut::new();
+    while let Some(Ok(piece)) = payload.next().await {
+        if all.len() + piece.len() > BODY_CAP {
+            break;
+        }
+        all.extend_from_slice(&piece);
+    }
+    all.freeze()
+}
+
+fn json(status: StatusCode, v: &Value) -> Response<Body> {
+    let mut r = Response::with_body(status, Body::Whole(Bytes::from(v.to_string())));
+    let kind = actix_http::header::HeaderValue::from_static("application/json");
+    r.headers_mut().insert(actix_http::header::CONTENT_TYPE, kind);
+    r
+}
--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,39 @@
+//! The body of an answer.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix_http::body::{BodySize, MessageBody};
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+/// The body of an answer.
+pub enum Body {
+    /// All of it.
+    Whole(Bytes),
+    /// Pieces as they come; the answer ends when the sender is dropped.
+    Pieces(mpsc::Receiver<Bytes>),
+}
+
+impl MessageBody for Body {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        match self {
+            Body::Whole(b) => BodySize::Sized(b.len() as u64),
+            Body::Pieces(_) => BodySize::Stream,
+        }
+    }
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        match self.get_mut() {
+            Body::Whole(b) if b.is_empty() => Poll::Ready(None),
+            Body::Whole(b) => Poll::Ready(Some(Ok(std::mem::take(b)))),
+            Body::Pieces(rx) => rx.poll_recv(cx).map(|b| b.map(Ok)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,95 @@
+//! The numbered events that processes log.
+//!
+//! `docs/EVENTS.md` lists them; a test keeps the page and this table in step.
+
+use log::Level;
+
+macro_rules! events {
+    ($($name:ident = $num:literal, $level:ident, $text:literal;)*) => {
+        /// A numbered event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Event {
+            $(#[doc = $text] $name,)*
+        }
+
+        impl Event {
+            /// Every event, in the order of its number.
+            pub const ALL: &[Event] = &[$(Event::$name,)*];
+
+            /// The number.
+            pub fn number(self) -> u16 {
+                match self { $(Event::$name => $num,)* }
+            }
+
+            /// The level it is logged at.
+            pub fn level(self) -> Level {
+                match self { $(Event::$name => Level::$level,)* }
+            }
+
+            /// What it says.
+            pub fn text(self) -> &'static str {
+                match self { $(Event::$name => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    Started = 101, Info, "the process serves";
+    Stopping = 102, Info, "a signal asks the process to stop";
+    Stopped = 103, Info, "the process ends";
+    StartFailed = 104, Error, "the process cannot start";
+    StopForced = 105, Warn, "a second signal ends the process at once";
+    LinkOpened = 201, Debug, "a link to a peer is open";
+    LinkClosed = 202, Debug, "a link to a peer has closed";
+    LinkRefused = 203, Warn, "a peer is refused";
+    LinkFailed = 204, Debug, "a peer cannot be reached";
+    LinkSlow = 205, Warn, "a peer reads too slowly and is cut off";
+    MessageBad = 206, Warn, "a message cannot be decoded";
+    LeaderGained = 301, Info, "this replica leads";
+    LeaderLost = 302, Info, "this replica no longer leads";
+    FolderOutdated = 303, Error, "the data folder is an old copy: this replica takes no part";
+    DiskFailed = 304, Error, "the disk failed: this replica takes no part";
+    SnapshotSaved = 305, Info, "a snapshot is saved and the log shortened";
+    SnapshotInstalled = 306, Info, "a snapshot from the leader is installed";
+    GroupFounded = 307, Info, "the replicas named form a group";
+    MembersChanged = 308, Info, "the group's members have changed";
+    RouterLapsed = 309, Warn, "a router is silent: its open claims are of unknown outcome";
+    ConfigApplied = 310, Info, "a configuration is in force";
+    ConfigRefused = 311, Info, "a change of the configuration is refused";
+    RouterRegistered = 401, Info, "this router is registered";
+    RouterReady = 402, Info, "this router serves callers";
+    ControlLost = 403, Warn, "the control group is out of reach";
+    ControlFound = 404, Info, "the control group is in reach again";
+    RequestRefused = 405, Debug, "a request is refused";
+    UpstreamFailed = 406, Warn, "an upstream failed";
+    UpstreamOverCap = 407, Warn, "an engine sent more tokens than were asked for: the stream is cut";
+    UpstreamMiscounted = 408, Warn, "an engine's token count does not match what it sent";
+    UpstreamEjected = 409, Warn, "an upstream is left out for a while";
+    UpstreamBack = 410, Info, "an upstream is used again";
+    DrainWaits = 411, Info, "a planned stop waits";
+    SlicesReturned = 412, Info, "all slices are handed back";
+    RequestDone = 413, Debug, "a request is answered";
+}
+
+/// Logs an event with fields.
+#[macro_export]
+macro_rules! emit {
+    ($event:expr $(, $key:ident = $value:expr)* $(,)?) => {{
+        let event: $crate::event::Event = $event;
+        if ::log::log_enabled!(event.level()) {
+            let number = event.number();
+            ::log::logger().log(
+                &::log::Record::builder()
+                    .level(event.level())
+                    .target(module_path!())
+                    .args(format_args!("{}", event.text()))
+                    .key_values(&[
+                        ("event", ::log::kv::Value::from(number)),
+                        $((stringify!($key), ::log::kv::Value::from_display(&$value)),)*
+                    ])
+                    .build(),
+            );
+        }
+    }};
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,10 @@
+//! What every cypressfork process has: settings, log events, links and the group client.
+
+pub mod digest;
+pub mod event;
+pub mod group;
+pub mod link;
+pub mod logging;
+pub mod process;
+pub mod settings;
+pub mod time;
--- /dev/null
+++ b/crates/router/src/chat.rs
@@ -0,0 +1,137 @@
+//! Model requests: from the caller's body to the whole streamed answer and its bill.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+use cypressfork_core::claim::Outcome;
+use cypressfork_core::code::Code;
+use cypressfork_core::unit::{RequestId, Tokens};
+use cypressfork_http::Body;
+use cypressfork_node::digest::{body_digest, request_id};
+use serde_json::json;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::app::{Active, App};
+use crate::ask::{Ask, Form};
+use crate::claim::{Claim, Claimed, claim};
+use crate::exchange::{Exchange, Whole};
+use crate::head::Head;
+use crate::hold::Hold;
+use crate::reply::{Refusal, json_response};
+
+/// Pieces of an answer that wait for a slow caller.
+const PIECES: usize = 32;
+
+/// A request that may go to an engine.
+pub struct Plan {
+    /// The request's id as the control group knows it.
+    pub id: RequestId,
+    /// What is asked.
+    pub ask: Ask,
+    /// The service's name.
+    pub service: String,
+    /// The most tokens to generate.
+    pub cap: Tokens,
+    /// When it must be done.
+    pub deadline: Instant,
+    /// Trace context to pass on.
+    pub traceparent: Option<String>,
+}
+
+/// What the handler waits for.
+pub enum Started {
+    /// The engine answers; pieces follow.
+    Streaming,
+    /// The whole answer, for a caller that wants no stream.
+    Whole(Whole),
+}
+
+/// Serves a model request.
+pub async fn chat(
+    app: &Rc<App>,
+    form: Form,
+    head: &Head,
+    bytes: &[u8],
+) -> Result<Response<Body>, Refusal> {
+    let deadline = Instant::now() + head.deadline.unwrap_or(app.settings.deadline);
+    let client = app.view.borrow().client(&head.key)?;
+    let ask = Ask::read(form, bytes)?;
+    let model = app.view.borrow().model(&client, &ask.model)?;
+    let (budget, policy) = {
+        let view = app.view.borrow();
+        let (name, b) = view.budget(&client, &model.name)?;
+        (name.to_owned(), b.policy())
+    };
+    let id = request_id(&client.name, &head.id);
+    let cap = ask.output_cap(model.service.max_output);
+    let need = ask.prompt_bound + cap;
+    let wallet = app.wallet().ok_or(Code::NotReady)?;
+    let reservation = wallet.reserve(&budget, policy, need, deadline).await?;
+    let hold = Hold::new(wallet, budget, reservation);
+    let claim = match head.once {
+        false => None,
+        true => match claim(app, id, body_digest("POST", form.path(), bytes), deadline).await? {
+            Claimed::Run(c) => Some(c),
+            Claimed::Done(o) => return Ok(replay(&o)),
+        },
+    };
+    let (service, traceparent) = (model.name.clone(), head.traceparent.clone());
+    let plan = Plan { id, ask, service, cap, deadline, traceparent };
+    run(app, plan, hold, claim).await
+}
+
+async fn run(
+    app: &Rc<App>,
+    plan: Plan,
+    hold: Hold,
+    claim: Option<Claim>,
+) -> Result<Response<Body>, Refusal> {
+    let stream = plan.ask.stream;
+    let (tx, rx) = mpsc::channel(PIECES);
+    let (first_tx, first_rx) = oneshot::channel();
+    let exchange = Exchange::new(app.clone(), plan, hold, claim, tx);
+    let active = Active::new(app);
+    // A task of its own: a caller that leaves must not leave tokens unsettled.
+    actix_rt::spawn(async move {
+        exchange.run(first_tx).await;
+        drop(active);
+    });
+    match first_rx.await {
+        Ok(Ok(Started::Streaming)) => {
+            debug_assert!(stream);
+            Ok(streaming(rx))
+        }
+        Ok(Ok(Started::Whole(w))) => Ok(json_response(StatusCode::OK, &w.json)),
+        Ok(Err(refusal)) => Err(refusal),
+        Err(_) => Err(Code::UpstreamFailed.into()),
+    }
+}
+
+fn streaming(rx: mpsc::Receiver<Bytes>) -> Response<Body> {
+    let mut r = Response::with_body(StatusCode::OK, Body::Pieces(rx));
+    let h = r.headers_mut();
+    h.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    h.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    r
+}
+
+/// The recorded answer of a request that has run.
+pub fn replay(o: &Outcome) -> Response<Body> {
+    let status = StatusCode::from_u16(o.status).unwrap_or(StatusCode::OK);
+    let Some(body) = &o.body else {
+        let v = json!({ "ran": "yes", "status": o.status, "note": "the answer was too large to be kept" });
+        return json_response(status, &v);
+    };
+    let mut r = Response::with_body(status, Body::Whole(Bytes::from(body.clone())));
+    if let Ok(v) = HeaderValue::from_str(&o.kind) {
+        r.headers_mut().insert(CONTENT_TYPE, v);
+    }
+    r
+}
+
+/// How long a stream may be silent before a comment keeps idle links alive.
+pub const KEEP_ALIVE: Duration = Duration::from_secs(10);
--- /dev/null
+++ b/crates/router/src/follow.rs
@@ -0,0 +1,100 @@
+//! The router's standing talk with the control group: registration, configuration, recalls.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cypressfork_core::command::{Answer, Command};
+use cypressfork_core::query::{News, Query, Reply, digest};
+use cypressfork_core::unit::HolderId;
+use cypressfork_node::emit;
+use cypressfork_node::event::Event;
+use tokio::time::sleep;
+
+use crate::app::App;
+use crate::wallet::Wallet;
+
+/// How long a registration may take before it is tried anew.
+const REGISTER_WITHIN: Duration = Duration::from_secs(10);
+
+/// How long a standing question may go without an answer.
+const FOLLOW_WITHIN: Duration = Duration::from_secs(4);
+
+/// How long to wait after a failed try.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Registers and follows for as long as the process lives.
+pub async fn follow(app: Rc<App>) {
+    loop {
+        let holder = register(&app).await;
+        let wallet = Rc::new(Wallet::new(holder, app.group.clone(), app.clock));
+        actix_rt::spawn(wallet.clone().tally_forever(app.settings.tally));
+        if let Some(old) = app.set_wallet(wallet) {
+            old.retire();
+        }
+        follow_as(&app, holder).await;
+    }
+}
+
+async fn register(app: &App) -> HolderId {
+    let base = &app.settings.base;
+    let c = Command::Register {
+        vm: base.vm.clone(),
+        data_centre: base.data_centre.clone(),
+        address: app.settings.public.to_string(),
+        nonce: rand::random(),
+    };
+    loop {
+        if let Ok(Answer::Registered(holder)) = app.group.command(&c, REGISTER_WITHIN).await {
+            emit!(Event::RouterRegistered, holder = holder);
+            return holder;
+        }
+        emit!(Event::ControlLost);
+        sleep(PAUSE).await;
+    }
+}
+
+/// Follows until the registration is no longer known.
+async fn follow_as(app: &App, holder: HolderId) {
+    let mut reached = true;
+    loop {
+        let version = app.view.borrow().version();
+        let sites = digest(&app.sites.borrow());
+        let q = Query::Follow { holder, version, sites };
+        match app.group.query(&q, FOLLOW_WITHIN).await {
+            Ok(Reply::News(news)) => {
+                if !reached {
+                    emit!(Event::ControlFound);
+                }
+                reached = true;
+                if news.stranger {
+                    return;
+                }
+                take(app, news);
+            }
+            _ => {
+                if reached {
+                    emit!(Event::ControlLost);
+                }
+                reached = false;
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take(app: &App, news: News) {
+    if let Some(sites) = news.sites {
+        *app.sites.borrow_mut() = sites;
+    }
+    let version = news.difference.version;
+    if app.view.borrow_mut().update(news.difference) {
+        app.refresh_pools();
+        emit!(Event::ConfigApplied, version = version);
+    }
+    if !app.ready.replace(true) {
+        emit!(Event::RouterReady);
+    }
+    if let Some(w) = app.wallet() {
+        news.recalls.iter().for_each(|b| w.recall(b));
+    }
+}
--- /dev/null
+++ b/crates/router/src/hold.rs
@@ -0,0 +1,46 @@
+//! Tokens set aside for one request, settled whatever happens to it.
+
+use std::rc::Rc;
+
+use cypressfork_core::budget::Reservation;
+use cypressfork_core::unit::Tokens;
+
+use crate::wallet::Wallet;
+
+/// A reservation that settles itself: what was last charged is spent, the rest goes back.
+pub struct Hold {
+    wallet: Rc<Wallet>,
+    budget: String,
+    reservation: Option<Reservation>,
+    used: Tokens,
+}
+
+impl Hold {
+    /// Holds a reservation of which nothing is spent yet.
+    pub fn new(wallet: Rc<Wallet>, budget: String, r: Reservation) -> Hold {
+        Hold { wallet, budget, reservation: Some(r), used: 0 }
+    }
+
+    /// Sets what the request has spent so far.
+    pub fn charge(&mut self, used: Tokens) {
+        self.used = used;
+    }
+
+    /// The wallet that the tokens come from.
+    pub fn wallet(&self) -> &Rc<Wallet> {
+        &self.wallet
+    }
+
+    /// The budget.
+    pub fn budget(&self) -> &str {
+        &self.budget
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        if let Some(r) = self.reservation.take() {
+            self.wallet.settle(&self.budget, r, self.used);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/run.rs
@@ -0,0 +1,67 @@
+//! From settings to a serving process.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+
+use cypressfork_core::code::Code;
+use cypressfork_node::event::Event;
+use cypressfork_node::group::Group;
+use cypressfork_node::link::Credentials;
+use cypressfork_node::process::{Failure, stop_signal};
+use cypressfork_node::settings::load;
+use cypressfork_node::time::Clock;
+use cypressfork_node::{emit, logging};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::net::TcpListener;
+
+use crate::app::App;
+use crate::drain::drain;
+use crate::follow::follow;
+use crate::ops::ops;
+use crate::serve::serve;
+use crate::settings::{File, Settings};
+
+/// Reads and checks the settings.
+pub fn settings(path: &Path) -> Result<Settings, Failure> {
+    load::<File>(path).map_err(|e| (e.code(), e.to_string()))
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Failure> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|e| (Code::AddressTaken, format!("CF3005: could not listen on {address}: {e}")))
+}
+
+/// Serves until asked to stop.
+pub async fn run(s: Settings) -> Result<(), Failure> {
+    logging::start(s.base.log_level, s.base.log_form);
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|e| (Code::SettingsValue, format!("could not start metrics: {e}")))?;
+    let callers = bind(s.listen).await?;
+    let operators = bind(s.operators).await?;
+    let base = s.base.clone();
+    let me = Credentials { key: base.key, cluster: base.cluster, name: base.vm };
+    let group = Group::new(me, base.control);
+    emit!(Event::Started, listen = s.listen, operators = s.operators);
+    let app = Rc::new(App::new(s, Clock::start(), group));
+    let a = app.clone();
+    actix_rt::spawn(cypressfork_http::serve(callers, move |req| {
+        let app = a.clone();
+        async move { serve(app, req).await }
+    }));
+    let a = app.clone();
+    actix_rt::spawn(cypressfork_http::serve(operators, move |req| {
+        let response = ops(&a, &metrics, &req);
+        async move { response }
+    }));
+    actix_rt::spawn(follow(app.clone()));
+    stop_signal().await;
+    tokio::select! {
+        () = drain(app) => {}
+        () = stop_signal() => emit!(Event::StopForced),
+    }
+    emit!(Event::Stopped);
+    Ok(())
+}
--- /dev/null
+++ b/crates/router/src/serve.rs
@@ -0,0 +1,152 @@
+//! From a caller's request to the part that answers it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::{self, HeaderValue};
+use actix_http::{HttpMessage, Method, Payload, Request, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use cypressfork_core::code::Code;
+use cypressfork_core::unit::Millis;
+use cypressfork_http::Body;
+use cypressfork_node::emit;
+use cypressfork_node::event::Event;
+use futures_util::StreamExt;
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::ask::Form;
+use crate::chat::chat;
+use crate::entry::entry;
+use crate::head::{self, Head};
+use crate::plain::{Call, plain};
+use crate::reply::{REQUEST_ID, Refusal, json_response};
+
+/// How long a body may take to arrive.
+const BODY_WITHIN: Duration = Duration::from_secs(20);
+
+/// When to come back to a router that is not ready.
+const NOT_READY_AFTER: Millis = Millis::seconds(1);
+
+/// Serves one request.
+pub async fn serve(app: Rc<App>, req: Request) -> Response<Body> {
+    let fresh = app.draw();
+    let head = head::read(req.headers(), app.settings.head_cap, fresh);
+    let id = head.as_ref().map_or_else(|_| format!("{fresh:032x}"), |h| h.id.clone());
+    let path = req.path().to_owned();
+    let mut response = match route(&app, req, head).await {
+        Ok(r) => r,
+        Err(refusal) => {
+            emit!(Event::RequestRefused, code = refusal.code.number(), path = path, id = id);
+            refusal.response()
+        }
+    };
+    if let Ok(v) = HeaderValue::from_str(&id) {
+        response.headers_mut().insert(REQUEST_ID, v);
+    }
+    response
+}
+
+async fn route(
+    app: &Rc<App>,
+    req: Request,
+    head: Result<Head, Refusal>,
+) -> Result<Response<Body>, Refusal> {
+    let path = req.path().to_owned();
+    match path.as_str() {
+        "/v1/entry" => {
+            only(&req, &Method::GET)?;
+            Ok(entry(app))
+        }
+        "/v1/models" => {
+            only(&req, &Method::GET)?;
+            models(app, &head?)
+        }
+        "/v1/chat/completions" => model(app, Form::Chat, req, head).await,
+        "/v1/completions" => model(app, Form::Text, req, head).await,
+        _ => pass(app, req, head?).await,
+    }
+}
+
+fn only(req: &Request, method: &Method) -> Result<(), Refusal> {
+    if req.method() == method {
+        return Ok(());
+    }
+    Err(Refusal::from(Code::MethodWrong).detail(format!("use {method}")))
+}
+
+fn ready(app: &App) -> Result<(), Refusal> {
+    if app.ready.get() {
+        return Ok(());
+    }
+    Err(Refusal::from(Code::NotReady).after(NOT_READY_AFTER))
+}
+
+async fn model(
+    app: &Rc<App>,
+    form: Form,
+    req: Request,
+    head: Result<Head, Refusal>,
+) -> Result<Response<Body>, Refusal> {
+    only(&req, &Method::POST)?;
+    let head = head?;
+    ready(app)?;
+    // An unknown caller's body is not read.
+    app.view.borrow().client(&head.key)?;
+    let bytes = body(req, app.settings.body_cap).await?;
+    chat(app, form, &head, &bytes).await
+}
+
+async fn pass(app: &Rc<App>, req: Request, head: Head) -> Result<Response<Body>, Refusal> {
+    ready(app)?;
+    let client = app.view.borrow().client(&head.key)?;
+    app.view.borrow().plain(&client, req.path())?;
+    let method = req.method().clone();
+    let path = req.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
+    let kind = req.headers().get(header::CONTENT_TYPE).cloned();
+    let body = body(req, app.settings.body_cap).await?;
+    plain(app, &head, Call { method, path, kind, body }).await
+}
+
+fn models(app: &App, head: &Head) -> Result<Response<Body>, Refusal> {
+    ready(app)?;
+    let view = app.view.borrow();
+    let client = view.client(&head.key)?;
+    let data: Vec<_> = view
+        .models(&client)
+        .into_iter()
+        .map(|m| json!({ "id": m, "object": "model", "owned_by": "cypressfork" }))
+        .collect();
+    Ok(json_response(StatusCode::OK, &json!({ "object": "list", "data": data })))
+}
+
+/// Reads a body of at most `cap` bytes.
+async fn body(req: Request, cap: usize) -> Result<Bytes, Refusal> {
+    let too_large = || Refusal::from(Code::BodyTooLarge).detail(format!("the cap is {cap} bytes"));
+    let announced = req.headers().get(header::CONTENT_LENGTH);
+    let announced = announced.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+    if announced.is_some_and(|n| n > cap) {
+        return Err(too_large());
+    }
+    let payload = req.into_parts().1;
+    match timeout(BODY_WITHIN, collect(payload, cap)).await {
+        Ok(Ok(Some(bytes))) => Ok(bytes),
+        Ok(Ok(None)) => Err(too_large()),
+        Ok(Err(why)) => Err(Refusal::from(Code::BodyCut).detail(why)),
+        Err(_) => Err(Refusal::from(Code::BodyCut).detail("it took too long")),
+    }
+}
+
+/// The whole body, or nothing if it is larger than `cap`.
+async fn collect(mut payload: Payload, cap: usize) -> Result<Option<Bytes>, String> {
+    let mut all = BytesMut::new();
+    while let Some(piece) = payload.next().await {
+        let piece = piece.map_err(|e| e.to_string())?;
+        if all.len() + piece.len() > cap {
+            return Ok(None);
+        }
+        all.extend_from_slice(&piece);
+    }
+    Ok(Some(all.freeze()))
+}
