--- /dev/null
+++ b/crates/cypressfork/tests/pages.rs
@@ -0,0 +1,85 @@
+//! The pages that list codes, events and proofs agree with the code.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use cypressfork_core::code::Code;
+use cypressfork_node::event::Event;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn page(name: &str) -> String {
+    fs::read_to_string(root().join("docs").join(name)).unwrap()
+}
+
+#[test]
+fn every_result_code_is_listed() {
+    let rows: Vec<String> = Code::ALL
+        .iter()
+        .map(|c| {
+            let status = if c.status() == 0 { "-".to_owned() } else { c.status().to_string() };
+            format!("| CF{} | {status} | `{}` | {} |", c.number(), c.kind(), c.text())
+        })
+        .collect();
+    let text = page("RESULT-CODES.md");
+    let listed: Vec<&str> = text.lines().filter(|l| l.starts_with("| CF")).collect();
+    assert_eq!(listed, rows, "the table should be:\n{}", rows.join("\n"));
+}
+
+#[test]
+fn every_event_is_listed() {
+    let rows: Vec<String> = Event::ALL
+        .iter()
+        .map(|e| {
+            format!("| CFE{} | {} | {} |", e.number(), e.level().as_str().to_lowercase(), e.text())
+        })
+        .collect();
+    let text = page("EVENTS.md");
+    let listed: Vec<&str> = text.lines().filter(|l| l.starts_with("| CFE")).collect();
+    assert_eq!(listed, rows, "the table should be:\n{}", rows.join("\n"));
+}
+
+#[test]
+fn numbers_are_unique_and_rise() {
+    let codes: Vec<_> = Code::ALL.iter().map(|c| c.number()).collect();
+    let events: Vec<_> = Event::ALL.iter().map(|e| e.number()).collect();
+    assert!(codes.is_sorted_by(|a, b| a < b), "{codes:?}");
+    assert!(events.is_sorted_by(|a, b| a < b), "{events:?}");
+}
+
+/// The functions under `tests/` of every crate that are tests.
+fn tests() -> BTreeSet<String> {
+    let mut names = BTreeSet::new();
+    for c in fs::read_dir(root().join("crates")).unwrap() {
+        let Ok(files) = fs::read_dir(c.unwrap().path().join("tests")) else { continue };
+        for f in
+            files.map(|f| f.unwrap().path()).filter(|p| p.extension().is_some_and(|e| e == "rs"))
+        {
+            let text = fs::read_to_string(f).unwrap();
+            let fns = text.lines().filter_map(|l| l.trim().strip_prefix("fn "));
+            names.extend(fns.filter_map(|l| l.split(['(', '<']).next()).map(str::to_owned));
+        }
+    }
+    names
+}
+
+#[test]
+fn every_test_named_as_a_proof_exists() {
+    let known = tests();
+    let text = page("PROOFS.md");
+    let rows = text.lines().filter(|l| l.starts_with("| ") && l.contains('`'));
+    let mut seen = 0;
+    for row in rows {
+        // The test's column is the third; a case of a table is written as test::case.
+        let cell = row.split('|').nth(3).unwrap_or_default();
+        for name in cell.split('`').skip(1).step_by(2) {
+            let name = name.split("::").next().unwrap_or_default();
+            assert!(known.contains(name), "docs/PROOFS.md names no test: {name}");
+            seen += 1;
+        }
+    }
+    assert!(seen > 0);
+}
--- /dev/null
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -0,0 +1,523 @@
+//! A small fleet of real processes on loopback, for tests.
+
+#![allow(dead_code, missing_docs)]
+
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use tempfile::TempDir;
+
+/// The bearer key of the one client account.
+pub const KEY: &str = "cf-test-key";
+
+/// Waiting for an event ends here; a test that comes this far has failed.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+const CENTRES: [&str; 3] = ["tamar-a", "tamar-b", "esk-c"];
+
+pub fn program(name: &str) -> &'static str {
+    match name {
+        "control" => env!("CARGO_BIN_EXE_cypressfork-control"),
+        "router" => env!("CARGO_BIN_EXE_cypressfork-router"),
+        "fakes" => env!("CARGO_BIN_EXE_cypressfork-fakes"),
+        _ => env!("CARGO_BIN_EXE_cypressfork"),
+    }
+}
+
+/// A process that ends with this value.
+pub struct Process {
+    pub name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    pub fn start(dir: &Path, name: &str, program: &str, args: &[&str]) -> Process {
+        let log = dir.join(format!("{name}.log"));
+        let out = File::options().create(true).append(true).open(&log).unwrap();
+        let err = out.try_clone().unwrap();
+        let child = Command::new(program).args(args).stdout(out).stderr(err).spawn().unwrap();
+        Process { name: name.to_owned(), child, log }
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// kill -9.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    pub fn signal(&self, name: &str) {
+        let done =
+            Command::new("kill").args([&format!("-{name}"), &self.id().to_string()]).status();
+        assert!(done.unwrap().success());
+    }
+
+    /// Waits for the process's end; returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let mut code = None;
+        until("the process's end", || match self.child.try_wait().unwrap() {
+            Some(status) => {
+                code = status.code();
+                true
+            }
+            None => false,
+        });
+        code
+    }
+
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            let log = self.log();
+            let lines: Vec<_> = log.lines().rev().take(12).collect();
+            for l in lines.iter().rev() {
+                eprintln!("[{}] {l}", self.name);
+            }
+        }
+    }
+}
+
+/// Asks again until `done` holds.
+pub fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "gave up waiting for {what}");
+        sleep(Duration::from_millis(10));
+    }
+}
+
+/// Addresses that the system had free a moment ago.
+pub fn free_addresses(n: usize) -> Vec<String> {
+    let bound: Vec<_> = (0..n).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    bound.iter().map(|l| l.local_addr().unwrap().to_string()).collect()
+}
+
+/// What a fleet consists of.
+#[derive(Clone)]
+pub struct Plan {
+    pub controls: usize,
+    pub routers: usize,
+    /// Arguments of each engine.
+    pub engines: Vec<Vec<&'static str>>,
+    /// Arguments of each replica of the plain service.
+    pub boards: Vec<Vec<&'static str>>,
+    pub tokens: u64,
+    /// More lines of each control process's settings.
+    pub control_extra: &'static str,
+    /// More lines of the budget's template.
+    pub budget_extra: &'static str,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            controls: 3,
+            routers: 2,
+            engines: vec![vec![]],
+            boards: vec![vec![]],
+            tokens: 100_000,
+            control_extra: "",
+            budget_extra: "",
+        }
+    }
+}
+
+pub struct Fleet {
+    pub dir: TempDir,
+    pub plan: Plan,
+    pub controls: Vec<Process>,
+    pub control_addresses: Vec<String>,
+    pub routers: Vec<Process>,
+    pub router_addresses: Vec<String>,
+    pub ops_addresses: Vec<String>,
+    pub engines: Vec<(Process, String)>,
+    pub boards: Vec<(Process, String)>,
+}
+
+fn fake(dir: &Path, name: &str, kind: &str, args: &[&str]) -> (Process, String) {
+    let mut all = vec![kind];
+    all.extend(args);
+    let p = Process::start(dir, name, program("fakes"), &all);
+    let mut address = String::new();
+    until("a stand-in's address", || {
+        let log = p.log();
+        let found = log.lines().find_map(|l| l.strip_prefix("listening "));
+        address = found.unwrap_or_default().to_owned();
+        !address.is_empty()
+    });
+    (p, address)
+}
+
+impl Fleet {
+    /// Starts everything and applies the configuration.
+    pub fn start(plan: Plan) -> Fleet {
+        let f = Fleet::start_bare(plan);
+        f.apply_example();
+        for n in 0..f.routers.len() {
+            f.until_ready(n, 1);
+        }
+        f
+    }
+
+    /// Starts everything, without a configuration.
+    pub fn start_bare(plan: Plan) -> Fleet {
+        let dir = tempfile::tempdir().unwrap();
+        let key = dir.path().join("cluster.key");
+        fs::write(&key, "0123456789abcdef0123456789abcdef").unwrap();
+        fs::set_permissions(&key, fs::Permissions::from_mode(0o600)).unwrap();
+        let control_addresses = free_addresses(plan.controls);
+        let free = free_addresses(plan.routers * 2);
+        let (router_addresses, ops_addresses) = free.split_at(plan.routers);
+        let mut f = Fleet {
+            controls: Vec::new(),
+            control_addresses,
+            routers: Vec::new(),
+            router_addresses: router_addresses.to_vec(),
+            ops_addresses: ops_addresses.to_vec(),
+            engines: Vec::new(),
+            boards: Vec::new(),
+            plan,
+            dir,
+        };
+        f.start_fakes();
+        for n in 0..f.plan.controls {
+            fs::create_dir(f.path(&format!("data-{n}"))).unwrap();
+            f.write_control_settings(n);
+            let p = f.start_control(n);
+            f.controls.push(p);
+        }
+        f.write_operator_settings();
+        f.init();
+        for n in 0..f.plan.routers {
+            f.write_router_settings(n);
+            let p = f.start_router(n);
+            f.routers.push(p);
+        }
+        f
+    }
+
+    fn start_fakes(&mut self) {
+        for (n, args) in self.plan.engines.clone().iter().enumerate() {
+            let e = fake(self.dir.path(), &format!("engine-{n}"), "engine", args);
+            self.engines.push(e);
+        }
+        for (n, args) in self.plan.boards.clone().iter().enumerate() {
+            let b = fake(self.dir.path(), &format!("board-{n}"), "plain", args);
+            self.boards.push(b);
+        }
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(name)
+    }
+
+    fn common(&self, vm: &str, n: usize) -> String {
+        let control = serde_json::to_string(&self.control_addresses).unwrap();
+        format!(
+            "common:\n  cluster: test\n  region: tas-north\n  data_centre: {}\n  vm: {vm}\n  key_file: {}\n  control: {control}\n  log_level: debug\n",
+            CENTRES[n % 3],
+            self.path("cluster.key").display(),
+        )
+    }
+
+    pub fn write_control_settings(&self, n: usize) {
+        let text = format!(
+            "{}listen: \"{}\"\ndata_folder: {}\n{}",
+            self.common(&format!("control-{n}"), n),
+            self.control_addresses[n],
+            self.path(&format!("data-{n}")).display(),
+            self.plan.control_extra,
+        );
+        fs::write(self.path(&format!("control-{n}.yaml")), text).unwrap();
+    }
+
+    fn write_router_settings(&self, n: usize) {
+        let text = format!(
+            "{}listen: \"{}\"\noperators: \"{}\"\nentry_keep_s: 1\nbody_cap: 65536\n",
+            self.common(&format!("entry-{n}"), n),
+            self.router_addresses[n],
+            self.ops_addresses[n],
+        );
+        fs::write(self.path(&format!("router-{n}.yaml")), text).unwrap();
+    }
+
+    fn write_operator_settings(&self) {
+        let control = serde_json::to_string(&self.control_addresses).unwrap();
+        let text = format!(
+            "cluster: test\nkey_file: {}\ncontrol: {control}\noperator: tester\n",
+            self.path("cluster.key").display(),
+        );
+        fs::write(self.path("cypressfork.yaml"), text).unwrap();
+    }
+
+    pub fn start_control(&self, n: usize) -> Process {
+        let settings = self.path(&format!("control-{n}.yaml"));
+        let args = ["--settings", settings.to_str().unwrap()];
+        Process::start(self.dir.path(), &format!("control-{n}"), program("control"), &args)
+    }
+
+    pub fn start_router(&self, n: usize) -> Process {
+        let settings = self.path(&format!("router-{n}.yaml"));
+        let args = ["--settings", settings.to_str().unwrap()];
+        Process::start(self.dir.path(), &format!("router-{n}"), program("router"), &args)
+    }
+
+    fn init(&self) {
+        let mut words = vec!["init"];
+        words.extend(self.control_addresses.iter().map(String::as_str));
+        let out = self.cli(&words);
+        assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    }
+
+    /// Runs the operator's command line.
+    pub fn cli(&self, words: &[&str]) -> Output {
+        let settings = self.path("cypressfork.yaml");
+        Command::new(program("cypressfork"))
+            .args(words)
+            .args(["--settings", settings.to_str().unwrap()])
+            .output()
+            .unwrap()
+    }
+
+    /// Runs a subcommand that must succeed; returns its JSON.
+    pub fn json(&self, words: &[&str]) -> Value {
+        let mut all = words.to_vec();
+        all.push("--json");
+        let out = self.cli(&all);
+        let err = String::from_utf8_lossy(&out.stderr);
+        assert!(out.status.success(), "{words:?}: {err}");
+        serde_json::from_slice(&out.stdout).unwrap()
+    }
+
+    /// The documents of the example: one client account, a budget, two services.
+    pub fn example(&self) -> String {
+        let list = |all: &[(Process, String)], name: &str| {
+            let one = |(n, (_, a)): (usize, &(Process, String))| {
+                format!(
+                    "{{ vm: {{ name: {name}-{n}, data_centre: {} }}, address: \"{a}\" }}",
+                    CENTRES[n % 3]
+                )
+            };
+            all.iter().enumerate().map(one).collect::<Vec<_>>().join(", ")
+        };
+        format!(
+            r#"
+templates:
+  - name: fleet
+    objects:
+      services:
+        engine-talk:
+          model:
+            models: [go-7b]
+            max_output: 64
+            upstreams: [{}]
+        board-live:
+          plain:
+            prefix: /board-live/
+            upstreams: [{}]
+  - name: club
+    parameters:
+      account: {{ kind: name }}
+      tokens: {{ kind: number, min: 1 }}
+      closed: {{ kind: flag, default: false }}
+    objects:
+      client_accounts:
+        "${{account}}":
+          keys: ["{}"]
+          services: [engine-talk, board-live]
+          closed: "${{closed}}"
+      budgets:
+        "${{account}}-talk":
+          client_account: "${{account}}"
+          services: [engine-talk]
+          tokens: "${{tokens}}"
+{}
+applications:
+  - {{ name: fleet, template: fleet }}
+  - {{ name: club, template: club, values: {{ account: club, tokens: {} }} }}
+"#,
+            list(&self.engines, "engine"),
+            list(&self.boards, "board"),
+            digest(),
+            self.plan.budget_extra,
+            self.plan.tokens,
+        )
+    }
+
+    pub fn apply(&self, name: &str, text: &str) -> Output {
+        let path = self.path(name);
+        fs::write(&path, text).unwrap();
+        self.cli(&["apply", path.to_str().unwrap()])
+    }
+
+    fn apply_example(&self) {
+        let out = self.apply("example.yaml", &self.example());
+        assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    }
+
+    /// Waits until router `n` has at least this version in force.
+    pub fn until_ready(&self, n: usize, version: u64) {
+        let url = format!("http://{}/readyz", self.ops_addresses[n]);
+        until("a router with the configuration", || {
+            get(&url).is_some_and(|v| {
+                v["ready"] == true && v["configuration"].as_u64().unwrap_or(0) >= version
+            })
+        });
+    }
+
+    pub fn budget(&self) -> Value {
+        self.json(&["budgets", "club-talk"])[0].clone()
+    }
+
+    /// Waits until the budget shows this spend and nothing more is to come.
+    pub fn until_spent(&self, tokens: u64) {
+        let mut last = Value::Null;
+        until("the spend", || {
+            last = self.budget();
+            last["spent"] == tokens
+        });
+        assert_eq!(last["spent"], tokens);
+    }
+
+    pub fn engine_stats(&self, n: usize) -> Value {
+        get(&format!("http://{}/stats", self.engines[n].1)).unwrap()
+    }
+
+    pub fn board_runs(&self, n: usize) -> Value {
+        get(&format!("http://{}/stats", self.boards[n].1)).unwrap()["runs"].clone()
+    }
+
+    /// A model request to router `n`.
+    pub fn chat(&self, n: usize) -> Request {
+        Request::new(&self.router_addresses[n], "/v1/chat/completions")
+    }
+
+    /// A call of the plain service through router `n`.
+    pub fn call(&self, n: usize) -> Request {
+        Request::new(&self.router_addresses[n], "/board-live/moves")
+    }
+}
+
+/// The digest of [`KEY`], by the command line's own page: `sha256sum`.
+pub fn digest() -> String {
+    let mut child =
+        Command::new("sha256sum").stdin(Stdio::piped()).stdout(Stdio::piped()).spawn().unwrap();
+    use std::io::Write;
+    child.stdin.take().unwrap().write_all(KEY.as_bytes()).unwrap();
+    let out = child.wait_with_output().unwrap();
+    String::from_utf8(out.stdout).unwrap()[..64].to_owned()
+}
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .build()
+        .into()
+}
+
+pub fn get(url: &str) -> Option<Value> {
+    let mut r = agent().get(url).call().ok()?;
+    serde_json::from_str(&r.body_mut().read_to_string().ok()?).ok()
+}
+
+/// A request that is being put together.
+pub struct Request {
+    url: String,
+    method: &'static str,
+    headers: Vec<(String, String)>,
+}
+
+/// An answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Request {
+    pub fn new(address: &str, path: &str) -> Request {
+        let auth = ("authorization".to_owned(), format!("Bearer {KEY}"));
+        Request { url: format!("http://{address}{path}"), method: "POST", headers: vec![auth] }
+    }
+
+    pub fn method(mut self, m: &'static str) -> Request {
+        self.method = m;
+        self
+    }
+
+    pub fn header(mut self, name: &str, value: &str) -> Request {
+        self.headers.retain(|(n, _)| n != name);
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    pub fn without(mut self, name: &str) -> Request {
+        self.headers.retain(|(n, _)| n != name);
+        self
+    }
+
+    pub fn send(self, body: &str) -> Answer {
+        let (status, headers, mut reader) = self.open(body);
+        let mut body = String::new();
+        use std::io::Read;
+        reader.read_to_string(&mut body).unwrap();
+        Answer { status, headers, body }
+    }
+
+    /// Sends it and returns a reader of the answer's lines.
+    pub fn open(self, body: &str) -> (u16, Vec<(String, String)>, impl BufRead + use<>) {
+        let mut r = ureq::http::Request::builder().method(self.method).uri(&self.url);
+        for (n, v) in &self.headers {
+            r = r.header(n, v);
+        }
+        let response = agent().run(r.body(body.to_owned()).unwrap()).unwrap();
+        let status = response.status().as_u16();
+        let headers = response
+            .headers()
+            .iter()
+            .map(|(n, v)| (n.to_string(), v.to_str().unwrap_or_default().to_owned()))
+            .collect();
+        (status, headers, BufReader::new(response.into_body().into_reader()))
+    }
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e}: {}", self.body))
+    }
+
+    pub fn code(&self) -> String {
+        self.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+/// A model request's body.
+pub fn ask(stream: bool, max_tokens: u64) -> String {
+    format!(
+        r#"{{"model":"go-7b","stream":{stream},"max_tokens":{max_tokens},"messages":[{{"role":"user","content":"annotate this game"}}]}}"#
+    )
+}
