Escrow, claims and bills proved under their faults; four faults found and mended

Cause: the ledger, purse, claims and bills had only the happy path behind them. Ruled out: expiry that returns tokens (rests on clocks), refusing on the first shortage (false refusals at the tail).

--- a/crates/core/src/bill.rs
+++ b/crates/core/src/bill.rs
@@ -4,10 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::unit::{Millis, RequestId, Time, Tokens};
+use crate::unit::{HolderId, Millis, RequestId, Time, Tokens};
 
-/// How long a billed request id is remembered. A copy of the bill that arrives later than this
-/// is billed again.
+/// How long a billed request id is remembered. A caller that uses an id again later than this
+/// makes a new request.
 pub const BILL_KEPT: Millis = Millis::seconds(24 * 3600);
 
 /// What one request used.
@@ -41,6 +41,8 @@
     Billed,
     /// The same bill was posted before.
     Repeated,
+    /// It takes the place of the bill of a run that was cut short.
+    Replaced,
     /// Another run of the request was billed before: its tokens were used up but are not billed.
     OtherRun,
 }
@@ -69,6 +71,13 @@
     pub whole: bool,
 }
 
+impl Posted {
+    fn of(b: &Bill) -> Posted {
+        let cut = |n: Tokens| u32::try_from(n).unwrap_or(u32::MAX);
+        Posted { run: b.run, prompt: cut(b.prompt), output: cut(b.output), whole: b.whole }
+    }
+}
+
 /// The bills of one group.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Bills {
@@ -77,23 +86,53 @@
     totals: BTreeMap<String, Total>,
     /// Further runs seen, so that a resend of one is not counted twice.
     extra: BTreeMap<RequestId, Vec<u64>>,
+    /// The last batch taken from each holder. It outlives the ids, so that a batch that is sent
+    /// again after a cut of any length is not billed again.
+    batches: BTreeMap<HolderId, u64>,
 }
 
 impl Bills {
+    /// Posts a holder's batch. Batches are numbered from 1, and one is sent, unchanged, until it
+    /// is acknowledged.
+    pub fn post_batch(
+        &mut self,
+        now: Time,
+        holder: HolderId,
+        batch: u64,
+        bills: &[Bill],
+    ) -> Vec<Posting> {
+        let last = self.batches.entry(holder).or_default();
+        if batch <= *last {
+            return vec![Posting::Repeated; bills.len()];
+        }
+        *last = batch;
+        bills.iter().map(|b| self.post(now, b)).collect()
+    }
+
     /// Posts a bill.
-    pub fn post(&mut self, now: Time, b: &Bill) -> Posting {
+    fn post(&mut self, now: Time, b: &Bill) -> Posting {
         self.forget(now);
         match self.posted.get(&b.id) {
             Some(p) if p.run == b.run => Posting::Repeated,
+            Some(p) if b.whole && !p.whole => self.replace(*p, b),
             Some(_) => self.post_other_run(b),
             None => self.post_first(now, b),
         }
     }
 
+    /// Bills the run that gave the whole answer instead of one that was cut short.
+    fn replace(&mut self, old: Posted, b: &Bill) -> Posting {
+        self.posted.insert(b.id, Posted::of(b));
+        self.extra.entry(b.id).or_default().push(old.run);
+        let used = u64::from(old.prompt) + u64::from(old.output);
+        let total = self.totals.entry(b.budget.clone()).or_default();
+        total.billed = total.billed - used + b.tokens();
+        total.unbilled += used;
+        Posting::Replaced
+    }
+
     fn post_first(&mut self, now: Time, b: &Bill) -> Posting {
-        let cut = |n: Tokens| u32::try_from(n).unwrap_or(u32::MAX);
-        let p = Posted { run: b.run, prompt: cut(b.prompt), output: cut(b.output), whole: b.whole };
-        self.posted.insert(b.id, p);
+        self.posted.insert(b.id, Posted::of(b));
         self.order.push_back((now, b.id));
         let total = self.totals.entry(b.budget.clone()).or_default();
         total.requests += 1;
--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -7,14 +7,17 @@
 use super::Policy;
 use crate::unit::{HolderId, LeaseId, Millis, Time, Tokens};
 
-/// How long a recall may take before an asker is told that it found too little.
+/// How long a recall has the budget for itself, and how long a holder may take to answer it.
 const RECALL_SPAN: Millis = Millis(1_000);
 
-/// How soon to ask again while a recall runs.
+/// How soon to ask again while a recall finds more.
 const RECALL_POLL: Millis = Millis(50);
 
-/// How soon tokens reserved by running requests may come back.
-const SETTLE_SPAN: Millis = Millis(2_000);
+/// How soon to ask again while only running requests hold tokens that may come back.
+const SETTLE_POLL: Millis = Millis(250);
+
+/// How soon a holder that does not answer may be heard again.
+const AWAY_SPAN: Millis = Millis(10_000);
 
 /// What a lease's end is stretched by at the grantor, as a fraction, for clocks that drift.
 const DRIFT: (u64, u64) = (12, 10);
@@ -64,6 +67,9 @@
 pub enum Shortage {
     /// Tokens are being called back, or running requests may leave some: ask again after this.
     Busy(Millis),
+    /// What could be called back is too little; holders that do not answer have more. They may be
+    /// heard again after this.
+    Away(Millis),
     /// All that can be reached was called back and is too little.
     Spent,
 }
@@ -86,6 +92,8 @@
     pub end: Time,
     /// The holder has said that nothing of it is idle.
     pub tight: bool,
+    /// When the holder last reported on it, or was granted it.
+    pub heard: Time,
 }
 
 impl Lease {
@@ -107,14 +115,38 @@
     leases: BTreeMap<LeaseId, Lease>,
     held: Tokens,
     recall: Option<Recall>,
+    /// The number of the last ask granted to each holder, to tell a late copy from a new ask.
+    granted: BTreeMap<HolderId, u64>,
 }
 
-/// A call for idle tokens on behalf of one waiting ask, or of a cut of the budget.
+/// A call for idle tokens on behalf of one ask that is made again and again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Recall {
     holder: HolderId,
     seq: u64,
-    until: Time,
+    since: Time,
+    /// When the ask was last made; nobody waits any more some time after.
+    asked: Time,
+}
+
+impl Recall {
+    fn is_for(&self, ask: &Ask) -> bool {
+        (self.holder, self.seq) == (ask.holder, ask.seq)
+    }
+
+    fn is_on(&self, now: Time) -> bool {
+        now.since(self.asked) < RECALL_SPAN
+    }
+
+    /// Whether others have to wait for it.
+    fn is_exclusive(&self, now: Time) -> bool {
+        self.is_on(now) && now.since(self.since) < RECALL_SPAN
+    }
+
+    /// Whether a lease's holder had time to answer and did not.
+    fn is_unanswered(&self, now: Time, l: &Lease) -> bool {
+        now.since(self.since) >= RECALL_SPAN && l.heard <= self.since
+    }
 }
 
 impl Funds {
@@ -145,7 +177,7 @@
 
     /// Whether idle tokens are called back at `now`.
     pub fn recalling(&self, now: Time) -> bool {
-        self.recall.is_some_and(|r| now < r.until) || self.overdrawn()
+        self.recall.is_some_and(|r| r.is_on(now)) || self.overdrawn()
     }
 
     /// Whether more is spent and held than is prepaid, as after a cut of the budget.
@@ -160,7 +192,8 @@
         ids.len() as u64
     }
 
-    fn granted(&self, ask: &Ask) -> Option<(LeaseId, Lease)> {
+    /// The lease that an earlier copy of the ask was granted, if that is still open.
+    fn granted_before(&self, ask: &Ask) -> Option<(LeaseId, Lease)> {
         let same = |l: &Lease| l.holder == ask.holder && l.seq == ask.seq;
         self.leases.iter().find(|(_, l)| same(l)).map(|(id, l)| (*id, *l))
     }
@@ -168,67 +201,73 @@
     fn grant(&mut self, now: Time, id: LeaseId, ask: &Ask, amount: Tokens) -> Grant {
         let span = self.policy.offline;
         let end = now.after(span.scale(DRIFT.0, DRIFT.1));
-        let lease =
-            Lease { holder: ask.holder, seq: ask.seq, keep: amount, used: 0, end, tight: false };
+        let (holder, seq) = (ask.holder, ask.seq);
+        let lease = Lease { holder, seq, keep: amount, used: 0, end, tight: false, heard: now };
         self.leases.insert(id, lease);
         self.held += amount;
+        self.granted.insert(holder, seq);
         Grant { lease: id, amount, span }
     }
 
-    fn blocked_by_recall(&self, now: Time, ask: &Ask) -> bool {
-        self.recall.is_some_and(|r| now < r.until && (r.holder, r.seq) != (ask.holder, ask.seq))
-    }
-
+    /// Why nothing was granted; starts or keeps up the recall of what others hold.
     fn shortage(&mut self, now: Time, ask: &Ask) -> Shortage {
         if ask.need == 0 {
-            return Shortage::Busy(SETTLE_SPAN);
+            return Shortage::Busy(SETTLE_POLL);
         }
         let free = self.free();
-        let others = || self.leases.values().filter(|l| l.holder != ask.holder && l.end > now);
-        let idle: Tokens = others().filter(|l| !l.tight).map(Lease::open).sum();
-        let running: Tokens = self.leases.values().filter(|l| l.end > now).map(Lease::open).sum();
-        let mine = |r: &Recall| (r.holder, r.seq) == (ask.holder, ask.seq);
-        if free + running < ask.need {
+        let live = || self.leases.values().filter(|l| l.end > now);
+        if free + live().map(Lease::open).sum::<Tokens>() < ask.need {
             return Shortage::Spent;
         }
-        if idle == 0 {
-            return Shortage::Busy(SETTLE_SPAN);
+        let recall = self.keep_recall(now, ask);
+        let live = || self.leases.values().filter(|l| l.end > now);
+        let reachable = || live().filter(|l| !recall.is_unanswered(now, l));
+        if free + reachable().map(Lease::open).sum::<Tokens>() < ask.need {
+            return Shortage::Away(AWAY_SPAN);
         }
-        match self.recall {
-            Some(r) if now < r.until => Shortage::Busy(RECALL_POLL),
-            Some(r) if mine(&r) && now < r.until.after(SETTLE_SPAN) => Shortage::Busy(SETTLE_SPAN),
-            _ => {
-                self.start_recall(now, ask);
-                Shortage::Busy(RECALL_POLL)
-            }
+        let idle = reachable().any(|l| l.holder != ask.holder && !l.tight);
+        Shortage::Busy(if idle { RECALL_POLL } else { SETTLE_POLL })
+    }
+
+    fn keep_recall(&mut self, now: Time, ask: &Ask) -> Recall {
+        let mut r = match self.recall.filter(|r| r.is_on(now)) {
+            Some(r) => r,
+            None => self.start_recall(now, ask),
+        };
+        if r.is_for(ask) {
+            r.asked = now;
         }
+        self.recall = Some(r);
+        r
     }
 
-    fn start_recall(&mut self, now: Time, ask: &Ask) {
+    fn start_recall(&mut self, now: Time, ask: &Ask) -> Recall {
         for l in self.leases.values_mut() {
             l.tight = false;
         }
-        let until = now.after(RECALL_SPAN);
-        self.recall = Some(Recall { holder: ask.holder, seq: ask.seq, until });
+        Recall { holder: ask.holder, seq: ask.seq, since: now, asked: now }
     }
 
     fn ask(&mut self, now: Time, id: LeaseId, ask: &Ask) -> Decision {
-        if let Some((lease, l)) = self.granted(ask) {
+        if let Some((lease, l)) = self.granted_before(ask) {
             return Ok(Grant { lease, amount: l.keep, span: self.policy.offline });
         }
-        if self.blocked_by_recall(now, ask) {
+        if self.granted.get(&ask.holder).is_some_and(|seq| ask.seq <= *seq) {
+            return Err(Shortage::Busy(SETTLE_POLL));
+        }
+        let recall = self.recall.filter(|r| r.is_on(now));
+        if recall.is_some_and(|r| r.is_exclusive(now) && !r.is_for(ask)) {
             return Err(Shortage::Busy(RECALL_POLL));
         }
-        let recalled = self.recall.is_some();
-        let want = if recalled { ask.need } else { ask.want };
+        let want = if recall.is_some() { ask.need } else { ask.want };
         let holders = self.holders().max(1);
-        match self.policy.give(self.free(), holders, ask.need, want) {
-            Some(amount) => {
-                self.recall = None;
-                Ok(self.grant(now, id, ask, amount))
-            }
-            None => Err(self.shortage(now, ask)),
+        let Some(amount) = self.policy.give(self.free(), holders, ask.need, want) else {
+            return Err(self.shortage(now, ask));
+        };
+        if recall.is_some_and(|r| r.is_for(ask)) {
+            self.recall = None;
         }
+        Ok(self.grant(now, id, ask, amount))
     }
 
     fn report(&mut self, now: Time, holder: HolderId, r: &Report) -> bool {
@@ -241,6 +280,7 @@
         self.held -= l.keep - keep;
         l.keep = keep;
         l.tight = r.tight;
+        l.heard = now;
         l.end = l.end.max(now.after(span));
         if l.keep == l.used {
             self.close(r.lease);
@@ -278,7 +318,8 @@
     }
 
     fn note_recall(&mut self, budget: &str) {
-        let active = self.funds.get(budget).is_some_and(|f| f.recall.is_some() || f.overdrawn());
+        let open = |f: &Funds| f.recall.is_some() || f.overdrawn();
+        let active = self.funds.get(budget).is_some_and(open);
         if !active {
             self.recalling.remove(budget);
         } else if !self.recalling.contains(budget) {
@@ -334,6 +375,14 @@
         Some(open)
     }
 
+    /// Forgets a holder that makes no more asks: one that has gone or was replaced. Its leases
+    /// stay until they are reported on.
+    pub fn forget(&mut self, holder: HolderId) {
+        for f in self.funds.values_mut() {
+            f.granted.remove(&holder);
+        }
+    }
+
     /// The budgets of which `holder` is asked to return what is idle.
     pub fn recalls(&self, now: Time, holder: HolderId) -> impl Iterator<Item = &str> {
         let holds = move |f: &&Funds| f.leases.values().any(|l| l.holder == holder && !l.tight);
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -37,6 +37,8 @@
         holder: HolderId,
         /// On its leases.
         reports: Vec<Report>,
+        /// Number of the batch of bills; 0 if there are none.
+        batch: u64,
         /// Of requests that ended.
         bills: Vec<Bill>,
     },
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -75,6 +75,7 @@
             }
             Command::Gone(h) => {
                 self.routers.remove(*h);
+                self.ledger.forget(*h);
                 self.claims.abandon(now, *h);
                 Answer::Done
             }
@@ -83,9 +84,12 @@
                 Answer::Done
             }
             Command::Ask(ask) => self.ask(now, pos, ask),
-            Command::Tally { holder, reports, bills } => {
+            Command::Tally { holder, reports, batch, bills } => {
                 let known = self.report(now, *holder, reports);
-                let postings = bills.iter().map(|b| self.bills.post(now, b)).collect();
+                let postings = match batch {
+                    0 => Vec::new(),
+                    n => self.bills.post_batch(now, *holder, *n, bills),
+                };
                 Answer::Tallied { known, postings }
             }
             Command::Claim { holder, seq, id, body } => {
@@ -118,6 +122,7 @@
     fn register(&mut self, now: Time, r: Router) -> Answer {
         let (holder, replaced) = self.routers.register(r);
         if let Some(old) = replaced {
+            self.ledger.forget(old);
             self.claims.abandon(now, old);
         }
         Answer::Registered(holder)
--- /dev/null
+++ b/crates/core/tests/sessions.rs
@@ -0,0 +1,298 @@
+//! Whole sessions of a group's state machine, against golden files.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use cypressfork_core::bill::Bill;
+use cypressfork_core::budget::{Ask, Report};
+use cypressfork_core::claim::{End, Outcome};
+use cypressfork_core::command::{Answer, Command};
+use cypressfork_core::config::{Application, Change, Item, Template};
+use cypressfork_core::state::State;
+use cypressfork_core::unit::{HolderId, LeaseId, RequestId, Time};
+use serde_json::{Value, json};
+use support::golden::Session;
+
+struct Group {
+    state: State,
+    now: u64,
+    index: u64,
+    session: Session,
+}
+
+impl Group {
+    fn new() -> Group {
+        Group { state: State::default(), now: 1_000, index: 0, session: Session::default() }
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        self.now += seconds * 1000;
+        self.session.say(&format!("{seconds} s pass"));
+    }
+
+    fn quietly(&mut self, c: &Command) -> Answer {
+        self.index += 1;
+        self.state.apply(Time(self.now), LeaseId { term: 1, index: self.index }, c)
+    }
+
+    fn send(&mut self, c: Command) -> Answer {
+        let a = self.quietly(&c);
+        self.session.note(&c, &a);
+        a
+    }
+
+    fn register(&mut self, vm: &str) -> HolderId {
+        let (data_centre, address) = ("tamar-a".into(), format!("10.0.0.{}:80", self.index + 1));
+        let nonce = self.index;
+        let c = Command::Register { vm: vm.into(), data_centre, address, nonce };
+        match self.send(c) {
+            Answer::Registered(h) => h,
+            a => panic!("{a:?}"),
+        }
+    }
+
+    fn budget(&mut self) {
+        let b = self.state.budgets(Time(self.now), None);
+        self.session.note("budgets", b);
+    }
+}
+
+fn template() -> Template {
+    let upstream =
+        json!({ "vm": { "name": "board-1", "data_centre": "tamar-a" }, "address": "10.1.0.1:80" });
+    let text = json!({
+        "name": "club",
+        "parameters": {
+            "account": { "kind": "name" },
+            "tokens": { "kind": "number", "min": 1 },
+            "closed": { "kind": "flag", "default": false },
+        },
+        "objects": {
+            "client_accounts": { "${account}": { "keys": [], "services": ["talk"], "closed": "${closed}" } },
+            "budgets": { "${account}-talk": {
+                "client_account": "${account}", "services": ["talk"], "tokens": "${tokens}" } },
+            "services": { "talk": { "model": {
+                "models": ["go"], "max_output": 64, "upstreams": [upstream] } } },
+        },
+    });
+    serde_json::from_value(text).unwrap()
+}
+
+fn application(values: Value) -> Application {
+    let values: BTreeMap<String, Value> = serde_json::from_value(values).unwrap();
+    Application { name: "club".into(), template: "club".into(), values }
+}
+
+fn change(op: &str, base: u64, items: Vec<Item>) -> Command {
+    Command::Apply(Change { op: op.into(), base, by: "ann".into(), items })
+}
+
+fn set(op: &str, base: u64, values: Value) -> Command {
+    change(op, base, vec![Item::Application(application(values))])
+}
+
+fn ask(holder: HolderId, seq: u64, need: u64, want: u64) -> Command {
+    Command::Ask(Ask { holder, budget: "club-talk".into(), seq, need, want })
+}
+
+fn report(lease: LeaseId, used: u64, keep: u64) -> Report {
+    Report { lease, used, keep, tight: used == keep }
+}
+
+fn bill(n: u8, run: u64, output: u64) -> Bill {
+    let id = RequestId([n; 16]);
+    Bill { id, run, budget: "club-talk".into(), prompt: 10, output, whole: true }
+}
+
+fn tally(holder: HolderId, reports: Vec<Report>, batch: u64, bills: Vec<Bill>) -> Command {
+    Command::Tally { holder, reports, batch, bills }
+}
+
+fn start(g: &mut Group) {
+    let first = vec![
+        Item::Template(template()),
+        Item::Application(application(json!({ "account": "club", "tokens": 1000 }))),
+    ];
+    g.quietly(&change("first", 0, first));
+}
+
+#[test]
+fn a_budget_through_its_life() {
+    let mut g = Group::new();
+    start(&mut g);
+    let h = g.register("entry-1");
+    let Answer::Decided(Ok(grant)) = g.send(ask(h, 1, 100, 400)) else { panic!() };
+    g.session.say("the same ask again gets the same lease");
+    g.send(ask(h, 1, 100, 400));
+    g.send(tally(h, vec![report(grant.lease, 60, grant.amount)], 1, vec![bill(1, 1, 50)]));
+    g.budget();
+    g.session.say("a top-up, and its resend");
+    let top_up = |n| Command::TopUp { op: "t1".into(), budget: "club-talk".into(), tokens: n };
+    g.send(top_up(500));
+    g.send(top_up(500));
+    g.send(top_up(700));
+    g.session.say("a cut below what is spent is refused, one below what is leased is taken");
+    g.send(set("cut-1", 1, json!({ "account": "club", "tokens": 0 })));
+    g.send(Command::Release { op: "r0".into(), lease: LeaseId { term: 9, index: 9 } });
+    g.send(set("cut-2", 1, json!({ "account": "club", "tokens": 1 })));
+    g.send(ask(h, 2, 1, 1));
+    g.budget();
+    g.session.say("the account is closed: no grant, but reports are taken");
+    g.send(set("close", 2, json!({ "account": "club", "tokens": 1000, "closed": true })));
+    g.send(ask(h, 2, 1, 1));
+    g.send(tally(h, vec![report(grant.lease, 90, 90)], 0, vec![]));
+    g.budget();
+    g.session.check("budget_life.txt");
+}
+
+#[test]
+fn three_operators_race_on_one_version() {
+    let mut g = Group::new();
+    start(&mut g);
+    let tokens = |n: u64| json!({ "account": "club", "tokens": n });
+    g.send(set("ann-1", 1, tokens(2000)));
+    g.send(set("bob-1", 1, tokens(3000)));
+    g.send(set("cid-1", 1, tokens(4000)));
+    g.session.say("ann's answer was lost: she sends it again");
+    g.send(set("ann-1", 1, tokens(2000)));
+    g.session.say("bob makes his change again from the version in force");
+    g.send(set("bob-2", 2, tokens(3000)));
+    g.session.say("ann's third copy still gets her first answer, and reverts nothing");
+    g.send(set("ann-1", 1, tokens(2000)));
+    g.session.say("an operation's id with other content");
+    g.send(set("ann-1", 3, tokens(9)));
+    g.session.say("faults: nothing of them is in force");
+    g.send(set("bad-1", 3, json!({ "account": "club", "tokens": "many" })));
+    g.send(set("bad-2", 3, json!({ "account": "club" })));
+    g.send(set("bad-3", 3, json!({ "account": "club", "tokens": 5, "colour": "red" })));
+    g.send(change("bad-4", 3, vec![Item::RemoveTemplate("club".into())]));
+    g.budget();
+    let back = g.state.config().back_to(2);
+    g.session.note("back to version 2", back);
+    g.session.check("racing_operators.txt");
+}
+
+#[test]
+fn an_order_retried_by_three_routers() {
+    let mut g = Group::new();
+    start(&mut g);
+    let [a, b, c] = ["entry-1", "entry-2", "entry-3"].map(|vm| g.register(vm));
+    let (id, body) = (RequestId([7; 16]), [1; 16]);
+    let claim = |holder, seq, body| Command::Claim { holder, seq, id, body };
+    let end = |holder, seq, end| Command::Conclude { holder, seq, id, end };
+    let answer = Outcome { status: 200, kind: "text/plain".into(), body: Some(b"lot 4".to_vec()) };
+    g.session.say("three routers race; one may run it");
+    g.send(claim(a, 1, body));
+    g.send(claim(b, 1, body));
+    g.send(claim(c, 1, body));
+    g.session.say("the winner's claim again, its answer was lost");
+    g.send(claim(a, 1, body));
+    g.session.say("nobody else ends it; it could not connect, so it has not run");
+    g.send(end(b, 1, End::Unknown));
+    g.send(end(a, 1, End::NotRun));
+    g.session.say("the next copy runs and is answered");
+    g.send(claim(b, 2, body));
+    g.send(end(b, 2, End::Answered(answer)));
+    g.send(claim(c, 2, body));
+    g.session.say("the same id with another body");
+    g.send(claim(c, 3, [2; 16]));
+    g.session.say("just before the outcome's retention ends, just after, and after a month");
+    g.pass(24 * 3600);
+    g.send(claim(c, 4, body));
+    g.pass(1);
+    g.send(claim(c, 5, body));
+    g.pass(30 * 24 * 3600 - 1);
+    g.send(claim(c, 6, body));
+    g.session.check("order_by_three_routers.txt");
+}
+
+#[test]
+fn a_move_whose_router_dies_in_a_cut() {
+    let mut g = Group::new();
+    start(&mut g);
+    let [a, b] = ["entry-1", "entry-2"].map(|vm| g.register(vm));
+    let id = |n: u8| RequestId([n; 16]);
+    let claim = |holder, seq, n| Command::Claim { holder, seq, id: id(n), body: [1; 16] };
+    g.send(claim(a, 1, 1));
+    g.send(claim(a, 2, 2));
+    g.session.say("entry-1 is silent: its claims are of unknown outcome and run no more");
+    g.send(Command::Lapse(a));
+    g.send(claim(b, 1, 1));
+    g.session.say("it was only cut off: its late word is still taken");
+    let done = Outcome { status: 200, kind: String::new(), body: None };
+    g.send(Command::Conclude { holder: a, seq: 1, id: id(1), end: End::Answered(done) });
+    g.send(claim(b, 2, 1));
+    g.session.say("its late 'not run' is not: a copy may have been refused as unknown already");
+    g.send(Command::Conclude { holder: a, seq: 2, id: id(2), end: End::NotRun });
+    g.send(claim(b, 3, 2));
+    g.session.say("a claim given up before it came must not start");
+    g.send(Command::Conclude { holder: b, seq: 4, id: id(3), end: End::NotRun });
+    g.send(claim(b, 4, 3));
+    g.send(claim(a, 3, 3));
+    g.session.say("the machine is replaced: the old registration claims nothing more");
+    g.register("entry-1");
+    g.send(claim(a, 4, 4));
+    g.send(claim(b, 5, 3));
+    g.session.check("move_in_a_cut.txt");
+}
+
+#[test]
+fn a_bill_lost_doubled_and_reordered() {
+    let mut g = Group::new();
+    start(&mut g);
+    let [a, b] = ["entry-1", "entry-2"].map(|vm| g.register(vm));
+    g.send(tally(a, vec![], 1, vec![bill(1, 11, 50), bill(2, 12, 60)]));
+    g.session.say("its answer was lost: the same batch again, then the next");
+    g.send(tally(a, vec![], 1, vec![bill(1, 11, 50), bill(2, 12, 60)]));
+    g.send(tally(a, vec![], 2, vec![bill(3, 13, 70)]));
+    g.session.say("a caller's retry ran on another router while the first still ran");
+    g.send(tally(b, vec![], 1, vec![bill(3, 21, 70)]));
+    g.send(tally(b, vec![], 1, vec![bill(3, 21, 70)]));
+    g.session.say("a run that was cut short gives way to the one that was whole");
+    g.send(tally(a, vec![], 3, vec![Bill { whole: false, ..bill(5, 16, 7) }]));
+    g.send(tally(b, vec![], 2, vec![bill(5, 23, 90)]));
+    g.send(tally(a, vec![], 4, vec![Bill { whole: false, ..bill(5, 17, 7) }]));
+    g.session.say("an old batch arrives late");
+    g.send(tally(a, vec![], 1, vec![bill(1, 11, 50), bill(2, 12, 60)]));
+    g.budget();
+    g.session
+        .say("just before the end of the ids' retention, and just after: a batch is still known");
+    g.pass(24 * 3600);
+    g.send(tally(a, vec![], 2, vec![bill(3, 13, 70)]));
+    g.pass(1);
+    g.send(tally(a, vec![], 2, vec![bill(3, 13, 70)]));
+    g.session.say("a caller's retry by another router, just before and just after");
+    g.send(tally(b, vec![], 3, vec![bill(4, 22, 5)]));
+    g.pass(24 * 3600);
+    g.send(tally(a, vec![], 5, vec![bill(4, 14, 5)]));
+    g.pass(1);
+    g.send(tally(a, vec![], 6, vec![bill(4, 15, 5)]));
+    g.budget();
+    g.session.check("bills.txt");
+}
+
+/// The same commands give the same state, also through a snapshot in the middle.
+#[test]
+fn a_snapshot_in_the_middle_changes_nothing() {
+    let mut g = Group::new();
+    start(&mut g);
+    let h = g.register("entry-1");
+    let Answer::Decided(Ok(grant)) = g.send(ask(h, 1, 100, 400)) else { panic!() };
+    g.send(tally(h, vec![report(grant.lease, 60, 300)], 1, vec![bill(1, 1, 50)]));
+    let bytes = rmp_serde::to_vec(&g.state).unwrap();
+    let mut copy: State = rmp_serde::from_slice(&bytes).unwrap();
+    let rest = [
+        tally(h, vec![report(grant.lease, 80, 300)], 2, vec![bill(1, 1, 50), bill(2, 2, 5)]),
+        ask(h, 1, 100, 400),
+        ask(h, 2, 100, 100),
+        Command::Claim { holder: h, seq: 1, id: RequestId([1; 16]), body: [0; 16] },
+        set("second", 1, json!({ "account": "club", "tokens": 1500 })),
+    ];
+    for (n, c) in rest.iter().enumerate() {
+        let pos = LeaseId { term: 1, index: 100 + n as u64 };
+        assert_eq!(g.state.apply(Time(9_000), pos, c), copy.apply(Time(9_000), pos, c), "{c:?}");
+    }
+    let all = |s: &State| s.budgets(Time(9_000), None);
+    assert_eq!(all(&g.state), all(&copy));
+}
--- a/crates/router/src/wallet.rs
+++ b/crates/router/src/wallet.rs
@@ -39,6 +39,8 @@
     clock: Clock,
     purses: RefCell<BTreeMap<String, Rc<Pocket>>>,
     bills: RefCell<VecDeque<Bill>>,
+    /// The batch that is being told, unchanged until it is acknowledged, and its number.
+    batch: RefCell<(u64, Vec<Bill>)>,
     due: Notify,
     retired: Cell<bool>,
 }
@@ -72,6 +74,7 @@
             clock,
             purses: RefCell::default(),
             bills: RefCell::default(),
+            batch: RefCell::default(),
             due: Notify::new(),
             retired: Cell::new(false),
         }
@@ -122,6 +125,9 @@
                 Asked::Decided(Err(Shortage::Spent)) => {
                     return Err(Refusal::from(Code::BudgetSpent).after(SPENT_AFTER));
                 }
+                Asked::Decided(Err(Shortage::Away(span))) => {
+                    return Err(Refusal::from(Code::BudgetBusy).after(span));
+                }
                 Asked::Decided(Err(Shortage::Busy(span))) => span,
                 Asked::Refused(code) => return Err(refusal(code)),
             };
@@ -205,7 +211,7 @@
     /// Whether nothing is held and nothing waits to be told.
     pub fn is_settled(&self) -> bool {
         let empty = self.purses.borrow().values().all(|p| p.purse.borrow().is_empty());
-        empty && self.bills.borrow().is_empty()
+        empty && self.bills.borrow().is_empty() && self.batch.borrow().1.is_empty()
     }
 
     /// Tells the control group what was spent, every `every` and whenever something is due.
@@ -226,23 +232,34 @@
     pub async fn tally(&self) -> bool {
         let now = self.clock.now();
         let reports = self.reports(now);
-        let bills: Vec<Bill> = self.bills.borrow().iter().take(BATCH).cloned().collect();
+        let (batch, bills) = self.next_batch();
         if reports.is_empty() && bills.is_empty() {
             return true;
         }
-        let sent = bills.len();
         let flat: Vec<Report> = reports.iter().map(|(_, r)| *r).collect();
-        let c = Command::Tally { holder: self.holder, reports: flat, bills };
+        let c = Command::Tally { holder: self.holder, reports: flat, batch, bills };
         match self.group.command(&c, TALLY_WITHIN).await {
             Ok(Answer::Tallied { known, .. }) => {
                 self.acknowledge(now, &reports, &known);
-                self.bills.borrow_mut().drain(..sent);
+                self.batch.borrow_mut().1.clear();
                 true
             }
             _ => false,
         }
     }
 
+    /// The batch that is under way, or a new one; number 0 if there is nothing to bill.
+    fn next_batch(&self) -> (u64, Vec<Bill>) {
+        let mut batch = self.batch.borrow_mut();
+        let mut bills = self.bills.borrow_mut();
+        if batch.1.is_empty() && !bills.is_empty() {
+            let n = bills.len().min(BATCH);
+            batch.0 += 1;
+            batch.1 = bills.drain(..n).collect();
+        }
+        if batch.1.is_empty() { (0, Vec::new()) } else { batch.clone() }
+    }
+
     fn reports(&self, now: Time) -> Vec<(String, Report)> {
         let mut out = Vec::new();
         for (budget, p) in self.purses.borrow().iter() {
