--- /dev/null
+++ b/crates/node/tests/links.rs
@@ -0,0 +1,134 @@
+//! Links over real sockets: strangers, garbage, half-open peers and slow readers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cypressfork_node::link::{self, Credentials, Error, Link};
+use cypressfork_wire::auth::Key;
+use cypressfork_wire::{Ask, Call, Frame};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const KEY: &[u8] = b"0123456789abcdef0123456789abcdef";
+
+fn me(key: &[u8], cluster: &str) -> Credentials {
+    Credentials { key: Key::new(key), cluster: cluster.into(), name: "entry-1".into() }
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let a = l.local_addr().unwrap();
+    (l, a)
+}
+
+fn block<F: Future>(f: F) -> F::Output {
+    actix_rt::System::new().block_on(f)
+}
+
+/// Both ends of a link, or why each did not open.
+async fn both(
+    client: Credentials,
+    server: Credentials,
+) -> (Result<Link, Error>, Result<Link, Error>) {
+    let (l, address) = listener().await;
+    let accepting = async {
+        let (stream, _) = l.accept().await.unwrap();
+        link::accept(stream, &server).await
+    };
+    tokio::join!(link::connect(address, &client), accepting)
+}
+
+fn call(n: usize) -> Frame {
+    Frame::Call(Call::new(1, Ask::Command(vec![0; n]), None))
+}
+
+#[test]
+fn peers_of_one_cluster_understand_each_other() {
+    block(async {
+        let (a, b) = both(me(KEY, "c"), me(KEY, "c")).await;
+        let (mut a, mut b) = (a.unwrap(), b.unwrap());
+        assert_eq!((a.peer.as_str(), b.peer.as_str()), ("entry-1", "entry-1"));
+        a.writer.send(&call(100)).await.unwrap();
+        assert_eq!(b.reader.next().await.unwrap(), call(100));
+    });
+}
+
+#[rstest]
+#[case::wrong_key(b"another key that has 32 bytes too", "c")]
+#[case::wrong_cluster(KEY, "d")]
+fn a_stranger_is_refused_by_both_ends(#[case] key: &[u8], #[case] cluster: &str) {
+    block(async {
+        let (a, b) = both(me(key, cluster), me(KEY, "c")).await;
+        assert!(a.is_err() && b.is_err());
+    });
+}
+
+#[rstest]
+#[case::http(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")]
+#[case::huge_length(&[0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0])]
+#[case::length_without_end(&[0, 0, 0, 9, 1, 2])]
+#[case::noise(&[0, 0, 0, 4, 0xde, 0xad, 0xbe, 0xef])]
+#[case::nothing(&[])]
+fn garbage_ends_in_an_error(#[case] bytes: &'static [u8]) {
+    block(async {
+        let (l, address) = listener().await;
+        let mut s = TcpStream::connect(address).await.unwrap();
+        let (stream, _) = l.accept().await.unwrap();
+        s.write_all(bytes).await.unwrap();
+        s.shutdown().await.unwrap();
+        assert!(link::accept(stream, &me(KEY, "c")).await.is_err());
+    });
+}
+
+/// A peer that connects and says nothing does not hold the process for long. Time is virtual.
+#[test]
+fn a_half_open_peer_is_given_up() {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    rt.unwrap().block_on(async {
+        let (l, address) = listener().await;
+        let _silent = TcpStream::connect(address).await.unwrap();
+        let (stream, _) = l.accept().await.unwrap();
+        let e = link::accept(stream, &me(KEY, "c")).await.err().unwrap();
+        assert!(matches!(e, Error::Slow), "{e}");
+    });
+}
+
+/// A peer that does not read breaks its own link and nobody else's.
+#[test]
+fn a_slow_reader_is_cut_off() {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    rt.block_on(async {
+        let (a, b) = both(me(KEY, "c"), me(KEY, "c")).await;
+        let (mut a, _unread) = (a.unwrap(), b.unwrap());
+        tokio::time::pause();
+        let e = loop {
+            if let Err(e) = a.writer.send(&call(1_000_000)).await {
+                break e;
+            }
+        };
+        assert!(matches!(e, Error::Slow), "{e}");
+    });
+}
+
+#[test]
+fn a_frame_that_is_no_message_breaks_the_link() {
+    block(async {
+        let (l, address) = listener().await;
+        let server = async {
+            let (stream, _) = l.accept().await.unwrap();
+            link::accept(stream, &me(KEY, "c")).await.unwrap()
+        };
+        let client = me(KEY, "c");
+        let (a, mut b) = tokio::join!(link::connect(address, &client), server);
+        drop(a.unwrap());
+        assert!(b.reader.next().await.is_err(), "the peer has gone");
+        let (mut rest, _) = (Vec::new(), Duration::ZERO);
+        let mut s = TcpStream::connect(address).await.unwrap();
+        s.write_all(&[0, 0, 0, 0]).await.unwrap();
+        let (stream, _) = l.accept().await.unwrap();
+        assert!(link::accept(stream, &me(KEY, "c")).await.is_err());
+        s.read_to_end(&mut rest).await.unwrap();
+        assert!(!rest.is_empty(), "a hello, then a reason");
+    });
+}
