Failures over real processes; a new control VM could never catch up

Cause: kills, pauses, lost disks and planned stops had been tried in virtual time only. Found by it and mended: - a replica added as a learner could not answer its leader: it learns addresses from the log that it does not have yet (a_lost_disk_is_replaced_by_the_command_line gave up after 30 s); raft messages now say where their sender listens. The virtual link had addressed replicas by id and hid it; - a router that had said good-bye took the missing registration for a fault and registered again during its stop (a_planned_stop_cuts_no_stream: 2 routers listed, 1 expected); - an engine's refusal by status was charged the prompt's bound (81 tokens for a 503): a 4xx or 503 now costs nothing, and another engine is tried; - two fleets of one test run could take each other's ports: each has a loopback address of its own. Ruled out for the learner: answering over the incoming link (it is one-way by design).

--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -54,7 +54,7 @@
     })?;
     emit!(Event::Started, listen = s.listen, node = format_args!("{node:016x}"));
     let me = Credentials { key: s.base.key, cluster: s.base.cluster, name: s.base.vm };
-    Server::new(machine, clock, me).run(listener).await?;
+    Server::new(machine, clock, me, s.listen).run(listener).await?;
     emit!(Event::Stopped);
     Ok(())
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -1,9 +1,7 @@
 //! Sockets and timers round the machine.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use cypressfork_core::code::Code;
@@ -45,7 +43,7 @@
 
 enum Input {
     Call(Ask, ReplyTo),
-    Raft(Message),
+    Raft(Message, Option<String>),
 }
 
 /// One control process.
@@ -53,7 +51,11 @@
     machine: Machine<Disk, ReplyTo>,
     clock: Clock,
     me: Credentials,
-    peers: Rc<RefCell<BTreeMap<NodeId, Peer>>>,
+    /// Where this process listens.
+    address: String,
+    peers: BTreeMap<NodeId, Peer>,
+    /// Where replicas said that they listen, for those that are no members yet.
+    heard_at: BTreeMap<NodeId, String>,
 }
 
 /// The sending end towards another replica.
@@ -64,8 +66,14 @@
 
 impl Server {
     /// Wraps a machine.
-    pub fn new(machine: Machine<Disk, ReplyTo>, clock: Clock, me: Credentials) -> Server {
-        Server { machine, clock, me, peers: Rc::default() }
+    pub fn new(
+        machine: Machine<Disk, ReplyTo>,
+        clock: Clock,
+        me: Credentials,
+        listen: SocketAddr,
+    ) -> Server {
+        let (peers, heard_at) = (BTreeMap::new(), BTreeMap::new());
+        Server { machine, clock, me, address: listen.to_string(), peers, heard_at }
     }
 
     /// Serves until a signal asks to stop, or the machine cannot go on.
@@ -107,7 +115,12 @@
         let at = self.moment();
         match input {
             Input::Call(ask, to) => self.machine.call(at, ask, to),
-            Input::Raft(m) => self.machine.step(at, m),
+            Input::Raft(m, reply_to) => {
+                if let Some(a) = reply_to {
+                    self.heard_at.insert(m.from, a);
+                }
+                self.machine.step(at, m);
+            }
         }
     }
 
@@ -139,16 +152,19 @@
     }
 
     fn send(&mut self, m: Message) {
-        let Some(address) = self.machine.members().addresses.get(&m.to).cloned() else { return };
-        let mut peers = self.peers.borrow_mut();
-        let known = peers.get(&m.to).is_some_and(|p| p.address == address && !p.tx.is_closed());
+        let members = self.machine.members();
+        let address = members.addresses.get(&m.to).or_else(|| self.heard_at.get(&m.to));
+        let Some(address) = address.cloned() else { return };
+        let known =
+            self.peers.get(&m.to).is_some_and(|p| p.address == address && !p.tx.is_closed());
         if !known {
             let (tx, rx) = mpsc::channel(QUEUE);
-            actix_rt::spawn(send_all(address.clone(), self.me.clone(), rx));
-            peers.insert(m.to, Peer { address, tx });
+            let own = self.address.clone();
+            actix_rt::spawn(send_all(address.clone(), own, self.me.clone(), rx));
+            self.peers.insert(m.to, Peer { address, tx });
         }
         // A full queue drops the message, as a network may.
-        let _ = peers[&m.to].tx.try_send(m);
+        let _ = self.peers[&m.to].tx.try_send(m);
     }
 }
 
@@ -176,9 +192,9 @@
     let why = loop {
         let input = match reader.next().await {
             Ok(Frame::Call(c)) => Input::Call(c.ask, ReplyTo { id: c.id, tx: answers.clone() }),
-            Ok(Frame::Raft(m)) => match into_raft(m) {
-                Ok(m) => Input::Raft(m),
-                Err(e) => break e.to_string(),
+            Ok(Frame::Raft(m)) => match (m.reply_to.clone(), into_raft(m)) {
+                (reply_to, Ok(m)) => Input::Raft(m, reply_to),
+                (_, Err(e)) => break e.to_string(),
             },
             Ok(_) => break "an unexpected message".to_owned(),
             Err(e) => break e.to_string(),
@@ -200,11 +216,11 @@
 }
 
 /// Sends to one replica, connecting again whenever the link breaks.
-async fn send_all(address: String, me: Credentials, mut rx: mpsc::Receiver<Message>) {
+async fn send_all(address: String, own: String, me: Credentials, mut rx: mpsc::Receiver<Message>) {
     let Ok(to) = address.parse::<SocketAddr>() else { return };
     while !rx.is_closed() {
         match link::connect(to, &me).await {
-            Ok(mut link) => pump(&mut link.writer, &mut rx).await,
+            Ok(mut link) => pump(&mut link.writer, &own, &mut rx).await,
             Err(e) => emit!(Event::LinkFailed, address = to, why = e),
         }
         sleep(RECONNECT).await;
@@ -213,9 +229,9 @@
     }
 }
 
-async fn pump(writer: &mut Writer, rx: &mut mpsc::Receiver<Message>) {
+async fn pump(writer: &mut Writer, own: &str, rx: &mut mpsc::Receiver<Message>) {
     while let Some(m) = rx.recv().await {
-        if writer.send(&Frame::Raft(from_raft(&m))).await.is_err() {
+        if writer.send(&Frame::Raft(from_raft(&m, own))).await.is_err() {
             return;
         }
     }
--- a/crates/core/tests/escrow.rs
+++ b/crates/core/tests/escrow.rs
@@ -276,3 +276,16 @@
     assert_eq!(e.ledger_spent(), 100);
     assert!(e.now() > Time(0));
 }
+
+/// Reports that overtake each other: the newest word counts, whatever comes after it.
+#[test]
+fn an_older_report_changes_nothing_after_a_newer_one() {
+    let mut e = Escrow::new(TOTAL, 1);
+    let lease = e.grant_exactly(0, 600);
+    e.report(0, lease, 60, 100);
+    let (spent, open) = (e.ledger_spent(), e.ledger_open());
+    e.report(0, lease, 20, 600);
+    assert_eq!((e.ledger_spent(), e.ledger_open()), (spent, open));
+    assert!(e.is_consistent());
+    assert_eq!(e.ledger_free(), TOTAL - 100, "what was handed back may be with another by now");
+}
--- /dev/null
+++ b/crates/cypressfork/tests/failure.rs
@@ -0,0 +1,235 @@
+//! Failures over real processes: kills, pauses, lost disks, planned stops.
+
+mod support;
+
+use std::fs;
+use std::io::{BufRead, Read};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+
+use serde_json::Value;
+use support::{Fleet, Plan, ask, until};
+
+/// Tokens of one request of [`ask`] with `n` generated ones.
+fn cost(n: u64) -> u64 {
+    3 + n
+}
+
+fn leader(f: &Fleet) -> Option<usize> {
+    let out = f.cli(&["status", "--json"]);
+    let v: Value = serde_json::from_slice(&out.stdout).ok()?;
+    let nodes = v["nodes"].as_array()?;
+    let address = nodes.iter().find(|n| n["leader"] == true)?["address"].as_str()?;
+    f.control_addresses.iter().position(|a| a == address)
+}
+
+/// Callers on all routers go on while `during` happens; every one of them must be served.
+fn under_load(f: &mut Fleet, during: impl FnOnce(&mut Fleet)) -> u64 {
+    let stop = AtomicBool::new(false);
+    let served = AtomicU64::new(0);
+    let addresses = f.router_addresses.clone();
+    thread::scope(|s| {
+        for a in &addresses {
+            s.spawn(|| {
+                while !stop.load(Ordering::Relaxed) {
+                    let r = support::Request::new(a, "/v1/chat/completions").send(&ask(false, 4));
+                    assert_eq!(r.status, 200, "{}", r.body);
+                    served.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+        let at_least = |n: u64| until("requests", || served.load(Ordering::Relaxed) >= n);
+        at_least(20);
+        during(f);
+        at_least(served.load(Ordering::Relaxed) + 20);
+        stop.store(true, Ordering::Relaxed);
+    });
+    served.load(Ordering::Relaxed)
+}
+
+#[test]
+fn requests_go_on_while_the_leader_is_killed() {
+    let mut f = Fleet::start(Plan { tokens: 1_000_000, ..Plan::default() });
+    let served = under_load(&mut f, |f| {
+        let old = leader(f).unwrap();
+        f.controls[old].kill();
+        until("another leader", || leader(f).is_some_and(|l| l != old));
+        f.controls[old] = f.start_control(old);
+    });
+    f.until_spent(served * cost(4));
+    assert_eq!(f.budget()["total"]["requests"], served);
+}
+
+#[test]
+fn a_rolling_restart_under_load_loses_nothing() {
+    let mut f = Fleet::start(Plan { tokens: 1_000_000, ..Plan::default() });
+    let served = under_load(&mut f, |f| {
+        for n in 0..3 {
+            f.controls[n].signal("TERM");
+            assert_eq!(f.controls[n].wait(), Some(0));
+            f.controls[n] = f.start_control(n);
+            until("a whole group", || f.json(&["status"])["safe"] == true);
+        }
+    });
+    f.until_spent(served * cost(4));
+}
+
+#[test]
+fn everything_is_there_after_all_control_processes_are_killed_at_once() {
+    let mut f = Fleet::start(Plan { control_extra: "snapshot_every: 16\n", ..Plan::default() });
+    for n in 0..25 {
+        assert_eq!(f.chat(n % 2).send(&ask(false, 4)).status, 200);
+        f.json(&["top-up", "club-talk", "10"]);
+    }
+    f.until_spent(25 * cost(4));
+    let before = f.budget();
+    for _ in 0..2 {
+        f.controls.iter_mut().for_each(|c| c.kill());
+        f.controls = (0..3).map(|n| f.start_control(n)).collect();
+    }
+    until("a leader", || leader(&f).is_some());
+    let after = f.budget();
+    for key in ["funded", "spent", "total"] {
+        assert_eq!(after[key], before[key], "{key}");
+    }
+    assert_eq!(f.chat(0).send(&ask(false, 4)).status, 200);
+}
+
+/// A router dies with streams open. What it had not reported counts as spent until an operator
+/// vouches for it; the callers come back by the other router.
+#[test]
+fn a_killed_router_strands_its_slice_and_an_operator_frees_it() {
+    let mut f = Fleet::start(Plan { engines: vec![vec!["--token-ms", "50"]], ..Plan::default() });
+    let (_, _, mut reader) = f.chat(0).header("idempotency-key", "lesson-1").open(&ask(true, 24));
+    let mut line = String::new();
+    reader.read_line(&mut line).unwrap();
+    f.routers[0].kill();
+    let again = f.chat(1).header("idempotency-key", "lesson-1").send(&ask(false, 8));
+    assert_eq!(again.status, 200);
+    f.until_spent(cost(8));
+    let held = f.budget()["held"].as_u64().unwrap();
+    f.routers[0] = f.start_router(0);
+    f.until_ready(0, 1);
+    let leases = f.json(&["leases", "club-talk"]);
+    let lost = leases.as_array().unwrap().iter().find(|l| l["vm"].is_null()).unwrap().clone();
+    let id = format!("{}.{}", lost["id"]["term"], lost["id"]["index"]);
+    let freed = f.json(&["release", &id])["released"].as_u64().unwrap();
+    assert!(freed > 0 && freed <= held);
+    assert_eq!(f.budget()["spent"], cost(8), "only what was reported");
+    assert_eq!(f.cli(&["release", &id]).status.code(), Some(3), "it is known no more");
+    assert_eq!(f.json(&["bill", "club", "lesson-1"])["output"], 8);
+}
+
+/// A planned stop in the middle of 100 streams cuts none of them, hands the slices back, and
+/// leaves the entry answers first.
+#[test]
+fn a_planned_stop_cuts_no_stream() {
+    let mut f = Fleet::start(Plan {
+        engines: vec![vec!["--token-ms", "100"]; 4],
+        tokens: 1_000_000,
+        ..Plan::default()
+    });
+    let started = AtomicU64::new(0);
+    let address = f.router_addresses[0].clone();
+    let whole = thread::scope(|s| {
+        let streams: Vec<_> = (0..100)
+            .map(|_| {
+                s.spawn(|| {
+                    let r = support::Request::new(&address, "/v1/chat/completions");
+                    let (status, _, mut reader) = r.open(&ask(true, 24));
+                    assert_eq!(status, 200);
+                    started.fetch_add(1, Ordering::Relaxed);
+                    let mut text = String::new();
+                    reader.read_to_string(&mut text).unwrap();
+                    text.trim_end().ends_with("data: [DONE]")
+                })
+            })
+            .collect();
+        until("100 streams", || started.load(Ordering::Relaxed) == 100);
+        f.routers[0].signal("TERM");
+        until("the entry answers without it", || {
+            let v = support::get(&format!("http://{}/v1/entry", f.router_addresses[1])).unwrap();
+            !v.to_string().contains(&address)
+        });
+        streams.into_iter().map(|t| t.join().unwrap()).filter(|w| *w).count()
+    });
+    assert_eq!(whole, 100);
+    assert_eq!(f.routers[0].wait(), Some(0));
+    f.until_spent(100 * cost(24));
+    let log = f.routers[0].log();
+    assert!(log.contains("CFE412"), "the slices were handed back");
+    let routers = f.json(&["status"])["routers"].as_array().unwrap().len();
+    assert_eq!(routers, 1);
+}
+
+#[test]
+fn a_second_signal_ends_a_planned_stop_at_once() {
+    let mut f = Fleet::start(Plan { engines: vec![vec!["--token-ms", "500"]], ..Plan::default() });
+    let (_, _, mut reader) = f.chat(0).open(&ask(true, 24));
+    let mut line = String::new();
+    reader.read_line(&mut line).unwrap();
+    f.routers[0].signal("TERM");
+    until("the drain", || f.routers[0].log().contains("CFE411"));
+    f.routers[0].signal("TERM");
+    assert_eq!(f.routers[0].wait(), Some(0));
+    assert!(f.routers[0].log().contains("CFE105"));
+}
+
+/// A router that was paused while the configuration went on catches up, and never goes back.
+#[test]
+fn a_paused_router_catches_up_and_never_reverts() {
+    let f = Fleet::start(Plan::default());
+    f.routers[1].signal("STOP");
+    for n in 0..5u64 {
+        let text = f.example().replace("max_output: 64", &format!("max_output: {}", 65 + n));
+        let out = f.apply("next.yaml", &text);
+        assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    }
+    f.until_ready(0, 6);
+    f.routers[1].signal("CONT");
+    f.until_ready(1, 6);
+    let log = f.routers[1].log();
+    let versions: Vec<u64> = log
+        .lines()
+        .filter(|l| l.contains("CFE310"))
+        .map(|l| l.rsplit('=').next().unwrap().parse().unwrap())
+        .collect();
+    assert!(versions.is_sorted(), "{versions:?}");
+}
+
+/// A control VM's disk is lost; the operator replaces it by the pages' three commands.
+#[test]
+fn a_lost_disk_is_replaced_by_the_command_line() {
+    let mut f = Fleet::start(Plan::default());
+    f.json(&["top-up", "club-talk", "10"]);
+    let lost = (leader(&f).unwrap() + 1) % 3;
+    let before = f.json(&["status"]);
+    let address = f.control_addresses[lost].clone();
+    let nodes = before["nodes"].as_array().unwrap();
+    let id = nodes.iter().find(|n| n["address"] == address.as_str()).unwrap()["id"].as_u64();
+    let id = format!("{:016x}", id.unwrap());
+    f.controls[lost].kill();
+    fs::remove_dir_all(f.path(&format!("data-{lost}"))).unwrap();
+    fs::create_dir(f.path(&format!("data-{lost}"))).unwrap();
+    f.controls[lost] = f.start_control(lost);
+    until("the new process", || f.cli(&["members", "add", &address]).status.success());
+    let status = f.json(&["status"]);
+    let learner = status["nodes"].as_array().unwrap().iter().find(|n| n["voter"] == false);
+    let new = format!("{:016x}", learner.unwrap()["id"].as_u64().unwrap());
+    assert_ne!(new, id);
+    until("the learner", || f.cli(&["members", "promote", &new]).status.success());
+    until("the removal", || f.cli(&["members", "remove", &id]).status.success());
+    until("a whole group", || f.json(&["status"])["safe"] == true);
+    let voters = f.json(&["status"])["nodes"].as_array().unwrap().len();
+    assert_eq!(voters, 3);
+    assert_eq!(f.budget()["funded"], 100_010);
+    assert_eq!(f.chat(0).send(&ask(false, 4)).status, 200);
+}
+
+#[test]
+fn a_second_process_on_a_data_folder_is_refused() {
+    let f = Fleet::start_bare(Plan { routers: 0, ..Plan::default() });
+    let mut second = f.start_control(0);
+    assert_eq!(second.wait(), Some(1));
+    assert!(second.log().contains("CF3101"), "{}", second.log());
+}
--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -104,9 +105,17 @@
     }
 }
 
-/// Addresses that the system had free a moment ago.
-pub fn free_addresses(n: usize) -> Vec<String> {
-    let bound: Vec<_> = (0..n).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+/// A loopback address that no other fleet uses at the same time: a port that is free on it stays
+/// free until this fleet takes it.
+fn own_ip() -> String {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let (pid, n) = (std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    format!("127.{}.{}.{}", 1 + pid / 250 % 250, 1 + pid % 250, 1 + n % 250)
+}
+
+/// Addresses on `ip` that the system has free.
+pub fn free_addresses(ip: &str, n: usize) -> Vec<String> {
+    let bound: Vec<_> = (0..n).map(|_| TcpListener::bind(format!("{ip}:0")).unwrap()).collect();
     bound.iter().map(|l| l.local_addr().unwrap().to_string()).collect()
 }
 
@@ -183,12 +192,12 @@
         let key = dir.path().join("cluster.key");
         fs::write(&key, "0123456789abcdef0123456789abcdef").unwrap();
         fs::set_permissions(&key, fs::Permissions::from_mode(0o600)).unwrap();
-        let control_addresses = free_addresses(plan.controls);
-        let free = free_addresses(plan.routers * 2);
+        let free = free_addresses(&own_ip(), plan.controls + plan.routers * 2);
+        let (control_addresses, free) = free.split_at(plan.controls);
         let (router_addresses, ops_addresses) = free.split_at(plan.routers);
         let mut f = Fleet {
             controls: Vec::new(),
-            control_addresses,
+            control_addresses: control_addresses.to_vec(),
             routers: Vec::new(),
             router_addresses: router_addresses.to_vec(),
             ops_addresses: ops_addresses.to_vec(),
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use actix_http::StatusCode;
 use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
 use cypressfork_core::bill::Bill;
@@ -62,7 +63,9 @@
 enum Failed {
     /// No byte of the request can have reached the engine.
     NotSent,
-    /// It may have; the engine's status, if it gave one.
+    /// The engine refused it whole.
+    Refused(String),
+    /// It may have run, and did not end well.
     Sent(String),
     /// The deadline has passed.
     Late,
@@ -138,10 +141,11 @@
                 Ok(response) => return Ok((address, response)),
                 Err(f) => f,
             };
-            let fault = matches!(failed, Failed::NotSent | Failed::Sent(_));
+            let fault = !matches!(failed, Failed::Late | Failed::Left);
             self.app.done(&self.plan.service, address, fault);
             match failed {
                 Failed::NotSent => {}
+                Failed::Refused(text) => why = text,
                 Failed::Sent(text) if self.claim.is_none() => why = text,
                 Failed::Sent(text) => return Err(failure(Code::UpstreamFailed, text)),
                 Failed::Late => return Err(late(self.ran())),
@@ -149,7 +153,7 @@
             }
             emit!(Event::UpstreamFailed, service = self.plan.service, address = address, why = why);
         }
-        if self.dispatched {
+        if self.dispatched || !why.is_empty() {
             return Err(failure(Code::UpstreamFailed, why).after(NO_UPSTREAM_AFTER));
         }
         Err(Refusal::from(Code::NoUpstream).after(NO_UPSTREAM_AFTER))
@@ -173,12 +177,16 @@
         let sending = req.send_body(plan.ask.for_engine(plan.cap));
         let sent = timeout_at(plan.deadline, sending).await;
         let not_sent = matches!(&sent, Ok(Err(e)) if is_not_sent(e));
-        self.dispatched |= !not_sent;
+        let refused = matches!(&sent, Ok(Ok(r)) if is_refusal(r.status()));
+        self.dispatched |= !not_sent && !refused;
         match sent {
             Err(_) => Err(Failed::Late),
             Ok(Err(_)) if not_sent => Err(Failed::NotSent),
             Ok(Err(e)) => Err(Failed::Sent(e.to_string())),
             Ok(Ok(r)) if r.status().is_success() => Ok(r),
+            Ok(Ok(r)) if refused => {
+                Err(Failed::Refused(format!("the engine answered {}", r.status())))
+            }
             Ok(Ok(r)) => Err(Failed::Sent(format!("the engine answered {}", r.status()))),
         }
     }
@@ -301,7 +309,7 @@
                 emit!(Event::UpstreamFailed, address = address, why = why);
                 Some(failure(Code::UpstreamFailed, why.clone()).after(NO_UPSTREAM_AFTER))
             }
-            Err(Failed::NotSent) => Some(Code::UpstreamFailed.into()),
+            Err(Failed::NotSent | Failed::Refused(_)) => Some(Code::UpstreamFailed.into()),
         };
         self.close(ended.is_ok(), Ran::Unknown);
         match (first, refusal) {
@@ -401,6 +409,11 @@
     Refusal::from(Code::DeadlinePassed).ran(ran).after(DEADLINE_AFTER)
 }
 
+/// Whether an engine says by this status that it used nothing up.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 /// Whether the error proves that no byte of the request was sent.
 pub fn is_not_sent(e: &SendRequestError) -> bool {
     match e {
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -22,9 +22,9 @@
 /// How long to wait after a failed try.
 const PAUSE: Duration = Duration::from_millis(200);
 
-/// Registers and follows for as long as the process lives.
+/// Registers and follows until a planned stop.
 pub async fn follow(app: Rc<App>) {
-    loop {
+    while !app.draining.get() {
         let holder = register(&app).await;
         let wallet = Rc::new(Wallet::new(holder, app.group.clone(), app.clock));
         actix_rt::spawn(wallet.clone().tally_forever(app.settings.tally));
--- a/crates/wire/idl/link.thrift
+++ b/crates/wire/idl/link.thrift
@@ -157,6 +157,8 @@
   2: required i64 receiver,
   3: required i64 term,
   4: required RaftBody body,
+  // Where the sender listens: a replica that has no members yet knows no other way to answer.
+  5: optional string reply_to,
 }
 
 // Says why a link is closed.
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -12,9 +12,10 @@
 use crate::Error;
 use crate::generated::link as t;
 
-/// A raft message as it is sent.
-pub fn from_raft(m: &Message) -> t::RaftMessage {
-    t::RaftMessage::new(m.from as i64, m.to as i64, m.term as i64, from_body(&m.body))
+/// A raft message as it is sent by a replica that listens at `reply_to`.
+pub fn from_raft(m: &Message, reply_to: &str) -> t::RaftMessage {
+    let (from, to, term) = (m.from as i64, m.to as i64, m.term as i64);
+    t::RaftMessage::new(from, to, term, from_body(&m.body), reply_to.to_owned())
 }
 
 /// A raft message as it was received.
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -49,7 +49,7 @@
 #[case(Body::RejoinReply { boot: 7, welcome: false })]
 fn a_raft_message_comes_back_as_it_was(#[case] body: Body) {
     let m = Message { from: 1, to: u64::MAX, term: 3, body };
-    let bytes = encode(&Frame::Raft(from_raft(&m)));
+    let bytes = encode(&Frame::Raft(from_raft(&m, "10.0.0.1:1")));
     let Frame::Raft(back) = decode(&bytes).unwrap() else { panic!() };
     assert_eq!(into_raft(back).unwrap(), m);
 }
@@ -61,12 +61,10 @@
 fn garbage_is_an_error_and_no_more() {
     let config = Config { cases: 20_000, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
-    let good = encode(&Frame::Raft(from_raft(&Message {
-        from: 1,
-        to: 2,
-        term: 3,
-        body: Body::Snapshot(part()),
-    })));
+    let good = encode(&Frame::Raft(from_raft(
+        &Message { from: 1, to: 2, term: 3, body: Body::Snapshot(part()) },
+        "10.0.0.1:1",
+    )));
     let noise = prop::collection::vec(any::<u8>(), 0..200);
     let edits = prop::collection::vec((any::<usize>(), any::<u8>()), 0..6);
     let mut runner = TestRunner::new_with_rng(config, rng);
