--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -127,6 +127,8 @@
                 let result = self.found(at, &f);
                 self.reply(from, result);
             }
+            // The server hands these to the reserve, if it keeps one.
+            Ask::Reserve(_) => self.reply(from, Err(Code::MessageBad)),
         }
     }
 
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -4,6 +4,7 @@
 
 use cypressfork_core::code::Code;
 use cypressfork_node::event::Event;
+use cypressfork_node::group::Group;
 use cypressfork_node::link::Credentials;
 use cypressfork_node::process::Failure;
 use cypressfork_node::settings::load;
@@ -14,7 +15,8 @@
 
 use crate::disk::Disk;
 use crate::machine::{Machine, Moment};
-use crate::server::Server;
+use crate::reserve::Reserve;
+use crate::server::{ReplyTo, Server};
 use crate::settings::{File, Settings};
 
 /// Reads and checks the settings.
@@ -37,6 +39,14 @@
     (code(&e), format!("CF{}: {e}", code(&e).number()))
 }
 
+fn open_reserve(s: &Settings) -> Result<Option<Reserve<ReplyTo>>, Error> {
+    if !s.reserve {
+        return Ok(None);
+    }
+    let (path, b) = (s.data_folder.join("reserve"), &s.base);
+    Reserve::open(&path, &b.region, &b.vm, &b.data_centre, rand::random::<u64>()).map(Some)
+}
+
 /// Serves until asked to stop.
 pub async fn run(s: Settings) -> Result<(), Failure> {
     logging::start(s.base.log_level, s.base.log_form);
@@ -53,8 +63,10 @@
         (Code::AddressTaken, format!("CF3005: could not listen on {}: {e}", s.listen))
     })?;
     emit!(Event::Started, listen = s.listen, node = format_args!("{node:016x}"));
+    let reserve = open_reserve(&s).map_err(disk_failed)?;
     let me = Credentials { key: s.base.key, cluster: s.base.cluster, name: s.base.vm };
-    Server::new(machine, clock, me, s.listen).run(listener).await?;
+    let group = Group::new(me.clone(), s.base.control);
+    Server::new(machine, clock, me, s.listen, reserve, group).run(listener).await?;
     emit!(Event::Stopped);
     Ok(())
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use cypressfork_core::code::Code;
+use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::raft::Message;
-use cypressfork_core::unit::NodeId;
+use cypressfork_core::unit::{Millis, NodeId, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
+use cypressfork_node::group::Group;
 use cypressfork_node::link::{self, Credentials, Link, Writer};
 use cypressfork_node::process::{Failure, stop_signal};
 use cypressfork_node::time::{Clock, wall};
@@ -19,6 +21,7 @@
 
 use crate::disk::Disk;
 use crate::machine::{Machine, Moment, Output};
+use crate::reserve::Reserve;
 
 /// How often the machine's time passes.
 const TICK: Duration = Duration::from_millis(10);
@@ -32,6 +35,12 @@
 /// How long to wait before a peer that cannot be reached is tried again.
 const RECONNECT: Duration = Duration::from_millis(100);
 
+/// How often the reserve looks after its duties.
+const DUTY_EVERY: Millis = Millis(250);
+
+/// How long a duty may wait for the group.
+const DUTY_WITHIN: Duration = Duration::from_secs(2);
+
 /// How long a planned stop leaves the next leader to take over.
 const HAND_OVER: Duration = Duration::from_millis(300);
 
@@ -44,6 +53,8 @@
 enum Input {
     Call(Ask, ReplyTo),
     Raft(Message, Option<String>),
+    /// The group's answer to a duty of the reserve.
+    Duty(Box<Command>, Result<Answer, Code>),
 }
 
 /// One control process.
@@ -54,6 +65,11 @@
     /// Where this process listens.
     address: String,
     peers: BTreeMap<NodeId, Peer>,
+    reserve: Option<Reserve<ReplyTo>>,
+    group: Group,
+    /// Duties of the reserve that wait for the group.
+    duties: usize,
+    next_duty: Time,
     /// Where replicas said that they listen, for those that are no members yet.
     heard_at: BTreeMap<NodeId, String>,
 }
@@ -71,15 +87,27 @@
         clock: Clock,
         me: Credentials,
         listen: SocketAddr,
+        reserve: Option<Reserve<ReplyTo>>,
+        group: Group,
     ) -> Server {
-        let (peers, heard_at) = (BTreeMap::new(), BTreeMap::new());
-        Server { machine, clock, me, address: listen.to_string(), peers, heard_at }
+        Server {
+            machine,
+            clock,
+            me,
+            address: listen.to_string(),
+            peers: BTreeMap::new(),
+            reserve,
+            group,
+            duties: 0,
+            next_duty: Time(0),
+            heard_at: BTreeMap::new(),
+        }
     }
 
     /// Serves until a signal asks to stop, or the machine cannot go on.
     pub async fn run(mut self, listener: TcpListener) -> Result<(), Failure> {
         let (tx, mut rx) = mpsc::channel(QUEUE);
-        actix_rt::spawn(accept_all(listener, self.me.clone(), tx));
+        actix_rt::spawn(accept_all(listener, self.me.clone(), tx.clone()));
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
         let stop = stop_signal();
@@ -88,7 +116,10 @@
             tokio::select! {
                 () = &mut stop => break,
                 Some(input) = rx.recv() => self.take_all(input, &mut rx),
-                _ = ticks.tick() => self.machine.tick(self.moment()),
+                _ = ticks.tick() => {
+                    self.machine.tick(self.moment());
+                    self.begin_duties(&tx);
+                }
             }
             self.finish()?;
         }
@@ -114,6 +145,20 @@
     fn take(&mut self, input: Input) {
         let at = self.moment();
         match input {
+            Input::Call(Ask::Reserve(bytes), to) => match &mut self.reserve {
+                Some(r) => r.serve(at.wall, &bytes, to),
+                None => self.reply(to, Err(Code::ReserveNone)),
+            },
+            Input::Duty(c, result) => {
+                self.duties -= 1;
+                if let (Some(r), Ok(a)) = (&mut self.reserve, result) {
+                    let known = r.is_enlisted();
+                    r.answered(at.wall, &c, &a, self.machine.state());
+                    if !known && r.is_enlisted() {
+                        emit!(Event::ReserveEnlisted);
+                    }
+                }
+            }
             Input::Call(ask, to) => self.machine.call(at, ask, to),
             Input::Raft(m, reply_to) => {
                 if let Some(a) = reply_to {
@@ -124,7 +169,40 @@
         }
     }
 
+    /// Sends the reserve's duties to the group, once those before are answered.
+    fn begin_duties(&mut self, tx: &mpsc::Sender<Input>) {
+        let at = self.moment();
+        let Some(r) = &mut self.reserve else { return };
+        if self.duties > 0 || at.now < self.next_duty {
+            return;
+        }
+        self.next_duty = at.now.after(DUTY_EVERY);
+        for c in r.duties(at.wall, self.machine.state()) {
+            self.duties += 1;
+            let (group, tx) = (self.group.clone(), tx.clone());
+            actix_rt::spawn(async move {
+                let answer = group.command(&c, DUTY_WITHIN).await;
+                // A server that has stopped needs no answer.
+                let _ = tx.send(Input::Duty(Box::new(c), answer)).await;
+            });
+        }
+    }
+
+    /// Syncs and answers what routers asked of the reserve.
+    fn finish_reserve(&mut self) {
+        let Some(r) = &mut self.reserve else { return };
+        match r.finish() {
+            Ok(replies) => {
+                for (to, result) in replies {
+                    self.reply(to, result);
+                }
+            }
+            Err(e) => emit!(Event::ReserveFailed, why = e),
+        }
+    }
+
     fn finish(&mut self) -> Result<(), Failure> {
+        self.finish_reserve();
         let at = self.moment();
         for out in self.machine.finish(at) {
             match out {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -20,6 +20,9 @@
     pub listen: String,
     /// The data folder.
     pub data_folder: String,
+    /// Keeps the reserve of its data centre; at most one process in each should.
+    #[serde(default = "reserve_default")]
+    pub reserve: bool,
     /// Milliseconds between a leader's heartbeats.
     #[serde(default = "heartbeat_default")]
     pub heartbeat_ms: u64,
@@ -31,6 +34,10 @@
     pub snapshot_every: u64,
 }
 
+fn reserve_default() -> bool {
+    true
+}
+
 fn heartbeat_default() -> u64 {
     RaftSettings::default().heartbeat.0
 }
@@ -51,6 +58,8 @@
     pub listen: SocketAddr,
     /// The data folder.
     pub data_folder: PathBuf,
+    /// Whether it keeps the reserve of its data centre.
+    pub reserve: bool,
     /// Timing and sizes.
     pub machine: machine::Settings,
 }
@@ -71,6 +80,7 @@
             base: self.common.check()?,
             listen: address("listen", &self.listen)?,
             data_folder: folder("data_folder", &self.data_folder)?,
+            reserve: self.reserve,
             machine: machine::Settings { raft, snapshot_every },
         })
     }
--- /dev/null
+++ b/crates/core/examples/policies.rs
@@ -0,0 +1,541 @@
+//! Compares ways of sharing a budget among routers: overspend and false refusals, side by side
+//! over the same requests, in virtual time on the core's own ledger and purses.
+//!
+//! `cargo run --release -p cypressfork-core --example policies`
+//!
+//! Eight routers stand in three data centres and, for the region's cut, in two regions of four.
+//! Messages take no time and are only lost by a cut. A request holds its reservation while it
+//! runs; a killed router takes what it had not reported with it. The oracle knows every request's
+//! use beforehand and no walls: a refusal is false if the oracle lets the request run.
+
+use std::collections::VecDeque;
+
+use cypressfork_core::budget::{
+    Ask, Custody, Decision, Deed, Done, Ledger, Policy, Purse, Region, Reservation, Shortage,
+};
+use cypressfork_core::unit::{HolderId, LeaseId, Millis, Time};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const BUDGET: &str = "b";
+const ROUTERS: usize = 8;
+const CENTRES: usize = 3;
+const HOUR: u64 = 3_600_000;
+const RUN: u64 = 3 * HOUR;
+const TICK: u64 = 250;
+
+/// A way of sharing.
+#[derive(Clone, Copy)]
+enum Rule {
+    /// Everybody gets the same part at the start.
+    Split,
+    /// The group is asked for each request.
+    Each,
+    /// Slices of a fixed size, never called back.
+    Fixed(u64),
+    /// The library's escrow.
+    Escrow(Policy),
+}
+
+impl Rule {
+    fn policy(self) -> Policy {
+        match self {
+            Rule::Escrow(p) => p,
+            _ => Policy { share: 0, offline: Millis(4 * HOUR), ..Policy::default() },
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    KillEachMinute,
+    CentreCut,
+    RegionCut,
+    EndOfBudget,
+}
+
+/// A user's requests.
+struct Mix {
+    name: &'static str,
+    /// Requests a second, all routers together.
+    rate: f64,
+    /// Weight, bound of the prompt, most output, and milliseconds that it runs.
+    kinds: &'static [(u32, u64, u64, u64)],
+    /// Milliseconds that a request may wait.
+    patience: u64,
+}
+
+const MIXES: [Mix; 2] = [
+    Mix {
+        name: "Kellaway",
+        rate: 4.0,
+        kinds: &[(2, 1_500, 2_000, 20_000), (5, 600, 400, 4_000), (3, 200, 100, 1_000)],
+        patience: 2_000,
+    },
+    Mix {
+        name: "Asante",
+        rate: 2.0,
+        kinds: &[(3, 24_000, 800, 8_000), (3, 9_000, 300, 3_000), (4, 400, 150, 1_500)],
+        patience: 10_000,
+    },
+];
+
+#[derive(Clone, Copy)]
+struct Request {
+    at: u64,
+    router: usize,
+    bound: u64,
+    used: u64,
+    runs: u64,
+}
+
+fn requests(mix: &Mix, seed: u64) -> Vec<Request> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let weights: u32 = mix.kinds.iter().map(|k| k.0).sum();
+    let mut at = 0.0;
+    let mut out = Vec::new();
+    loop {
+        at += -rng.random_range(f64::MIN_POSITIVE..1.0).ln() / mix.rate * 1000.0;
+        if at >= RUN as f64 {
+            return out;
+        }
+        let mut pick = rng.random_range(0..weights);
+        let kind = mix.kinds.iter().find(|k| {
+            let hit = pick < k.0;
+            pick = pick.saturating_sub(k.0);
+            hit
+        });
+        let &(_, prompt, output, runs) = kind.unwrap();
+        // A prompt has a third to a half as many tokens as bytes; answers end before their cap.
+        let used = prompt / rng.random_range(2..4) + rng.random_range(output / 4..output);
+        let router = rng.random_range(0..ROUTERS);
+        out.push(Request { at: at as u64, router, bound: prompt + output, used, runs });
+    }
+}
+
+struct Running {
+    end: u64,
+    held: Reservation,
+    used: u64,
+    /// It is held from the data centre's reserve.
+    spare: bool,
+}
+
+struct Node {
+    holder: HolderId,
+    purse: Purse,
+    /// Slices of the data centre's reserve.
+    spare: Purse,
+    running: VecDeque<Running>,
+    dead_until: u64,
+}
+
+struct World {
+    rule: Rule,
+    fault: Fault,
+    home: Ledger,
+    /// The ledger of the second region, for the region's cut.
+    region: Region,
+    region_seq: u64,
+    /// The reserve of each data centre.
+    reserves: Vec<Custody>,
+    nodes: Vec<Node>,
+    now: u64,
+    index: u64,
+    holders: u64,
+    consumed: u64,
+}
+
+impl World {
+    fn new(rule: Rule, fault: Fault, budget: u64) -> World {
+        let mut home = Ledger::default();
+        home.fund(BUDGET, budget, rule.policy());
+        let mut w = World {
+            rule,
+            fault,
+            home,
+            region: Region::default(),
+            region_seq: 0,
+            reserves: vec![Custody::default(); CENTRES],
+            nodes: Vec::new(),
+            now: 0,
+            index: 0,
+            holders: 1_000,
+            consumed: 0,
+        };
+        for _ in 0..ROUTERS {
+            let n = w.node();
+            w.nodes.push(n);
+        }
+        if let Rule::Split = rule {
+            for n in 0..ROUTERS {
+                let part = budget / ROUTERS as u64;
+                w.ask(n, part, part);
+            }
+        }
+        w
+    }
+
+    fn node(&mut self) -> Node {
+        self.holders += 1;
+        let [purse, spare] = [0; 2].map(|seq| Purse::new(self.rule.policy(), seq));
+        let holder = HolderId(self.holders);
+        Node { holder, purse, spare, running: VecDeque::new(), dead_until: 0 }
+    }
+
+    fn is_cut_time(&self) -> bool {
+        (HOUR..2 * HOUR).contains(&self.now)
+    }
+
+    /// Whether router `n` reaches the ledger that it asks.
+    fn reaches(&self, n: usize) -> bool {
+        match self.fault {
+            Fault::CentreCut => !(self.is_cut_time() && n % CENTRES == 2),
+            Fault::RegionCut => !self.in_far_region(n) || self.has_region() || !self.is_cut_time(),
+            _ => true,
+        }
+    }
+
+    fn in_far_region(&self, n: usize) -> bool {
+        self.fault == Fault::RegionCut && n >= ROUTERS / 2
+    }
+
+    fn has_region(&self) -> bool {
+        matches!(self.rule, Rule::Escrow(_))
+    }
+
+    fn lease(&mut self) -> LeaseId {
+        self.index += 1;
+        LeaseId { term: 1, index: self.index }
+    }
+
+    fn decide(&mut self, n: usize, ask: &Ask) -> Decision {
+        let (now, id) = (Time(self.now), self.lease());
+        if self.in_far_region(n) && self.has_region() {
+            return self.region.ask(now, id, ask).unwrap_or(Err(Shortage::Spent));
+        }
+        self.home.ask(now, id, ask).unwrap()
+    }
+
+    fn ask(&mut self, n: usize, need: u64, want: u64) -> bool {
+        if !self.reaches(n) {
+            return false;
+        }
+        let (now, holder) = (Time(self.now), self.nodes[n].holder);
+        let Some(mut ask) = self.nodes[n].purse.ask(now, holder, BUDGET, need) else {
+            return false;
+        };
+        if !matches!(self.rule, Rule::Escrow(_)) {
+            ask.want = want.max(ask.need);
+        }
+        let decision = self.decide(n, &ask);
+        self.nodes[n].purse.answer(ask.seq, &decision);
+        if matches!(decision, Err(Shortage::Busy(_))) && matches!(self.rule, Rule::Escrow(_)) {
+            self.recall();
+            if need > 0 && self.ask_again(n, need) {
+                return true;
+            }
+        }
+        decision.is_ok()
+    }
+
+    fn ask_again(&mut self, n: usize, need: u64) -> bool {
+        let (now, holder) = (Time(self.now), self.nodes[n].holder);
+        let Some(ask) = self.nodes[n].purse.ask(now, holder, BUDGET, need) else { return false };
+        let decision = self.decide(n, &ask);
+        self.nodes[n].purse.answer(ask.seq, &decision);
+        decision.is_ok()
+    }
+
+    fn recall(&mut self) {
+        for n in 0..ROUTERS {
+            if self.alive(n) && self.reaches(n) {
+                self.nodes[n].purse.recall();
+                self.report(n);
+            }
+        }
+    }
+
+    fn alive(&self, n: usize) -> bool {
+        self.nodes[n].dead_until <= self.now
+    }
+
+    fn report(&mut self, n: usize) {
+        let now = Time(self.now);
+        for r in self.nodes[n].purse.reports(now) {
+            let holder = self.nodes[n].holder;
+            let known = if self.in_far_region(n) && self.has_region() {
+                self.region.report(now, holder, &r)
+            } else {
+                self.home.report(now, holder, &r)
+            };
+            self.nodes[n].purse.acknowledge(now, &r, known);
+        }
+    }
+
+    /// Tries to start a request.
+    fn start(&mut self, r: &Request) -> bool {
+        if !self.alive(r.router) {
+            return false;
+        }
+        let now = Time(self.now);
+        let mut held = self.nodes[r.router].purse.reserve(now, r.bound);
+        if held.is_none() {
+            let want = match self.rule {
+                Rule::Fixed(size) => size,
+                _ => r.bound,
+            };
+            if !matches!(self.rule, Rule::Split) {
+                self.ask(r.router, r.bound, want);
+            }
+            held = self.nodes[r.router].purse.reserve(now, r.bound);
+        } else if matches!(self.rule, Rule::Escrow(_)) && self.nodes[r.router].purse.runs_low(now) {
+            self.ask(r.router, 0, 0);
+        }
+        let spare = held.is_none();
+        if spare {
+            held = self.reserve_spare(r.router, r.bound);
+        }
+        let Some(held) = held else { return false };
+        let running = Running { end: self.now + r.runs, held, used: r.used, spare };
+        self.nodes[r.router].running.push_back(running);
+        true
+    }
+
+    /// Turns to the data centre's reserve, if the group is out of reach.
+    fn reserve_spare(&mut self, n: usize, bound: u64) -> Option<Reservation> {
+        if self.reaches(n) || !self.keeps_reserves() {
+            return None;
+        }
+        let (now, holder) = (Time(self.now), self.nodes[n].holder);
+        if let Some(held) = self.nodes[n].spare.reserve(now, bound) {
+            return Some(held);
+        }
+        let ask = self.nodes[n].spare.ask(now, holder, BUDGET, bound)?;
+        let seq = ask.seq;
+        let id = self.lease();
+        let done = self.reserves[n % CENTRES].apply(now, id, &Deed::Ask(ask));
+        let Done::Decided(decision) = done else { return None };
+        self.nodes[n].spare.answer(seq, &decision);
+        self.nodes[n].spare.reserve(now, bound)
+    }
+
+    fn keeps_reserves(&self) -> bool {
+        matches!(self.rule, Rule::Escrow(p) if p.reserve > 0)
+    }
+
+    /// Every data centre in reach brings its reserve to its target and reports on it.
+    fn tend_reserves(&mut self) {
+        for c in 0..CENTRES {
+            if !self.reaches(c) {
+                continue;
+            }
+            let (now, holder) = (Time(self.now), HolderId(10 + c as u64));
+            self.report_reserve(c, holder);
+            let f = self.home.get(BUDGET).unwrap();
+            let calling = f.recalling(now);
+            let target = if calling { 0 } else { self.rule.policy().target(f.free()) };
+            let excess = self.reserves[c].excess(BUDGET, target);
+            let id = self.lease();
+            if excess > 0 {
+                self.reserves[c].apply(now, id, &Deed::GiveBack(BUDGET.into(), excess));
+                self.report_reserve(c, holder);
+            } else if let Some(ask) = self.reserves[c].ask(holder, BUDGET, target)
+                && let Some(Ok(g)) = self.home.ask(now, id, &ask)
+            {
+                let policy = self.rule.policy();
+                self.reserves[c].apply(now, id, &Deed::Granted(BUDGET.into(), g, policy));
+            }
+        }
+    }
+
+    fn report_reserve(&mut self, c: usize, holder: HolderId) {
+        let now = Time(self.now);
+        for r in self.reserves[c].reports(BUDGET) {
+            if self.home.report(now, holder, &r) {
+                let id = self.lease();
+                self.reserves[c].apply(now, id, &Deed::Acknowledged(BUDGET.into(), r));
+            }
+        }
+    }
+
+    fn report_spare(&mut self, n: usize) {
+        let (now, holder, id) = (Time(self.now), self.nodes[n].holder, self.lease());
+        if self.reaches(n) {
+            self.nodes[n].spare.recall();
+        }
+        let reports = self.nodes[n].spare.reports(now);
+        let deed = Deed::Report(holder, reports.clone());
+        if let Done::Reported(known) = self.reserves[n % CENTRES].apply(now, id, &deed) {
+            for (r, known) in reports.iter().zip(known) {
+                self.nodes[n].spare.acknowledge(now, r, known);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        for n in 0..ROUTERS {
+            self.end_requests(n);
+            if self.keeps_reserves() && self.alive(n) {
+                self.report_spare(n);
+            }
+            if !self.alive(n) || !self.reaches(n) {
+                continue;
+            }
+            match self.rule {
+                Rule::Escrow(_) => self.nodes[n].purse.shrink(Time(self.now)),
+                Rule::Each => self.nodes[n].purse.recall(),
+                _ => {}
+            }
+            self.report(n);
+        }
+        if self.fault == Fault::RegionCut && self.has_region() && !self.is_cut_time() {
+            self.allot();
+        }
+        if self.keeps_reserves() && self.fault != Fault::RegionCut {
+            self.tend_reserves();
+        }
+        if self.fault == Fault::KillEachMinute && self.now.is_multiple_of(60_000) && self.now > 0 {
+            self.kill((self.now / 60_000) as usize % ROUTERS);
+        }
+    }
+
+    fn end_requests(&mut self, n: usize) {
+        let now = self.now;
+        let mut rest = VecDeque::new();
+        while let Some(r) = self.nodes[n].running.pop_front() {
+            if r.end > now {
+                rest.push_back(r);
+                continue;
+            }
+            let node = &mut self.nodes[n];
+            let purse = if r.spare { &mut node.spare } else { &mut node.purse };
+            self.consumed += purse.settle(Time(now), r.held, r.used);
+        }
+        self.nodes[n].running = rest;
+    }
+
+    /// Kills a router: what it was running counts as consumed whole, and nobody reports it.
+    fn kill(&mut self, n: usize) {
+        let running = std::mem::take(&mut self.nodes[n].running);
+        self.consumed += running.iter().map(|r| r.held.amount().min(r.used)).sum::<u64>();
+        self.nodes[n] = self.node();
+        self.nodes[n].dead_until = self.now + 5_000;
+    }
+
+    /// The far region keeps two hours of its spending in hand, as far as the budget allows.
+    fn allot(&mut self) {
+        let (now, id) = (Time(self.now), self.lease());
+        for r in self.region.reports(BUDGET) {
+            if self.home.report(now, HolderId(1), &r) {
+                self.region.acknowledge(BUDGET, &r);
+            }
+        }
+        let f = self.home.get(BUDGET).unwrap();
+        let target = f.free() / 4;
+        let have = self.region.ledger().get(BUDGET).map_or(0, |f| f.free());
+        if have >= target / 2 {
+            return;
+        }
+        let seq = self.region_seq + 1;
+        let ask =
+            Ask { holder: HolderId(1), budget: BUDGET.into(), seq, need: 1, want: target - have };
+        if let Some(Ok(g)) = self.home.ask(now, id, &ask) {
+            self.region_seq = seq;
+            self.region.allot(BUDGET, &g, self.rule.policy());
+        }
+    }
+}
+
+#[derive(Default)]
+struct Score {
+    overspend: u64,
+    refused_falsely: u64,
+    allowed: u64,
+    unused: u64,
+}
+
+fn play(rule: Rule, fault: Fault, mix: &Mix, all: &[Request], budget: u64) -> Score {
+    let mut w = World::new(rule, fault, budget);
+    let mut waiting: Vec<(usize, u64)> = Vec::new();
+    let mut served = vec![false; all.len()];
+    let mut next = 0;
+    while w.now < RUN {
+        let end = w.now + TICK;
+        while next < all.len() && all[next].at < end {
+            w.now = w.now.max(all[next].at);
+            served[next] = w.start(&all[next]);
+            if !served[next] && w.alive(all[next].router) {
+                waiting.push((next, all[next].at + mix.patience));
+            }
+            next += 1;
+        }
+        w.now = end;
+        w.tick();
+        waiting.retain(|(n, until)| {
+            served[*n] = w.start(&all[*n]);
+            !served[*n] && w.now < *until
+        });
+    }
+    score(&w, all, &served, budget)
+}
+
+fn score(w: &World, all: &[Request], served: &[bool], budget: u64) -> Score {
+    let mut s = Score { overspend: w.consumed.saturating_sub(budget), ..Score::default() };
+    let mut oracle = 0;
+    for (r, served) in all.iter().zip(served) {
+        if oracle + r.used > budget {
+            continue;
+        }
+        oracle += r.used;
+        s.allowed += 1;
+        s.refused_falsely += u64::from(!served);
+    }
+    s.unused = budget.saturating_sub(w.consumed);
+    s
+}
+
+const FAULTS: [(Fault, &str); 5] = [
+    (Fault::None, "no fault"),
+    (Fault::KillEachMinute, "a router killed each minute"),
+    (Fault::CentreCut, "a data centre cut for an hour"),
+    (Fault::RegionCut, "a region cut for an hour"),
+    (Fault::EndOfBudget, "the end of a budget"),
+];
+
+fn escrow(horizon: u64, reserve: u64) -> Rule {
+    Rule::Escrow(Policy { horizon: Millis::seconds(horizon), reserve, ..Policy::default() })
+}
+
+fn main() {
+    for mix in &MIXES {
+        let all = requests(mix, 1);
+        let demand: u64 = all.iter().map(|r| r.used).sum();
+        println!("\n{}: {} requests, {demand} tokens in 3 h", mix.name, all.len());
+        println!("| policy | fault | overspend (tokens) | false refusals | unused tokens |");
+        println!("|---|---|---|---|---|");
+        let rules = [
+            ("equal split", Rule::Split),
+            ("ask for each request", Rule::Each),
+            ("fixed slices of 50,000", Rule::Fixed(50_000)),
+            ("escrow, horizon 10 s, no reserve", escrow(10, 0)),
+            ("escrow, horizon 60 s, no reserve", escrow(60, 0)),
+            ("escrow, horizon 600 s, no reserve", escrow(600, 0)),
+            ("escrow, horizon 10 s, reserve 5%", escrow(10, 5)),
+            ("escrow, horizon 10 s, reserve 10%", escrow(10, 10)),
+            ("escrow, horizon 10 s, reserve 20%", escrow(10, 20)),
+        ];
+        for (fault, what) in FAULTS {
+            let budget = match fault {
+                Fault::EndOfBudget => demand * 6 / 10,
+                _ => demand * 3 / 2,
+            };
+            for (name, rule) in rules {
+                let s = play(rule, fault, mix, &all, budget);
+                let share = 100.0 * s.refused_falsely as f64 / s.allowed as f64;
+                println!("| {name} | {what} | {} | {share:.2}% | {} |", s.overspend, s.unused);
+            }
+        }
+    }
+}
--- a/crates/core/src/budget/allot.rs
+++ b/crates/core/src/budget/allot.rs
@@ -45,6 +45,11 @@
         self.ledger.ask(now, id, ask)
     }
 
+    /// Decides a router's ask out of what is free, and calls nothing back.
+    pub fn ask_once(&mut self, now: Time, id: LeaseId, ask: &Ask) -> Option<Decision> {
+        self.ledger.ask_once(now, id, ask)
+    }
+
     /// Takes a router's report.
     pub fn report(&mut self, now: Time, holder: HolderId, r: &Report) -> bool {
         self.ledger.report(now, holder, r)
--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -248,26 +248,44 @@
         Recall { holder: ask.holder, seq: ask.seq, since: now, asked: now }
     }
 
-    fn ask(&mut self, now: Time, id: LeaseId, ask: &Ask) -> Decision {
+    /// The answer to an ask that was granted before, or to a late copy of one.
+    fn answered(&self, ask: &Ask) -> Option<Decision> {
         if let Some((lease, l)) = self.granted_before(ask) {
-            return Ok(Grant { lease, amount: l.keep, span: self.policy.offline });
+            return Some(Ok(Grant { lease, amount: l.keep, span: self.policy.offline }));
         }
-        if self.granted.get(&ask.holder).is_some_and(|seq| ask.seq <= *seq) {
-            return Err(Shortage::Busy(SETTLE_POLL));
+        let late = self.granted.get(&ask.holder).is_some_and(|seq| ask.seq <= *seq);
+        late.then_some(Err(Shortage::Busy(SETTLE_POLL)))
+    }
+
+    fn offer(&mut self, now: Time, id: LeaseId, ask: &Ask, want: Tokens) -> Option<Grant> {
+        let holders = self.holders().max(1);
+        let amount = self.policy.give(self.free(), holders, ask.need, want)?;
+        Some(self.grant(now, id, ask, amount))
+    }
+
+    fn ask(&mut self, now: Time, id: LeaseId, ask: &Ask) -> Decision {
+        if let Some(decision) = self.answered(ask) {
+            return decision;
         }
         let recall = self.recall.filter(|r| r.is_on(now));
         if recall.is_some_and(|r| r.is_exclusive(now) && !r.is_for(ask)) {
             return Err(Shortage::Busy(RECALL_POLL));
         }
         let want = if recall.is_some() { ask.need } else { ask.want };
-        let holders = self.holders().max(1);
-        let Some(amount) = self.policy.give(self.free(), holders, ask.need, want) else {
+        let Some(grant) = self.offer(now, id, ask, want) else {
             return Err(self.shortage(now, ask));
         };
         if recall.is_some_and(|r| r.is_for(ask)) {
             self.recall = None;
         }
-        Ok(self.grant(now, id, ask, amount))
+        Ok(grant)
+    }
+
+    fn ask_once(&mut self, now: Time, id: LeaseId, ask: &Ask) -> Decision {
+        if let Some(decision) = self.answered(ask) {
+            return decision;
+        }
+        self.offer(now, id, ask, ask.want).ok_or(Shortage::Spent)
     }
 
     fn report(&mut self, now: Time, holder: HolderId, r: &Report) -> bool {
@@ -345,11 +363,21 @@
     /// Decides an ask; `id` names the lease if one is granted. `None`: no such budget.
     pub fn ask(&mut self, now: Time, id: LeaseId, ask: &Ask) -> Option<Decision> {
         let decision = self.funds.get_mut(&ask.budget)?.ask(now, id, ask);
+        self.note_recall(&ask.budget);
+        Some(self.note_lease(id, ask, decision))
+    }
+
+    /// Decides an ask from what is free, and calls nothing back.
+    pub fn ask_once(&mut self, now: Time, id: LeaseId, ask: &Ask) -> Option<Decision> {
+        let decision = self.funds.get_mut(&ask.budget)?.ask_once(now, id, ask);
+        Some(self.note_lease(id, ask, decision))
+    }
+
+    fn note_lease(&mut self, id: LeaseId, ask: &Ask, decision: Decision) -> Decision {
         if decision.is_ok_and(|g| g.lease == id) {
             self.budget_of.insert(id, ask.budget.clone());
         }
-        self.note_recall(&ask.budget);
-        Some(decision)
+        decision
     }
 
     /// Takes a holder's report; false if the lease is not open or not that holder's.
--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -18,18 +18,16 @@
     /// The largest part of the free tokens that one grant may take beyond what a waiting request
     /// needs: `free / (share * holders)`.
     pub share: u64,
+    /// The part of the free tokens that each data centre keeps in reserve for a cut, in hundredths.
+    pub reserve: u64,
     /// How long a holder that cannot reach its grantor may go on spending what it has.
     pub offline: Millis,
 }
 
 impl Default for Policy {
     fn default() -> Policy {
-        Policy {
-            horizon: Millis::seconds(10),
-            floor: 2_000,
-            share: 2,
-            offline: Millis::seconds(7_200),
-        }
+        let (horizon, offline) = (Millis::seconds(10), Millis::seconds(14_400));
+        Policy { horizon, floor: 2_000, share: 2, reserve: 10, offline }
     }
 }
 
@@ -40,12 +38,17 @@
         need.saturating_add(ahead.max(self.floor))
     }
 
+    /// What a data centre's reserve should come to while `free` tokens are free.
+    pub fn target(&self, free: Tokens) -> Tokens {
+        free / 100 * self.reserve.min(100)
+    }
+
     /// What a grantor gives out of `free`, with `holders` sharing the budget, or `None` if the
     /// need does not fit.
     ///
     /// The slice shrinks as the free rest does, down to the bare need.
     pub fn give(&self, free: Tokens, holders: u64, need: Tokens, want: Tokens) -> Option<Tokens> {
-        if need > free || free == 0 {
+        if need > free || (need == 0 && free == 0) {
             return None;
         }
         let spare = (free - need) / (self.share.max(1) * holders.max(1));
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -107,6 +107,7 @@
     OperationReused = 2011, 0, "conflict", "the operation id was used for another change";
     LeaseUnknown = 2101, 0, "conflict", "the lease is not known to the ledger";
     HolderStale = 2102, 0, "conflict", "the holder's registration has been replaced";
+    ReserveNone = 2103, 0, "invalid", "this process keeps no reserve";
     NotLeader = 2201, 0, "unavailable", "this replica does not lead";
     NoQuorum = 2202, 0, "unavailable", "no quorum answered in time";
     MemberChangeBusy = 2203, 0, "conflict", "another change of members is in progress";
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -23,6 +23,13 @@
         /// Drawn at its start.
         nonce: u64,
     },
+    /// A data centre's reserve has started. It keeps its number as long as its disk.
+    Enlist {
+        /// Name of the `Vm` that keeps it.
+        vm: String,
+        /// Drawn when its disk was first used.
+        nonce: u64,
+    },
     /// A router is stopping: it takes no new callers.
     Leave(HolderId),
     /// A router has stopped, with nothing in hand.
--- a/crates/core/src/config/object.rs
+++ b/crates/core/src/config/object.rs
@@ -131,6 +131,9 @@
     /// A grant takes at most `free / (share * holders)` beyond what a request needs.
     #[serde(default = "share_default")]
     pub share: u64,
+    /// Hundredths of the free tokens that each data centre keeps in reserve for a cut.
+    #[serde(default = "reserve_default")]
+    pub reserve_percent: u64,
     /// Seconds that a router out of reach of the control group goes on spending its slices.
     #[serde(default = "offline_default")]
     pub offline_s: u64,
@@ -148,6 +151,10 @@
     Policy::default().share
 }
 
+fn reserve_default() -> u64 {
+    Policy::default().reserve
+}
+
 fn offline_default() -> u64 {
     Policy::default().offline.0 / 1000
 }
@@ -159,6 +166,7 @@
             horizon: Millis::seconds(self.horizon_s),
             floor: self.floor,
             share: self.share,
+            reserve: self.reserve_percent,
             offline: Millis::seconds(self.offline_s),
         }
     }
@@ -334,6 +342,9 @@
                 if let Some(s) = lacks(&b.services) {
                     return bad(format!("there is no service {s}"));
                 }
+                if b.reserve_percent > 30 {
+                    return bad("reserve_percent must be from 0 to 30".into());
+                }
             }
             Object::Service(s) => return check_service(name, s),
         }
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -73,6 +73,30 @@
     }
 }
 
+/// The reserves of data centres, by the name of the `Vm` that keeps each.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Reserves {
+    by_vm: BTreeMap<String, (HolderId, u64)>,
+}
+
+impl Reserves {
+    /// Enlists the reserve of `vm`; one that comes back with its disk keeps its holder id.
+    pub fn enlist(&mut self, vm: &str, nonce: u64, fresh: HolderId) -> HolderId {
+        match self.by_vm.get(vm) {
+            Some((holder, n)) if *n == nonce => *holder,
+            _ => {
+                self.by_vm.insert(vm.to_owned(), (fresh, nonce));
+                fresh
+            }
+        }
+    }
+
+    /// The `Vm` that keeps this reserve.
+    pub fn vm(&self, holder: HolderId) -> Option<&str> {
+        self.by_vm.iter().find(|(_, (h, _))| *h == holder).map(|(vm, _)| vm.as_str())
+    }
+}
+
 /// What a group's leader has heard of one router; not replicated.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sign {
--- a/crates/core/src/query.rs
+++ b/crates/core/src/query.rs
@@ -154,7 +154,7 @@
 pub struct LeaseStatus {
     /// Its identity.
     pub id: LeaseId,
-    /// The `Vm` that holds it, unless its registration was replaced.
+    /// Who holds it, unless that registration was replaced.
     pub vm: Option<String>,
     /// The lease.
     pub lease: Lease,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -10,7 +10,7 @@
 use crate::code::Code;
 use crate::command::{Answer, Command};
 use crate::config::{Change, Config, Object, ObjectName};
-use crate::member::{Router, Routers};
+use crate::member::{Reserves, Router, Routers};
 use crate::query::{BudgetStatus, LeaseStatus};
 use crate::unit::{HolderId, LeaseId, Time, Tokens, Version};
 
@@ -27,6 +27,7 @@
     bills: Bills,
     claims: Claims,
     routers: Routers,
+    reserves: Reserves,
     operations: Operations,
 }
 
@@ -69,6 +70,10 @@
                 let r = Router { holder, vm, data_centre, address, nonce, leaving: false };
                 self.register(now, r)
             }
+            Command::Enlist { vm, nonce } => {
+                let fresh = HolderId(pos.index);
+                Answer::Registered(self.reserves.enlist(vm, *nonce, fresh))
+            }
             Command::Leave(h) => {
                 self.routers.leave(*h);
                 Answer::Done
@@ -129,7 +134,7 @@
     }
 
     fn ask(&mut self, now: Time, pos: LeaseId, ask: &Ask) -> Answer {
-        if self.routers.get(ask.holder).is_none() {
+        if self.holder_name(ask.holder).is_none() {
             return Answer::Refused(Code::HolderStale);
         }
         if !self.may_grant(&ask.budget) {
@@ -141,6 +146,12 @@
         }
     }
 
+    /// The name of a holder that is registered now.
+    fn holder_name(&self, holder: HolderId) -> Option<String> {
+        let router = self.routers.get(holder).map(|r| r.vm.clone());
+        router.or_else(|| self.reserves.vm(holder).map(|vm| format!("reserve on {vm}")))
+    }
+
     /// Whether the budget is still configured and its client account open.
     fn may_grant(&self, budget: &str) -> bool {
         let Some(Object::Budget(b)) = self.config.object(&ObjectName::budget(budget)) else {
@@ -261,7 +272,7 @@
         f.leases()
             .map(|(id, l)| LeaseStatus {
                 id: *id,
-                vm: self.routers.get(l.holder).map(|r| r.vm.clone()),
+                vm: self.holder_name(l.holder),
                 lease: *l,
                 left_ms: l.end.since(now).0,
             })
--- a/crates/core/tests/escrow_levels.rs
+++ b/crates/core/tests/escrow_levels.rs
@@ -12,7 +12,8 @@
 const ROUTERS: usize = 3;
 
 fn policy() -> Policy {
-    Policy { horizon: Millis::seconds(5), floor: 200, share: 2, offline: Millis::seconds(600) }
+    let (horizon, offline) = (Millis::seconds(5), Millis::seconds(600));
+    Policy { horizon, floor: 200, share: 2, reserve: 0, offline }
 }
 
 /// A router below a region.
--- a/crates/cypressfork/tests/failure.rs
+++ b/crates/cypressfork/tests/failure.rs
@@ -233,3 +233,46 @@
     assert_eq!(second.wait(), Some(1));
     assert!(second.log().contains("CF3101"), "{}", second.log());
 }
+
+/// A data centre is cut off: its control process and its router see each other and nobody else.
+/// The router lives on the reserve, which is no more than the group gave; after the cut all that
+/// was not spent goes back, and every request is billed.
+#[test]
+fn a_data_centre_cut_off_lives_on_its_reserve() {
+    let mut f = Fleet::start(Plan { tokens: 1_000, budget_extra: SMALL, ..Plan::default() });
+    assert_eq!(f.chat(0).send(&ask(false, 4)).status, 200);
+    let reserve = |f: &Fleet| {
+        let leases = f.json(&["leases", "club-talk"]);
+        let all = leases.as_array().unwrap().clone();
+        all.into_iter().find(|l| l["vm"] == "reserve on control-0")
+    };
+    until("the reserve", || reserve(&f).is_some());
+    // The majority goes away: what is left is this data centre.
+    f.controls[1].kill();
+    f.controls[2].kill();
+    let mut served = 1;
+    let refused = loop {
+        let a = f.chat(0).send(&ask(false, 4));
+        match a.status {
+            200 => served += 1,
+            _ => break a,
+        }
+        assert!(served < 1_000, "more was served than the budget has");
+    };
+    assert_eq!((refused.status, refused.code().as_str()), (503, "CF1203"), "{}", refused.body);
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(refused.json()["error"]["ran"], "no");
+    assert!(f.routers[0].log().contains("CFE414"), "the reserve was used");
+    // It is on disk: a restart of its process forgets nothing and grants nothing twice.
+    f.controls[0].kill();
+    f.controls[0] = f.start_control(0);
+    let again = f.chat(0).send(&ask(false, 4));
+    assert_ne!(again.status, 200, "{}", again.body);
+    f.controls[1] = f.start_control(1);
+    f.controls[2] = f.start_control(2);
+    f.until_spent(served * cost(4));
+    until("all tokens back", || f.chat(1).send(&ask(false, 4)).status == 200);
+    assert!(f.budget()["total"]["requests"].as_u64().unwrap() >= served);
+}
+
+const SMALL: &str = "          floor: 100\n          horizon_s: 1\n          reserve_percent: 30\n";
--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -260,10 +260,11 @@
 
     fn write_router_settings(&self, n: usize) {
         let text = format!(
-            "{}listen: \"{}\"\noperators: \"{}\"\nentry_keep_s: 1\nbody_cap: 65536\n",
+            "{}listen: \"{}\"\noperators: \"{}\"\nreserve: \"{}\"\nentry_keep_s: 1\nbody_cap: 65536\n",
             self.common(&format!("entry-{n}"), n),
             self.router_addresses[n],
             self.ops_addresses[n],
+            self.control_addresses[n % self.control_addresses.len()],
         );
         fs::write(self.path(&format!("router-{n}.yaml")), text).unwrap();
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -57,6 +57,8 @@
     RouterLapsed = 309, Warn, "a router is silent: its open claims are of unknown outcome";
     ConfigApplied = 310, Info, "a configuration is in force";
     ConfigRefused = 311, Info, "a change of the configuration is refused";
+    ReserveEnlisted = 312, Info, "this data centre's reserve is known to the group";
+    ReserveFailed = 313, Error, "the disk of this data centre's reserve failed: it is closed";
     RouterRegistered = 401, Info, "this router is registered";
     RouterReady = 402, Info, "this router serves callers";
     ControlLost = 403, Warn, "the control group is out of reach";
@@ -69,7 +71,8 @@
     UpstreamBack = 410, Info, "an upstream is used again";
     DrainWaits = 411, Info, "a planned stop waits";
     SlicesReturned = 412, Info, "all slices are handed back";
-    RequestDone = 413, Debug, "a request is answered";
+    ReserveUsed = 414, Warn, "the control group is out of reach: the data centre's reserve is used";
+    RequestDone = 415, Debug, "a request is answered";
 }
 
 /// Logs an event with fields.
--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -31,6 +31,8 @@
     pub clock: Clock,
     /// The control group.
     pub group: Group,
+    /// Who keeps the data centre's reserve.
+    pub reserve: Option<Group>,
     /// The configuration in force.
     pub view: RefCell<View>,
     /// The replicas of each service.
@@ -60,11 +62,12 @@
 
 impl App {
     /// A router that knows nothing yet.
-    pub fn new(settings: Settings, clock: Clock, group: Group) -> App {
+    pub fn new(settings: Settings, clock: Clock, group: Group, reserve: Option<Group>) -> App {
         App {
             settings,
             clock,
             group,
+            reserve,
             view: RefCell::default(),
             pools: RefCell::default(),
             sites: RefCell::default(),
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -58,6 +58,7 @@
     while Instant::now() < until {
         wallet.recall_all();
         wallet.tally().await;
+        wallet.tally_spare().await;
         if wallet.is_settled() {
             return emit!(Event::SlicesReturned);
         }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -26,7 +26,8 @@
 pub async fn follow(app: Rc<App>) {
     while !app.draining.get() {
         let holder = register(&app).await;
-        let wallet = Rc::new(Wallet::new(holder, app.group.clone(), app.clock));
+        let wallet =
+            Rc::new(Wallet::new(holder, app.group.clone(), app.reserve.clone(), app.clock));
         actix_rt::spawn(wallet.clone().tally_forever(app.settings.tally));
         if let Some(old) = app.set_wallet(wallet) {
             old.retire();
@@ -66,6 +67,7 @@
                     emit!(Event::ControlFound);
                 }
                 reached = true;
+                set_away(app, false);
                 if news.stranger {
                     return;
                 }
@@ -76,12 +78,19 @@
                     emit!(Event::ControlLost);
                 }
                 reached = false;
+                set_away(app, true);
                 sleep(PAUSE).await;
             }
         }
     }
 }
 
+fn set_away(app: &App, away: bool) {
+    if let Some(w) = app.wallet() {
+        w.set_away(away);
+    }
+}
+
 fn take(app: &App, news: News) {
     if let Some(sites) = news.sites {
         *app.sites.borrow_mut() = sites;
--- a/crates/router/src/hold.rs
+++ b/crates/router/src/hold.rs
@@ -5,19 +5,19 @@
 use cypressfork_core::budget::Reservation;
 use cypressfork_core::unit::Tokens;
 
-use crate::wallet::Wallet;
+use crate::wallet::{Source, Wallet};
 
 /// A reservation that settles itself: what was last charged is spent, the rest goes back.
 pub struct Hold {
     wallet: Rc<Wallet>,
     budget: String,
-    reservation: Option<Reservation>,
+    reservation: Option<(Source, Reservation)>,
     used: Tokens,
 }
 
 impl Hold {
     /// Holds a reservation of which nothing is spent yet.
-    pub fn new(wallet: Rc<Wallet>, budget: String, r: Reservation) -> Hold {
+    pub fn new(wallet: Rc<Wallet>, budget: String, r: (Source, Reservation)) -> Hold {
         Hold { wallet, budget, reservation: Some(r), used: 0 }
     }
 
@@ -39,8 +39,8 @@
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        if let Some(r) = self.reservation.take() {
-            self.wallet.settle(&self.budget, r, self.used);
+        if let Some((from, r)) = self.reservation.take() {
+            self.wallet.settle(from, &self.budget, r, self.used);
         }
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 mod hold;
 mod ops;
 mod plain;
+mod pocket;
 mod reply;
 pub mod run;
 mod serve;
--- /dev/null
+++ b/crates/router/src/pocket.rs
@@ -0,0 +1,84 @@
+//! The purses of one grantor, by budget, and those that wait for them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use cypressfork_core::budget::{Policy, Purse, Report, Reservation};
+use cypressfork_core::unit::{Time, Tokens};
+use tokio::sync::Notify;
+
+/// One budget's purse, and those that wait for it.
+pub struct Pocket {
+    /// The purse.
+    pub purse: RefCell<Purse>,
+    /// An ask is under way.
+    pub asking: Cell<bool>,
+    /// Notified when tokens may have come.
+    pub changed: Notify,
+}
+
+/// The purses of one grantor.
+#[derive(Default)]
+pub struct Pockets {
+    by_budget: RefCell<BTreeMap<String, Rc<Pocket>>>,
+}
+
+impl Pockets {
+    /// The pocket of a budget, made if there is none.
+    pub fn get(&self, budget: &str, policy: Policy) -> Rc<Pocket> {
+        let mut all = self.by_budget.borrow_mut();
+        let fresh = || {
+            let purse = RefCell::new(Purse::new(policy, 0));
+            Rc::new(Pocket { purse, asking: Cell::new(false), changed: Notify::new() })
+        };
+        let p = all.entry(budget.to_owned()).or_insert_with(fresh);
+        p.purse.borrow_mut().set_policy(policy);
+        p.clone()
+    }
+
+    /// Ends a reservation of which `used` tokens were spent; returns what was charged.
+    pub fn settle(&self, now: Time, budget: &str, r: Reservation, used: Tokens) -> Tokens {
+        let Some(p) = self.by_budget.borrow().get(budget).cloned() else { return 0 };
+        let charged = p.purse.borrow_mut().settle(now, r, used);
+        p.changed.notify_waiters();
+        charged
+    }
+
+    /// Gives back what is idle of a budget.
+    pub fn recall(&self, budget: &str) {
+        if let Some(p) = self.by_budget.borrow().get(budget) {
+            p.purse.borrow_mut().recall();
+        }
+    }
+
+    /// Gives back everything that is idle.
+    pub fn recall_all(&self) {
+        self.by_budget.borrow().values().for_each(|p| p.purse.borrow_mut().recall());
+    }
+
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.by_budget.borrow().values().all(|p| p.purse.borrow().is_empty())
+    }
+
+    /// What to tell the grantor.
+    pub fn reports(&self, now: Time) -> Vec<(String, Report)> {
+        let mut out = Vec::new();
+        for (budget, p) in self.by_budget.borrow().iter() {
+            let mut purse = p.purse.borrow_mut();
+            purse.shrink(now);
+            out.extend(purse.reports(now).into_iter().map(|r| (budget.clone(), r)));
+        }
+        out
+    }
+
+    /// Notes what the grantor said to the reports, sent at `sent`.
+    pub fn acknowledge(&self, sent: Time, reports: &[(String, Report)], known: &[bool]) {
+        for ((budget, r), known) in reports.iter().zip(known) {
+            if let Some(p) = self.by_budget.borrow().get(budget) {
+                p.purse.borrow_mut().acknowledge(sent, r, *known);
+            }
+        }
+    }
+}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -43,9 +43,10 @@
     let operators = bind(s.operators).await?;
     let base = s.base.clone();
     let me = Credentials { key: base.key, cluster: base.cluster, name: base.vm };
+    let reserve = s.reserve.map(|a| Group::new(me.clone(), vec![a]));
     let group = Group::new(me, base.control);
     emit!(Event::Started, listen = s.listen, operators = s.operators);
-    let app = Rc::new(App::new(s, Clock::start(), group));
+    let app = Rc::new(App::new(s, Clock::start(), group, reserve));
     let a = app.clone();
     actix_rt::spawn(cypressfork_http::serve(callers, move |req| {
         let app = a.clone();
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -19,6 +19,9 @@
     pub public: Option<String>,
     /// Where operators read health and metrics.
     pub operators: String,
+    /// The control process of this data centre that keeps its reserve.
+    #[serde(default)]
+    pub reserve: Option<String>,
     /// The largest body of a request, in bytes.
     #[serde(default = "body_default")]
     pub body_cap: u64,
@@ -74,6 +77,8 @@
     pub public: SocketAddr,
     /// Where operators connect.
     pub operators: SocketAddr,
+    /// Who keeps the reserve of this data centre.
+    pub reserve: Option<SocketAddr>,
     /// The largest body of a request, in bytes.
     pub body_cap: usize,
     /// The largest headers of a request, in bytes.
@@ -106,6 +111,7 @@
             listen,
             public,
             operators: address("operators", &self.operators)?,
+            reserve: self.reserve.as_deref().map(|a| address("reserve", a)).transpose()?,
             body_cap: range("body_cap", self.body_cap, 1024, 64 * 1024 * 1024)? as usize,
             head_cap: range("head_cap", self.head_cap, 1024, 64 * 1024)? as usize,
             entry_keep: Duration::from_secs(range("entry_keep_s", self.entry_keep_s, 1, 3600)?),
--- a/crates/router/src/wallet.rs
+++ b/crates/router/src/wallet.rs
@@ -1,28 +1,36 @@
-//! The router's slices of budgets, the bills that wait, and their talk with the control group.
+//! The router's slices of budgets, the bills that wait, and their talk with the control group and
+//! the data centre's reserve.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use cypressfork_core::bill::Bill;
-use cypressfork_core::budget::{Decision, Policy, Purse, Report, Reservation, Shortage};
+use cypressfork_core::budget::{Ask, Decision, Deed, Done, Policy, Report, Reservation, Shortage};
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::unit::{HolderId, Millis, Time, Tokens};
+use cypressfork_node::emit;
+use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
 use cypressfork_node::time::Clock;
+use cypressfork_wire::{Ask as WireAsk, body};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::pocket::{Pocket, Pockets};
 use crate::reply::Refusal;
 
 /// Bills in one tally at most.
 const BATCH: usize = 512;
 
-/// How long an ask waits for the control group before a request is refused for want of it.
+/// How long an ask waits for the control group before the reserve is tried.
 const ASK_WITHIN: Duration = Duration::from_secs(2);
 
+/// How long an ask or a report waits for the reserve.
+const RESERVE_WITHIN: Duration = Duration::from_secs(1);
+
 /// How long a tally waits for its commit.
 const TALLY_WITHIN: Duration = Duration::from_secs(5);
 
@@ -32,12 +40,25 @@
 /// When to come back while the control group is out of reach.
 const UNREACHABLE_AFTER: Millis = Millis::seconds(5);
 
+/// Who granted a slice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The control group.
+    Group,
+    /// The data centre's reserve.
+    Reserve,
+}
+
 /// The tokens in hand under one registration.
 pub struct Wallet {
     holder: HolderId,
     group: Group,
+    reserve: Option<Group>,
     clock: Clock,
-    purses: RefCell<BTreeMap<String, Rc<Pocket>>>,
+    own: Pockets,
+    spare: Pockets,
+    /// The control group did not answer when it was last asked.
+    away: Cell<bool>,
     bills: RefCell<VecDeque<Bill>>,
     /// The batch that is being told, unchanged until it is acknowledged, and its number.
     batch: RefCell<(u64, Vec<Bill>)>,
@@ -45,20 +66,6 @@
     retired: Cell<bool>,
 }
 
-/// One budget's purse, and those that wait for it.
-struct Pocket {
-    purse: RefCell<Purse>,
-    asking: Cell<bool>,
-    changed: Notify,
-}
-
-impl Pocket {
-    fn new(policy: Policy) -> Pocket {
-        let purse = RefCell::new(Purse::new(policy, 0));
-        Pocket { purse, asking: Cell::new(false), changed: Notify::new() }
-    }
-}
-
 /// What an ask came to.
 enum Asked {
     Decided(Decision),
@@ -67,12 +74,15 @@
 
 impl Wallet {
     /// An empty wallet for a fresh registration.
-    pub fn new(holder: HolderId, group: Group, clock: Clock) -> Wallet {
+    pub fn new(holder: HolderId, group: Group, reserve: Option<Group>, clock: Clock) -> Wallet {
         Wallet {
             holder,
             group,
+            reserve,
             clock,
-            purses: RefCell::default(),
+            own: Pockets::default(),
+            spare: Pockets::default(),
+            away: Cell::new(false),
             bills: RefCell::default(),
             batch: RefCell::default(),
             due: Notify::new(),
@@ -80,6 +90,11 @@
         }
     }
 
+    /// The registration.
+    pub fn holder(&self) -> HolderId {
+        self.holder
+    }
+
     /// Ends its use: another registration has taken its place. It goes on telling what its
     /// running requests spend, and gives back the rest.
     pub fn retire(&self) {
@@ -87,16 +102,13 @@
         self.recall_all();
     }
 
-    /// The registration.
-    pub fn holder(&self) -> HolderId {
-        self.holder
-    }
-
-    fn pocket(&self, budget: &str, policy: Policy) -> Rc<Pocket> {
-        let mut all = self.purses.borrow_mut();
-        let p = all.entry(budget.to_owned()).or_insert_with(|| Rc::new(Pocket::new(policy)));
-        p.purse.borrow_mut().set_policy(policy);
-        p.clone()
+    /// Notes whether the control group answers.
+    pub fn set_away(&self, away: bool) {
+        if self.away.replace(away) && !away {
+            // The reserve is for cuts only.
+            self.spare.recall_all();
+            self.due.notify_one();
+        }
     }
 
     /// Sets `n` tokens of a budget aside, asking for more and waiting until `deadline` at most.
@@ -106,14 +118,17 @@
         policy: Policy,
         n: Tokens,
         deadline: Instant,
-    ) -> Result<Reservation, Refusal> {
-        let p = self.pocket(budget, policy);
+    ) -> Result<(Source, Reservation), Refusal> {
+        let p = self.own.get(budget, policy);
         loop {
             let now = self.clock.now();
             let found = p.purse.borrow_mut().reserve(now, n);
             if let Some(r) = found {
                 self.refill(budget, &p);
-                return Ok(r);
+                return Ok((Source::Group, r));
+            }
+            if self.away.get() {
+                return self.reserve_spare(budget, policy, n, deadline).await;
             }
             if p.asking.get() {
                 let changed = timeout_at(deadline, p.changed.notified()).await;
@@ -122,13 +137,11 @@
             }
             let wait = match self.ask(budget, &p, n, deadline).await {
                 Asked::Decided(Ok(_)) => continue,
-                Asked::Decided(Err(Shortage::Spent)) => {
-                    return Err(Refusal::from(Code::BudgetSpent).after(SPENT_AFTER));
-                }
-                Asked::Decided(Err(Shortage::Away(span))) => {
-                    return Err(Refusal::from(Code::BudgetBusy).after(span));
+                Asked::Decided(Err(s)) => busy(s)?,
+                Asked::Refused(code) if is_away(code) => {
+                    self.set_away(true);
+                    continue;
                 }
-                Asked::Decided(Err(Shortage::Busy(span))) => span,
                 Asked::Refused(code) => return Err(refusal(code)),
             };
             let until = Instant::now() + Duration::from_millis(wait.0);
@@ -140,16 +153,51 @@
         }
     }
 
+    /// Sets tokens of the data centre's reserve aside. It is asked once: it has nobody to call
+    /// tokens back from who would answer later.
+    async fn reserve_spare(
+        &self,
+        budget: &str,
+        policy: Policy,
+        n: Tokens,
+        deadline: Instant,
+    ) -> Result<(Source, Reservation), Refusal> {
+        let p = self.spare.get(budget, policy);
+        let unreachable = || Refusal::from(Code::BudgetUnreachable).after(UNREACHABLE_AFTER);
+        for _ in 0..2 {
+            let now = self.clock.now();
+            let found = p.purse.borrow_mut().reserve(now, n);
+            if let Some(r) = found {
+                return Ok((Source::Reserve, r));
+            }
+            let ask = p.purse.borrow_mut().ask(now, self.holder, budget, n);
+            let (Some(group), Some(ask)) = (&self.reserve, ask) else { break };
+            emit!(Event::ReserveUsed, budget = budget, tokens = n);
+            let within = RESERVE_WITHIN.min(deadline.saturating_duration_since(Instant::now()));
+            let seq = ask.seq;
+            match deed(group, &Deed::Ask(ask), within).await {
+                Ok(Done::Decided(d)) => p.purse.borrow_mut().answer(seq, &d),
+                _ => break,
+            }
+        }
+        Err(unreachable())
+    }
+
     async fn ask(&self, budget: &str, p: &Pocket, need: Tokens, deadline: Instant) -> Asked {
         let now = self.clock.now();
         let ask = p.purse.borrow_mut().ask(now, self.holder, budget, need);
         let Some(ask) = ask else { return Asked::Decided(Err(Shortage::Busy(Millis(1)))) };
         p.asking.set(true);
         let within = ASK_WITHIN.min(deadline.saturating_duration_since(Instant::now()));
-        let seq = ask.seq;
-        let answer = self.group.command(&Command::Ask(ask), within).await;
+        let asked = self.send_ask(p, ask, within).await;
         p.asking.set(false);
-        let asked = match answer {
+        p.changed.notify_waiters();
+        asked
+    }
+
+    async fn send_ask(&self, p: &Pocket, ask: Ask, within: Duration) -> Asked {
+        let seq = ask.seq;
+        match self.group.command(&Command::Ask(ask), within).await {
             Ok(Answer::Decided(d)) => {
                 p.purse.borrow_mut().answer(seq, &d);
                 Asked::Decided(d)
@@ -160,14 +208,12 @@
             }
             Ok(_) => Asked::Refused(Code::MessageBad),
             Err(code) => Asked::Refused(code),
-        };
-        p.changed.notify_waiters();
-        asked
+        }
     }
 
     /// Asks for more in the background when a purse runs low.
     fn refill(self: &Rc<Self>, budget: &str, p: &Rc<Pocket>) {
-        if p.asking.get() {
+        if p.asking.get() || self.away.get() {
             return;
         }
         let low = p.purse.borrow_mut().runs_low(self.clock.now());
@@ -182,11 +228,15 @@
     }
 
     /// Ends a reservation of which `used` tokens were spent; returns what was charged.
-    pub fn settle(&self, budget: &str, r: Reservation, used: Tokens) -> Tokens {
-        let Some(p) = self.purses.borrow().get(budget).cloned() else { return 0 };
-        let charged = p.purse.borrow_mut().settle(self.clock.now(), r, used);
-        p.changed.notify_waiters();
-        charged
+    pub fn settle(&self, from: Source, budget: &str, r: Reservation, used: Tokens) -> Tokens {
+        self.pockets(from).settle(self.clock.now(), budget, r, used)
+    }
+
+    fn pockets(&self, from: Source) -> &Pockets {
+        match from {
+            Source::Group => &self.own,
+            Source::Reserve => &self.spare,
+        }
     }
 
     /// Adds a bill to the next tally.
@@ -196,55 +246,60 @@
 
     /// Gives back what is idle of a budget, now.
     pub fn recall(&self, budget: &str) {
-        if let Some(p) = self.purses.borrow().get(budget) {
-            p.purse.borrow_mut().recall();
-        }
+        self.own.recall(budget);
         self.due.notify_one();
     }
 
     /// Gives back everything that is idle.
     pub fn recall_all(&self) {
-        let budgets: Vec<_> = self.purses.borrow().keys().cloned().collect();
-        budgets.iter().for_each(|b| self.recall(b));
+        self.own.recall_all();
+        self.spare.recall_all();
+        self.due.notify_one();
     }
 
     /// Whether nothing is held and nothing waits to be told.
     pub fn is_settled(&self) -> bool {
-        let empty = self.purses.borrow().values().all(|p| p.purse.borrow().is_empty());
-        empty && self.bills.borrow().is_empty() && self.batch.borrow().1.is_empty()
+        let told = self.bills.borrow().is_empty() && self.batch.borrow().1.is_empty();
+        told && self.own.is_empty() && self.spare.is_empty()
     }
 
-    /// Tells the control group what was spent, every `every` and whenever something is due.
+    /// Tells what was spent, every `every` and whenever something is due.
     pub async fn tally_forever(self: Rc<Self>, every: Duration) {
         loop {
             tokio::select! {
                 () = sleep(every) => {}
                 () = self.due.notified() => {}
             }
-            self.tally().await;
+            tokio::join!(self.tally(), self.tally_spare());
             if self.retired.get() && self.is_settled() && Rc::strong_count(&self) == 1 {
                 return;
             }
         }
     }
 
-    /// Tells it once. Whatever is not acknowledged is told again the next time.
-    pub async fn tally(&self) -> bool {
+    /// Tells the control group once. What is not acknowledged is told again the next time.
+    pub async fn tally(&self) {
         let now = self.clock.now();
-        let reports = self.reports(now);
+        let reports = self.own.reports(now);
         let (batch, bills) = self.next_batch();
         if reports.is_empty() && bills.is_empty() {
-            return true;
+            return;
         }
-        let flat: Vec<Report> = reports.iter().map(|(_, r)| *r).collect();
-        let c = Command::Tally { holder: self.holder, reports: flat, batch, bills };
-        match self.group.command(&c, TALLY_WITHIN).await {
-            Ok(Answer::Tallied { known, .. }) => {
-                self.acknowledge(now, &reports, &known);
-                self.batch.borrow_mut().1.clear();
-                true
-            }
-            _ => false,
+        let c = Command::Tally { holder: self.holder, reports: bare(&reports), batch, bills };
+        if let Ok(Answer::Tallied { known, .. }) = self.group.command(&c, TALLY_WITHIN).await {
+            self.own.acknowledge(now, &reports, &known);
+            self.batch.borrow_mut().1.clear();
+        }
+    }
+
+    /// Tells the data centre's reserve.
+    pub async fn tally_spare(&self) {
+        let now: Time = self.clock.now();
+        let reports = self.spare.reports(now);
+        let Some(group) = self.reserve.as_ref().filter(|_| !reports.is_empty()) else { return };
+        let d = Deed::Report(self.holder, bare(&reports));
+        if let Ok(Done::Reported(known)) = deed(group, &d, RESERVE_WITHIN).await {
+            self.spare.acknowledge(now, &reports, &known);
         }
     }
 
@@ -259,35 +314,37 @@
         }
         if batch.1.is_empty() { (0, Vec::new()) } else { batch.clone() }
     }
+}
 
-    fn reports(&self, now: Time) -> Vec<(String, Report)> {
-        let mut out = Vec::new();
-        for (budget, p) in self.purses.borrow().iter() {
-            let mut purse = p.purse.borrow_mut();
-            purse.shrink(now);
-            out.extend(purse.reports(now).into_iter().map(|r| (budget.clone(), r)));
-        }
-        out
-    }
+fn bare(reports: &[(String, Report)]) -> Vec<Report> {
+    reports.iter().map(|(_, r)| *r).collect()
+}
 
-    fn acknowledge(&self, sent: Time, reports: &[(String, Report)], known: &[bool]) {
-        for ((budget, r), known) in reports.iter().zip(known) {
-            if let Some(p) = self.purses.borrow().get(budget) {
-                p.purse.borrow_mut().acknowledge(sent, r, *known);
-            }
-        }
+/// Has the reserve do a deed.
+async fn deed(group: &Group, d: &Deed, within: Duration) -> Result<Done, Code> {
+    let bytes = group.call(WireAsk::Reserve(body::pack(d)), within).await?;
+    body::unpack(&bytes).map_err(|_| Code::MessageBad)
+}
+
+/// How long to wait after a shortage, or what to tell the caller.
+fn busy(s: Shortage) -> Result<Millis, Refusal> {
+    match s {
+        Shortage::Busy(span) => Ok(span),
+        Shortage::Away(span) => Err(Refusal::from(Code::BudgetBusy).after(span)),
+        Shortage::Spent => Err(Refusal::from(Code::BudgetSpent).after(SPENT_AFTER)),
     }
 }
 
-/// What a caller is told when the control group did not decide an ask.
+/// Whether the group could not be reached.
+fn is_away(code: Code) -> bool {
+    matches!(code, Code::NoQuorum | Code::LinkBroken | Code::NotLeader | Code::QueueFull)
+}
+
+/// What a caller is told when the control group refused an ask.
 fn refusal(code: Code) -> Refusal {
     match code {
-        Code::AccountClosed | Code::BudgetUnknown => Refusal::from(code_for_callers(code)),
-        Code::HolderStale => Refusal::from(Code::NotReady).after(Millis::seconds(1)),
-        _ => Refusal::from(Code::BudgetUnreachable).after(UNREACHABLE_AFTER),
+        Code::AccountClosed => Refusal::from(code),
+        Code::BudgetUnknown => Refusal::from(Code::BudgetNone),
+        _ => Refusal::from(Code::NotReady).after(Millis::seconds(1)),
     }
 }
-
-fn code_for_callers(code: Code) -> Code {
-    if code == Code::BudgetUnknown { Code::BudgetNone } else { code }
-}
--- a/crates/wire/idl/link.thrift
+++ b/crates/wire/idl/link.thrift
@@ -51,6 +51,8 @@
   4: bool identify,
   // Makes the fresh processes named a group.
   5: Founders founders,
+  // A router's deed on its data centre's reserve, as MessagePack.
+  6: binary reserve,
 }
 
 struct Call {
