Admission by class, choice by expected first token, leaving VMs, metrics

Cause: engines were chosen by outstanding requests alone, nothing bounded what ran, and a leaving upstream was noticed only when it failed. Weighed: choice by least outstanding (ignores caches and stale reports), by prefix alone (piles up on one engine), and by expected time to the first token among a few sampled replicas and the one that has most of the prompt; the last was taken. Queue: one queue by age (bulk starves live) against classes with account fairness and refusal of what is worth least; the second was taken. Change: core route::{gate, pool, prefix, vms}; the router waits at a service's gate before it reserves tokens, gives the victim its final answer at once with when to come back, learns prefill and sharing times from first tokens, polls the platform's list; metrics with a page kept in step. Left: resume of a broken stream, cache events and load reports from engines (the core takes them, no interface feeds them yet), placement orders.

--- a/crates/control/src/reserve.rs
+++ b/crates/control/src/reserve.rs
@@ -32,6 +32,9 @@
     deed: Deed,
 }
 
+/// An answer and where it goes.
+pub type Reply<T> = (T, Result<Vec<u8>, Code>);
+
 /// A reserve and its disk; `T` tells where an answer goes.
 pub struct Reserve<T> {
     vm: String,
@@ -41,7 +44,7 @@
     custody: Custody,
     holder: Option<HolderId>,
     deeds: u64,
-    replies: Vec<(T, Result<Vec<u8>, Code>)>,
+    replies: Vec<Reply<T>>,
     failed: bool,
 }
 
@@ -95,7 +98,7 @@
     }
 
     /// Syncs what was done; returns the answers. After a failed sync nothing more is answered.
-    pub fn finish(&mut self) -> Result<Vec<(T, Result<Vec<u8>, Code>)>, Error> {
+    pub fn finish(&mut self) -> Result<Vec<Reply<T>>, Error> {
         let replies = std::mem::take(&mut self.replies);
         if self.failed {
             let refused = replies.into_iter().map(|(to, _)| (to, Err(Code::DiskFailed)));
--- /dev/null
+++ b/crates/core/src/route/mod.rs
@@ -0,0 +1,11 @@
+//! Which requests run, when, and on which replica.
+
+mod gate;
+mod pool;
+mod prefix;
+mod vms;
+
+pub use gate::{Entered, Gate, Ticket, Waiter};
+pub use pool::{Choice, Pool, Replica, Work};
+pub use prefix::{Prefixes, Trail};
+pub use vms::{Listed, Vms};
--- /dev/null
+++ b/crates/core/src/route/prefix.rs
@@ -0,0 +1,103 @@
+//! Which replica is likely to have which prompt prefix in its cache.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use crate::unit::{Millis, Time};
+
+/// Steps of a trail that are remembered in all.
+const KEPT: usize = 50_000;
+
+/// The age at which a remembered prefix counts half.
+const HALF_LIFE: Millis = Millis::seconds(300);
+
+/// The hashes of a prompt's growing prefixes, each with its size in tokens or bytes. Two prompts
+/// that begin alike have trails that begin alike.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Trail {
+    steps: Vec<(u64, u64)>,
+}
+
+impl Trail {
+    /// The trail of a prompt's parts, such as the messages of a chat.
+    pub fn new<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Trail {
+        /// The constants of the 64-bit FNV-1a hash.
+        const FNV: (u64, u64) = (0xcbf2_9ce4_8422_2325, 0x0000_0100_0000_01b3);
+        let (mut hash, mut size) = (FNV.0, 0);
+        let mut steps = Vec::new();
+        for part in parts {
+            let mix = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(FNV.1);
+            hash = mix(part.iter().fold(hash, mix), &0);
+            size += part.len() as u64;
+            steps.push((hash, size));
+        }
+        Trail { steps }
+    }
+
+    /// The size of the whole prompt.
+    pub fn size(&self) -> u64 {
+        self.steps.last().map_or(0, |s| s.1)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    at: Time,
+}
+
+/// What a router remembers of replicas' caches: what it sent there, less what it hears was
+/// dropped. Events about drops come late and with gaps, so that old knowledge counts less.
+#[derive(Clone, Debug, Default)]
+pub struct Prefixes {
+    known: HashMap<(SocketAddr, u64), Known>,
+    order: VecDeque<(SocketAddr, u64)>,
+    /// Since when a replica's events have a gap.
+    gaps: HashMap<SocketAddr, Time>,
+}
+
+impl Prefixes {
+    /// Notes that a replica was sent a prompt.
+    pub fn sent(&mut self, now: Time, replica: SocketAddr, t: &Trail) {
+        for (hash, _) in &t.steps {
+            if self.known.insert((replica, *hash), Known { at: now }).is_none() {
+                self.order.push_back((replica, *hash));
+            }
+        }
+        while self.order.len() > KEPT {
+            if let Some(old) = self.order.pop_front() {
+                self.known.remove(&old);
+            }
+        }
+    }
+
+    /// Takes a replica's word that it dropped a prefix.
+    pub fn dropped(&mut self, replica: SocketAddr, hash: u64) {
+        self.known.remove(&(replica, hash));
+    }
+
+    /// Notes that a replica's events have a gap: what was known before may be gone.
+    pub fn gap(&mut self, now: Time, replica: SocketAddr) {
+        self.gaps.insert(replica, now);
+    }
+
+    /// Forgets all of a replica: it has restarted.
+    pub fn forget(&mut self, replica: SocketAddr) {
+        self.known.retain(|(r, _), _| *r != replica);
+        self.order.retain(|(r, _)| *r != replica);
+    }
+
+    /// How much of a prompt a replica is expected to have, in the trail's sizes: the longest
+    /// remembered prefix, discounted by its age, and by half if it is older than a gap.
+    pub fn cover(&self, now: Time, replica: SocketAddr, t: &Trail) -> u64 {
+        let longest = t
+            .steps
+            .iter()
+            .rev()
+            .find_map(|(hash, size)| self.known.get(&(replica, *hash)).map(|k| (k.at, *size)));
+        let Some((at, size)) = longest else { return 0 };
+        let age = now.since(at).0;
+        let aged = size * HALF_LIFE.0 / (HALF_LIFE.0 + age);
+        let doubtful = self.gaps.get(&replica).is_some_and(|gap| at <= *gap);
+        if doubtful { aged / 2 } else { aged }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,304 @@
+//! Admission, choice of a replica, knowledge of caches and the platform's list, in tables.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cypressfork_core::config::{Priority, Upstream, Vm};
+use cypressfork_core::route::{Entered, Gate, Listed, Pool, Trail, Vms, Waiter, Work};
+use cypressfork_core::unit::{Millis, Time};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(1)
+}
+
+fn address(n: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], n))
+}
+
+fn upstream(n: u16) -> Upstream {
+    let data_centre = if n.is_multiple_of(2) { "here" } else { "there" };
+    let vm = Vm { name: format!("vm-{n}"), data_centre: data_centre.into() };
+    Upstream { vm, address: address(n), checks_orders: false }
+}
+
+fn pool(n: u16) -> Pool {
+    let all: Vec<_> = (0..n).map(upstream).collect();
+    let mut p = Pool::default();
+    p.set(&all, 8);
+    p
+}
+
+fn choose(p: &mut Pool, now: u64, work: &Work, r: &mut SmallRng) -> Option<SocketAddr> {
+    p.choose(Time(now), "here", work, &[], r).map(|c| c.address)
+}
+
+fn waiter(ticket: u64, account: &str, priority: Priority) -> Waiter {
+    let client_account = account.to_owned();
+    Waiter { ticket, client_account, priority, deadline: Time(1_000_000), concurrency: 9 }
+}
+
+/// A gate with `run` requests of account `a` running.
+fn full(limit: u32, room: u32) -> Gate {
+    let mut g = Gate::new(limit, room);
+    for t in 0..u64::from(limit) {
+        assert_eq!(g.enter(Time(0), waiter(1_000 + t, "a", Priority::Normal)), Entered::Run);
+    }
+    g
+}
+
+#[test]
+fn the_most_urgent_class_goes_first_and_within_it_the_oldest() {
+    let mut g = full(1, 9);
+    let order = [
+        (1, Priority::Bulk),
+        (2, Priority::Normal),
+        (3, Priority::Live),
+        (4, Priority::Prompt),
+        (5, Priority::Live),
+    ];
+    for (t, p) in order {
+        assert_eq!(g.enter(Time(0), waiter(t, "b", p)), Entered::Wait);
+    }
+    let mut started = Vec::new();
+    g.leave("a", Some(Millis(10)));
+    while let Some(t) = g.next() {
+        started.push(t);
+        g.leave("b", Some(Millis(10)));
+    }
+    assert_eq!(started, [3, 5, 4, 2, 1]);
+}
+
+/// Each row: who waits in a queue of two, who comes, and what becomes of them.
+#[rstest]
+#[case::bulk_gives_way_to_live(&[(1, "a", Priority::Normal), (2, "a", Priority::Bulk)], ("b", Priority::Live), Some(2))]
+#[case::newest_of_the_class_goes(&[(1, "a", Priority::Bulk), (2, "a", Priority::Bulk)], ("b", Priority::Live), Some(2))]
+#[case::live_does_not_give_way_to_bulk(&[(1, "a", Priority::Live), (2, "a", Priority::Live)], ("b", Priority::Bulk), None)]
+#[case::same_class_and_account(&[(1, "a", Priority::Bulk), (2, "a", Priority::Bulk)], ("a", Priority::Bulk), None)]
+#[case::large_account_gives_way_to_small(&[(1, "a", Priority::Bulk), (2, "a", Priority::Bulk)], ("b", Priority::Bulk), Some(2))]
+fn a_full_queue_refuses_what_is_worth_least(
+    #[case] queued: &[(u64, &str, Priority)],
+    #[case] comes: (&str, Priority),
+    #[case] victim: Option<u64>,
+) {
+    let mut g = full(1, 2);
+    for (t, a, p) in queued {
+        assert_eq!(g.enter(Time(0), waiter(*t, a, *p)), Entered::Wait);
+    }
+    match (g.enter(Time(0), waiter(9, comes.0, comes.1)), victim) {
+        (Entered::Instead(t, _), Some(v)) => assert_eq!(t, v),
+        (Entered::Refused(_), None) => {}
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(g.waiting(), 2);
+}
+
+#[test]
+fn a_large_account_cannot_starve_a_small_one() {
+    let mut g = full(4, 100);
+    for t in 0..50 {
+        g.enter(Time(0), waiter(t, "large", Priority::Normal));
+    }
+    g.enter(Time(0), waiter(99, "small", Priority::Normal));
+    g.leave("a", Some(Millis(10)));
+    assert_eq!(g.next(), Some(0));
+    g.leave("a", Some(Millis(10)));
+    assert_eq!(g.next(), Some(99), "the small account has nothing running");
+}
+
+#[test]
+fn an_account_at_its_limit_waits_while_others_go() {
+    let mut g = Gate::new(4, 10);
+    let limited = |t| Waiter { concurrency: 1, ..waiter(t, "a", Priority::Live) };
+    assert_eq!(g.enter(Time(0), limited(1)), Entered::Run);
+    assert_eq!(g.enter(Time(0), limited(2)), Entered::Wait);
+    assert_eq!(g.enter(Time(0), waiter(3, "b", Priority::Bulk)), Entered::Wait);
+    assert_eq!(g.next(), Some(3));
+    assert_eq!(g.next(), None);
+    g.leave("a", Some(Millis(5)));
+    assert_eq!(g.next(), Some(2));
+}
+
+/// A request that cannot be started before its deadline hears it at once, with when to come back.
+#[test]
+fn what_cannot_meet_its_deadline_is_refused_at_once() {
+    let mut g = full(2, 10);
+    for _ in 0..60 {
+        g.leave("a", Some(Millis(1_000)));
+        g.enter(Time(0), waiter(1, "a", Priority::Normal));
+    }
+    let hurried = Waiter { deadline: Time(100), ..waiter(7, "b", Priority::Live) };
+    match g.enter(Time(0), hurried) {
+        Entered::Refused(wait) => assert!((400..=600).contains(&wait.0), "{wait:?}"),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(g.enter(Time(0), waiter(8, "b", Priority::Live)), Entered::Wait);
+}
+
+#[test]
+fn a_request_whose_caller_has_gone_gives_up_its_place() {
+    let mut g = full(1, 2);
+    g.enter(Time(0), waiter(1, "b", Priority::Live));
+    g.remove(1);
+    g.leave("a", None);
+    assert_eq!(g.next(), None);
+    assert_eq!((g.running(), g.waiting()), (0, 0));
+}
+
+fn lesson(turns: usize) -> Work {
+    let parts: Vec<String> =
+        (0..turns).map(|n| format!("turn {n} {}", "x".repeat(2_000))).collect();
+    Work { trail: Trail::new(parts.iter().map(String::as_bytes)) }
+}
+
+#[test]
+fn a_lessons_next_turn_goes_to_the_engine_that_has_its_prefix() {
+    let (mut p, mut r) = (pool(50), rng());
+    let first = choose(&mut p, 0, &lesson(3), &mut r).unwrap();
+    p.done(Time(10), first, false);
+    for turns in 4..20 {
+        let next = choose(&mut p, turns as u64 * 1_000, &lesson(turns), &mut r).unwrap();
+        assert_eq!(next, first);
+        p.done(Time(turns as u64 * 1_000 + 10), next, false);
+    }
+}
+
+#[test]
+fn a_long_queue_costs_more_than_a_prefill() {
+    let (mut p, mut r) = (pool(50), rng());
+    let first = choose(&mut p, 0, &lesson(3), &mut r).unwrap();
+    p.report(first, Time(5), 40, 40);
+    assert_ne!(choose(&mut p, 10, &lesson(4), &mut r), Some(first));
+}
+
+#[test]
+fn an_old_a_dropped_or_a_doubtful_prefix_counts_less() {
+    let (mut p, work) = (pool(1), lesson(3));
+    let at = address(0);
+    let whole = work.trail.size();
+    let known = p.prefixes();
+    known.sent(Time(0), at, &work.trail);
+    assert_eq!(known.cover(Time(0), at, &work.trail), whole);
+    assert_eq!(known.cover(Time(300_000), at, &work.trail), whole / 2);
+    known.gap(Time(10), at);
+    assert_eq!(known.cover(Time(10), at, &work.trail), whole * 300_000 / 300_010 / 2);
+    known.sent(Time(20), at, &work.trail);
+    assert_eq!(known.cover(Time(20), at, &work.trail), whole, "sent again after the gap");
+    known.forget(at);
+    assert_eq!(known.cover(Time(20), at, &work.trail), 0);
+}
+
+#[test]
+fn work_is_spread_and_stays_near() {
+    let (mut p, mut r) = (pool(20), rng());
+    for _ in 0..100 {
+        choose(&mut p, 0, &Work::default(), &mut r).unwrap();
+    }
+    let most = p.iter().map(|u| u.outstanding).max().unwrap();
+    assert!(most <= 8, "{most} on one of 20 after 100");
+}
+
+/// Routers with the same stale report do not all pile up on the replica that it shows as idle.
+#[test]
+fn a_stale_report_does_not_draw_everybody_to_one_replica() {
+    let mut hits = BTreeMap::new();
+    for seed in 0..200 {
+        let (mut p, mut r) = (pool(50), SmallRng::seed_from_u64(seed));
+        for n in 0..50 {
+            p.report(address(n), Time(1), if n == 7 { 0 } else { 6 }, 0);
+        }
+        *hits.entry(choose(&mut p, 2, &Work::default(), &mut r).unwrap()).or_insert(0) += 1;
+    }
+    assert!(hits[&address(7)] <= 40, "{} of 200", hits[&address(7)]);
+}
+
+#[test]
+fn an_older_report_does_not_replace_a_newer_one() {
+    let (mut p, mut r) = (pool(2), rng());
+    p.report(address(0), Time(100), 50, 50);
+    p.report(address(0), Time(50), 0, 0);
+    assert_eq!(choose(&mut p, 101, &Work::default(), &mut r), Some(address(1)));
+}
+
+#[test]
+fn a_failing_replica_is_left_out_for_longer_each_time_and_comes_back() {
+    let (mut p, mut r) = (pool(4), rng());
+    let bad = address(0);
+    let fail = |p: &mut Pool, now| p.done(Time(now), bad, true);
+    assert!(!fail(&mut p, 0), "one failure is none");
+    assert!(fail(&mut p, 0));
+    let chosen = |p: &mut Pool, now, r: &mut SmallRng| {
+        (0..40).any(|_| {
+            let a = choose(p, now, &Work::default(), r).unwrap();
+            p.done(Time(now), a, false);
+            a == bad
+        })
+    };
+    assert!(!chosen(&mut p, 499, &mut r));
+    assert!(fail(&mut p, 500));
+    assert!(!chosen(&mut p, 1_499, &mut r), "twice as long");
+    assert!(chosen(&mut p, 1_500, &mut r));
+}
+
+#[test]
+fn never_more_than_half_are_left_out() {
+    let (mut p, mut r) = (pool(6), rng());
+    for n in 0..6 {
+        for _ in 0..4 {
+            p.done(Time(0), address(n), true);
+        }
+    }
+    assert_eq!(p.usable(Time(1)), 3);
+    assert!(choose(&mut p, 1, &Work::default(), &mut r).is_some());
+}
+
+#[test]
+fn a_replica_that_was_tried_or_is_leaving_is_not_chosen() {
+    let (mut p, mut r) = (pool(3), rng());
+    p.set_leaving("vm-0", true);
+    for _ in 0..50 {
+        let c = p.choose(Time(0), "here", &Work::default(), &[address(1)], &mut r).unwrap();
+        assert_eq!(c.address, address(2));
+    }
+    p.set_leaving("vm-2", true);
+    assert_eq!(p.choose(Time(0), "here", &Work::default(), &[address(1)], &mut r), None);
+}
+
+#[test]
+fn a_changed_list_keeps_what_is_known_of_those_that_stay() {
+    let (mut p, mut r) = (pool(2), rng());
+    p.report(address(0), Time(1), 90, 90);
+    p.set(&[upstream(0), upstream(1), upstream(2)], 8);
+    for _ in 0..10 {
+        assert_ne!(choose(&mut p, 2, &Work::default(), &mut r), Some(address(0)));
+    }
+}
+
+/// The state of a `Vm` in each poll, a second apart (`L` live, `G` leaving, `-` missing, `x` no
+/// list), and whether it is taken to be leaving after each.
+#[rstest]
+#[case::stays("LLLL", "....")]
+#[case::leaves("LGGG", ".!!!")]
+#[case::flaps("LGLGLLLL", ".!!!!!!!")]
+#[case::comes_back("GLLLLLLLLLLLLL", "!!!!!!!!!!!...")]
+#[case::missing_once("L-LL", "....")]
+#[case::missing_twice("L--L", "..!!")]
+#[case::no_list("LxxxL", ".....")]
+#[case::no_list_while_leaving("GxxG", "!!!!")]
+fn the_platforms_list_is_read_with_care(#[case] polls: &str, #[case] leaving: &str) {
+    let mut v = Vms::default();
+    for (n, (poll, want)) in polls.chars().zip(leaving.chars()).enumerate() {
+        let state = match poll {
+            'L' => Some(Listed::Live),
+            'G' => Some(Listed::Leaving),
+            _ => None,
+        };
+        if poll != 'x' {
+            let list = state.map(|s| ("vm-1".to_owned(), s)).into_iter().collect();
+            v.observe(Time(n as u64 * 1_000), &list);
+        }
+        assert_eq!(v.is_leaving("vm-1"), want == '!', "poll {n} of {polls}");
+    }
+}
--- a/crates/cypressfork/tests/pages.rs
+++ b/crates/cypressfork/tests/pages.rs
@@ -6,6 +6,7 @@
 
 use cypressfork_core::code::Code;
 use cypressfork_node::event::Event;
+use cypressfork_node::metric::{self, Metric};
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -42,6 +43,18 @@
     assert_eq!(listed, rows, "the table should be:\n{}", rows.join("\n"));
 }
 
+#[test]
+fn every_metric_is_listed() {
+    let row = |m: &Metric| {
+        let labels = if m.labels.is_empty() { "-" } else { m.labels };
+        format!("| `{}` | {} | {labels} | {} |", m.name, m.kind, m.about)
+    };
+    let rows: Vec<String> = metric::ALL.iter().map(row).collect();
+    let text = page("METRICS.md");
+    let listed: Vec<&str> = text.lines().filter(|l| l.starts_with("| `")).collect();
+    assert_eq!(listed, rows, "the table should be:\n{}", rows.join("\n"));
+}
+
 #[test]
 fn numbers_are_unique_and_rise() {
     let codes: Vec<_> = Code::ALL.iter().map(|c| c.number()).collect();
--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -131,6 +131,10 @@
     pub tokens: u64,
     /// More lines of each control process's settings.
     pub control_extra: &'static str,
+    /// More lines of each router's settings; `DIR` stands for the fleet's folder.
+    pub router_extra: String,
+    /// More lines of the engines' service in the template.
+    pub engine_extra: &'static str,
     /// More lines of the budget's template.
     pub budget_extra: &'static str,
 }
@@ -144,6 +148,8 @@
             boards: vec![vec![]],
             tokens: 100_000,
             control_extra: "",
+            router_extra: String::new(),
+            engine_extra: "",
             budget_extra: "",
         }
     }
@@ -260,11 +266,12 @@
 
     fn write_router_settings(&self, n: usize) {
         let text = format!(
-            "{}listen: \"{}\"\noperators: \"{}\"\nreserve: \"{}\"\nentry_keep_s: 1\nbody_cap: 65536\n",
+            "{}listen: \"{}\"\noperators: \"{}\"\nreserve: \"{}\"\nentry_keep_s: 1\nbody_cap: 65536\n{}\n",
             self.common(&format!("entry-{n}"), n),
             self.router_addresses[n],
             self.ops_addresses[n],
             self.control_addresses[n % self.control_addresses.len()],
+            self.plan.router_extra.replace("DIR", self.dir.path().to_str().unwrap()),
         );
         fs::write(self.path(&format!("router-{n}.yaml")), text).unwrap();
     }
@@ -339,6 +346,7 @@
             models: [go-7b]
             max_output: 64
             upstreams: [{}]
+{}
         board-live:
           plain:
             prefix: /board-live/
@@ -365,6 +373,7 @@
   - {{ name: club, template: club, values: {{ account: club, tokens: {} }} }}
 "#,
             list(&self.engines, "engine"),
+            self.plan.engine_extra,
             list(&self.boards, "board"),
             digest(),
             self.plan.budget_extra,
@@ -444,9 +453,12 @@
         .into()
 }
 
+pub fn text(url: &str) -> Option<String> {
+    agent().get(url).call().ok()?.body_mut().read_to_string().ok()
+}
+
 pub fn get(url: &str) -> Option<Value> {
-    let mut r = agent().get(url).call().ok()?;
-    serde_json::from_str(&r.body_mut().read_to_string().ok()?).ok()
+    serde_json::from_str(&text(url)?).ok()
 }
 
 /// A request that is being put together.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -73,6 +73,9 @@
     SlicesReturned = 412, Info, "all slices are handed back";
     ReserveUsed = 414, Warn, "the control group is out of reach: the data centre's reserve is used";
     RequestDone = 415, Debug, "a request is answered";
+    PlatformLost = 416, Warn, "the platform's list of VMs cannot be had: what is known stays";
+    UpstreamLeaving = 417, Info, "a VM is leaving: its upstreams get no new work";
+    UpstreamStays = 418, Info, "a VM is back: its upstreams get work again";
 }
 
 /// Logs an event with fields.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod group;
 pub mod link;
 pub mod logging;
+pub mod metric;
 pub mod process;
 pub mod settings;
 pub mod time;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -8,12 +8,15 @@
 use cypressfork_wire::auth::{Handshake, Key, NONCE, Opener, Sealer, Side};
 use cypressfork_wire::frame::{self, CAP, CAP_STRANGER, HEAD};
 use cypressfork_wire::{Frame, Goodbye, decode, encode};
+use metrics::counter;
 use quick_error::quick_error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
 
+use crate::metric;
+
 /// How long a peer may take to connect and prove itself.
 pub const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -141,6 +144,7 @@
     /// The next message.
     pub async fn next(&mut self) -> Result<Frame, Error> {
         let sealed = read_payload(&mut self.io, CAP).await?;
+        counter!(metric::LINK_RECEIVED).increment((HEAD + sealed.len()) as u64);
         let payload = self.opener.open(&sealed)?;
         Ok(decode(payload)?)
     }
@@ -150,6 +154,7 @@
     /// Sends a message; a peer that does not read it in time breaks the link.
     pub async fn send(&mut self, f: &Frame) -> Result<(), Error> {
         let bytes = frame::prefixed(&self.sealer.seal(encode(f)));
+        counter!(metric::LINK_SENT).increment(bytes.len() as u64);
         match timeout(WRITE_TIMEOUT, self.io.write_all(&bytes)).await {
             Ok(done) => Ok(done?),
             Err(_) => Err(Error::Slow),
--- /dev/null
+++ b/crates/node/src/metric.rs
@@ -0,0 +1,39 @@
+//! The names of all metrics.
+//!
+//! `docs/METRICS.md` lists them; a test keeps the page and this table in step.
+
+/// A metric's name, its kind, and what it counts.
+pub struct Metric {
+    /// The name, with its unit at the end.
+    pub name: &'static str,
+    /// `counter`, `gauge` or `histogram`.
+    pub kind: &'static str,
+    /// The labels, empty if it has none.
+    pub labels: &'static str,
+    /// What it shows.
+    pub about: &'static str,
+}
+
+macro_rules! metrics {
+    ($($ident:ident = $name:literal, $kind:literal, $labels:literal, $about:literal;)*) => {
+        $(#[doc = $about] pub const $ident: &str = $name;)*
+
+        /// Every metric.
+        pub const ALL: &[Metric] = &[
+            $(Metric { name: $name, kind: $kind, labels: $labels, about: $about },)*
+        ];
+    };
+}
+
+metrics! {
+    REQUESTS = "cypressfork_requests_total", "counter", "code", "requests that ended, by result code; 0 for those answered";
+    TOKENS = "cypressfork_tokens_total", "counter", "kind", "tokens charged, prompt and output";
+    FIRST_TOKEN = "cypressfork_first_token_seconds", "histogram", "service", "time from dispatch to an engine's first event";
+    ACTIVE = "cypressfork_active_requests", "gauge", "", "requests under way";
+    RUNNING = "cypressfork_running_requests", "gauge", "service", "requests let in at a service's gate";
+    WAITING = "cypressfork_waiting_requests", "gauge", "service", "requests that wait at a service's gate";
+    USABLE = "cypressfork_usable_upstreams", "gauge", "service", "replicas that get new work";
+    VERSION = "cypressfork_configuration_version", "gauge", "", "the configuration in force";
+    LINK_SENT = "cypressfork_link_sent_bytes_total", "counter", "", "bytes sent to other processes of the system";
+    LINK_RECEIVED = "cypressfork_link_received_bytes_total", "counter", "", "bytes received from other processes of the system";
+}
--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -1,14 +1,15 @@
 //! What all requests of a router share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use awc::{Client, Connector};
+use cypressfork_core::config::Service;
 use cypressfork_core::query::Site;
-use cypressfork_core::route::Pool;
+use cypressfork_core::route::{Choice, Listed, Pool, Vms, Work};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
@@ -16,6 +17,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::queue::Queue;
 use crate::settings::Settings;
 use crate::view::View;
 use crate::wallet::Wallet;
@@ -23,6 +25,12 @@
 /// How long an upstream may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Calls that one replica of a plain service runs at once.
+const PLAIN_SLOTS: u32 = 64;
+
+/// Calls of a plain service that wait at one router.
+const PLAIN_QUEUE: u32 = 256;
+
 /// What all requests share.
 pub struct App {
     /// The settings.
@@ -37,6 +45,8 @@
     pub view: RefCell<View>,
     /// The replicas of each service.
     pub pools: RefCell<HashMap<String, Pool>>,
+    queues: RefCell<HashMap<String, Rc<Queue>>>,
+    vms: RefCell<Vms>,
     /// The routers of the region.
     pub sites: RefCell<Vec<Site>>,
     /// Connections to engines and for calls that may be repeated.
@@ -70,6 +80,8 @@
             reserve,
             view: RefCell::default(),
             pools: RefCell::default(),
+            queues: RefCell::default(),
+            vms: RefCell::default(),
             sites: RefCell::default(),
             client: client(Duration::from_secs(15)),
             once_client: client(Duration::ZERO),
@@ -104,22 +116,63 @@
         self.rng.borrow_mut().random()
     }
 
-    /// Takes the services of the configuration into the pools.
-    pub fn refresh_pools(&self) {
+    /// Takes the services of the configuration into the pools and queues.
+    pub fn refresh_services(&self) {
         let view = self.view.borrow();
         let mut pools = self.pools.borrow_mut();
+        let mut queues = self.queues.borrow_mut();
         pools.retain(|name, _| view.services().any(|(n, _)| n == name));
+        queues.retain(|name, _| view.services().any(|(n, _)| n == name));
         for (name, s) in view.services() {
-            pools.entry(name.to_owned()).or_default().set(s.upstreams());
+            let (slots, room) = match s {
+                Service::Model(m) => (m.slots, m.queue),
+                Service::Plain(_) => (PLAIN_SLOTS, PLAIN_QUEUE),
+            };
+            let pool = pools.entry(name.to_owned()).or_default();
+            pool.set(s.upstreams(), slots);
+            let limit = slots.saturating_mul(s.upstreams().len() as u32);
+            let fresh = || Rc::new(Queue::new(self.clock, limit, room));
+            queues.entry(name.to_owned()).or_insert_with(fresh).set(limit, room);
+            self.mark_leaving(pool);
         }
     }
 
+    fn mark_leaving(&self, pool: &mut Pool) {
+        let vms = self.vms.borrow();
+        let names: Vec<_> = pool.iter().map(|r| r.upstream.vm.name.clone()).collect();
+        names.iter().for_each(|vm| pool.set_leaving(vm, vms.is_leaving(vm)));
+    }
+
+    /// Takes the platform's list of `Vm`s.
+    pub fn observe_vms(&self, list: &BTreeMap<String, Listed>) {
+        let changes = self.vms.borrow_mut().observe(self.clock.now(), list);
+        for (vm, leaving) in &changes {
+            let event = if *leaving { Event::UpstreamLeaving } else { Event::UpstreamStays };
+            emit!(event, vm = vm);
+        }
+        if !changes.is_empty() {
+            self.pools.borrow_mut().values_mut().for_each(|p| self.mark_leaving(p));
+        }
+    }
+
+    /// The queue of a service.
+    pub fn queue(&self, service: &str) -> Option<Rc<Queue>> {
+        self.queues.borrow().get(service).cloned()
+    }
+
     /// Chooses a replica of a service; [`App::done`] must follow.
-    pub fn choose(&self, service: &str, tried: &[SocketAddr]) -> Option<SocketAddr> {
+    pub fn choose(&self, service: &str, work: &Work, tried: &[SocketAddr]) -> Option<Choice> {
         let mut pools = self.pools.borrow_mut();
         let dc = &self.settings.base.data_centre;
         let mut rng = self.rng.borrow_mut();
-        pools.get_mut(service)?.choose(self.clock.now(), dc, tried, &mut *rng)
+        pools.get_mut(service)?.choose(self.clock.now(), dc, work, tried, &mut *rng)
+    }
+
+    /// Learns from the time to the first token.
+    pub fn learn(&self, service: &str, c: &Choice, work: &Work, first: Duration) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(service) {
+            pool.learn(c, work.trail.size(), first.as_micros() as u64);
+        }
     }
 
     /// Notes the end of a request that a replica was chosen for.
--- a/crates/router/src/ask.rs
+++ b/crates/router/src/ask.rs
@@ -1,6 +1,7 @@
 //! A model request's body: what it asks for, and how many tokens it can cost at most.
 
 use cypressfork_core::code::Code;
+use cypressfork_core::route::Trail;
 use cypressfork_core::unit::Tokens;
 use serde_json::{Map, Value, json};
 
@@ -12,6 +13,9 @@
 /// Tokens that an engine may add for a whole prompt.
 const PROMPT_OVERHEAD: u64 = 16;
 
+/// Bytes of a text prompt that make one step of its trail.
+const PIECE: usize = 256;
+
 /// Which of the two forms a request has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Form {
@@ -124,6 +128,17 @@
         })
     }
 
+    /// The prompt's growing prefixes, by message or by piece of text.
+    pub fn trail(&self) -> Trail {
+        let messages = self.body.get("messages").and_then(Value::as_array);
+        if let Some(messages) = messages {
+            let parts: Vec<_> = messages.iter().map(Value::to_string).collect();
+            return Trail::new(parts.iter().map(String::as_bytes));
+        }
+        let prompt = self.body.get("prompt").and_then(Value::as_str).unwrap_or_default();
+        Trail::new(prompt.as_bytes().chunks(PIECE))
+    }
+
     /// The most tokens to generate under a service's limit.
     pub fn output_cap(&self, limit: Tokens) -> Tokens {
         self.max_output.map_or(limit, |n| n.min(limit))
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use cypressfork_core::claim::Outcome;
 use cypressfork_core::code::Code;
+use cypressfork_core::route::Work;
 use cypressfork_core::unit::{RequestId, Tokens};
 use cypressfork_http::Body;
 use cypressfork_node::digest::{body_digest, request_id};
@@ -21,6 +22,7 @@
 use crate::exchange::{Exchange, Whole};
 use crate::head::Head;
 use crate::hold::Hold;
+use crate::queue::Permit;
 use crate::reply::{Refusal, json_response};
 
 /// Pieces of an answer that wait for a slow caller.
@@ -40,6 +42,8 @@
     pub deadline: Instant,
     /// Trace context to pass on.
     pub traceparent: Option<String>,
+    /// What the choice of an engine goes by.
+    pub work: Work,
 }
 
 /// What the handler waits for.
@@ -69,6 +73,10 @@
     let id = request_id(&client.name, &head.id);
     let cap = ask.output_cap(model.service.max_output);
     let need = ask.prompt_bound + cap;
+    let priority = head.priority.unwrap_or(model.service.priority);
+    let queue = app.queue(&model.name).ok_or(Code::NotReady)?;
+    let concurrency = client.account.concurrency;
+    let permit = queue.enter(&client.name, concurrency, priority, deadline).await?;
     let wallet = app.wallet().ok_or(Code::NotReady)?;
     let reservation = wallet.reserve(&budget, policy, need, deadline).await?;
     let hold = Hold::new(wallet, budget, reservation);
@@ -80,8 +88,9 @@
         },
     };
     let (service, traceparent) = (model.name.clone(), head.traceparent.clone());
-    let plan = Plan { id, ask, service, cap, deadline, traceparent };
-    run(app, plan, hold, claim).await
+    let work = Work { trail: ask.trail() };
+    let plan = Plan { id, ask, service, cap, deadline, traceparent, work };
+    run(app, plan, hold, claim, permit).await
 }
 
 async fn run(
@@ -89,6 +98,7 @@
     plan: Plan,
     hold: Hold,
     claim: Option<Claim>,
+    permit: Permit,
 ) -> Result<Response<Body>, Refusal> {
     let stream = plan.ask.stream;
     let (tx, rx) = mpsc::channel(PIECES);
@@ -98,6 +108,7 @@
     // A task of its own: a caller that leaves must not leave tokens unsettled.
     actix_rt::spawn(async move {
         exchange.run(first_tx).await;
+        drop(permit);
         drop(active);
     });
     match first_rx.await {
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -9,13 +9,16 @@
 use cypressfork_core::bill::Bill;
 use cypressfork_core::claim::{BODY_KEPT, End, Outcome};
 use cypressfork_core::code::{Code, Ran};
+use cypressfork_core::route::Choice;
 use cypressfork_core::unit::Millis;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
+use cypressfork_node::metric;
 use futures_util::StreamExt;
+use metrics::{counter, histogram};
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::app::App;
 use crate::ask::Form;
@@ -57,6 +60,10 @@
     engine_id: Option<String>,
     events: u64,
     dispatched: bool,
+    /// When the try under way began.
+    sent_at: Instant,
+    /// The engine has sent something.
+    began: bool,
 }
 
 /// Why a try on one engine failed.
@@ -97,13 +104,15 @@
             engine_id: None,
             events: 0,
             dispatched: false,
+            sent_at: Instant::now(),
+            began: false,
         }
     }
 
     /// Runs it to its end. `first` gets the first word; the pieces follow on the channel.
     pub async fn run(mut self, mut first: oneshot::Sender<Result<Started, Refusal>>) {
         let mut tried = Vec::new();
-        let (address, response) = match self.dispatch(&mut tried, &mut first).await {
+        let (choice, response) = match self.dispatch(&mut tried, &mut first).await {
             Ok(found) => found,
             Err(refusal) => {
                 self.close(false, refusal.ran);
@@ -117,7 +126,8 @@
         if stream && let Some(tx) = first.take() {
             let _ = tx.send(Ok(Started::Streaming));
         }
-        let ended = self.relay(response, first.as_mut()).await;
+        let address = choice.address;
+        let ended = self.relay(&choice, response, first.as_mut()).await;
         let failed = matches!(ended, Err(Failed::Sent(_)));
         self.app.done(&self.plan.service, address, failed);
         self.finish(ended, address, first).await;
@@ -128,17 +138,20 @@
         &mut self,
         tried: &mut Vec<SocketAddr>,
         first: &mut oneshot::Sender<Result<Started, Refusal>>,
-    ) -> Result<(SocketAddr, EngineResponse), Refusal> {
+    ) -> Result<(Choice, EngineResponse), Refusal> {
         let mut why = String::new();
         while tried.len() < TRIES {
-            let Some(address) = self.app.choose(&self.plan.service, tried) else { break };
+            let chosen = self.app.choose(&self.plan.service, &self.plan.work, tried);
+            let Some(choice) = chosen else { break };
+            let address = choice.address;
             tried.push(address);
+            self.sent_at = Instant::now();
             let tried_one = tokio::select! {
                 r = self.send(address) => r,
                 () = first.closed() => Err(Failed::Left),
             };
             let failed = match tried_one {
-                Ok(response) => return Ok((address, response)),
+                Ok(response) => return Ok((choice, response)),
                 Err(f) => f,
             };
             let fault = !matches!(failed, Failed::Late | Failed::Left);
@@ -194,6 +207,7 @@
     /// Passes the engine's events on until the stream's end.
     async fn relay(
         &mut self,
+        choice: &Choice,
         mut response: EngineResponse,
         mut first: Option<&mut oneshot::Sender<Result<Started, Refusal>>>,
     ) -> Result<(), Failed> {
@@ -222,6 +236,12 @@
                 Ok(Ok(Some(Ok(bytes)))) => bytes,
             };
             let events = parser.feed(&bytes);
+            if !std::mem::replace(&mut self.began, true) {
+                let first = self.sent_at.elapsed();
+                let service = self.plan.service.clone();
+                histogram!(metric::FIRST_TOKEN, "service" => service).record(first);
+                self.app.learn(&self.plan.service, choice, &self.plan.work, first);
+            }
             for event in events.map_err(|_| Failed::Sent("an event is too large".into()))? {
                 if event == b"[DONE]" {
                     return self.end_of_stream();
@@ -346,6 +366,8 @@
         if self.dispatched {
             let usage = self.counter.charge();
             self.hold.charge(total(usage));
+            counter!(metric::TOKENS, "kind" => "prompt").increment(usage.prompt);
+            counter!(metric::TOKENS, "kind" => "output").increment(usage.output);
             self.hold.wallet().bill(Bill {
                 id: self.plan.id,
                 run: self.run,
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -97,7 +97,7 @@
     }
     let version = news.difference.version;
     if app.view.borrow_mut().update(news.difference) {
-        app.refresh_pools();
+        app.refresh_services();
         emit!(Event::ConfigApplied, version = version);
     }
     if !app.ready.replace(true) {
--- a/crates/router/src/ops.rs
+++ b/crates/router/src/ops.rs
@@ -6,6 +6,8 @@
 use actix_http::{Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use cypressfork_http::Body;
+use cypressfork_node::metric;
+use metrics::gauge;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
 
@@ -17,7 +19,10 @@
     match (req.method(), req.path()) {
         (&Method::GET, "/healthz") => json_response(StatusCode::OK, &json!({ "alive": true })),
         (&Method::GET, "/readyz") => ready(app),
-        (&Method::GET, "/metrics") => text(metrics.render()),
+        (&Method::GET, "/metrics") => {
+            observe(app);
+            text(metrics.render())
+        }
         _ => json_response(
             StatusCode::NOT_FOUND,
             &json!({ "paths": ["/healthz", "/readyz", "/metrics"] }),
@@ -25,6 +30,19 @@
     }
 }
 
+/// Brings the gauges up to date.
+fn observe(app: &App) {
+    gauge!(metric::ACTIVE).set(app.active.get() as f64);
+    gauge!(metric::VERSION).set(app.view.borrow().version() as f64);
+    let now = app.clock.now();
+    for (service, pool) in app.pools.borrow().iter() {
+        gauge!(metric::USABLE, "service" => service.clone()).set(pool.usable(now) as f64);
+        let (running, waiting) = app.queue(service).map_or((0, 0), |q| q.load());
+        gauge!(metric::RUNNING, "service" => service.clone()).set(f64::from(running));
+        gauge!(metric::WAITING, "service" => service.clone()).set(waiting as f64);
+    }
+}
+
 fn ready(app: &App) -> Response<Body> {
     let ready = app.ready.get() && !app.draining.get();
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use cypressfork_core::claim::{BODY_KEPT, End, Outcome};
 use cypressfork_core::code::{Code, Ran};
+use cypressfork_core::config::Priority;
+use cypressfork_core::route::Work;
 use cypressfork_core::unit::Millis;
 use cypressfork_http::Body;
 use cypressfork_node::digest::{body_digest, request_id};
@@ -66,6 +68,10 @@
         return Err(Code::IdMissing.into());
     }
     let id = request_id(&client.name, &head.id);
+    let priority = head.priority.unwrap_or(Priority::Live);
+    let queue = app.queue(&service.name).ok_or(Code::NotReady)?;
+    let concurrency = client.account.concurrency;
+    let permit = queue.enter(&client.name, concurrency, priority, deadline).await?;
     let claim = match once {
         false => None,
         true => {
@@ -82,6 +88,7 @@
     let active = Active::new(&app);
     let running = actix_rt::spawn(async move {
         let result = run(&app, &service, &head, &call, claim, again, deadline).await;
+        drop(permit);
         drop(active);
         result
     });
@@ -121,7 +128,8 @@
     let mut tried = Vec::new();
     let mut last = Refusal::from(Code::NoUpstream).after(NO_UPSTREAM_AFTER);
     while tried.len() < TRIES {
-        let Some(address) = app.choose(service, &tried) else { break };
+        let Some(choice) = app.choose(service, &Work::default(), &tried) else { break };
+        let address = choice.address;
         tried.push(address);
         let sent = timeout_at(deadline, send(app, address, head, call, once)).await;
         let failed = matches!(sent, Ok(Err(_)));
--- /dev/null
+++ b/crates/router/src/queue.rs
@@ -0,0 +1,171 @@
+//! The gate of one service, and the requests that wait at it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cypressfork_core::code::Code;
+use cypressfork_core::config::Priority;
+use cypressfork_core::route::{Entered, Gate, Ticket, Waiter};
+use cypressfork_core::unit::{Millis, Time};
+use cypressfork_node::time::Clock;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+
+use crate::reply::Refusal;
+
+/// The least time to come back after.
+const AFTER_LEAST: Millis = Millis(200);
+
+struct Waiting {
+    tx: oneshot::Sender<Result<(), Refusal>>,
+    client_account: String,
+}
+
+/// The gate of one service.
+pub struct Queue {
+    clock: Clock,
+    gate: RefCell<Gate>,
+    waiting: RefCell<HashMap<Ticket, Waiting>>,
+    tickets: Cell<Ticket>,
+}
+
+/// A place among the running requests, given up when dropped.
+pub struct Permit {
+    queue: Rc<Queue>,
+    client_account: String,
+    since: Time,
+}
+
+/// Takes a request out of the queue if its caller goes while it waits, or in the moment that it
+/// was let in.
+struct Place<'a> {
+    queue: &'a Queue,
+    ticket: Ticket,
+    client_account: &'a str,
+    rx: oneshot::Receiver<Result<(), Refusal>>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.queue.waiting.borrow_mut().remove(&self.ticket);
+        self.queue.gate.borrow_mut().remove(self.ticket);
+        if matches!(self.rx.try_recv(), Ok(Ok(()))) {
+            self.queue.gate.borrow_mut().leave(self.client_account, None);
+            self.queue.pump();
+        }
+    }
+}
+
+fn refused(code: Code, wait: Millis) -> Refusal {
+    Refusal::from(code).after(wait.max(AFTER_LEAST))
+}
+
+impl Queue {
+    /// A gate that lets `limit` requests run and `room` wait.
+    pub fn new(clock: Clock, limit: u32, room: u32) -> Queue {
+        Queue {
+            clock,
+            gate: RefCell::new(Gate::new(limit, room)),
+            waiting: RefCell::default(),
+            tickets: Cell::new(0),
+        }
+    }
+
+    /// Changes the limits.
+    pub fn set(&self, limit: u32, room: u32) {
+        self.gate.borrow_mut().set(limit, room);
+        self.pump();
+    }
+
+    /// Waits for a place until `deadline` at most; a request that is given up hears at once.
+    pub async fn enter(
+        self: &Rc<Self>,
+        client_account: &str,
+        concurrency: u32,
+        priority: Priority,
+        deadline: Instant,
+    ) -> Result<Permit, Refusal> {
+        let ticket = self.tickets.get() + 1;
+        self.tickets.set(ticket);
+        let now = self.clock.now();
+        let left = deadline.saturating_duration_since(Instant::now());
+        let waiter = Waiter {
+            ticket,
+            client_account: client_account.to_owned(),
+            priority,
+            deadline: now.after(millis(left)),
+            concurrency,
+        };
+        let entered = self.gate.borrow_mut().enter(now, waiter);
+        match entered {
+            Entered::Run => return Ok(self.permit(client_account)),
+            Entered::Refused(wait) => return Err(refused(Code::Overloaded, wait)),
+            Entered::Instead(victim, wait) => {
+                self.tell(victim, Err(refused(Code::Overloaded, wait)));
+            }
+            Entered::Wait => {}
+        }
+        self.wait(ticket, client_account, deadline).await
+    }
+
+    async fn wait(
+        self: &Rc<Self>,
+        ticket: Ticket,
+        client_account: &str,
+        deadline: Instant,
+    ) -> Result<Permit, Refusal> {
+        let (tx, rx) = oneshot::channel();
+        let waiting = Waiting { tx, client_account: client_account.to_owned() };
+        self.waiting.borrow_mut().insert(ticket, waiting);
+        let mut place = Place { queue: self, ticket, client_account, rx };
+        match timeout_at(deadline, &mut place.rx).await {
+            Ok(Ok(Ok(()))) => Ok(self.permit(client_account)),
+            Ok(Ok(Err(refusal))) => Err(refusal),
+            _ => Err(refused(Code::DeadlinePassed, Millis::seconds(1))),
+        }
+    }
+
+    fn permit(self: &Rc<Self>, client_account: &str) -> Permit {
+        let (queue, since) = (self.clone(), self.clock.now());
+        Permit { queue, client_account: client_account.to_owned(), since }
+    }
+
+    fn tell(&self, ticket: Ticket, word: Result<(), Refusal>) -> bool {
+        let waiting = self.waiting.borrow_mut().remove(&ticket);
+        waiting.is_some_and(|w| w.tx.send(word).is_ok())
+    }
+
+    /// Lets in whoever may run now.
+    fn pump(&self) {
+        loop {
+            let next = self.gate.borrow_mut().next();
+            let Some(ticket) = next else { return };
+            let client = self.waiting.borrow().get(&ticket).map(|w| w.client_account.clone());
+            if !self.tell(ticket, Ok(()))
+                && let Some(client) = client
+            {
+                self.gate.borrow_mut().leave(&client, None);
+            }
+        }
+    }
+
+    /// Requests that run and that wait.
+    pub fn load(&self) -> (u32, usize) {
+        let gate = self.gate.borrow();
+        (gate.running(), gate.waiting())
+    }
+}
+
+fn millis(d: Duration) -> Millis {
+    Millis(d.as_millis() as u64)
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let ran = self.queue.clock.now().since(self.since);
+        self.queue.gate.borrow_mut().leave(&self.client_account, Some(ran));
+        self.queue.pump();
+    }
+}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -19,6 +19,7 @@
 use crate::drain::drain;
 use crate::follow::follow;
 use crate::ops::ops;
+use crate::platform::watch;
 use crate::serve::serve;
 use crate::settings::{File, Settings};
 
@@ -57,6 +58,9 @@
         let response = ops(&a, &metrics, &req);
         async move { response }
     }));
+    if let Some(url) = app.settings.platform.clone() {
+        actix_rt::spawn(watch(app.clone(), url));
+    }
     actix_rt::spawn(follow(app.clone()));
     stop_signal().await;
     tokio::select! {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -11,7 +11,9 @@
 use cypressfork_http::Body;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
+use cypressfork_node::metric;
 use futures_util::StreamExt;
+use metrics::counter;
 use serde_json::json;
 use tokio::time::timeout;
 
@@ -36,9 +38,15 @@
     let id = head.as_ref().map_or_else(|_| format!("{fresh:032x}"), |h| h.id.clone());
     let path = req.path().to_owned();
     let mut response = match route(&app, req, head).await {
-        Ok(r) => r,
+        Ok(r) => {
+            counter!(metric::REQUESTS, "code" => "0").increment(1);
+            emit!(Event::RequestDone, status = r.status().as_u16(), path = path, id = id);
+            r
+        }
         Err(refusal) => {
-            emit!(Event::RequestRefused, code = refusal.code.number(), path = path, id = id);
+            let code = refusal.code.number();
+            counter!(metric::REQUESTS, "code" => code.to_string()).increment(1);
+            emit!(Event::RequestRefused, code = code, path = path, id = id);
             refusal.response()
         }
     };
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -22,6 +22,9 @@
     /// The control process of this data centre that keeps its reserve.
     #[serde(default)]
     pub reserve: Option<String>,
+    /// Where the platform lists its VMs, as http://ADDRESS/PATH.
+    #[serde(default)]
+    pub platform: Option<String>,
     /// The largest body of a request, in bytes.
     #[serde(default = "body_default")]
     pub body_cap: u64,
@@ -79,6 +82,8 @@
     pub operators: SocketAddr,
     /// Who keeps the reserve of this data centre.
     pub reserve: Option<SocketAddr>,
+    /// Where the platform lists its VMs.
+    pub platform: Option<String>,
     /// The largest body of a request, in bytes.
     pub body_cap: usize,
     /// The largest headers of a request, in bytes.
@@ -112,6 +117,7 @@
             public,
             operators: address("operators", &self.operators)?,
             reserve: self.reserve.as_deref().map(|a| address("reserve", a)).transpose()?,
+            platform: self.platform.map(platform).transpose()?,
             body_cap: range("body_cap", self.body_cap, 1024, 64 * 1024 * 1024)? as usize,
             head_cap: range("head_cap", self.head_cap, 1024, 64 * 1024)? as usize,
             entry_keep: Duration::from_secs(range("entry_keep_s", self.entry_keep_s, 1, 3600)?),
@@ -121,3 +127,12 @@
         })
     }
 }
+
+fn platform(url: String) -> Result<String, Error> {
+    let rest = url.strip_prefix("http://").unwrap_or_default();
+    let host = rest.split('/').next().unwrap_or_default();
+    if host.parse::<SocketAddr>().is_ok() {
+        return Ok(url);
+    }
+    Err(Error::value("platform", url, "take http://, an IP address, a port and a path"))
+}
