--- a/crates/core/src/query.rs
+++ b/crates/core/src/query.rs
@@ -5,6 +5,7 @@
 use crate::bill::{Posted, Total};
 use crate::budget::Lease;
 use crate::config::{Application, Difference, Entry, Item, Template};
+use crate::hash::Fnv;
 use crate::raft::Members;
 use crate::unit::{HolderId, Index, LeaseId, NodeId, RequestId, Term, Tokens, Version};
 
@@ -52,14 +53,11 @@
 
 /// The digest by which a router tells which list of sites it knows; stable across releases.
 pub fn digest(sites: &[Site]) -> u64 {
-    /// The constants of the 64-bit FNV-1a hash.
-    const FNV: (u64, u64) = (0xcbf2_9ce4_8422_2325, 0x0000_0100_0000_01b3);
-    let mix = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(FNV.1);
-    sites.iter().fold(FNV.0, |h, s| {
-        let parts = [&s.vm, &s.data_centre, &s.address];
-        let h = parts.iter().fold(h, |h, p| mix(p.as_bytes().iter().fold(h, mix), &0xff));
-        mix(h, &u8::from(s.usable))
-    })
+    let add = |h: Fnv, s: &Site| {
+        let h = h.part(s.vm.as_bytes()).part(s.data_centre.as_bytes());
+        h.part(s.address.as_bytes()).byte(u8::from(s.usable))
+    };
+    sites.iter().fold(Fnv::new(), add).value()
 }
 
 /// What is new for a router.
--- a/crates/core/src/route/gate.rs
+++ b/crates/core/src/route/gate.rs
@@ -146,15 +146,15 @@
     }
 
     /// The next request to start, counted as running from now on; call it until it gives none.
-    pub fn next(&mut self) -> Option<Ticket> {
+    pub fn admit(&mut self) -> Option<Ticket> {
         if self.running() >= self.limit {
             return None;
         }
         let priorities: Vec<_> = self.waiting.keys().copied().collect();
-        priorities.into_iter().find_map(|p| self.next_of(p))
+        priorities.into_iter().find_map(|p| self.admit_of(p))
     }
 
-    fn next_of(&mut self, priority: Priority) -> Option<Ticket> {
+    fn admit_of(&mut self, priority: Priority) -> Option<Ticket> {
         let queue = self.waiting.get(&priority)?;
         let may = |w: &&Waiter| self.running_of(&w.client_account) < w.concurrency;
         let least = queue.iter().filter(may).min_by_key(|w| self.running_of(&w.client_account))?;
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -231,8 +231,7 @@
         let load = r.load().max(1);
         let fresh = size - c.cover.min(size);
         let sharing = (load - 1) * r.share_us;
-        if fresh > 0 {
-            let sample = first_us.saturating_sub(sharing) / fresh;
+        if let Some(sample) = first_us.saturating_sub(sharing).checked_div(fresh) {
             r.prefill_us = smooth(r.prefill_us, sample.max(1));
         }
         if load > 1 {
--- a/crates/core/src/route/prefix.rs
+++ b/crates/core/src/route/prefix.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
+use crate::hash::Fnv;
 use crate::unit::{Millis, Time};
 
 /// Steps of a trail that are remembered in all.
@@ -21,15 +22,12 @@
 impl Trail {
     /// The trail of a prompt's parts, such as the messages of a chat.
     pub fn new<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Trail {
-        /// The constants of the 64-bit FNV-1a hash.
-        const FNV: (u64, u64) = (0xcbf2_9ce4_8422_2325, 0x0000_0100_0000_01b3);
-        let (mut hash, mut size) = (FNV.0, 0);
+        let (mut hash, mut size) = (Fnv::new(), 0);
         let mut steps = Vec::new();
         for part in parts {
-            let mix = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(FNV.1);
-            hash = mix(part.iter().fold(hash, mix), &0);
+            hash = hash.part(part);
             size += part.len() as u64;
-            steps.push((hash, size));
+            steps.push((hash.value(), size));
         }
         Trail { steps }
     }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -64,7 +64,7 @@
     }
     let mut started = Vec::new();
     g.leave("a", Some(Millis(10)));
-    while let Some(t) = g.next() {
+    while let Some(t) = g.admit() {
         started.push(t);
         g.leave("b", Some(Millis(10)));
     }
@@ -103,9 +103,9 @@
     }
     g.enter(Time(0), waiter(99, "small", Priority::Normal));
     g.leave("a", Some(Millis(10)));
-    assert_eq!(g.next(), Some(0));
+    assert_eq!(g.admit(), Some(0));
     g.leave("a", Some(Millis(10)));
-    assert_eq!(g.next(), Some(99), "the small account has nothing running");
+    assert_eq!(g.admit(), Some(99), "the small account has nothing running");
 }
 
 #[test]
@@ -115,10 +115,10 @@
     assert_eq!(g.enter(Time(0), limited(1)), Entered::Run);
     assert_eq!(g.enter(Time(0), limited(2)), Entered::Wait);
     assert_eq!(g.enter(Time(0), waiter(3, "b", Priority::Bulk)), Entered::Wait);
-    assert_eq!(g.next(), Some(3));
-    assert_eq!(g.next(), None);
+    assert_eq!(g.admit(), Some(3));
+    assert_eq!(g.admit(), None);
     g.leave("a", Some(Millis(5)));
-    assert_eq!(g.next(), Some(2));
+    assert_eq!(g.admit(), Some(2));
 }
 
 /// A request that cannot be started before its deadline hears it at once, with when to come back.
@@ -143,7 +143,7 @@
     g.enter(Time(0), waiter(1, "b", Priority::Live));
     g.remove(1);
     g.leave("a", None);
-    assert_eq!(g.next(), None);
+    assert_eq!(g.admit(), None);
     assert_eq!((g.running(), g.waiting()), (0, 0));
 }
 
--- a/crates/router/src/queue.rs
+++ b/crates/router/src/queue.rs
@@ -140,7 +140,7 @@
     /// Lets in whoever may run now.
     fn pump(&self) {
         loop {
-            let next = self.gate.borrow_mut().next();
+            let next = self.gate.borrow_mut().admit();
             let Some(ticket) = next else { return };
             let client = self.waiting.borrow().get(&ticket).map(|w| w.client_account.clone());
             if !self.tell(ticket, Ok(()))
