Choice of an engine: the worst slope, late reports, prompts that wait

Also: a region gives back from what is free alone; the second guard there was the same thing again (found because taking it out changed no test).

--- /dev/null
+++ b/crates/core/examples/slopes.rs
@@ -0,0 +1,138 @@
+//! Memory for each thing that a group or a router remembers, and the time of each decision.
+//!
+//! `cargo run --release -p cypressfork-core --example slopes`
+
+use std::fs;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use cypressfork_core::bill::{Bill, Bills};
+use cypressfork_core::budget::{Ask, Ledger, Policy, Report};
+use cypressfork_core::claim::{Claims, End, Outcome};
+use cypressfork_core::config::{Upstream, Vm};
+use cypressfork_core::route::{Pool, Trail, Work};
+use cypressfork_core::unit::{HolderId, LeaseId, RequestId, Time};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Bytes of a page of memory.
+const PAGE: u64 = 4096;
+
+fn resident() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap();
+    text.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * PAGE
+}
+
+/// Makes `n` of something and shows its memory and time for each.
+fn grow<T>(what: &str, n: u64, make: impl FnOnce() -> T) -> T {
+    let (before, begin) = (resident(), Instant::now());
+    let made = make();
+    let each = (resident() - before) as f64 / n as f64;
+    let time = begin.elapsed().as_nanos() as f64 / n as f64;
+    println!("{what}: {each:.0} bytes each, {time:.0} ns to make one, {n} made");
+    made
+}
+
+fn budget(n: u64) -> String {
+    format!("account-{:03}-budget-{:04}", n % 300, n / 300)
+}
+
+fn ask(holder: u64, n: u64) -> Ask {
+    Ask { holder: HolderId(holder), budget: budget(n), seq: 1, need: 0, want: 1_000 }
+}
+
+fn ledger(budgets: u64) -> Ledger {
+    let mut l = Ledger::default();
+    for n in 0..budgets {
+        l.fund(&budget(n), 1_000_000_000, Policy::default());
+    }
+    l
+}
+
+fn leases(l: &mut Ledger, budgets: u64, holders: u64) {
+    for h in 0..holders {
+        for n in 0..budgets {
+            let id = LeaseId { term: 1, index: h * budgets + n };
+            assert!(l.ask(Time(0), id, &ask(h, n)).unwrap().is_ok());
+        }
+    }
+}
+
+fn report(l: &mut Ledger, n: u64, used: u64) {
+    let r = Report { lease: LeaseId { term: 1, index: n }, used, keep: 1_000, tight: false };
+    assert!(l.report(Time(1), HolderId(0), &r));
+}
+
+fn bills(n: u64) -> Bills {
+    let mut b = Bills::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    for k in 0..n {
+        let id = RequestId(rng.random());
+        let bill = Bill { id, run: k, budget: budget(k % 100), prompt: 9, output: 9, whole: true };
+        b.post_batch(Time(k / 100), HolderId(1), k + 1, &[bill]);
+    }
+    b
+}
+
+fn claims(n: u64, body: usize) -> Claims {
+    let mut c = Claims::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    for k in 0..n {
+        let id = RequestId(rng.random());
+        c.claim(Time(k), HolderId(1), k, id, [0; 16]);
+        let o = Outcome { status: 200, kind: String::new(), body: Some(vec![0; body]) };
+        c.conclude(Time(k), HolderId(1), k, id, End::Answered(o));
+    }
+    c
+}
+
+fn pool(replicas: u32) -> Pool {
+    let upstream = |n: u32| {
+        let vm = Vm { name: format!("vm-{n}"), data_centre: format!("dc-{}", n % 40) };
+        let [a, b, c, d] = (0x0a00_0000 + n).to_be_bytes();
+        Upstream { vm, address: SocketAddr::from(([a, b, c, d], 80)), checks_orders: true }
+    };
+    let mut p = Pool::default();
+    p.set(&(0..replicas).map(upstream).collect::<Vec<_>>(), 8);
+    p
+}
+
+fn decisions(replicas: u32) {
+    const RUNS: u32 = 2_000;
+    let (mut p, mut rng) = (pool(replicas), SmallRng::seed_from_u64(1));
+    let parts: Vec<Vec<u8>> = (0..8).map(|n| vec![n; 500]).collect();
+    let begin = Instant::now();
+    for n in 0..RUNS {
+        let own = n.to_be_bytes();
+        let trail = Trail::new(parts.iter().map(Vec::as_slice).chain([own.as_slice()]));
+        let work = Work { trail };
+        let c = p.choose(Time(u64::from(n)), "dc-1", &work, &[], &mut rng).unwrap();
+        p.done(Time(u64::from(n)), &black_box(c), false);
+    }
+    let each = begin.elapsed().as_nanos() / u128::from(RUNS);
+    println!("choice among {replicas} replicas: {each} ns");
+}
+
+fn main() {
+    const BUDGETS: u64 = 43_000;
+    let mut l = grow("budget", BUDGETS, || ledger(BUDGETS));
+    grow("lease", BUDGETS * 10, || leases(&mut l, BUDGETS, 10));
+    let begin = Instant::now();
+    for n in 0..BUDGETS {
+        report(&mut l, n, 5);
+    }
+    println!("report: {} ns", begin.elapsed().as_nanos() / u128::from(BUDGETS));
+    let begin = Instant::now();
+    for _ in 0..1_000 {
+        black_box(l.recalls(Time(2), HolderId(3)).count());
+    }
+    println!("recalls of one holder, {BUDGETS} budgets: {} ns", begin.elapsed().as_nanos() / 1_000);
+    let b = grow("billed request id", 1_000_000, || bills(1_000_000));
+    let c = grow("claim with an outcome of 200 bytes", 200_000, || claims(200_000, 200));
+    let r = grow("replica known to a router", 10_000, || pool(10_000));
+    for n in [50, 1_000, 10_000] {
+        decisions(n);
+    }
+    black_box((l, b, c, r));
+}
--- a/crates/core/src/budget/allot.rs
+++ b/crates/core/src/budget/allot.rs
@@ -59,14 +59,13 @@
     pub fn give_back(&mut self, budget: &str, n: Tokens) {
         let Some(f) = self.ledger.get(budget) else { return };
         let policy = f.policy;
+        // What is free is neither spent nor held, so the rest still covers both.
         let mut left = n.min(f.free());
-        let mut unspent = f.funded - f.spent();
         let all = self.allotments.entry(budget.to_owned()).or_default();
         for a in all.values_mut().rev() {
-            let back = left.min(a.keep).min(unspent);
+            let back = left.min(a.keep);
             a.keep -= back;
             left -= back;
-            unspent -= back;
         }
         self.refund(budget, policy);
     }
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -1,10 +1,10 @@
 //! Choice of an upstream among the replicas of a service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use rand::Rng;
-use rand::seq::IteratorRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 
 use super::prefix::{Prefixes, Trail};
 use crate::config::Upstream;
@@ -14,6 +14,9 @@
 /// choosing the same replica.
 const SAMPLE: usize = 4;
 
+/// Draws that a sample is made from: some meet the same replica or one that is left out.
+const DRAWS: usize = SAMPLE * 4;
+
 /// Failures in a row after which a replica is left out.
 const FAILURES: u32 = 2;
 
@@ -41,6 +44,9 @@
 /// Requests that an engine runs side by side before more of them wait, until a report says so.
 const SLOTS_GUESS: u32 = 8;
 
+/// How late reports of load may be and still be told apart from this router's own requests.
+const REPORTS_LATE: Millis = Millis::seconds(15);
+
 /// What a request brings with it.
 #[derive(Clone, Debug, Default)]
 pub struct Work {
@@ -57,14 +63,17 @@
     pub cover: u64,
     /// The time to the first token that was expected, in microseconds.
     pub expected_us: u64,
+    /// The number of this choice at its pool.
+    ticket: u64,
 }
 
-/// A replica's own report of its load, as it was at `at`.
-#[derive(Clone, Copy, Debug, Default)]
-struct Report {
-    at: Time,
-    running: u32,
-    waiting: u32,
+/// A request whose first token has not come: its prompt holds up those after it.
+#[derive(Clone, Copy, Debug)]
+struct Prefilling {
+    /// What of its prompt is not cached.
+    fresh: u64,
+    /// What of others' prompts was to be taken in before it.
+    ahead: u64,
 }
 
 /// What a router knows of one replica.
@@ -74,10 +83,13 @@
     pub upstream: Upstream,
     /// Requests of this router that it is running.
     pub outstanding: u32,
+    /// How `outstanding` changed lately, to tell own requests in a late report from others'.
+    history: VecDeque<(Time, u32)>,
+    prefilling: BTreeMap<u64, Prefilling>,
     slots: u32,
-    report: Option<Report>,
-    /// Requests of this router that were sent there after its report was made.
-    since_report: u32,
+    reported: Time,
+    /// Requests of others in the last report.
+    others: u32,
     prefill_us: u64,
     share_us: u64,
     failures: u32,
@@ -90,9 +102,11 @@
         Replica {
             upstream: upstream.clone(),
             outstanding: 0,
+            history: VecDeque::new(),
+            prefilling: BTreeMap::new(),
             slots: SLOTS_GUESS,
-            report: None,
-            since_report: 0,
+            reported: Time(0),
+            others: 0,
             prefill_us: PREFILL_GUESS,
             share_us: SHARE_GUESS,
             failures: 0,
@@ -101,20 +115,37 @@
         }
     }
 
-    /// Requests that it has now, as far as can be told: its aged report and what this router sent
-    /// since, and never less than this router's own.
+    fn set_outstanding(&mut self, now: Time, n: u32) {
+        self.outstanding = n;
+        self.history.push_back((now, n));
+        while self.history.get(1).is_some_and(|(at, _)| now.since(*at) > REPORTS_LATE) {
+            self.history.pop_front();
+        }
+    }
+
+    /// Requests of this router that it was running at `at`.
+    fn outstanding_at(&self, at: Time) -> u32 {
+        self.history.iter().rev().find(|(t, _)| *t <= at).map_or(0, |(_, n)| *n)
+    }
+
+    /// Requests that it has now, as far as can be told: this router's own, and those of others
+    /// when it last reported.
     fn load(&self) -> u64 {
-        let reported = self.report.map_or(0, |r| r.running + r.waiting + self.since_report);
-        u64::from(reported.max(self.outstanding))
+        u64::from(self.outstanding) + u64::from(self.others)
+    }
+
+    /// What of this router's prompts is still to be taken in.
+    fn ahead(&self) -> u64 {
+        self.prefilling.values().map(|p| p.fresh).sum()
     }
 
     /// The expected time to the first token, in microseconds: waiting for a place, sharing the
-    /// engine with what runs, and the prompt that is not in its cache.
+    /// engine with what runs, the prompts before it, and what of its own is not in the cache.
     fn expected_us(&self, data_centre: &str, fresh: u64) -> u64 {
         let load = self.load();
         let queued = load.saturating_sub(u64::from(self.slots)) * u64::from(self.slots);
         let far = if self.upstream.vm.data_centre == data_centre { 0 } else { FAR };
-        (load + queued) * self.share_us + fresh * self.prefill_us + far
+        (load + queued) * self.share_us + (self.ahead() + fresh) * self.prefill_us + far
     }
 
     /// Whether it gets no new work at `now`.
@@ -127,7 +158,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     replicas: BTreeMap<SocketAddr, Replica>,
+    /// The same addresses, to draw from.
+    addresses: Vec<SocketAddr>,
     prefixes: Prefixes,
+    tickets: u64,
 }
 
 impl Pool {
@@ -143,6 +177,7 @@
         for gone in self.replicas.keys() {
             self.prefixes.forget(*gone);
         }
+        self.addresses = next.keys().copied().collect();
         self.replicas = next;
     }
 
@@ -169,16 +204,21 @@
     ) -> Option<Choice> {
         let sample = self.sample(now, work, tried, rng);
         let rated = sample.into_iter().map(|a| self.rate(now, data_centre, work, a));
-        let best = rated.min_by_key(|c| c.expected_us)?;
+        let mut best = rated.min_by_key(|c| c.expected_us)?;
+        self.tickets += 1;
+        best.ticket = self.tickets;
         if let Some(r) = self.replicas.get_mut(&best.address) {
-            r.outstanding += 1;
-            r.since_report += 1;
+            let (fresh, ahead) = (work.trail.size() - best.cover, r.ahead());
+            r.prefilling.insert(best.ticket, Prefilling { fresh, ahead });
+            r.set_outstanding(now, r.outstanding + 1);
         }
         self.prefixes.sent(now, best.address, &work.trail);
         Some(best)
     }
 
-    /// A few usable replicas at random, and the one that has most of the prompt.
+    /// A few usable replicas at random, and those that have most of the prompt.
+    ///
+    /// Its time does not grow with the number of replicas as long as most of them are usable.
     fn sample(
         &self,
         now: Time,
@@ -186,18 +226,26 @@
         tried: &[SocketAddr],
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
-        let open = |r: &&Replica| !r.leaving && !tried.contains(&r.upstream.address);
-        let healthy = || self.replicas.values().filter(open).filter(|r| r.out_until <= now);
-        let mut sample: Vec<_> =
-            healthy().choose_multiple(rng, SAMPLE).iter().map(|r| r.upstream.address).collect();
+        let open = |r: &Replica| !r.leaving && !tried.contains(&r.upstream.address);
+        let usable =
+            |a: &SocketAddr| self.replicas.get(a).is_some_and(|r| open(r) && r.out_until <= now);
+        let mut sample = Vec::with_capacity(SAMPLE * 2);
+        for _ in 0..DRAWS {
+            let Some(a) = self.addresses.choose(rng) else { break };
+            if sample.len() < SAMPLE && !sample.contains(a) && usable(a) {
+                sample.push(*a);
+            }
+        }
+        if sample.is_empty() {
+            sample = self.addresses.iter().copied().filter(usable).choose_multiple(rng, SAMPLE);
+        }
         if sample.is_empty() {
             // With all of them left out, the one due back first is tried.
-            let first = self.replicas.values().filter(open).min_by_key(|r| r.out_until);
+            let first = self.replicas.values().filter(|r| open(r)).min_by_key(|r| r.out_until);
             return first.into_iter().map(|r| r.upstream.address).collect();
         }
-        let cover = |r: &&Replica| self.prefixes.cover(now, r.upstream.address, &work.trail);
-        let warm = healthy().max_by_key(cover).filter(|r| cover(r) > 0);
-        let warm = warm.map(|r| r.upstream.address).filter(|a| !sample.contains(a));
+        let warm = self.prefixes.holders(&work.trail).filter(usable);
+        let warm: Vec<_> = warm.filter(|a| !sample.contains(a)).collect();
         sample.extend(warm);
         sample
     }
@@ -207,16 +255,16 @@
         let fresh = work.trail.size() - cover;
         let expected_us =
             self.replicas.get(&address).map_or(u64::MAX, |r| r.expected_us(data_centre, fresh));
-        Choice { address, cover, expected_us }
+        Choice { address, cover, expected_us, ticket: 0 }
     }
 
     /// Takes a replica's report of its load, made at `at`. One that is older than the last is
     /// ignored.
     pub fn report(&mut self, address: SocketAddr, at: Time, running: u32, waiting: u32) {
         let Some(r) = self.replicas.get_mut(&address) else { return };
-        if r.report.is_none_or(|old| old.at < at) {
-            r.report = Some(Report { at, running, waiting });
-            r.since_report = 0;
+        if at > r.reported {
+            r.reported = at;
+            r.others = (running + waiting).saturating_sub(r.outstanding_at(at));
         }
     }
 
@@ -225,41 +273,40 @@
         &mut self.prefixes
     }
 
-    /// Learns from the time to the first token of a request that had `size` units of prompt.
-    pub fn learn(&mut self, c: &Choice, size: u64, first_us: u64) {
+    /// Learns from the time to the first token of a request; its prompt holds nobody up any more.
+    pub fn learn(&mut self, c: &Choice, first_us: u64) {
         let Some(r) = self.replicas.get_mut(&c.address) else { return };
-        let load = r.load().max(1);
-        let fresh = size - c.cover.min(size);
-        let sharing = (load - 1) * r.share_us;
-        if let Some(sample) = first_us.saturating_sub(sharing).checked_div(fresh) {
+        let Some(p) = r.prefilling.remove(&c.ticket) else { return };
+        let others = r.load().saturating_sub(1);
+        let work = p.fresh + p.ahead;
+        let sharing = others * r.share_us;
+        if let Some(sample) = first_us.saturating_sub(sharing).checked_div(work) {
             r.prefill_us = smooth(r.prefill_us, sample.max(1));
         }
-        if load > 1 {
-            let sample = first_us.saturating_sub(fresh * r.prefill_us) / (load - 1);
+        if let Some(sample) = first_us.saturating_sub(work * r.prefill_us).checked_div(others) {
             r.share_us = smooth(r.share_us, sample.max(1));
         }
     }
 
-    /// Notes the end of a request that `address` was chosen for. Returns whether the replica is
-    /// left out from now on.
-    pub fn done(&mut self, now: Time, address: SocketAddr, failed: bool) -> bool {
-        let out = self.replicas.values().filter(|r| r.is_out(now)).count();
-        let may_eject = (out + 1) * 100 <= self.replicas.len() * EJECT_SHARE;
-        let Some(r) = self.replicas.get_mut(&address) else { return false };
-        r.outstanding = r.outstanding.saturating_sub(1);
-        if !failed {
-            r.failures = 0;
+    /// Notes the end of a request. Returns whether its replica is left out from now on.
+    pub fn done(&mut self, now: Time, c: &Choice, failed: bool) -> bool {
+        let Some(r) = self.replicas.get_mut(&c.address) else { return false };
+        r.prefilling.remove(&c.ticket);
+        r.set_outstanding(now, r.outstanding.saturating_sub(1));
+        r.failures = if failed { r.failures + 1 } else { 0 };
+        if r.failures < FAILURES {
             return false;
         }
-        r.failures += 1;
-        if r.failures < FAILURES || !may_eject {
+        let out = self.replicas.len() - self.usable(now);
+        if (out + 1) * 100 > self.replicas.len() * EJECT_SHARE {
             return false;
         }
+        let Some(r) = self.replicas.get_mut(&c.address) else { return false };
         let doublings = (r.failures - FAILURES).min(8);
         let span = Millis((EJECT.0 << doublings).min(EJECT_MOST.0));
         r.out_until = now.after(span);
         // It may well have restarted, with an empty cache.
-        self.prefixes.forget(address);
+        self.prefixes.forget(c.address);
         true
     }
 
--- a/crates/core/src/route/prefix.rs
+++ b/crates/core/src/route/prefix.rs
@@ -9,6 +9,9 @@
 /// Steps of a trail that are remembered in all.
 const KEPT: usize = 50_000;
 
+/// Replicas that are remembered for one step, the last that were sent it.
+const HOLDERS: usize = 4;
+
 /// The age at which a remembered prefix counts half.
 const HALF_LIFE: Millis = Millis::seconds(300);
 
@@ -38,8 +41,10 @@
     }
 }
 
+/// A replica that was sent a prefix.
 #[derive(Clone, Copy, Debug)]
 struct Known {
+    replica: SocketAddr,
     at: Time,
 }
 
@@ -47,8 +52,8 @@
 /// dropped. Events about drops come late and with gaps, so that old knowledge counts less.
 #[derive(Clone, Debug, Default)]
 pub struct Prefixes {
-    known: HashMap<(SocketAddr, u64), Known>,
-    order: VecDeque<(SocketAddr, u64)>,
+    known: HashMap<u64, Vec<Known>>,
+    order: VecDeque<u64>,
     /// Since when a replica's events have a gap.
     gaps: HashMap<SocketAddr, Time>,
 }
@@ -57,9 +62,15 @@
     /// Notes that a replica was sent a prompt.
     pub fn sent(&mut self, now: Time, replica: SocketAddr, t: &Trail) {
         for (hash, _) in &t.steps {
-            if self.known.insert((replica, *hash), Known { at: now }).is_none() {
-                self.order.push_back((replica, *hash));
+            if !self.known.contains_key(hash) {
+                self.order.push_back(*hash);
+            }
+            let holders = self.known.entry(*hash).or_default();
+            holders.retain(|k| k.replica != replica);
+            if holders.len() == HOLDERS {
+                holders.remove(0);
             }
+            holders.push(Known { replica, at: now });
         }
         while self.order.len() > KEPT {
             if let Some(old) = self.order.pop_front() {
@@ -70,7 +81,9 @@
 
     /// Takes a replica's word that it dropped a prefix.
     pub fn dropped(&mut self, replica: SocketAddr, hash: u64) {
-        self.known.remove(&(replica, hash));
+        if let Some(holders) = self.known.get_mut(&hash) {
+            holders.retain(|k| k.replica != replica);
+        }
     }
 
     /// Notes that a replica's events have a gap: what was known before may be gone.
@@ -80,19 +93,26 @@
 
     /// Forgets all of a replica: it has restarted.
     pub fn forget(&mut self, replica: SocketAddr) {
-        self.known.retain(|(r, _), _| *r != replica);
-        self.order.retain(|(r, _)| *r != replica);
+        for holders in self.known.values_mut() {
+            holders.retain(|k| k.replica != replica);
+        }
+    }
+
+    /// The replicas that were sent the longest remembered prefix of a prompt.
+    pub fn holders(&self, t: &Trail) -> impl Iterator<Item = SocketAddr> {
+        let held = |(hash, _): &(u64, u64)| self.known.get(hash).filter(|h| !h.is_empty());
+        let longest = t.steps.iter().rev().find_map(held);
+        longest.into_iter().flatten().map(|k| k.replica)
     }
 
     /// How much of a prompt a replica is expected to have, in the trail's sizes: the longest
     /// remembered prefix, discounted by its age, and by half if it is older than a gap.
     pub fn cover(&self, now: Time, replica: SocketAddr, t: &Trail) -> u64 {
-        let longest = t
-            .steps
-            .iter()
-            .rev()
-            .find_map(|(hash, size)| self.known.get(&(replica, *hash)).map(|k| (k.at, *size)));
-        let Some((at, size)) = longest else { return 0 };
+        let held = |(hash, size): &(u64, u64)| {
+            let known = self.known.get(hash)?.iter().find(|k| k.replica == replica)?;
+            Some((known.at, *size))
+        };
+        let Some((at, size)) = t.steps.iter().rev().find_map(held) else { return 0 };
         let age = now.since(at).0;
         let aged = size * HALF_LIFE.0 / (HALF_LIFE.0 + age);
         let doubtful = self.gaps.get(&replica).is_some_and(|gap| at <= *gap);
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use cypressfork_core::config::{Priority, Upstream, Vm};
-use cypressfork_core::route::{Entered, Gate, Listed, Pool, Trail, Vms, Waiter, Work};
+use cypressfork_core::route::{Choice, Entered, Gate, Listed, Pool, Trail, Vms, Waiter, Work};
 use cypressfork_core::unit::{Millis, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -31,10 +31,21 @@
     p
 }
 
+fn choice(p: &mut Pool, now: u64, work: &Work, r: &mut SmallRng) -> Choice {
+    p.choose(Time(now), "here", work, &[], r).unwrap()
+}
+
 fn choose(p: &mut Pool, now: u64, work: &Work, r: &mut SmallRng) -> Option<SocketAddr> {
     p.choose(Time(now), "here", work, &[], r).map(|c| c.address)
 }
 
+/// A choice of this replica, whatever the pool would prefer.
+fn choice_of(p: &mut Pool, n: u16) -> Choice {
+    let others: Vec<_> =
+        p.iter().map(|r| r.upstream.address).filter(|a| *a != address(n)).collect();
+    p.choose(Time(0), "here", &Work::default(), &others, &mut rng()).unwrap()
+}
+
 fn waiter(ticket: u64, account: &str, priority: Priority) -> Waiter {
     let client_account = account.to_owned();
     Waiter { ticket, client_account, priority, deadline: Time(1_000_000), concurrency: 9 }
@@ -156,12 +167,12 @@
 #[test]
 fn a_lessons_next_turn_goes_to_the_engine_that_has_its_prefix() {
     let (mut p, mut r) = (pool(50), rng());
-    let first = choose(&mut p, 0, &lesson(3), &mut r).unwrap();
-    p.done(Time(10), first, false);
+    let first = choice(&mut p, 0, &lesson(3), &mut r);
+    p.done(Time(10), &first, false);
     for turns in 4..20 {
-        let next = choose(&mut p, turns as u64 * 1_000, &lesson(turns), &mut r).unwrap();
-        assert_eq!(next, first);
-        p.done(Time(turns as u64 * 1_000 + 10), next, false);
+        let next = choice(&mut p, turns as u64 * 1_000, &lesson(turns), &mut r);
+        assert_eq!(next.address, first.address);
+        p.done(Time(turns as u64 * 1_000 + 10), &next, false);
     }
 }
 
@@ -222,18 +233,56 @@
     assert_eq!(choose(&mut p, 101, &Work::default(), &mut r), Some(address(1)));
 }
 
+/// A report that is late shows this router's requests as they were then; what it sent and what
+/// ended since is its own knowledge.
+#[test]
+fn a_late_report_is_told_apart_from_own_requests() {
+    let (mut p, mut r) = (pool(2), rng());
+    let own: Vec<_> = (0..6).map(|_| choice_of(&mut p, 0)).collect();
+    for c in &own {
+        p.done(Time(3_000), c, false);
+    }
+    p.report(address(0), Time(1_000), 6, 0);
+    p.report(address(1), Time(1_000), 2, 0);
+    assert_eq!(
+        choose(&mut p, 6_000, &Work::default(), &mut r),
+        Some(address(0)),
+        "its six have ended"
+    );
+    p.report(address(0), Time(4_000), 9, 0);
+    assert_eq!(choose(&mut p, 6_001, &Work::default(), &mut r), Some(address(1)), "nine of others");
+}
+
+/// Prompts that wait to be taken in hold up those after them.
+#[test]
+fn a_long_prompt_on_its_way_counts_until_its_first_token() {
+    let (mut p, mut r) = (pool(2), rng());
+    let long = choice(&mut p, 0, &lesson(20), &mut r);
+    let other = Work { trail: Trail::new([&[7u8; 4_000][..]]) };
+    let next = choice(&mut p, 0, &other, &mut r);
+    assert_ne!(next.address, long.address);
+    p.done(Time(1), &next, false);
+    p.learn(&long, 1_000);
+    p.done(Time(2), &long, false);
+    let again = choice(&mut p, 3, &lesson(20), &mut r);
+    assert_eq!(again.address, long.address);
+}
+
 #[test]
 fn a_failing_replica_is_left_out_for_longer_each_time_and_comes_back() {
     let (mut p, mut r) = (pool(4), rng());
     let bad = address(0);
-    let fail = |p: &mut Pool, now| p.done(Time(now), bad, true);
+    let fail = |p: &mut Pool, now| {
+        let c = choice_of(p, 0);
+        p.done(Time(now), &c, true)
+    };
     assert!(!fail(&mut p, 0), "one failure is none");
     assert!(fail(&mut p, 0));
     let chosen = |p: &mut Pool, now, r: &mut SmallRng| {
         (0..40).any(|_| {
-            let a = choose(p, now, &Work::default(), r).unwrap();
-            p.done(Time(now), a, false);
-            a == bad
+            let c = choice(p, now, &Work::default(), r);
+            p.done(Time(now), &c, false);
+            c.address == bad
         })
     };
     assert!(!chosen(&mut p, 499, &mut r));
@@ -247,7 +296,8 @@
     let (mut p, mut r) = (pool(6), rng());
     for n in 0..6 {
         for _ in 0..4 {
-            p.done(Time(0), address(n), true);
+            let c = choice_of(&mut p, n);
+            p.done(Time(0), &c, true);
         }
     }
     assert_eq!(p.usable(Time(1)), 3);
--- /dev/null
+++ b/crates/cypressfork/benches/fleet.rs
@@ -0,0 +1,421 @@
+//! Measures of real processes on one machine. `cargo bench -p cypressfork --bench fleet [NAME]`
+//! prints one line for each figure.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use cypressfork_core::command::{Answer, Command};
+use cypressfork_core::config::{Application, Change, Item, Template};
+use cypressfork_core::unit::RequestId;
+use cypressfork_node::group::Group;
+use cypressfork_node::link::Credentials;
+use cypressfork_wire::auth::Key;
+use futures_util::future::join_all;
+use serde_json::json;
+use support::{Fleet, KEY, Plan, ask, until};
+
+/// Clock ticks a second of `/proc/PID/stat`.
+const TICKS: f64 = 100.0;
+
+fn main() {
+    let only = std::env::args().skip(1).find(|a| !a.starts_with('-'));
+    let all: [(&str, fn()); 7] = [
+        ("control", control_cost),
+        ("latency", latency),
+        ("capacity", capacity),
+        ("streams", streams),
+        ("config", config_in_force),
+        ("leaderless", leaderless),
+        ("log", log),
+    ];
+    for (name, run) in all {
+        if only.as_ref().is_none_or(|o| o == name) {
+            run();
+        }
+    }
+}
+
+fn show(what: &str, figure: String) {
+    println!("{what}: {figure}");
+}
+
+/// Seconds of processor time that a process has used.
+fn cpu(pid: u32) -> f64 {
+    let text = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap().split_whitespace().collect();
+    let ticks = |n: usize| fields[n].parse::<f64>().unwrap();
+    (ticks(11) + ticks(12)) / TICKS
+}
+
+/// Resident memory of a process, in KiB.
+fn resident(pid: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = text.lines().find(|l| l.starts_with("VmRSS")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+fn metric(f: &Fleet, name: &str) -> f64 {
+    let text = support::text(&format!("http://{}/metrics", f.ops_addresses[0])).unwrap();
+    let line = text.lines().find(|l| l.starts_with(name) && !l.starts_with('#'));
+    line.map_or(0.0, |l| l.rsplit(' ').next().unwrap().parse().unwrap())
+}
+
+fn link_bytes(f: &Fleet) -> f64 {
+    metric(f, "cypressfork_link_sent_bytes_total")
+        + metric(f, "cypressfork_link_received_bytes_total")
+}
+
+/// One request on an open connection; returns false if it was not served.
+fn send(agent: &ureq::Agent, url: &str, body: &str) -> bool {
+    let r = agent.post(url).header("authorization", format!("Bearer {KEY}")).send(body);
+    r.is_ok_and(|mut r| {
+        r.body_mut().read_to_string().is_ok_and(|b| b.contains("usage") || b.contains("[DONE]"))
+    })
+}
+
+/// Sends `rate` requests a second for `span`; returns how many were served and failed.
+fn load(url: &str, rate: u64, span: Duration) -> (u64, u64) {
+    const THREADS: u64 = 16;
+    let (served, failed) = (AtomicU64::new(0), AtomicU64::new(0));
+    let begin = Instant::now();
+    thread::scope(|s| {
+        for t in 0..THREADS {
+            let (served, failed) = (&served, &failed);
+            s.spawn(move || {
+                let agent: ureq::Agent = ureq::Agent::config_builder().build().into();
+                let body = ask(false, 4);
+                let gap = Duration::from_micros(1_000_000 * THREADS / rate);
+                let mut due = begin + gap * t as u32 / THREADS as u32;
+                while begin.elapsed() < span {
+                    thread::sleep(due.saturating_duration_since(Instant::now()));
+                    due += gap;
+                    let count = if send(&agent, url, &body) { served } else { failed };
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+    });
+    (served.load(Ordering::Relaxed), failed.load(Ordering::Relaxed))
+}
+
+fn big(routers: usize) -> Plan {
+    Plan { routers, tokens: 1_000_000_000, ..Plan::default() }
+}
+
+/// Bytes and processor time that a router spends on control, at rest and at 203 requests a second;
+/// the processor time from the slope over the tallies' frequency.
+fn control_cost() {
+    const SPAN: Duration = Duration::from_secs(20);
+    let mut at = Vec::new();
+    for tally in [25, 250] {
+        let f = Fleet::start(Plan { router_extra: format!("tally_ms: {tally}"), ..big(1) });
+        let pid = f.routers[0].id();
+        let url = format!("http://{}/v1/chat/completions", f.router_addresses[0]);
+        load(&url, 203, Duration::from_secs(2));
+        thread::sleep(Duration::from_secs(2));
+        let (c, b) = (cpu(pid), link_bytes(&f));
+        thread::sleep(SPAN);
+        let rest = (cpu(pid) - c, link_bytes(&f) - b);
+        let (c, b) = (cpu(pid), link_bytes(&f));
+        let (served, failed) = load(&url, 203, SPAN);
+        let busy = (cpu(pid) - c, link_bytes(&f) - b);
+        let secs = SPAN.as_secs_f64();
+        show(
+            &format!("router at rest, tally {tally} ms"),
+            format!(
+                "{:.2}% of a core, {:.0} control bytes/s",
+                rest.0 / secs * 100.0,
+                rest.1 / secs
+            ),
+        );
+        show(
+            &format!("router at 203 requests/s, tally {tally} ms"),
+            format!(
+                "{served} served, {failed} failed, {:.2}% of a core, {:.0} control bytes/s, {} KiB resident",
+                busy.0 / secs * 100.0,
+                busy.1 / secs,
+                resident(pid)
+            ),
+        );
+        at.push((1000.0 / f64::from(tally), busy.0 / secs));
+    }
+    let slope = (at[0].1 - at[1].1) / (at[0].0 - at[1].0);
+    show(
+        "control's processor time at 203 requests/s, 4 tallies/s",
+        format!("{:.0} us a tally, {:.2}% of a core", slope * 1e6, slope * 4.0 * 100.0),
+    );
+}
+
+fn percentile(all: &mut [Duration], p: usize) -> Duration {
+    all.sort();
+    all[(all.len() - 1) * p / 100]
+}
+
+/// Whole streamed requests through a router and straight to the engine, one after the other.
+fn latency() {
+    let f = Fleet::start(big(1));
+    let through = format!("http://{}/v1/chat/completions", f.router_addresses[0]);
+    let direct = format!("http://{}/v1/chat/completions", f.engines[0].1);
+    let agent: ureq::Agent = ureq::Agent::config_builder().build().into();
+    let body = ask(true, 8);
+    let mut times = [Vec::new(), Vec::new()];
+    for n in 0..2_200 {
+        for (url, out) in [&through, &direct].into_iter().zip(&mut times) {
+            let begin = Instant::now();
+            assert!(send(&agent, url, &body));
+            if n >= 200 {
+                out.push(begin.elapsed());
+            }
+        }
+    }
+    for p in [50, 99] {
+        let [t, d] = [0, 1].map(|n| percentile(&mut times[n].clone(), p).as_secs_f64() * 1e6);
+        show(
+            &format!("streamed request of 8 tokens, percentile {p}"),
+            format!("{t:.0} us through the router, {d:.0} us direct, ratio {:.2}", t / d),
+        );
+    }
+}
+
+/// As many requests as one router serves.
+fn capacity() {
+    let f = Fleet::start(Plan { engines: vec![vec![]; 4], ..big(1) });
+    let url = format!("http://{}/v1/chat/completions", f.router_addresses[0]);
+    load(&url, 500, Duration::from_secs(2));
+    let c = cpu(f.routers[0].id());
+    let (served, failed) = load(&url, 100_000, Duration::from_secs(10));
+    let used = cpu(f.routers[0].id()) - c;
+    show(
+        "most requests of 4 tokens, 16 callers",
+        format!(
+            "{:.0}/s, {failed} failed, {:.0} a second of processor time",
+            served as f64 / 10.0,
+            served as f64 / used
+        ),
+    );
+}
+
+/// Memory of a router for each open stream.
+fn streams() {
+    let f = Fleet::start(Plan {
+        engines: vec![vec!["--token-ms", "60000"]; 4],
+        engine_extra: "            slots: 5000",
+        ..big(1)
+    });
+    let pid = f.routers[0].id();
+    let before = resident(pid);
+    let mut open: Vec<TcpStream> = Vec::new();
+    for target in [1_000, 5_000] {
+        while open.len() < target {
+            let mut s = TcpStream::connect(&f.router_addresses[0]).unwrap();
+            let body = ask(true, 2);
+            let head = format!(
+                "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            s.write_all(head.as_bytes()).unwrap();
+            open.push(s);
+        }
+        let end = Instant::now() + Duration::from_secs(30);
+        let mut active = 0.0;
+        while active < target as f64 && Instant::now() < end {
+            active = metric(&f, "cypressfork_active_requests");
+            thread::sleep(Duration::from_millis(100));
+        }
+        let grown = resident(pid) - before;
+        show(
+            &format!("{target} open streams"),
+            format!(
+                "{active} active, {:.1} KiB each, {} KiB resident",
+                grown as f64 / active,
+                resident(pid)
+            ),
+        );
+    }
+    open.iter_mut().for_each(|s| {
+        let _ = s.set_read_timeout(Some(Duration::from_millis(1)));
+        let _ = s.read(&mut [0; 64]);
+    });
+}
+
+/// From an accepted change to its being in force at every router.
+fn config_in_force() {
+    let f = Fleet::start(big(2));
+    let mut times = Vec::new();
+    for n in 0..40u64 {
+        let text = f.example().replace("max_output: 64", &format!("max_output: {}", 65 + n));
+        assert!(f.apply("next.yaml", &text).status.success());
+        let begin = Instant::now();
+        let url = |r: usize| format!("http://{}/readyz", f.ops_addresses[r]);
+        for r in 0..2 {
+            while support::get(&url(r)).unwrap()["configuration"].as_u64().unwrap() < n + 2 {}
+        }
+        times.push(begin.elapsed());
+    }
+    show(
+        "from the operator's answer to in force at both routers, 40 changes",
+        format!("median {:?}, worst {:?}", percentile(&mut times, 50), percentile(&mut times, 100)),
+    );
+}
+
+fn leader(f: &Fleet) -> Option<usize> {
+    let out = f.cli(&["status", "--json"]);
+    let v: serde_json::Value = serde_json::from_slice(&out.stdout).ok()?;
+    let address = v["nodes"].as_array()?.iter().find(|n| n["leader"] == true)?["address"].clone();
+    f.control_addresses.iter().position(|a| address == a.as_str())
+}
+
+/// How long nothing is committed after the leader is killed, and after it is frozen.
+fn leaderless() {
+    for (what, signal) in [("killed", "KILL"), ("frozen", "STOP")] {
+        let mut times = Vec::new();
+        for _ in 0..5 {
+            let f = Fleet::start(Plan { routers: 0, ..big(0) });
+            let old = leader(&f).unwrap();
+            let rest: Vec<_> =
+                (0..3).filter(|n| *n != old).map(|n| f.control_addresses[n].clone()).collect();
+            f.controls[old].signal(signal);
+            let begin = Instant::now();
+            in_group(&rest, async |group| {
+                let c = Command::TopUp { op: "t".into(), budget: "club-talk".into(), tokens: 1 };
+                group.command(&c, Duration::from_secs(20)).await.unwrap();
+            });
+            times.push(begin.elapsed());
+            if signal == "STOP" {
+                f.controls[old].signal("CONT");
+            }
+        }
+        show(
+            &format!("without a leader after it was {what}, 5 times"),
+            format!(
+                "median {:?}, worst {:?}",
+                percentile(&mut times, 50),
+                percentile(&mut times, 100)
+            ),
+        );
+    }
+}
+
+fn in_group<F: AsyncFnOnce(Group)>(addresses: &[String], run: F) {
+    let key = Key::new(b"0123456789abcdef0123456789abcdef");
+    let me = Credentials { key, cluster: "test".into(), name: "bench".into() };
+    let addresses = addresses.iter().map(|a| a.parse().unwrap()).collect();
+    actix_rt::System::new().block_on(run(Group::new(me, addresses)));
+}
+
+/// Commits a second, the disk's size, restart time and memory of the control processes.
+fn log() {
+    let mut f = Fleet::start(Plan { routers: 0, ..big(0) });
+    let mut done = 0u64;
+    for (callers, changes) in [(1, 1_000u64), (16, 9_000), (256, 90_000)] {
+        let begin = Instant::now();
+        let mut times = Vec::new();
+        let addresses = f.control_addresses.clone();
+        let first = done;
+        in_group(&addresses, async |group| {
+            let one = async |n: u64| {
+                let mut times = Vec::new();
+                for k in 0..changes / callers {
+                    let begin = Instant::now();
+                    let c = Command::Claim {
+                        holder: cypressfork_core::unit::HolderId(1),
+                        seq: 1,
+                        id: RequestId::default(),
+                        body: [0; 16],
+                    };
+                    let c = if k % 2 == 0 { c } else { top_up(first + n * 1_000_000 + k) };
+                    group.command(&c, Duration::from_secs(20)).await.unwrap();
+                    times.push(begin.elapsed());
+                }
+                times
+            };
+            times = join_all((0..callers).map(one)).await.concat();
+        });
+        done += changes;
+        let rate = changes as f64 / begin.elapsed().as_secs_f64();
+        show(
+            &format!("commits, {callers} callers at once"),
+            format!(
+                "{rate:.0}/s, median {:?}, percentile 99 {:?}",
+                percentile(&mut times, 50),
+                percentile(&mut times, 99)
+            ),
+        );
+        restart(&mut f, done);
+    }
+    many_budgets(&f);
+}
+
+fn top_up(n: u64) -> Command {
+    Command::TopUp { op: format!("t{n}"), budget: "club-talk".into(), tokens: 1 }
+}
+
+fn restart(f: &mut Fleet, changes: u64) {
+    let disk: u64 = fs::read_dir(f.path("data-0"))
+        .unwrap()
+        .map(|e| e.unwrap().metadata().unwrap())
+        .filter(|m| m.is_file())
+        .map(|m| m.len())
+        .sum();
+    let memory = resident(f.controls[0].id());
+    f.controls.iter_mut().for_each(|c| c.kill());
+    let begin = Instant::now();
+    f.controls = (0..3).map(|n| f.start_control(n)).collect();
+    until("a leader", || leader(f).is_some());
+    show(
+        &format!("after {changes} changes"),
+        format!(
+            "{disk} bytes on disk, {memory} KiB resident, all restarted and led after {:?}",
+            begin.elapsed()
+        ),
+    );
+}
+
+/// Memory and time with the budgets of the size that is designed for.
+fn many_budgets(f: &Fleet) {
+    let budgets: serde_json::Map<_, _> = (0..100)
+        .map(|n| {
+            let b = json!({ "client_account": "${account}", "services": ["engine-talk"], "tokens": 1000 });
+            (format!("${{account}}-{n}"), b)
+        })
+        .collect();
+    let template: Template = serde_json::from_value(json!({
+        "name": "many", "parameters": { "account": { "kind": "name" } },
+        "objects": {
+            "client_accounts": { "${account}": { "keys": [], "services": ["engine-talk"] } },
+            "budgets": budgets,
+        },
+    }))
+    .unwrap();
+    let apps = (0..430).map(|n| Application {
+        name: format!("a{n}"),
+        template: "many".into(),
+        values: [("account".to_owned(), json!(format!("a{n}")))].into(),
+    });
+    let mut items = vec![Item::Template(template)];
+    items.extend(apps.map(Item::Application));
+    let change = Change { op: "many".into(), base: 1, by: "bench".into(), items };
+    let begin = Instant::now();
+    in_group(&f.control_addresses, async |group| {
+        let a = group.command(&Command::Apply(change), Duration::from_secs(60)).await.unwrap();
+        assert!(matches!(a, Answer::Applied(Ok(_))), "{a:?}");
+    });
+    show(
+        "43,000 budgets in one change",
+        format!("{:?}, {} KiB resident", begin.elapsed(), resident(f.controls[0].id())),
+    );
+    let begin = Instant::now();
+    in_group(&f.control_addresses, async |group| {
+        for n in 0..20 {
+            group.command(&top_up(900_000_000 + n), Duration::from_secs(20)).await.unwrap();
+        }
+    });
+    show("a commit with 43,000 budgets", format!("{:?}", begin.elapsed() / 20));
+}
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -104,7 +104,9 @@
     };
     let id = format!("gen-{}", engine.started.get());
     for n in 1..=count {
-        sleep(engine.token_time).await;
+        if !engine.token_time.is_zero() {
+            sleep(engine.token_time).await;
+        }
         add(&engine.generated, 1);
         if engine.fault == "break" && n > 3 {
             return;
--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -169,18 +169,18 @@
     }
 
     /// Learns from the time to the first token.
-    pub fn learn(&self, service: &str, c: &Choice, work: &Work, first: Duration) {
+    pub fn learn(&self, service: &str, c: &Choice, first: Duration) {
         if let Some(pool) = self.pools.borrow_mut().get_mut(service) {
-            pool.learn(c, work.trail.size(), first.as_micros() as u64);
+            pool.learn(c, first.as_micros() as u64);
         }
     }
 
     /// Notes the end of a request that a replica was chosen for.
-    pub fn done(&self, service: &str, address: SocketAddr, failed: bool) {
+    pub fn done(&self, service: &str, c: &Choice, failed: bool) {
         let mut pools = self.pools.borrow_mut();
         let Some(pool) = pools.get_mut(service) else { return };
-        if pool.done(self.clock.now(), address, failed) {
-            emit!(Event::UpstreamEjected, service = service, address = address);
+        if pool.done(self.clock.now(), c, failed) {
+            emit!(Event::UpstreamEjected, service = service, address = c.address);
         }
     }
 }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -129,7 +129,7 @@
         let address = choice.address;
         let ended = self.relay(&choice, response, first.as_mut()).await;
         let failed = matches!(ended, Err(Failed::Sent(_)));
-        self.app.done(&self.plan.service, address, failed);
+        self.app.done(&self.plan.service, &choice, failed);
         self.finish(ended, address, first).await;
     }
 
@@ -155,7 +155,7 @@
                 Err(f) => f,
             };
             let fault = !matches!(failed, Failed::Late | Failed::Left);
-            self.app.done(&self.plan.service, address, fault);
+            self.app.done(&self.plan.service, &choice, fault);
             match failed {
                 Failed::NotSent => {}
                 Failed::Refused(text) => why = text,
@@ -240,7 +240,7 @@
                 let first = self.sent_at.elapsed();
                 let service = self.plan.service.clone();
                 histogram!(metric::FIRST_TOKEN, "service" => service).record(first);
-                self.app.learn(&self.plan.service, choice, &self.plan.work, first);
+                self.app.learn(&self.plan.service, choice, first);
             }
             for event in events.map_err(|_| Failed::Sent("an event is too large".into()))? {
                 if event == b"[DONE]" {
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -133,7 +133,7 @@
         tried.push(address);
         let sent = timeout_at(deadline, send(app, address, head, call, once)).await;
         let failed = matches!(sent, Ok(Err(_)));
-        app.done(service, address, failed);
+        app.done(service, &choice, failed);
         match sent {
             Ok(Ok(answer)) => return Ok(answer),
             Err(_) => return Err(Refusal::from(Code::DeadlinePassed).ran(Ran::Unknown)),
