--- a/crates/cypressfork/tests/pages.rs
+++ b/crates/cypressfork/tests/pages.rs
@@ -96,3 +96,30 @@
     }
     assert!(seen > 0);
 }
+
+/// The keys of a settings structure, from its source.
+fn keys(file: &str, structure: &str) -> Vec<String> {
+    let text = fs::read_to_string(root().join("crates").join(file)).unwrap();
+    let body = text.split(&format!("pub struct {structure} {{")).nth(1).unwrap();
+    let body = body.split("\n}").next().unwrap();
+    let fields = body.lines().filter_map(|l| l.trim().strip_prefix("pub "));
+    fields.map(|l| l.split(':').next().unwrap().to_owned()).collect()
+}
+
+#[test]
+fn every_setting_is_listed() {
+    let text = page("SETTINGS.md");
+    let parts: Vec<&str> = text.split("\n## ").skip(1).collect();
+    let sources = [
+        ("node/src/settings.rs", "Common"),
+        ("control/src/settings.rs", "File"),
+        ("router/src/settings.rs", "File"),
+        ("cli/src/settings.rs", "File"),
+    ];
+    assert_eq!(parts.len(), sources.len());
+    for (part, (file, structure)) in parts.iter().zip(sources) {
+        let rows = part.lines().filter_map(|l| l.strip_prefix("| `"));
+        let listed: Vec<_> = rows.map(|l| l.split('`').next().unwrap().to_owned()).collect();
+        assert_eq!(listed, keys(file, structure), "{file}");
+    }
+}
