--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -129,6 +129,8 @@
     /// Arguments of each replica of the plain service.
     pub boards: Vec<Vec<&'static str>>,
     pub tokens: u64,
+    /// Requests of the client account that a router runs at once.
+    pub concurrency: u32,
     /// More lines of each control process's settings.
     pub control_extra: &'static str,
     /// More lines of each router's settings; `DIR` stands for the fleet's folder.
@@ -147,6 +149,7 @@
             engines: vec![vec![]],
             boards: vec![vec![]],
             tokens: 100_000,
+            concurrency: 200,
             control_extra: "",
             router_extra: String::new(),
             engine_extra: "",
@@ -362,6 +365,7 @@
           keys: ["{}"]
           services: [engine-talk, board-live]
           closed: "${{closed}}"
+          concurrency: {}
       budgets:
         "${{account}}-talk":
           client_account: "${{account}}"
@@ -376,6 +380,7 @@
             self.plan.engine_extra,
             list(&self.boards, "board"),
             digest(),
+            self.plan.concurrency,
             self.plan.budget_extra,
             self.plan.tokens,
         )
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -1,5 +1,7 @@
 //! A model engine: `/v1/chat/completions` and `/v1/completions`, streamed; a token is a word.
 //!
+//! With `continue_final_message`, or a prompt that ends in its own words, it goes on after them.
+//!
 //! Faults: `overrun` generates twice what was asked for, `silent` reports no usage, `undercount`
 //! reports half, `break` ends every stream after three tokens, `mute` accepts and never answers,
 //! `cross` mixes an event of another answer in, `busy` answers 503.
@@ -94,13 +96,25 @@
     r
 }
 
+/// Tokens of its answer that the request already holds.
+fn made_before(ask: &Value) -> u64 {
+    let last = match ask["continue_final_message"] {
+        Value::Bool(true) => ask["messages"].as_array().and_then(|m| m.last()?["content"].as_str()),
+        _ => ask["prompt"].as_str(),
+    };
+    let words = last.unwrap_or_default().split_whitespace().rev();
+    let own = |w: &str| w.strip_prefix('w').is_some_and(|n| n.parse::<u64>().is_ok());
+    words.take_while(|w| own(w)).count() as u64
+}
+
 async fn generate(engine: Rc<Engine>, ask: Value, chat: bool, tx: mpsc::Sender<Bytes>) {
     let prompt = words(&ask["messages"]) + words(&ask["prompt"]);
+    let made = made_before(&ask);
     add(&engine.prompted, prompt);
     let asked = ask["max_tokens"].as_u64().unwrap_or(u64::MAX);
     let count = match engine.fault.as_str() {
         "overrun" => asked.saturating_mul(2),
-        _ => engine.tokens.min(asked),
+        _ => engine.tokens.saturating_sub(made).min(asked),
     };
     let id = format!("gen-{}", engine.started.get());
     for n in 1..=count {
@@ -114,7 +128,7 @@
         let crossed = engine.fault == "cross" && n == 3;
         let id = if crossed { "gen-of-another" } else { &id };
         let finish = (n == count).then_some(if count == asked { "length" } else { "stop" });
-        let event = event(&engine, id, chat, n, prompt, finish);
+        let event = event(&engine, id, chat, (made, n), prompt, finish);
         let piece = Bytes::from(format!("data: {event}\n\n"));
         if tx.send(piece).await.is_err() {
             return add(&engine.cancelled, 1);
@@ -129,11 +143,11 @@
     engine: &Engine,
     id: &str,
     chat: bool,
-    n: u64,
+    (made, n): (u64, u64),
     prompt: u64,
     finish: Option<&str>,
 ) -> Value {
-    let text = format!("w{n} ");
+    let text = format!("w{} ", made + n);
     let choice = match chat {
         true => json!({ "index": 0, "delta": { "content": text }, "finish_reason": finish }),
         false => json!({ "index": 0, "text": text, "finish_reason": finish }),
--- a/crates/router/src/ask.rs
+++ b/crates/router/src/ask.rs
@@ -145,14 +145,35 @@
     }
 
     /// The body for an engine: always a stream, with the usage in every event where the engine
-    /// can, and no more tokens than `cap`.
-    pub fn for_engine(&self, cap: Tokens) -> Vec<u8> {
+    /// can, and no more tokens than `cap`. With a `text` the engine goes on from it, as the last
+    /// message that it is to continue.
+    pub fn for_engine(&self, cap: Tokens, text: &str) -> Vec<u8> {
         let mut body = self.body.clone();
         body.remove("max_completion_tokens");
         body.insert("max_tokens".into(), cap.into());
         body.insert("stream".into(), true.into());
         let options = json!({ "include_usage": true, "continuous_usage_stats": true });
         body.insert("stream_options".into(), options);
+        if !text.is_empty() {
+            self.go_on(&mut body, text);
+        }
         Value::Object(body).to_string().into_bytes()
     }
+
+    fn go_on(&self, body: &mut Map<String, Value>, text: &str) {
+        match self.form {
+            Form::Chat => {
+                if let Some(Value::Array(messages)) = body.get_mut("messages") {
+                    messages.push(json!({ "role": "assistant", "content": text }));
+                }
+                body.insert("continue_final_message".into(), true.into());
+                body.insert("add_generation_prompt".into(), false.into());
+            }
+            Form::Text => {
+                let prompt = body.get("prompt").and_then(Value::as_str).unwrap_or_default();
+                let longer = format!("{prompt}{text}");
+                body.insert("prompt".into(), longer.into());
+            }
+        }
+    }
 }
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -1,25 +1,26 @@
 //! Model requests: from the caller's body to the whole streamed answer and its bill.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
+use cypressfork_core::budget::Policy;
 use cypressfork_core::claim::Outcome;
 use cypressfork_core::code::Code;
 use cypressfork_core::route::Work;
 use cypressfork_core::unit::{RequestId, Tokens};
 use cypressfork_http::Body;
 use cypressfork_node::digest::{body_digest, request_id};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 use crate::app::{Active, App};
 use crate::ask::{Ask, Form};
+use crate::caller::Caller;
 use crate::claim::{Claim, Claimed, claim};
-use crate::exchange::{Exchange, Whole};
+use crate::exchange::Exchange;
 use crate::head::Head;
 use crate::hold::Hold;
 use crate::queue::Permit;
@@ -42,6 +43,8 @@
     pub deadline: Instant,
     /// Trace context to pass on.
     pub traceparent: Option<String>,
+    /// Slice policy of the budget that pays.
+    pub policy: Policy,
     /// What the choice of an engine goes by.
     pub work: Work,
 }
@@ -51,7 +54,7 @@
     /// The engine answers; pieces follow.
     Streaming,
     /// The whole answer, for a caller that wants no stream.
-    Whole(Whole),
+    Whole(Value),
 }
 
 /// Serves a model request.
@@ -89,7 +92,7 @@
     };
     let (service, traceparent) = (model.name.clone(), head.traceparent.clone());
     let work = Work { trail: ask.trail() };
-    let plan = Plan { id, ask, service, cap, deadline, traceparent, work };
+    let plan = Plan { id, ask, service, cap, deadline, traceparent, policy, work };
     run(app, plan, hold, claim, permit).await
 }
 
@@ -103,11 +106,12 @@
     let stream = plan.ask.stream;
     let (tx, rx) = mpsc::channel(PIECES);
     let (first_tx, first_rx) = oneshot::channel();
-    let exchange = Exchange::new(app.clone(), plan, hold, claim, tx);
+    let caller = Caller::new(first_tx, tx, stream);
+    let exchange = Exchange::new(app.clone(), plan, hold, claim, caller);
     let active = Active::new(app);
     // A task of its own: a caller that leaves must not leave tokens unsettled.
     actix_rt::spawn(async move {
-        exchange.run(first_tx).await;
+        exchange.run().await;
         drop(permit);
         drop(active);
     });
@@ -116,7 +120,7 @@
             debug_assert!(stream);
             Ok(streaming(rx))
         }
-        Ok(Ok(Started::Whole(w))) => Ok(json_response(StatusCode::OK, &w.json)),
+        Ok(Ok(Started::Whole(v))) => Ok(json_response(StatusCode::OK, &v)),
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => Err(Code::UpstreamFailed.into()),
     }
@@ -143,6 +147,3 @@
     }
     r
 }
-
-/// How long a stream may be silent before a comment keeps idle links alive.
-pub const KEEP_ALIVE: Duration = Duration::from_secs(10);
--- a/crates/router/src/count.rs
+++ b/crates/router/src/count.rs
@@ -12,6 +12,18 @@
     pub output: Tokens,
 }
 
+impl Usage {
+    /// Both together.
+    pub fn total(self) -> Tokens {
+        self.prompt + self.output
+    }
+
+    /// The sum of two runs.
+    pub fn plus(self, other: Usage) -> Usage {
+        Usage { prompt: self.prompt + other.prompt, output: self.output + other.output }
+    }
+}
+
 /// Counts along with a stream.
 #[derive(Clone, Copy, Debug)]
 pub struct Counter {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod ask;
+mod caller;
 mod chat;
 mod claim;
 mod count;
@@ -11,11 +12,13 @@
 mod follow;
 mod head;
 mod hold;
+mod leg;
 mod ops;
 mod plain;
 mod platform;
 mod pocket;
 mod queue;
+mod relay;
 mod reply;
 pub mod run;
 mod serve;
