A claim dropped before anything was sent is "not run"; a shorter request path

Cause, found on reading as a newcomer: a caller that left while its claim was on its way had its id recorded as of unknown outcome, though no byte had gone upstream: every retry would have been refused. Ruled out: telling "not run" always when dropped (wrong once bytes were sent). Change: a claim knows whether its request was started; the chat handler's look-ups are one function. After: a_caller_that_leaves_before_its_turn_keeps_its_id (its way through the queue; the moment of the claim itself is not tried) and the whole of engines pass.

--- a/crates/cypressfork/tests/engines.rs
+++ b/crates/cypressfork/tests/engines.rs
@@ -238,3 +238,39 @@
     assert_eq!(first.json()["error"]["ran"], "unknown");
     support::until("the outcome", || send().code() == "CF1403");
 }
+
+/// A caller that leaves while its request still waits has not run anything: its id is free.
+#[test]
+fn a_caller_that_leaves_before_its_turn_keeps_its_id() {
+    let f = Fleet::start(Plan {
+        routers: 1,
+        engines: vec![vec!["--token-ms", "20"]],
+        engine_extra: "            slots: 1\n            queue: 4",
+        ..Plan::default()
+    });
+    thread::scope(|s| {
+        let long = s.spawn(|| f.chat(0).send(&ask(false, 24)).status);
+        support::until("the long one", || f.engine_stats(0)["started"] == 1);
+        let body = ask(false, 4);
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {}\r\nIdempotency-Key: g1\r\nX-Not-Repeatable: true\r\nContent-Length: {}\r\n\r\n{body}",
+            support::KEY,
+            body.len()
+        );
+        let mut gone = std::net::TcpStream::connect(&f.router_addresses[0]).unwrap();
+        gone.write_all(head.as_bytes()).unwrap();
+        let waiting = || {
+            let url = format!("http://{}/metrics", f.ops_addresses[0]);
+            let name = "cypressfork_waiting_requests{service=\"engine-talk\"} ";
+            let text = support::text(&url).unwrap();
+            text.lines().any(|l| l.strip_prefix(name).is_some_and(|n| n == "1"))
+        };
+        support::until("the queue", waiting);
+        drop(gone);
+        support::until("the empty queue", || !waiting());
+        assert_eq!(long.join().unwrap(), 200);
+    });
+    let r = f.chat(0).header("x-not-repeatable", "true").header("idempotency-key", "g1");
+    assert_eq!(r.send(&ask(false, 4)).status, 200);
+    assert_eq!(f.engine_stats(0)["started"], 2);
+}
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -26,6 +26,7 @@
 use crate::queue::Permit;
 use crate::reply::{Refusal, json_response};
 use crate::trace::Trace;
+use crate::view::{Client, Model};
 
 /// Pieces of an answer that wait for a slow caller.
 const PIECES: usize = 32;
@@ -58,6 +59,25 @@
     Whole(Value),
 }
 
+/// What a request comes to under the configuration in force.
+struct Target {
+    client: Rc<Client>,
+    model: Rc<Model>,
+    ask: Ask,
+    budget: String,
+    policy: Policy,
+}
+
+fn target(app: &App, form: Form, head: &Head, bytes: &[u8]) -> Result<Target, Refusal> {
+    let view = app.view.borrow();
+    let client = view.client(&head.key)?;
+    let ask = Ask::read(form, bytes)?;
+    let model = view.model(&client, &ask.model)?;
+    let (name, b) = view.budget(&client, &model.name)?;
+    let (budget, policy) = (name.to_owned(), b.policy());
+    Ok(Target { client, model, ask, budget, policy })
+}
+
 /// Serves a model request.
 pub async fn chat(
     app: &Rc<App>,
@@ -67,14 +87,7 @@
     trace: &Rc<Trace>,
 ) -> Result<Response<Body>, Refusal> {
     let deadline = Instant::now() + head.deadline.unwrap_or(app.settings.deadline);
-    let client = app.view.borrow().client(&head.key)?;
-    let ask = Ask::read(form, bytes)?;
-    let model = app.view.borrow().model(&client, &ask.model)?;
-    let (budget, policy) = {
-        let view = app.view.borrow();
-        let (name, b) = view.budget(&client, &model.name)?;
-        (name.to_owned(), b.policy())
-    };
+    let Target { client, model, ask, budget, policy } = target(app, form, head, bytes)?;
     let id = request_id(&client.name, &head.id);
     let cap = ask.output_cap(model.service.max_output);
     let need = ask.prompt_bound + cap;
--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -29,12 +29,14 @@
 /// When to come back while another copy of the request runs.
 const RUNNING_AFTER: Millis = Millis::seconds(1);
 
-/// A claim that was granted. Its end must be told; if it is dropped untold, the end is unknown.
+/// A claim that was granted. Its end must be told; if it is dropped untold, the request has not run
+/// as long as it was not started, and has an unknown outcome after that.
 pub struct Claim {
     app: Rc<App>,
     holder: HolderId,
     seq: u64,
     id: RequestId,
+    started: Cell<bool>,
     told: Cell<bool>,
 }
 
@@ -56,7 +58,14 @@
     let wallet = app.wallet().ok_or(Code::NotReady)?;
     let seq = app.next_run();
     let holder = wallet.holder();
-    let mine = Claim { app: app.clone(), holder, seq, id, told: Cell::new(false) };
+    let mine = Claim {
+        app: app.clone(),
+        holder,
+        seq,
+        id,
+        started: Cell::new(false),
+        told: Cell::new(false),
+    };
     let within = CLAIM_WITHIN.min(deadline.saturating_duration_since(Instant::now()));
     let c = Command::Claim { holder, seq, id, body };
     let answer = app.group.command(&c, within).await;
@@ -84,6 +93,11 @@
 }
 
 impl Claim {
+    /// Notes that bytes of the request may go upstream from now on.
+    pub fn start(&self) {
+        self.started.set(true);
+    }
+
     /// Tells how the request ended, in the background and until it is committed.
     pub fn tell(&self, end: End) {
         if self.told.replace(true) {
@@ -103,6 +117,6 @@
 
 impl Drop for Claim {
     fn drop(&mut self) {
-        self.tell(End::Unknown);
+        self.tell(if self.started.get() { End::Unknown } else { End::NotRun });
     }
 }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -205,6 +205,9 @@
         let mut hop = plan.trace.span("dispatch");
         hop.note(address.to_string());
         req = req.insert_header(("traceparent", hop.traceparent()));
+        if let Some(c) = &self.claim {
+            c.start();
+        }
         let sending = req.send_body(plan.ask.for_engine(self.leg.cap, &self.text));
         self.leg.sending();
         let sent = tokio::select! {
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -116,6 +116,9 @@
     claim: Option<Claim>,
     trace: &Rc<Trace>,
 ) -> Result<Response<Body>, Refusal> {
+    if let Some(c) = &claim {
+        c.start();
+    }
     let result = try_replicas(app, service, sending, trace).await;
     let end = match &result {
         Ok(a) => End::Answered(outcome(a)),
