--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -272,7 +272,10 @@
             Ok(Frame::Call(c)) => Input::Call(c.ask, ReplyTo { id: c.id, tx: answers.clone() }),
             Ok(Frame::Raft(m)) => match (m.reply_to.clone(), into_raft(m)) {
                 (reply_to, Ok(m)) => Input::Raft(m, reply_to),
-                (_, Err(e)) => break e.to_string(),
+                (_, Err(e)) => {
+                    emit!(Event::MessageBad, peer = peer, why = e);
+                    break e.to_string();
+                }
             },
             Ok(_) => break "an unexpected message".to_owned(),
             Err(e) => break e.to_string(),
--- /dev/null
+++ b/crates/core/examples/embed.rs
@@ -0,0 +1,80 @@
+//! The parts of the library on their own: escrow, claims, routing, and a replicated log of one.
+//!
+//! `cargo run -p cypressfork-core --example embed`
+
+use std::sync::Arc;
+
+use cypressfork_core::budget::{Ledger, Policy, Purse};
+use cypressfork_core::claim::{Claims, End, Outcome, Verdict};
+use cypressfork_core::config::{Upstream, Vm};
+use cypressfork_core::raft::{Action, Members, Payload, Raft, Restored, Settings, SnapshotMeta};
+use cypressfork_core::route::{Pool, Work};
+use cypressfork_core::unit::{HolderId, LeaseId, RequestId, Time};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// A grantor gives a slice; a holder spends from it and reports.
+fn escrow() {
+    let (now, holder) = (Time(0), HolderId(1));
+    let mut ledger = Ledger::default();
+    ledger.fund("orders", 10_000, Policy::default());
+    let mut purse = Purse::new(Policy::default(), 0);
+    let ask = purse.ask(now, holder, "orders", 500).expect("the purse is empty");
+    let decision = ledger.ask(now, LeaseId { term: 1, index: 1 }, &ask).expect("funded above");
+    purse.answer(ask.seq, &decision);
+    let held = purse.reserve(now, 500).expect("the slice covers the need");
+    let charged = purse.settle(now, held, 420);
+    for report in purse.reports(now) {
+        let known = ledger.report(now, holder, &report);
+        purse.acknowledge(now, &report, known);
+    }
+    let spent = ledger.get("orders").map(|f| f.spent());
+    println!("escrow: charged {charged}, the ledger knows of {spent:?}");
+}
+
+/// The first claim of an id may run; a copy gets the recorded outcome.
+fn claims() {
+    let (mut c, id, body) = (Claims::default(), RequestId([7; 16]), [0; 16]);
+    let first = c.claim(Time(0), HolderId(1), 1, id, body);
+    assert_eq!(first, Verdict::Run);
+    let done = Outcome { status: 200, kind: "text/plain".into(), body: Some(b"lot 4".to_vec()) };
+    c.conclude(Time(1), HolderId(1), 1, id, End::Answered(done));
+    println!("claims: a copy gets {:?}", c.claim(Time(2), HolderId(2), 1, id, body));
+}
+
+/// A log of one replica: what is proposed is committed once it is stored.
+fn log() {
+    let members = Members::of([(1, "127.0.0.1:7001".to_owned())]);
+    let snapshot = SnapshotMeta { members, ..SnapshotMeta::default() };
+    let found = Restored { snapshot, ..Restored::default() };
+    let mut raft = Raft::new(Time(0), 1, Settings::default(), found, 1);
+    raft.tick(Time(2_000));
+    let index = raft.propose(Time(2_000), Payload::Command(Arc::from(&b"hello"[..])));
+    let stored = raft.take_actions().iter().filter(|a| matches!(a, Action::Append(_))).count();
+    raft.synced(Time(2_001), raft.log().last_index());
+    println!("log: {stored} appends stored, {index:?} proposed, committed {}", raft.committed());
+}
+
+/// A replica is chosen, answers, and is learned from.
+fn routing() {
+    let upstream = |n: u8| Upstream {
+        vm: Vm { name: format!("engine-{n}"), data_centre: "tamar-a".into() },
+        address: ([10, 0, 0, n], 8000).into(),
+        checks_orders: true,
+    };
+    let mut pool = Pool::default();
+    pool.set(&[upstream(1), upstream(2)], 8);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let choice =
+        pool.choose(Time(0), "tamar-a", &Work::default(), &[], &mut rng).expect("two are there");
+    pool.learn(&choice, 20_000);
+    pool.done(Time(30), &choice, false);
+    println!("routing: {}", choice.address);
+}
+
+fn main() {
+    escrow();
+    claims();
+    log();
+    routing();
+}
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -85,10 +85,8 @@
     Overloaded = 1301, 503, "rate_limit_error", "the service is overloaded and this request was worth least";
     DeadlinePassed = 1302, 504, "rate_limit_error", "the deadline cannot be met";
     NoUpstream = 1303, 503, "server_error", "no upstream of the service is in reach";
-    Draining = 1304, 503, "server_error", "this router is about to stop; ask for another entry address";
     NotReady = 1305, 503, "server_error", "this router has not confirmed its configuration yet";
     UpstreamFailed = 1306, 502, "server_error", "the upstream failed before its answer was whole";
-    UpstreamAnswerBad = 1307, 502, "server_error", "the upstream's answer could not be understood";
     ClaimUnreachable = 1401, 503, "server_error", "the request is marked not repeatable and the control group is not in reach to claim it";
     ClaimRunning = 1402, 409, "conflict_error", "a request with this id is running";
     ClaimUnknown = 1403, 409, "conflict_error", "a request with this id was started and its outcome is not known; it ran at most once";
@@ -101,7 +99,6 @@
     ParameterBad = 2005, 0, "invalid", "a parameter's value is not of its kind or out of its range";
     ObjectBad = 2006, 0, "invalid", "a rendered object is not valid";
     ObjectClash = 2007, 0, "invalid", "two applications render an object of the same name";
-    AccountUnknown = 2008, 0, "invalid", "no client account has this name";
     BudgetUnknown = 2009, 0, "invalid", "no budget has this name";
     BudgetBelowSpent = 2010, 0, "invalid", "the budget would be smaller than what is spent already";
     OperationReused = 2011, 0, "conflict", "the operation id was used for another change";
--- a/crates/cypressfork/tests/failure.rs
+++ b/crates/cypressfork/tests/failure.rs
@@ -276,3 +276,79 @@
 }
 
 const SMALL: &str = "          floor: 100\n          horizon_s: 1\n          reserve_percent: 30\n";
+
+/// Moves marked not repeatable go on while the leader is killed twice: each is sent again until it
+/// is answered, by either router, and none runs twice.
+#[test]
+fn no_move_runs_twice_while_leaders_are_killed() {
+    let mut f = Fleet::start(Plan::default());
+    let stop = AtomicBool::new(false);
+    let routers = f.router_addresses.clone();
+    let moves = thread::scope(|s| {
+        let callers: Vec<_> = (0..4)
+            .map(|t| {
+                let (stop, routers) = (&stop, &routers);
+                s.spawn(move || {
+                    let mut n = 0;
+                    while !stop.load(Ordering::Relaxed) {
+                        let id = format!("move-{t}-{n}");
+                        let mut tries = 0;
+                        until("an answer to a move", || {
+                            tries += 1;
+                            let a = &routers[(t + tries) % routers.len()];
+                            let r = support::Request::new(a, "/board-live/moves");
+                            let r = r.header("idempotency-key", &id);
+                            r.header("x-not-repeatable", "true").send("e2e4").status == 200
+                        });
+                        n += 1;
+                    }
+                    n
+                })
+            })
+            .collect();
+        for _ in 0..2 {
+            let old = leader(&f).unwrap();
+            f.controls[old].kill();
+            until("another leader", || leader(&f).is_some_and(|l| l != old));
+            f.controls[old] = f.start_control(old);
+            until("a whole group", || {
+                let out = f.cli(&["status", "--json"]);
+                serde_json::from_slice::<Value>(&out.stdout).is_ok_and(|v| v["safe"] == true)
+            });
+        }
+        stop.store(true, Ordering::Relaxed);
+        callers.into_iter().map(|c| c.join().unwrap()).sum::<usize>()
+    });
+    let runs = f.board_runs(0);
+    let runs = runs.as_object().unwrap();
+    assert_eq!(runs.len(), moves);
+    assert!(runs.values().all(|n| *n == 1), "{runs:?}");
+}
+
+/// A removed key and a closed account are refused at every router once the change is in force, and
+/// a running answer is not cut off.
+#[test]
+fn a_removed_key_and_a_closed_account_are_refused() {
+    let f = Fleet::start(Plan { engines: vec![vec!["--token-ms", "100"]], ..Plan::default() });
+    let (_, _, mut reader) = f.chat(0).open(&ask(true, 12));
+    let mut line = String::new();
+    reader.read_line(&mut line).unwrap();
+    let closed = f.example().replace("account: club,", "account: club, closed: true,");
+    assert!(f.apply("closed.yaml", &closed).status.success());
+    let revoked = f.example().replace(&support::digest(), &"0".repeat(64));
+    for (n, (text, code)) in [(closed, "CF1003"), (revoked, "CF1002")].into_iter().enumerate() {
+        if n > 0 {
+            assert!(f.apply("revoked.yaml", &text).status.success());
+        }
+        for r in 0..2 {
+            f.until_ready(r, 2 + n as u64);
+            let a = f.chat(r).send(&ask(false, 4));
+            assert_eq!(a.code(), code, "{}", a.body);
+            assert_eq!(a.json()["error"]["ran"], "no");
+        }
+    }
+    let mut rest = String::new();
+    reader.read_to_string(&mut rest).unwrap();
+    assert!(rest.trim_end().ends_with("data: [DONE]"), "{rest}");
+    f.until_spent(cost(12));
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -68,7 +68,6 @@
     UpstreamOverCap = 407, Warn, "an engine sent more tokens than were asked for: the stream is cut";
     UpstreamMiscounted = 408, Warn, "an engine's token count does not match what it sent";
     UpstreamEjected = 409, Warn, "an upstream is left out for a while";
-    UpstreamBack = 410, Info, "an upstream is used again";
     DrainWaits = 411, Info, "a planned stop waits";
     SlicesReturned = 412, Info, "all slices are handed back";
     ReserveUsed = 414, Warn, "the control group is out of reach: the data centre's reserve is used";
