Two more rows of the proofs: a connection that times out, a retry after the bill

Cause: both stood in the list of what was not proved. Change: a listener whose queue is full gives an address that never answers; a router is killed after its bill was posted.

--- a/crates/cypressfork/tests/engines.rs
+++ b/crates/cypressfork/tests/engines.rs
@@ -274,3 +274,38 @@
     assert_eq!(r.send(&ask(false, 4)).status, 200);
     assert_eq!(f.engine_stats(0)["started"], 2);
 }
+
+/// An address whose queue of connections is full: a further attempt gets no answer. The streams
+/// keep it full.
+fn full_upstream() -> (TcpListener, Vec<std::net::TcpStream>, String) {
+    let l = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = l.local_addr().unwrap();
+    let patience = std::time::Duration::from_millis(300);
+    let mut open = Vec::new();
+    while let Ok(s) = std::net::TcpStream::connect_timeout(&address, patience) {
+        open.push(s);
+        assert!(open.len() < 20_000, "the queue never fills");
+    }
+    (l, open, address.to_string())
+}
+
+/// A connection attempt that times out has sent nothing: the request is not run and its id is free.
+#[test]
+fn a_connection_that_times_out_is_not_run() {
+    let f = Fleet::start(Plan { routers: 1, ..Plan::default() });
+    let (_listener, _open, address) = full_upstream();
+    let example = f.example();
+    let text = example.replace(&f.boards[0].1, &address).replace(&f.engines[0].1, &address);
+    assert!(f.apply("full.yaml", &text).status.success());
+    f.until_ready(0, 2);
+    let call = || f.call(0).header("x-not-repeatable", "true").header("idempotency-key", "m1");
+    for a in [call().send("e2e4"), f.chat(0).send(&ask(false, 4))] {
+        assert_eq!((a.status, a.code().as_str()), (503, "CF1303"), "{}", a.body);
+        assert_eq!(a.json()["error"]["ran"], "no");
+    }
+    f.until_spent(0);
+    assert!(f.apply("example.yaml", &example).status.success());
+    f.until_ready(0, 3);
+    support::until("the free id", || call().send("e2e4").status == 200);
+    assert_eq!(f.board_runs(0)["m1"], 1);
+}
--- a/crates/cypressfork/tests/failure.rs
+++ b/crates/cypressfork/tests/failure.rs
@@ -352,3 +352,19 @@
     assert!(rest.trim_end().ends_with("data: [DONE]"), "{rest}");
     f.until_spent(cost(12));
 }
+
+/// A router dies after its bill was posted, and the caller, which heard nothing, asks again by the
+/// other router: the tokens are used up a second time, the request is billed once.
+#[test]
+fn a_retry_after_the_bill_was_posted_is_not_billed_again() {
+    let mut f = Fleet::start(Plan::default());
+    let send = |f: &Fleet, n: usize| f.chat(n).header("idempotency-key", "g1").send(&ask(false, 4));
+    assert_eq!(send(&f, 0).status, 200);
+    f.until_spent(cost(4));
+    f.routers[0].kill();
+    assert_eq!(send(&f, 1).status, 200);
+    f.until_spent(2 * cost(4));
+    until("the second run's bill", || f.budget()["total"]["unbilled"] == cost(4));
+    let total = f.budget()["total"].clone();
+    assert_eq!((&total["requests"], &total["billed"]), (&1.into(), &cost(4).into()));
+}
