--- a/crates/cli/src/cmd/init.rs
+++ b/crates/cli/src/cmd/init.rs
@@ -28,8 +28,7 @@
     cx.word(0, "the address of a control process")?;
     let addresses = cx.words.iter().map(|a| address("ADDRESS", a));
     let addresses: Vec<SocketAddr> = addresses.collect::<Result<_, _>>()?;
-    let s = cx.settings()?;
-    let me = Credentials { key: s.key, cluster: s.cluster, name: s.operator };
+    let me = cx.credentials()?;
     actix_rt::System::new().block_on(found(&me, &addresses))
 }
 
--- a/crates/cli/src/cmd/member.rs
+++ b/crates/cli/src/cmd/member.rs
@@ -5,7 +5,6 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::raft::MemberChange;
 use cypressfork_core::unit::NodeId;
-use cypressfork_node::link::Credentials;
 use cypressfork_node::settings::address;
 use cypressfork_wire::{Ask, member_order};
 
@@ -30,8 +29,7 @@
     let change = match verb {
         "add" => {
             let a = address("ADDRESS", cx.word(1, "the new replica's address")?)?;
-            let s = cx.settings()?;
-            let me = Credentials { key: s.key, cluster: s.cluster, name: s.operator };
+            let me = cx.credentials()?;
             let id = actix_rt::System::new().block_on(identify(&me, a))?;
             if !id.members.voters.is_empty() {
                 return Err(Code::MemberBad.into());
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -53,11 +53,15 @@
         self.options.opt_str("op").unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()))
     }
 
+    /// Who the operator is on links.
+    pub fn credentials(&self) -> Result<Credentials, Error> {
+        let s = self.settings()?;
+        Ok(Credentials { key: s.key, cluster: s.cluster, name: s.operator })
+    }
+
     /// The control group.
     pub fn group(&self) -> Result<Group, Error> {
-        let s = self.settings()?;
-        let me = Credentials { key: s.key, cluster: s.cluster, name: s.operator };
-        Ok(Group::new(me, s.control))
+        Ok(Group::new(self.credentials()?, self.settings()?.control))
     }
 
     /// Has a command committed.
--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -1,9 +1,10 @@
 //! A small fleet of real processes on loopback, for tests.
 
-#![allow(dead_code, missing_docs)]
+#![allow(dead_code, missing_docs, unused_imports)]
+
+mod http;
 
 use std::fs::{self, File};
-use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
@@ -12,6 +13,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+pub use http::{Answer, Request, get, text};
 use serde_json::Value;
 use tempfile::TempDir;
 
@@ -450,98 +452,6 @@
     String::from_utf8(out.stdout).unwrap()[..64].to_owned()
 }
 
-fn agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_global(Some(PATIENCE))
-        .build()
-        .into()
-}
-
-pub fn text(url: &str) -> Option<String> {
-    agent().get(url).call().ok()?.body_mut().read_to_string().ok()
-}
-
-pub fn get(url: &str) -> Option<Value> {
-    serde_json::from_str(&text(url)?).ok()
-}
-
-/// A request that is being put together.
-pub struct Request {
-    url: String,
-    method: &'static str,
-    headers: Vec<(String, String)>,
-}
-
-/// An answer.
-#[derive(Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub headers: Vec<(String, String)>,
-    pub body: String,
-}
-
-impl Request {
-    pub fn new(address: &str, path: &str) -> Request {
-        let auth = ("authorization".to_owned(), format!("Bearer {KEY}"));
-        Request { url: format!("http://{address}{path}"), method: "POST", headers: vec![auth] }
-    }
-
-    pub fn method(mut self, m: &'static str) -> Request {
-        self.method = m;
-        self
-    }
-
-    pub fn header(mut self, name: &str, value: &str) -> Request {
-        self.headers.retain(|(n, _)| n != name);
-        self.headers.push((name.to_owned(), value.to_owned()));
-        self
-    }
-
-    pub fn without(mut self, name: &str) -> Request {
-        self.headers.retain(|(n, _)| n != name);
-        self
-    }
-
-    pub fn send(self, body: &str) -> Answer {
-        let (status, headers, mut reader) = self.open(body);
-        let mut body = String::new();
-        use std::io::Read;
-        reader.read_to_string(&mut body).unwrap();
-        Answer { status, headers, body }
-    }
-
-    /// Sends it and returns a reader of the answer's lines.
-    pub fn open(self, body: &str) -> (u16, Vec<(String, String)>, impl BufRead + use<>) {
-        let mut r = ureq::http::Request::builder().method(self.method).uri(&self.url);
-        for (n, v) in &self.headers {
-            r = r.header(n, v);
-        }
-        let response = agent().run(r.body(body.to_owned()).unwrap()).unwrap();
-        let status = response.status().as_u16();
-        let headers = response
-            .headers()
-            .iter()
-            .map(|(n, v)| (n.to_string(), v.to_str().unwrap_or_default().to_owned()))
-            .collect();
-        (status, headers, BufReader::new(response.into_body().into_reader()))
-    }
-}
-
-impl Answer {
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
-    }
-
-    pub fn json(&self) -> Value {
-        serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e}: {}", self.body))
-    }
-
-    pub fn code(&self) -> String {
-        self.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
-    }
-}
-
 /// A model request's body.
 pub fn ask(stream: bool, max_tokens: u64) -> String {
     format!(
