Events tell what a dead holder's slices come to, and why the group refuses an ask

Event 320 now tells how many tokens count as spent and how many come free; event 321 tells what a budget holds when an ask is refused for good.

--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cypressfork_core::budget::{Elapsed, Told};
+use cypressfork_core::budget::{Burial, Elapsed, Told};
 use cypressfork_core::command::Command;
 use cypressfork_core::fleet::repair::{Candidates, Health, next_change};
 use cypressfork_core::member::LAPSE_AFTER;
@@ -81,7 +81,15 @@
             };
             if let (Some(last), Some(before)) = (span(chain.last), span(chain.before)) {
                 let elapsed = Elapsed { last: Some(last), before: Some(before) };
-                emit!(Event::HolderBuried, holder = holder, last_ms = last.0, before_ms = before.0);
+                let Burial { counted, freed } = self.state.ledger().burial(holder, &elapsed);
+                emit!(
+                    Event::HolderBuried,
+                    holder = holder,
+                    last_ms = last.0,
+                    before_ms = before.0,
+                    counted = counted,
+                    freed = freed,
+                );
                 self.propose_own(at, &Command::Bury { holder, elapsed });
             }
         }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use cypressfork_core::budget::{Ask as BudgetAsk, Shortage};
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::member::Signs;
@@ -346,9 +347,29 @@
         if let Answer::Applied(Err(r)) = &answer {
             emit!(Event::ConfigRefused, code = r.code.number(), place = r.place, why = r.why);
         }
+        if let (Answer::Decided(Err(Shortage::Spent)), Command::Ask(ask)) = (&answer, &c) {
+            self.tell_short(ask);
+        }
         answer
     }
 
+    /// Logs, as leader, why an ask is refused for good.
+    fn tell_short(&self, ask: &BudgetAsk) {
+        let Some(f) = self.state.ledger().get(&ask.budget) else { return };
+        if self.raft.leads() {
+            emit!(
+                Event::BudgetShort,
+                budget = ask.budget,
+                holder = ask.holder,
+                need = ask.need,
+                funded = f.funded,
+                spent = f.spent(),
+                held = f.open(),
+                free = f.free(),
+            );
+        }
+    }
+
     fn answer_proposal(&mut self, index: Index, term: Term, answer: Answer) {
         let Some((proposed, to)) = self.proposed.remove(&index) else { return };
         let result = if proposed == term { Ok(body::pack(&answer)) } else { Err(Code::NotLeader) };
--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -325,6 +325,15 @@
     }
 }
 
+/// What the end of a dead holder's leases comes to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Burial {
+    /// Tokens that count as spent though nobody reported them.
+    pub counted: Tokens,
+    /// Tokens that come free.
+    pub freed: Tokens,
+}
+
 /// All budgets of one grantor.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Ledger {
@@ -426,6 +435,19 @@
         self.bounds.chain(holder)
     }
 
+    /// What [`Ledger::bury`] would come to, over all budgets that bind their holders.
+    pub fn burial(&self, holder: HolderId, e: &Elapsed) -> Burial {
+        let mut sum = Burial::default();
+        for (name, f) in self.funds.iter().filter(|(_, f)| f.policy.bounded) {
+            let of_holder = f.leases.values().filter(|l| l.holder == holder);
+            let open: Tokens = of_holder.map(Lease::open).sum();
+            let counted = open.min(self.bounds.unreported(holder, name, e));
+            sum.counted += counted;
+            sum.freed += open - counted;
+        }
+        sum
+    }
+
     /// Ends the leases of a holder that is known to be dead. What it can have spent unreported by
     /// its own word counts as spent; the rest comes free. Leases of budgets that bind nobody stay.
     pub fn bury(&mut self, holder: HolderId, e: &Elapsed) {
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -15,6 +15,6 @@
 pub use allot::Region;
 pub use bound::{Bound, Bounds, Chain, Elapsed, Told};
 pub use custody::{Custody, Deed, Done};
-pub use ledger::{Ask, Decision, Funds, Grant, Lease, Ledger, Report, Shortage};
+pub use ledger::{Ask, Burial, Decision, Funds, Grant, Lease, Ledger, Report, Shortage};
 pub use policy::{Policy, Rate};
 pub use slice_store::{Reservation, SliceStore};
