--- a/crates/core/src/budget/slice_store.rs
+++ b/crates/core/src/budget/slice_store.rs
@@ -114,6 +114,12 @@
         Some(Reservation { parts })
     }
 
+    /// Sets aside what can be had of `n` tokens; none if that is nothing.
+    pub fn reserve_part(&mut self, now: Time, n: Tokens) -> Option<Reservation> {
+        let part = n.min(self.idle(now)).min(self.allowed(now));
+        (part > 0).then(|| self.reserve(now, part)).flatten()
+    }
+
     /// Whether the limit that it is bound to does not allow `n` more.
     pub fn is_limited(&self, now: Time, n: Tokens) -> bool {
         self.policy.bounded && self.spent + self.reserved + n > self.allowed.by(now)
--- a/crates/core/src/fleet/share.rs
+++ b/crates/core/src/fleet/share.rs
@@ -1,8 +1,9 @@
 //! Tokens that one router sets aside for a request of another.
 //!
 //! A router that is short of a budget's tokens, and cannot have more of the group in time, may use
-//! those in another router's slices. The lender reserves them as for a request of its own, and
-//! settles when the borrower tells what was used. If it never does, all of it counts as used.
+//! those in other routers' slices, a part from each. A lender reserves them as for a request of its
+//! own, and settles when the borrower tells what was used. If it never does, all of it counts as
+//! used.
 //! Nothing moves between leases, so that the group's accounts need not know of it.
 
 use std::cmp::Reverse;
@@ -22,13 +23,13 @@
 /// What a borrower asks of a lender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Request {
-    /// Set tokens aside.
+    /// Set tokens aside, as many of them as can be spared.
     Reserve {
         /// Drawn by the borrower; another for each loan.
         id: u64,
         /// The client account.
         account: String,
-        /// How many.
+        /// How many, at most.
         tokens: Tokens,
     },
     /// So many were used; the rest is the lender's again.
@@ -43,10 +44,8 @@
 /// A lender's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
-    /// They are set aside.
-    Reserved,
-    /// The lender can spare only so many.
-    Short(Tokens),
+    /// So many are set aside; 0: the lender can spare none.
+    Reserved(Tokens),
     /// It is settled.
     Settled,
 }
@@ -65,6 +64,17 @@
     all.into_iter().take(most).map(|(_, _, peer)| peer).collect()
 }
 
+/// What each part of a reservation is charged of `used` tokens, in the order of `parts`.
+pub fn charges(parts: &[Tokens], used: Tokens) -> Vec<Tokens> {
+    let mut left = used;
+    let mut charge = |part: &Tokens| {
+        let of_part = left.min(*part);
+        left -= of_part;
+        of_part
+    };
+    parts.iter().map(&mut charge).collect()
+}
+
 /// A lender's loans; `R` is what it holds for each.
 #[derive(Debug)]
 pub struct Loans<R> {
@@ -84,9 +94,9 @@
         !self.settled.contains_key(&id)
     }
 
-    /// Whether loan `id` is open.
-    pub fn is_open(&self, id: u64) -> bool {
-        self.open.contains_key(&id)
+    /// What is held for loan `id`, if it is open.
+    pub fn get(&self, id: u64) -> Option<&R> {
+        self.open.get(&id).map(|(_, held)| held)
     }
 
     /// Makes a loan.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -12,7 +12,7 @@
 use cypressfork_core::fleet::repair::{Candidates, Health, next_change};
 use cypressfork_core::fleet::retry::{Bound, Window};
 use cypressfork_core::fleet::routes::Routes;
-use cypressfork_core::fleet::share::{Loans, lenders};
+use cypressfork_core::fleet::share::{Loans, charges, lenders};
 use cypressfork_core::fleet::walls::Walls;
 use cypressfork_core::fleet::watch::{Announce, RouterSign};
 use cypressfork_core::raft::{MemberChange, Members};
@@ -338,7 +338,7 @@
     let mut l: Loans<&str> = Loans::default();
     assert!(l.may_make(1));
     l.make(Time(0), 1, "held");
-    assert!(l.is_open(1));
+    assert!(l.get(1).is_some());
     assert_eq!(l.settle(Time(10), 1), Some("held"));
     assert_eq!(l.settle(Time(10), 1), None, "a resent word changes nothing");
     assert!(!l.may_make(1), "a request that comes after its end");
@@ -353,7 +353,7 @@
     l.make(Time(30_000), 2, "second");
     assert_eq!(l.expire(Time(44_999)), Vec::<&str>::new());
     assert_eq!(l.expire(Time(45_000)), ["first"]);
-    assert!(l.is_open(2));
+    assert!(l.get(2).is_some());
 }
 
 /// Among many equal peers the order is drawn: a sort whose keys change while it runs panics.
@@ -371,3 +371,19 @@
     }
     assert!(seconds.len() > 1, "not always the same one comes next");
 }
+
+/// Parts of a reservation, and what was used of it; then what each part is charged.
+#[rstest]
+#[case::nothing_used(&[5, 7], 0, &[0, 0])]
+#[case::within_the_first(&[5, 7], 4, &[4, 0])]
+#[case::over_several(&[5, 7, 9], 13, &[5, 7, 1])]
+#[case::all_of_it(&[5, 7], 12, &[5, 7])]
+#[case::more_than_was_set_aside(&[5, 7], 20, &[5, 7])]
+#[case::nothing_of_its_own(&[0, 7], 6, &[0, 6])]
+fn a_request_is_charged_to_the_parts_of_its_reservation(
+    #[case] parts: &[u64],
+    #[case] used: u64,
+    #[case] charged: &[u64],
+) {
+    assert_eq!(charges(parts, used), charged);
+}
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -6,6 +6,7 @@
 use cypressfork_core::budget::{Policy, Reservation};
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::budget_name;
+use cypressfork_core::fleet::share::charges;
 use cypressfork_core::unit::{Millis, Tokens};
 use tokio::time::Instant;
 
@@ -29,16 +30,24 @@
 
 /// Tokens set aside for one request. Whatever becomes of it, [`Held::settle`] ends it.
 pub struct Held {
-    place: Place,
+    own: Option<Own>,
+    /// What other gateways have set aside for it.
+    borrowed: Vec<Borrowed>,
     prompt: Tokens,
 }
 
-/// Where they are set aside.
-enum Place {
-    /// In this gateway's own slices.
-    Own { token_store: Rc<TokenStore>, source: Source, budget: String, reservation: Reservation },
-    /// In another gateway's.
-    Borrowed(Borrowed),
+/// Tokens set aside in this gateway's own slices.
+struct Own {
+    token_store: Rc<TokenStore>,
+    source: Source,
+    budget: String,
+    reservation: Reservation,
+}
+
+impl Own {
+    fn settle(self, used: Tokens) {
+        self.token_store.settle(self.source, &self.budget, self.reservation, used);
+    }
 }
 
 /// What became of a request's tokens.
@@ -69,29 +78,33 @@
     let policy = Policy::for_prepaid(prepaid);
     let own = |source, reservation| {
         let (token_store, budget) = (token_store.clone(), budget.clone());
-        Held {
-            place: Place::Own { token_store, source, budget, reservation },
-            prompt: prompt.tokens,
-        }
+        Own { token_store, source, budget, reservation }
     };
+    let held = |own, borrowed| Held { own, borrowed, prompt: prompt.tokens };
     // First what can be had at once, then what peers can spare, then what the group calls back.
     let quick = deadline.min(Instant::now() + QUICK);
     if let Ok((source, r)) = token_store.reserve(&budget, policy, most, quick).await {
-        return Ok(own(source, r));
+        return Ok(held(Some(own(source, r)), Vec::new()));
+    }
+    let part = token_store.reserve_part(&budget, policy, most).map(|r| own(Source::Group, r));
+    let at_hand = part.as_ref().map_or(0, |o| o.reservation.amount());
+    if let Some(borrowed) = gw.share.borrow(gw, account, most - at_hand).await {
+        return Ok(held(part, borrowed));
     }
-    if let Some(loan) = gw.share.borrow(gw, account, most).await {
-        return Ok(Held { place: Place::Borrowed(loan), prompt: prompt.tokens });
+    if let Some(part) = part {
+        part.settle(0);
     }
     let until = deadline.min(Instant::now() + WAIT);
     match token_store.reserve(&budget, policy, most, until).await {
-        Ok((source, r)) => Ok(own(source, r)),
-        Err(r) => Err(refusal(r, most, token_store.at_hand(&budget, policy))),
+        Ok((source, r)) => Ok(held(Some(own(source, r)), Vec::new())),
+        Err(r) => Err(refusal(r, account, most, token_store.at_hand(&budget, policy))),
     }
 }
 
-fn refusal(r: Refusal, most: Tokens, at_hand: (Tokens, Tokens)) -> Refusal {
+fn refusal(r: Refusal, account: &str, most: Tokens, at_hand: (Tokens, Tokens)) -> Refusal {
     let (idle, allowed) = at_hand;
-    let why = format!("{}; {most} wanted, {idle} idle, {allowed} allowed", r.code.text());
+    let text = r.code.text();
+    let why = format!("{text}; account {account}, {most} wanted, {idle} idle, {allowed} allowed");
     match r.code {
         Code::BudgetSpent => Refusal::from(Code::BudgetTooSmall).detail(why),
         _ => Refusal::from(Code::BudgetUnreachable).after(AGAIN_AFTER).detail(why),
@@ -103,11 +116,16 @@
     pub fn settle(self, s: Spent) {
         let events = if s.whole { s.events } else { s.events + UNSEEN };
         let used = if s.ran { self.prompt + events * s.stride } else { 0 };
-        match self.place {
-            Place::Own { token_store, source, budget, reservation } => {
-                token_store.settle(source, &budget, reservation, used);
-            }
-            Place::Borrowed(loan) => loan.settle(used),
+        let own = self.own.as_ref().map_or(0, |o| o.reservation.amount());
+        let lent = self.borrowed.iter().map(Borrowed::amount);
+        let parts: Vec<Tokens> = [own].into_iter().chain(lent).collect();
+        let mut charged = charges(&parts, used).into_iter();
+        let own_charge = charged.next().unwrap_or(0);
+        if let Some(own) = self.own {
+            own.settle(own_charge);
+        }
+        for (part, charge) in self.borrowed.into_iter().zip(charged) {
+            part.settle(charge);
         }
     }
 }
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -10,7 +10,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::budget_name;
 use cypressfork_core::fleet::share::{Loans, Reply, Request, lenders};
-use cypressfork_core::unit::{Time, Tokens};
+use cypressfork_core::unit::{Millis, Time, Tokens};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
@@ -26,7 +26,10 @@
 const LEND_WITHIN: Duration = Duration::from_millis(150);
 
 /// Lenders that are asked for one request.
-const LENDERS: usize = 4;
+const LENDERS: usize = 6;
+
+/// How long it counts what a peer said that it can spare.
+const SPARE_KEPT: Millis = Millis(1_000);
 
 /// How long a word on what was used is sent again.
 const SETTLE_WITHIN: Duration = Duration::from_secs(20);
@@ -63,9 +66,15 @@
 pub struct Borrowed {
     lender: Group,
     id: u64,
+    tokens: Tokens,
 }
 
 impl Borrowed {
+    /// How many.
+    pub fn amount(&self) -> Tokens {
+        self.tokens
+    }
+
     /// Tells the lender what was used.
     pub fn settle(self, used: Tokens) {
         let ask = Ask::Share(body::pack(&Request::Settle { id: self.id, used }));
@@ -91,35 +100,68 @@
         let hope = |a: &SocketAddr| {
             let known = spare.get(&(*a, account.to_owned()));
             // What was said long ago tells nothing.
-            let fresh = known.filter(|(_, at)| now.since(*at).0 < 1_000);
+            let fresh = known.filter(|(_, at)| now.since(*at) < SPARE_KEPT);
             fresh.map_or(Tokens::MAX, |(tokens, _)| *tokens)
         };
         let peers = self.peers.borrow();
         let all = peers.iter().map(|(a, g)| ((*a, g.clone()), hope(a)));
-        lenders(all, LENDERS, &mut rand::rng())
+        lenders(all.filter(|(_, hope)| *hope > 0), LENDERS, &mut rand::rng())
     }
 
-    /// Borrows tokens from a peer; none if no peer that answers can spare them.
-    pub async fn borrow(&self, gw: &Gateway, account: &str, tokens: Tokens) -> Option<Borrowed> {
+    /// Borrows `tokens` of peers, a part from each; none if those that answer cannot spare enough.
+    pub async fn borrow(
+        &self,
+        gw: &Gateway,
+        account: &str,
+        tokens: Tokens,
+    ) -> Option<Vec<Borrowed>> {
+        let mut parts = Vec::new();
+        let mut missing = tokens;
         for (address, lender) in self.lenders(gw.now(), account) {
-            let id = rand::random();
-            let request = Request::Reserve { id, account: account.to_owned(), tokens };
-            let answer = lender.call(Ask::Share(body::pack(&request)), LEND_WITHIN).await;
-            let loan = Borrowed { lender, id };
-            match answer.ok().and_then(|b| body::unpack::<Reply>(&b).ok()) {
-                Some(Reply::Reserved) => {
-                    emit!(Event::TokensBorrowed, account = account, tokens = tokens, of = address);
-                    return Some(loan);
-                }
-                Some(Reply::Short(spare)) => {
+            if let Some(part) = self.borrow_of(gw, address, lender, account, missing).await {
+                missing -= part.amount();
+                parts.push(part);
+            }
+            if missing == 0 {
+                emit!(
+                    Event::TokensBorrowed,
+                    account = account,
+                    tokens = tokens,
+                    lenders = parts.len()
+                );
+                return Some(parts);
+            }
+        }
+        parts.into_iter().for_each(|part| part.settle(0));
+        None
+    }
+
+    /// Borrows what one peer can spare of `most` tokens.
+    async fn borrow_of(
+        &self,
+        gw: &Gateway,
+        address: SocketAddr,
+        lender: Group,
+        account: &str,
+        most: Tokens,
+    ) -> Option<Borrowed> {
+        let id = rand::random();
+        let request = Request::Reserve { id, account: account.to_owned(), tokens: most };
+        let answer = lender.call(Ask::Share(body::pack(&request)), LEND_WITHIN).await;
+        match answer.ok().and_then(|b| body::unpack::<Reply>(&b).ok()) {
+            Some(Reply::Reserved(tokens)) => {
+                if tokens < most {
                     let key = (address, account.to_owned());
-                    self.spare.borrow_mut().insert(key, (spare, gw.now()));
+                    self.spare.borrow_mut().insert(key, (0, gw.now()));
                 }
-                // It may have set them aside all the same.
-                _ => loan.settle(0),
+                (tokens > 0).then_some(Borrowed { lender, id, tokens: tokens.min(most) })
+            }
+            _ => {
+                // It may have set some aside all the same.
+                Borrowed { lender, id, tokens: 0 }.settle(0);
+                None
             }
         }
-        None
     }
 
     fn serve(&self, gw: &Gateway, request: Request) -> Result<Reply, Code> {
@@ -137,24 +179,22 @@
 
     fn lend(&self, gw: &Gateway, id: u64, account: &str, tokens: Tokens) -> Result<Reply, Code> {
         let mut loans = self.loans.borrow_mut();
-        if loans.is_open(id) {
-            return Ok(Reply::Reserved);
+        if let Some(lent) = loans.get(id) {
+            return Ok(Reply::Reserved(lent.reservation.amount()));
         }
         let prepaid = gw.routes.borrow().as_ref().and_then(|r| r.prepaid(account));
         let (Some(prepaid), Some(token_store)) = (prepaid, gw.token_store()) else {
-            return Ok(Reply::Short(0));
+            return Ok(Reply::Reserved(0));
         };
         let (budget, policy) = (budget_name(account), Policy::for_prepaid(prepaid));
         let reservation = match loans.may_make(id) {
-            true => token_store.reserve_at_hand(&budget, policy, tokens),
+            true => token_store.reserve_part(&budget, policy, tokens),
             false => None,
         };
-        let Some(reservation) = reservation else {
-            let (idle, allowed) = token_store.at_hand(&budget, policy);
-            return Ok(Reply::Short(idle.min(allowed)));
-        };
+        let Some(reservation) = reservation else { return Ok(Reply::Reserved(0)) };
+        let lent = reservation.amount();
         loans.make(gw.now(), id, Lent { token_store, budget, reservation });
-        Ok(Reply::Reserved)
+        Ok(Reply::Reserved(lent))
     }
 }
 
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -255,11 +255,11 @@
         }
     }
 
-    /// Sets `n` tokens of a budget aside out of what is at hand.
-    pub fn reserve_at_hand(&self, budget: &str, policy: Policy, n: Tokens) -> Option<Reservation> {
+    /// Sets aside what is at hand of `n` tokens of a budget; none if that is nothing.
+    pub fn reserve_part(&self, budget: &str, policy: Policy, n: Tokens) -> Option<Reservation> {
         let p = self.own.get(budget, policy);
         let mut slices = p.slices.borrow_mut();
-        slices.reserve(self.clock.now(), n)
+        slices.reserve_part(self.clock.now(), n)
     }
 
     /// Tokens of a budget that are idle here, and what the limit still allows.
