A request that waits for a higher limit is in every report until it stops waiting

Cause: a report that was under way when a request began to wait erased the wish as its answer came, and the next report went out before the request could say it again. Of several that waited only the largest was asked for. Ruled out: slow reports (15 to 30 ms each, none failed), the limit of asks, the size of the room. Change: what waits is counted for as long as it waits, all of it together, on top of the room. Test: a_request_that_waits_is_in_every_report_until_it_stops.

--- a/crates/core/src/budget/slice_store.rs
+++ b/crates/core/src/budget/slice_store.rs
@@ -63,7 +63,7 @@
     /// All that is set aside.
     reserved: Tokens,
     allowed: Allowed,
-    /// What a request needs that the limit does not allow yet.
+    /// What requests need together that wait for a higher limit.
     wanted: Tokens,
 }
 
@@ -133,9 +133,15 @@
         }
     }
 
-    /// Asks with the next bound for a limit that allows `n` more.
+    /// A request that needs `n` tokens begins to wait for a higher limit: the next bounds ask for
+    /// one, until [`SliceStore::unwant_limit`].
     pub fn want_limit(&mut self, n: Tokens) {
-        self.wanted = self.wanted.max(n);
+        self.wanted = self.wanted.saturating_add(n);
+    }
+
+    /// A request that needs `n` tokens no longer waits for a higher limit.
+    pub fn unwant_limit(&mut self, n: Tokens) {
+        self.wanted = self.wanted.saturating_sub(n);
     }
 
     /// The bound to tell the grantor; none if it is not bound or has nothing.
@@ -145,14 +151,14 @@
         }
         self.rate.roll(now);
         let (room, rate) = self.policy.beyond(&self.rate, self.idle(now));
-        let limit = self.spent + self.reserved + room.max(self.wanted);
+        // Requests that come meanwhile take of the room, so those that wait get theirs on top.
+        let limit = (self.spent + self.reserved).saturating_add(self.wanted).saturating_add(room);
         Some(Bound { budget: budget.to_owned(), spent: self.spent, limit, rate })
     }
 
     /// Notes at `now` that the grantor has taken a bound.
     pub fn bound_taken(&mut self, now: Time, b: &Bound) {
         self.allowed.taken(now, b);
-        self.wanted = 0;
     }
 
     /// Ends a reservation of which `used` tokens were spent. Returns what was charged: `used`,
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -137,18 +137,8 @@
                 self.refill(budget, &p);
                 return Ok((Source::Group, r));
             }
-            let limited = {
-                let mut slices = p.slices.borrow_mut();
-                let limited = slices.idle(now) >= n && slices.is_limited(now, n);
-                if limited {
-                    slices.want_limit(n);
-                }
-                limited
-            };
-            if limited && !self.away.get() {
-                self.due.notify_one();
-                let taken = timeout_at(deadline, p.changed.notified()).await;
-                taken.map_err(|_| Refusal::from(Code::BudgetBusy).after(Millis::seconds(1)))?;
+            if self.is_limited(&p, now, n) && !self.away.get() {
+                self.wait_for_limit(&p, n, deadline).await?;
                 continue;
             }
             if self.away.get() {
@@ -174,6 +164,26 @@
         }
     }
 
+    /// Whether `n` tokens are idle and only the limit keeps them from being set aside.
+    fn is_limited(&self, p: &BudgetSlices, now: Time, n: Tokens) -> bool {
+        let slices = p.slices.borrow();
+        slices.idle(now) >= n && slices.is_limited(now, n)
+    }
+
+    /// Waits until the grantor has taken a report, which asks for a limit that allows `n` more.
+    async fn wait_for_limit(
+        &self,
+        p: &BudgetSlices,
+        n: Tokens,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        p.slices.borrow_mut().want_limit(n);
+        self.due.notify_one();
+        let taken = timeout_at(deadline, p.changed.notified()).await;
+        p.slices.borrow_mut().unwant_limit(n);
+        taken.map_err(|_| Refusal::from(Code::BudgetBusy).after(Millis::seconds(1)))
+    }
+
     /// Sets tokens of the data centre's reserve aside. It is asked once: it has nobody to call
     /// tokens back from who would answer later.
     async fn reserve_spare(
