A holder binds itself to its usual spending, not to its peaks or a part of the whole budget

Cause: a holder's bound took its spending of the open second (one large request looks like 17,000 tokens a second) and at least a 512th of what was prepaid for each second; 1.22 million tokens counted as spent when all gateways lost power. Change: the smoothed rate and what is idle decide, without a floor from the prepaid total. Tests: one_large_request_hardly_raises_what_a_death_strands, a_holder_with_little_idle_binds_itself_to_little, a_part_is_set_aside_where_the_whole_does_not_fit, a_burial_is_told_beforehand. Left: a death of all at once still costs what they can spend in the time until their successors register.

--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -41,15 +41,15 @@
 /// The part of an account's prepaid tokens that a holder asks for at least, as a divisor.
 const PREPAID_FLOOR: u64 = 64;
 
-/// The part of what is idle that a bound holder may spend beyond what it has told, as a divisor.
-const ROOM_SHARE: u64 = 4;
+/// The part of its usual spending in a second that a bound holder may spend beyond what it has
+/// told, as a divisor. It can have more of its grantor at once, so this is for the start of a cut.
+const ROOM_SPAN: u64 = 2;
 
-/// The same for each second without an answer.
-const GROWTH_SHARE: u64 = 16;
+/// The same as a part of what is idle, for a holder that has spent nothing yet.
+const ROOM_SHARE: u64 = 16;
 
-/// The part of a budget's smallest slice that a bound holder may spend beyond what it has told,
-/// as a divisor, however little it spends usually.
-const BOUND_FLOOR: u64 = 8;
+/// The part of what is idle that a bound holder may spend for each second without an answer.
+const GROWTH_SHARE: u64 = 16;
 
 impl Policy {
     /// The policy for an account that has prepaid `tokens` in all.
@@ -67,13 +67,13 @@
     /// What a holder that spends at `rate` and has `idle` tokens may spend beyond what it has
     /// told, in all and for each second without an answer.
     ///
-    /// The more it has, the more it may: while a budget is plentiful a death that strands much
-    /// does no harm, and near its end little is idle.
+    /// Whatever it may spend unheard is lost to the budget when it dies, and if all holders lose
+    /// power together it is lost for all of them. So it is what a cut takes, and hardly more:
+    /// holders that are cut off set tokens aside for each other.
     pub fn beyond(&self, rate: &Rate, idle: Tokens) -> (Tokens, Tokens) {
-        let usual = rate.per_second();
-        let least = self.floor / BOUND_FLOOR;
-        let room = usual.max(idle / ROOM_SHARE).max(least);
-        let growth = (usual * 5 / 4).max(idle / GROWTH_SHARE).max(least);
+        let usual = rate.usual();
+        let room = (usual / ROOM_SPAN).max(idle / ROOM_SHARE);
+        let growth = (usual * 9 / 8).max(idle / GROWTH_SHARE);
         (room, growth)
     }
 
@@ -123,6 +123,11 @@
         self.since = now;
     }
 
+    /// Tokens a second over the last few closed samples: one large request counts little.
+    pub fn usual(&self) -> u64 {
+        self.smoothed
+    }
+
     /// Tokens a second, the open sample included.
     pub fn per_second(&self) -> u64 {
         self.smoothed.max(self.running)
--- a/crates/core/tests/bound.rs
+++ b/crates/core/tests/bound.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cypressfork_core::budget::{
-    Ask, Bound, Bounds, Elapsed, Ledger, Policy, Report, Reservation, SliceStore,
+    Ask, Bound, Bounds, Elapsed, Ledger, Policy, Rate, Report, Reservation, SliceStore,
 };
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::state::State;
@@ -62,6 +62,81 @@
     w.settle(0, r, 5_000);
 }
 
+#[test]
+fn a_request_that_waits_is_in_every_report_until_it_stops() {
+    let mut w = World::new();
+    w.ask(0, 100_000);
+    let now = w.now;
+    let limit = |w: &mut World| w.slices(0).bound(now, BUDGET).unwrap().limit;
+    let before = w.slices(0).bound(now, BUDGET).unwrap();
+    // It begins to wait while a report is under way that does not ask for it.
+    w.want(0, 40_000);
+    w.slices(0).bound_taken(now, &before);
+    assert!(limit(&mut w) >= 40_000, "the answer to that report made it forgotten");
+    // A second one waits too, and smaller requests come in between.
+    w.want(0, 30_000);
+    assert!(limit(&mut w) >= 70_000, "only the largest was asked for");
+    [40_000, 30_000].iter().for_each(|n| w.slices(0).unwant_limit(*n));
+    assert_eq!(limit(&mut w), before.limit);
+}
+
+#[test]
+fn a_part_is_set_aside_where_the_whole_does_not_fit() {
+    let mut w = World::new();
+    w.ask(0, 50_000);
+    w.want(0, 8_000);
+    w.tell(0, Fate::Answered);
+    let now = w.now;
+    let allowed = w.slices(0).allowed(now);
+    assert!(allowed > 0 && allowed < 50_000);
+    assert!(w.reserve(0, 50_000).is_none());
+    let part = w.slices(0).reserve_part(now, 50_000).unwrap();
+    assert_eq!(part.amount(), allowed);
+    assert!(w.slices(0).reserve_part(now, 1).is_none(), "the limit is used up");
+}
+
+/// A holder that served one large request has no higher rate than its usual spending.
+#[test]
+fn one_large_request_hardly_raises_what_a_death_strands() {
+    let policy = policy();
+    let mut rate = Rate::default();
+    for second in 0..20 {
+        rate.add(Time(second * 1_000), 500);
+    }
+    rate.roll(Time(20_000));
+    let (room, growth) = policy.beyond(&rate, 0);
+    rate.add(Time(20_000), 17_000);
+    let (room_after, growth_after) = policy.beyond(&rate, 0);
+    assert_eq!((room, growth), (room_after, growth_after), "one sample is not closed yet");
+    rate.roll(Time(21_000));
+    let (room_after, growth_after) = policy.beyond(&rate, 0);
+    assert!(room_after < 5_000 && growth_after < 6_000, "{room_after} {growth_after}");
+}
+
+/// What is idle and what all holders spend usually decide, not the size of the whole budget.
+#[test]
+fn a_holder_with_little_idle_binds_itself_to_little() {
+    let huge = Policy::for_prepaid(1_000_000_000);
+    assert_eq!(huge.beyond(&Rate::default(), 1_600), (100, 100));
+}
+
+/// What can have been spent unreported counts, and the rest comes free, as the event says.
+#[test]
+fn a_burial_is_told_beforehand() {
+    let mut w = World::new();
+    w.ask(0, 100_000);
+    w.tell(0, Fate::Answered);
+    let holder = w.holders[0].id;
+    let elapsed = Elapsed { last: span(1_000), before: span(1_000) };
+    let open = w.held(0);
+    let told = w.ledger.burial(holder, &elapsed);
+    assert_eq!(told.counted + told.freed, open);
+    let spent = w.ledger.get(BUDGET).unwrap().spent();
+    w.ledger.bury(holder, &elapsed);
+    assert_eq!(w.ledger.get(BUDGET).unwrap().spent() - spent, told.counted);
+    assert_eq!(w.held(0), 0);
+}
+
 #[test]
 fn an_unanswered_holder_spends_at_its_rate_only() {
     let mut w = World::new();
@@ -178,6 +253,8 @@
     /// Numbers of the last report and of the last one known to be taken.
     told: (u64, u64),
     open: Vec<Reservation>,
+    /// What requests wait for a limit with.
+    waiting: Vec<Tokens>,
 }
 
 /// Two holders and their grantor.
@@ -220,7 +297,13 @@
     fn fresh(&mut self) -> Holder {
         self.ids += 1;
         let id = HolderId(self.ids);
-        Holder { id, slices: SliceStore::new(policy(), 0), told: (0, 0), open: Vec::new() }
+        Holder {
+            id,
+            slices: SliceStore::new(policy(), 0),
+            told: (0, 0),
+            open: Vec::new(),
+            waiting: Vec::new(),
+        }
     }
 
     fn slices(&mut self, n: usize) -> &mut SliceStore {
@@ -248,6 +331,7 @@
 
     fn want(&mut self, n: usize, tokens: Tokens) {
         self.slices(n).want_limit(tokens);
+        self.holders[n].waiting.push(tokens);
     }
 
     fn reserve(&mut self, n: usize, tokens: Tokens) -> Option<Reservation> {
@@ -283,6 +367,7 @@
                 }
                 h.told.1 = sent.seq;
                 sent.bounds.iter().for_each(|b| h.slices.bound_taken(now, b));
+                h.waiting.drain(..).for_each(|n| h.slices.unwant_limit(n));
             }
         }
     }
