A request waits a while for a gateway's first document and registration

Weighed: not listening until the document is there (a refused connection takes a try too); no wait (before). Change: within 2 s after its start a gateway lets requests wait for its first document, 1.2 s and a third of their time at most; and for its registration 0.4 s. Tests: a_request_waits_a_while_for_the_first_document (table), a_request_that_comes_before_the_first_document_waits_for_it (real processes, seen failing).

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -4,11 +4,11 @@
 pub mod document;
 pub mod entry;
 pub mod format;
+pub mod patience;
 pub mod registry;
 pub mod repair;
 pub mod retry;
 pub mod routes;
-
 pub mod share;
 pub mod walls;
 pub mod watch;
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -8,6 +8,7 @@
     Backend, Document, Kind, Limits, Route, Target, Tenant, budget_name,
 };
 use cypressfork_core::fleet::entry::Routers;
+use cypressfork_core::fleet::patience;
 use cypressfork_core::fleet::registry::{Record, Registration, Registry, Standing};
 use cypressfork_core::fleet::repair::{Candidates, Health, next_change};
 use cypressfork_core::fleet::retry::{Bound, Window};
@@ -387,3 +388,19 @@
 ) {
     assert_eq!(charges(parts, used), charged);
 }
+
+#[rstest]
+#[case::just_started(0, None, 1_200)]
+#[case::a_part_of_its_own_time(0, Some(900), 300)]
+#[case::no_time_of_its_own(0, Some(0), 0)]
+#[case::some_time_after_the_start(1_500, None, 500)]
+#[case::cut_off_since_the_start(2_000, None, 0)]
+#[case::long_after_the_start(3_600_000, Some(12_000), 0)]
+fn a_request_waits_a_while_for_the_first_document(
+    #[case] now: u64,
+    #[case] within: Option<u64>,
+    #[case] waits: u64,
+) {
+    let wait = patience::for_first_document(Time(now), within.map(Millis));
+    assert_eq!(wait, Millis(waits));
+}
--- a/crates/cypressfork/tests/fleet.rs
+++ b/crates/cypressfork/tests/fleet.rs
@@ -18,6 +18,9 @@
 
 const HOST: &str = "club.example";
 
+/// Headers of the account's callers.
+const CALLER: &str = "X-Request-Id: r-1\r\nAuthorization: Bearer club-key\r\n";
+
 /// Addresses at an IP of this test's own: nobody else takes a port there meanwhile.
 fn free(ip: &str, n: usize) -> Vec<SocketAddr> {
     free_addresses(ip, n).iter().map(|a| a.parse().unwrap()).collect()
@@ -118,8 +121,7 @@
     }
 
     fn ask(&self, path: &str) -> Option<(u16, Value)> {
-        let more = "X-Request-Id: r-1\r\nAuthorization: Bearer club-key\r\n";
-        exchange(self.front, "GET", path, more, "")
+        exchange(self.front, "GET", path, CALLER, "")
     }
 }
 
@@ -269,3 +271,25 @@
     until("the gateway", || TcpStream::connect(f.front).is_ok());
     assert_eq!(f.ask("/board/x").unwrap().0, 503);
 }
+
+#[test]
+fn a_request_that_comes_before_the_first_document_waits_for_it() {
+    let mut f = Fleet::new(1);
+    f.start_control(0, true);
+    f.start_gateway();
+    f.publish(3);
+    let beat = json!({ "service": "board", "address": replica().to_string(),
+        "data_centre": "tamar-a", "sequence": 1 });
+    f.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string()).unwrap();
+    until("an answer", || f.ask("/board/x").is_some_and(|a| a.0 == 200));
+    // Power is lost everywhere, and the gateway is back before the control process.
+    f.gateway.as_mut().unwrap().kill();
+    f.controls[0].process.as_mut().unwrap().kill();
+    f.start_gateway();
+    until("the gateway", || TcpStream::connect(f.front).is_ok());
+    let front = f.front;
+    let asked = thread::spawn(move || exchange(front, "GET", "/board/x", CALLER, ""));
+    f.start_control(0, false);
+    let (_, answer) = asked.join().unwrap().unwrap();
+    assert_ne!(answer["error"]["code"], json!("CF1305"), "refused before the document came");
+}
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -72,7 +72,8 @@
     deadline: Instant,
 ) -> Result<Held, Refusal> {
     let not_ready = || Refusal::from(Code::BudgetUnreachable).after(AGAIN_AFTER);
-    let token_store = gw.token_store().ok_or_else(not_ready)?;
+    let registered = deadline.min(Instant::now() + WAIT);
+    let token_store = gw.wait_for_token_store(registered).await.ok_or_else(not_ready)?;
     let budget = budget_name(account);
     let most = prompt.tokens.saturating_add(prompt.most);
     let policy = Policy::for_prepaid(prepaid);
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -90,7 +90,7 @@
     match D::document(source) {
         Ok(d) if d.version > held => {
             emit!(Event::DocumentSeen, version = d.version, before = held);
-            *gw.routes.borrow_mut() = Some(Rc::new(Routes::new(d)));
+            gw.set_routes(Routes::new(d));
         }
         Ok(_) => {}
         // The control process has checked it: another release of this program reads it otherwise.
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use cypressfork_core::code::{Code, Ran};
 use cypressfork_core::fleet::document::{Kind, Route};
+use cypressfork_core::fleet::patience;
 use cypressfork_core::fleet::routes::{Routes, draw};
 use cypressfork_core::unit::{Millis, Tokens};
 use cypressfork_node::emit;
@@ -153,7 +154,9 @@
     inbound: Inbound,
     body: Bytes,
 ) -> Outcome {
-    let Some(routes) = gw.routes.borrow().clone() else {
+    let wait = patience::for_first_document(gw.now(), inbound.deadline);
+    let until = Instant::now() + Duration::from_millis(wait.0);
+    let Some(routes) = gw.wait_for_routes(until).await else {
         return Outcome::Refused(Refusal::from(Code::NotReady).after(NOT_READY_AFTER));
     };
     let (job, prepaid) = match find(gw, &routes, req, inbound, body) {
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -19,6 +19,8 @@
 use cypressfork_node::time::Clock;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
 
 use super::fetching::Fetching;
 use super::settings::Settings;
@@ -58,6 +60,8 @@
     pools: RefCell<HashMap<String, Pool>>,
     retries: RefCell<HashMap<String, Window>>,
     token_store: RefCell<Option<Rc<TokenStore>>>,
+    /// Notified when a document or a registration has come.
+    learned: Notify,
     rng: RefCell<SmallRng>,
 }
 
@@ -82,6 +86,7 @@
             pools: RefCell::default(),
             retries: RefCell::default(),
             token_store: RefCell::default(),
+            learned: Notify::new(),
             rng: RefCell::new(SmallRng::from_os_rng()),
         }
     }
@@ -104,6 +109,32 @@
     /// Takes the tokens of a new registration into use.
     pub fn set_token_store(&self, t: Rc<TokenStore>) {
         *self.token_store.borrow_mut() = Some(t);
+        self.learned.notify_waiters();
+    }
+
+    /// Puts a document in force.
+    pub fn set_routes(&self, r: Routes) {
+        *self.routes.borrow_mut() = Some(Rc::new(r));
+        self.learned.notify_waiters();
+    }
+
+    /// The document in force, waiting for the first one until `until` at most.
+    pub async fn wait_for_routes(&self, until: Instant) -> Option<Rc<Routes>> {
+        self.wait_for(until, || self.routes.borrow().clone()).await
+    }
+
+    /// The tokens in hand, waiting for a registration until `until` at most.
+    pub async fn wait_for_token_store(&self, until: Instant) -> Option<Rc<TokenStore>> {
+        self.wait_for(until, || self.token_store()).await
+    }
+
+    async fn wait_for<T>(&self, until: Instant, get: impl Fn() -> Option<T>) -> Option<T> {
+        loop {
+            if let Some(found) = get() {
+                return Some(found);
+            }
+            timeout_at(until, self.learned.notified()).await.ok()?;
+        }
     }
 
     /// Gives up the tokens of the present registration: no request gets any of them any more.
