A gateway takes as many requests at once as its memory bears

Requests under way were not bounded, and each resting connection kept its read buffer (up to 32 for each of 140 replicas). Change: the setting memory_mb bounds the requests under way (352 at 88 MB), the less urgent are refused first (CF1301, come back in a second); connections at rest hold no buffers. Tests: a_gateway_takes_what_it_can_bear (table), a_gateway_with_hardly_any_memory_takes_one_request.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! What a fleet of forwarding routers works from: whole documents of routes and accounts, the
 //! replicas that register, and the messages in which control processes pass both on.
 
+pub mod admission;
 pub mod document;
 pub mod entry;
 pub mod format;
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use cypressfork_core::code::Code;
+use cypressfork_core::fleet::admission;
 use cypressfork_core::fleet::document::{
     Backend, Document, Kind, Limits, Route, Target, Tenant, budget_name,
 };
@@ -404,3 +405,29 @@
     let wait = patience::for_first_document(Time(now), within.map(Millis));
     assert_eq!(wait, Millis(waits));
 }
+
+/// Requests under way of 352 places, and the priority of the one that comes.
+#[rstest]
+#[case::the_only_one(1, 2, true)]
+#[case::the_last_of_the_least_urgent(264, 2, true)]
+#[case::one_too_many_of_the_least_urgent(265, 2, false)]
+#[case::unknown_priorities_are_the_least_urgent(265, 9, false)]
+#[case::more_urgent(308, 1, true)]
+#[case::one_too_many_of_the_more_urgent(309, 1, false)]
+#[case::the_last_of_the_most_urgent(352, 0, true)]
+#[case::one_too_many(353, 0, false)]
+fn a_gateway_takes_what_it_can_bear(
+    #[case] active: u64,
+    #[case] priority: u8,
+    #[case] taken: bool,
+) {
+    let places = admission::places(88 * 1024 * 1024);
+    assert_eq!(places, 352);
+    assert_eq!(admission::may_begin(active, places, priority), taken);
+}
+
+#[test]
+fn a_gateway_with_hardly_any_memory_takes_one_request() {
+    assert!(admission::may_begin(1, admission::places(0), 9));
+    assert!(!admission::may_begin(2, admission::places(0), 0));
+}
--- a/crates/router/src/gateway/client.rs
+++ b/crates/router/src/gateway/client.rs
@@ -79,6 +79,9 @@
         self.begun = false;
         let idle = Instant::now() + millis(limits.idle);
         if self.buf.is_empty() {
+            // A connection that rests holds no memory.
+            self.buf = BytesMut::new();
+            self.out = BytesMut::new();
             let first = timeout_at(idle, self.fill());
             let got = tokio::select! {
                 got = first => got,
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -8,6 +8,7 @@
 use actix_http::{Method, Request, Uri};
 use bytes::Bytes;
 use cypressfork_core::code::{Code, Ran};
+use cypressfork_core::fleet::admission;
 use cypressfork_core::fleet::document::{Kind, Route};
 use cypressfork_core::fleet::patience;
 use cypressfork_core::fleet::routes::{Routes, draw};
@@ -30,6 +31,9 @@
 /// When to come back to a gateway that knows no document yet.
 const NOT_READY_AFTER: Millis = Millis::seconds(1);
 
+/// When to come back to a gateway that has too many requests under way.
+const OVERLOADED_AFTER: Millis = Millis::seconds(1);
+
 /// When to come back after replicas had no room.
 const FULL_AFTER: Millis = Millis(400);
 
@@ -164,6 +168,9 @@
         Err(code) => return Outcome::Refused(Refusal::from(code)),
     };
     gw.count_request(&job.service);
+    if !admission::may_begin(gw.active.get() as u64, gw.settings.places, job.priority) {
+        return Outcome::Refused(Refusal::from(Code::Overloaded).after(OVERLOADED_AFTER));
+    }
     let held = match tokens(&job, prepaid).await {
         Ok(held) => held,
         Err(r) => return Outcome::Refused(r),
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cypressfork_core::fleet::admission;
 use cypressfork_core::fleet::retry::Bound;
 use cypressfork_core::unit::Millis;
 use cypressfork_node::settings::{Base, Common, Error, Raw, address, range};
@@ -35,6 +36,9 @@
     /// Seconds of the window.
     #[serde(default = "retry_window_default")]
     pub retry_window_s: u64,
+    /// Mebibytes of memory that the process may use; it bounds the requests under way at once.
+    #[serde(default = "memory_default")]
+    pub memory_mb: u64,
     /// Seconds that a planned stop may take.
     #[serde(default = "stop_default")]
     pub stop_within_s: f64,
@@ -59,6 +63,10 @@
     10
 }
 
+fn memory_default() -> u64 {
+    512
+}
+
 fn stop_default() -> f64 {
     30.0
 }
@@ -84,6 +92,8 @@
     pub report: Duration,
     /// The whole fleet's bound on retries.
     pub retry: Bound,
+    /// Requests under way at once.
+    pub places: u64,
     /// How long a planned stop may take.
     pub stop_within: Duration,
     /// How much of it callers that still have this address are served.
@@ -100,6 +110,7 @@
         }
         let ratio = hundredths("retry_ratio", self.retry_ratio)?;
         let window = Millis::seconds(range("retry_window_s", self.retry_window_s, 1, 3_600)?);
+        let memory = range("memory_mb", self.memory_mb, 16, 1024 * 1024)? * 1024 * 1024;
         let stop = hundredths("stop_within_s", self.stop_within_s)?;
         let serve = hundredths("stop_serve_s", self.stop_serve_s)?;
         Ok(Settings {
@@ -110,6 +121,7 @@
             ready_path: self.ready_path,
             report: Duration::from_millis(range("report_ms", self.report_ms, 10, 60_000)?),
             retry: Bound { hundredths: ratio, extra: self.retry_extra, window },
+            places: admission::places(memory),
             stop_within: Duration::from_millis(stop * 10),
             stop_serve: Duration::from_millis(serve.min(stop) * 10),
         })
--- a/crates/router/src/gateway/upstream.rs
+++ b/crates/router/src/gateway/upstream.rs
@@ -289,6 +289,8 @@
             return;
         }
         c.used = true;
+        // Many rest, with many replicas: their buffers are made anew when they are needed.
+        c.buf = BytesMut::new();
         c.resting_since = now;
         let mut resting = self.resting.borrow_mut();
         let kept = resting.entry(address).or_default();
