--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::sync::Arc;
+use std::time::Instant;
 
 use cypressfork_core::raft::{Entry, HardState, Mark, Members, Payload, Restored, SnapshotMeta};
 use cypressfork_core::unit::{Index, NodeId, Term};
+use cypressfork_node::metric;
 use cypressfork_store::{Error, Folder, Log, Record};
+use metrics::histogram;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -194,7 +197,10 @@
     }
 
     fn sync(&mut self) -> Result<(), Error> {
-        self.log.sync()
+        let begun = Instant::now();
+        let synced = self.log.sync();
+        histogram!(metric::SYNC).record(begun.elapsed());
+        synced
     }
 
     fn snapshot(&mut self, kept: &Kept, bytes: &[u8]) -> Result<(), Error> {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -19,8 +19,10 @@
 use cypressfork_core::unit::{Index, LeaseId, Term, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
+use cypressfork_node::metric;
 use cypressfork_store::Error;
 use cypressfork_wire::{Ask, Founders, MemberOrder, body, member_change};
+use metrics::histogram;
 
 use crate::disk::{Kept, Storage};
 use crate::duty::Duties;
@@ -58,6 +60,16 @@
     pub snapshot_every: u64,
 }
 
+/// An entry that a caller waits for.
+struct Proposed<T> {
+    /// The term that it was proposed in.
+    term: Term,
+    /// When.
+    at: Time,
+    /// Where the answer goes.
+    to: T,
+}
+
 /// One replica; `T` tells where an answer goes.
 pub struct Machine<S, T> {
     pub(crate) region: String,
@@ -70,8 +82,8 @@
     pub(crate) reads: Reads<T>,
     pub(crate) duties: Duties,
     pub(crate) outputs: Vec<Output<T>>,
-    /// The entries that a caller waits for, with the term they were proposed in.
-    proposed: BTreeMap<Index, (Term, T)>,
+    /// The entries that a caller waits for.
+    proposed: BTreeMap<Index, Proposed<T>>,
     seed: u64,
     snapshot: SnapshotMeta,
     kept: Kept,
@@ -262,13 +274,14 @@
         bytes.extend_from_slice(&at.wall.0.to_be_bytes());
         bytes.extend_from_slice(&command);
         match self.raft.propose(at.now, Payload::Command(Arc::from(bytes))) {
-            Ok(index) => self.wait_for(index, from),
+            Ok(index) => self.wait_for(at, index, from),
             Err(code) => self.reply(from, Err(code)),
         }
     }
 
-    fn wait_for(&mut self, index: Index, from: T) {
-        self.proposed.insert(index, (self.raft.term(), from));
+    fn wait_for(&mut self, at: Moment, index: Index, to: T) {
+        let term = self.raft.term();
+        self.proposed.insert(index, Proposed { term, at: at.now, to });
     }
 
     /// Proposes a command of the leader's own, which nobody waits for.
@@ -284,7 +297,7 @@
             .map_err(|_| Code::MessageBad)
             .and_then(|c| self.raft.change(at.now, &c));
         match changed {
-            Ok(index) => self.wait_for(index, from),
+            Ok(index) => self.wait_for(at, index, from),
             Err(code) => self.reply(from, Err(code)),
         }
     }
@@ -316,7 +329,7 @@
             let Some(e) = self.raft.log().get(self.applied + 1).cloned() else { break };
             self.applied = e.index;
             let answer = self.apply(&e);
-            self.answer_proposal(e.index, e.term, answer);
+            self.answer_proposal(at, e.index, e.term, answer);
         }
         self.answer_reads(at);
         self.answer_followers(at);
@@ -370,18 +383,19 @@
         }
     }
 
-    fn answer_proposal(&mut self, index: Index, term: Term, answer: Answer) {
-        let Some((proposed, to)) = self.proposed.remove(&index) else { return };
-        let result = if proposed == term { Ok(body::pack(&answer)) } else { Err(Code::NotLeader) };
-        self.reply(to, result);
+    fn answer_proposal(&mut self, at: Moment, index: Index, term: Term, answer: Answer) {
+        let Some(p) = self.proposed.remove(&index) else { return };
+        histogram!(metric::COMMIT).record(at.now.since(p.at).0 as f64 / 1000.0);
+        let result = if p.term == term { Ok(body::pack(&answer)) } else { Err(Code::NotLeader) };
+        self.reply(p.to, result);
     }
 
     /// Tells everybody who waits to ask the next leader. What they sent may still be committed;
     /// they send it again and get the same answer.
     fn give_up_calls(&mut self) {
         let proposed = std::mem::take(&mut self.proposed);
-        for (_, to) in proposed.into_values() {
-            self.reply(to, Err(Code::NotLeader));
+        for p in proposed.into_values() {
+            self.reply(p.to, Err(Code::NotLeader));
         }
         self.fail_reads();
     }
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -8,6 +8,7 @@
 
 use cypressfork_core::code::Code;
 use cypressfork_core::raft::Restored;
+use cypressfork_http::operators;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
 use cypressfork_node::link::Credentials;
@@ -114,6 +115,11 @@
 /// Serves until asked to stop, over HTTP in the words of `D`.
 pub async fn serve<D: Dialect>(s: Settings, file: PathBuf) -> Result<(), Failure> {
     logging::start(s.base.log_level, s.base.log_form);
+    if let Some(address) = s.metrics {
+        let metrics = operators::start_metrics()
+            .map_err(|e| (Code::SettingsValue, format!("could not start metrics: {e}")))?;
+        actix_rt::spawn(operators::serve_metrics(listen(address).await?, metrics));
+    }
     let opened = tokio::select! {
         opened = open_disk(&s) => opened,
         () = stop_signal() => return Ok(()),
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -17,10 +17,12 @@
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
 use cypressfork_node::link::Credentials;
+use cypressfork_node::metric;
 use cypressfork_node::process::{Failure, stop_signal};
 use cypressfork_node::time::{Clock, wall};
 use cypressfork_node::watch::{Watcher, watch};
 use cypressfork_wire::{Ask, Frame, Return, body};
+use metrics::gauge;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch as place};
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -159,6 +161,7 @@
                 Some(local) = next_call(&mut self.fleet) => self.take_call(local),
                 _ = ticks.tick() => {
                     self.machine.tick(self.moment());
+                    self.observe();
                     self.begin_duties(&tx);
                     self.tick_fleet(&tx);
                 }
@@ -302,6 +305,14 @@
         }
     }
 
+    /// Brings the gauges up to date.
+    fn observe(&self) {
+        let raft = self.machine.raft();
+        gauge!(metric::LEADS).set(f64::from(u8::from(raft.leads())));
+        gauge!(metric::TERM).set(raft.term() as f64);
+        gauge!(metric::COMMITTED).set(raft.committed() as f64);
+    }
+
     /// Answers the standing questions that are due.
     fn finish_fleet(&mut self) {
         let now = self.moment().now;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -20,6 +20,9 @@
     pub listen: String,
     /// The data folder.
     pub data_folder: String,
+    /// Where health and metrics are served; nowhere by default.
+    #[serde(default)]
+    pub metrics: Option<String>,
     /// Keeps the reserve of its data centre; at most one process in each should.
     #[serde(default = "reserve_default")]
     pub reserve: bool,
@@ -126,6 +129,8 @@
     pub listen: SocketAddr,
     /// The data folder.
     pub data_folder: PathBuf,
+    /// Where health and metrics are served.
+    pub metrics: Option<SocketAddr>,
     /// Whether it keeps the reserve of its data centre.
     pub reserve: bool,
     /// Timing and sizes.
@@ -150,6 +155,7 @@
             base: self.common.check()?,
             listen: address("listen", &self.listen)?,
             data_folder: folder("data_folder", &self.data_folder)?,
+            metrics: self.metrics.map(|a| address("metrics", &a)).transpose()?,
             reserve: self.reserve,
             machine: machine::Settings { raft, snapshot_every },
             fleet: self.fleet.map(FleetFile::check).transpose()?,
--- a/crates/cypressfork/tests/fleet.rs
+++ b/crates/cypressfork/tests/fleet.rs
@@ -29,6 +29,7 @@
 struct Control {
     link: SocketAddr,
     api: SocketAddr,
+    metrics: SocketAddr,
     process: Option<Process>,
 }
 
@@ -38,6 +39,7 @@
     front: SocketAddr,
     link: SocketAddr,
     operators: SocketAddr,
+    metrics: SocketAddr,
     gateway: Option<Process>,
     // The last to be dropped: processes read their logs in it as they end.
     dir: TempDir,
@@ -45,12 +47,15 @@
 
 impl Fleet {
     fn new(controls: usize) -> Fleet {
-        let free = free(&own_ip(), 3 + 2 * controls);
-        let control =
-            |n: usize| Control { link: free[3 + 2 * n], api: free[4 + 2 * n], process: None };
+        let free = free(&own_ip(), 4 + 3 * controls);
+        let control = |n: usize| {
+            let own = &free[4 + 3 * n..];
+            Control { link: own[0], api: own[1], metrics: own[2], process: None }
+        };
         let controls = (0..controls).map(control).collect();
-        let (front, link, operators) = (free[0], free[1], free[2]);
-        Fleet { controls, front, link, operators, gateway: None, dir: TempDir::new().unwrap() }
+        let (front, link, operators, metrics) = (free[0], free[1], free[2], free[3]);
+        let dir = TempDir::new().unwrap();
+        Fleet { controls, front, link, operators, metrics, gateway: None, dir }
     }
 
     fn common(&self, vm: &str) -> String {
@@ -67,10 +72,11 @@
         fs::create_dir_all(&data).unwrap();
         let c = &self.controls[n];
         let text = format!(
-            "{}listen: \"{}\"\ndata_folder: {}\nreserve: false\nheartbeat_ms: 20\nelection_ms: 150\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  found: {found}\n",
+            "{}listen: \"{}\"\ndata_folder: {}\nmetrics: \"{}\"\nreserve: false\nheartbeat_ms: 20\nelection_ms: 150\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  found: {found}\n",
             self.common(&format!("control-{n}")),
             c.link,
             data.display(),
+            c.metrics,
             c.api,
             c.api,
         );
@@ -80,11 +86,12 @@
 
     fn start_gateway(&mut self) {
         let text = format!(
-            "{}listen: \"{}\"\nlink: \"{}\"\noperators: \"{}\"\nreport_ms: 50\n",
+            "{}listen: \"{}\"\nlink: \"{}\"\noperators: \"{}\"\nmetrics: \"{}\"\nreport_ms: 50\n",
             self.common("gateway-0"),
             self.front,
             self.link,
             self.operators,
+            self.metrics,
         );
         self.gateway = Some(self.start("gateway-0", "gateway", &text));
     }
@@ -293,3 +300,36 @@
     let (_, answer) = asked.join().unwrap().unwrap();
     assert_ne!(answer["error"]["code"], json!("CF1305"), "refused before the document came");
 }
+
+/// The value of the first sample whose name and labels begin so.
+fn sample(to: SocketAddr, name: &str) -> Option<f64> {
+    let (status, v) = exchange(to, "GET", "/metrics", "", "")?;
+    assert_eq!(status, 200);
+    let text = v.as_str()?.to_owned();
+    let line = text.lines().find(|l| l.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+#[test]
+fn every_process_tells_its_health_and_metrics() {
+    let mut f = Fleet::new(1);
+    f.start_control(0, true);
+    f.start_gateway();
+    f.publish(3);
+    let beat = json!({ "service": "board", "address": replica().to_string(),
+        "data_centre": "tamar-a", "sequence": 1 });
+    f.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string()).unwrap();
+    until("an answer", || f.ask("/board/x").is_some_and(|a| a.0 == 200));
+    let control = f.controls[0].metrics;
+    for address in [control, f.metrics, f.operators] {
+        assert_eq!(exchange(address, "GET", "/healthz", "", "").unwrap().0, 200);
+        assert_eq!(exchange(address, "GET", "/elsewhere", "", "").unwrap().0, 404);
+    }
+    assert_eq!(sample(control, "cypressfork_group_leads"), Some(1.0));
+    assert!(sample(control, "cypressfork_group_committed").unwrap() >= 2.0);
+    assert!(sample(control, "cypressfork_commit_seconds_count").unwrap() >= 1.0);
+    assert!(sample(control, "cypressfork_sync_seconds_count").unwrap() >= 1.0);
+    let answered = "cypressfork_attempts_total{end=\"answered\"}";
+    assert!(sample(f.metrics, answered).unwrap() >= 1.0);
+    assert_eq!(sample(f.metrics, answered), sample(f.operators, answered));
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,6 +1,7 @@
 //! Serving HTTP/1.1 on one thread.
 
 mod body;
+pub mod operators;
 mod server;
 
 pub use body::Body;
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -34,6 +34,16 @@
     WAITING = "cypressfork_waiting_requests", "gauge", "service", "requests that wait at a service's gate";
     USABLE = "cypressfork_usable_upstreams", "gauge", "service", "replicas that get new work";
     VERSION = "cypressfork_configuration_version", "gauge", "", "the configuration in force";
+    ATTEMPTS = "cypressfork_attempts_total", "counter", "end", "requests sent to replicas, by how that ended";
+    RETRIES_REFUSED = "cypressfork_retries_refused_total", "counter", "service", "retries that the fleet's budget of retries did not allow";
+    TOKENS_WAIT = "cypressfork_tokens_wait_seconds", "histogram", "", "time that a request waited for its tokens";
+    REPORT = "cypressfork_report_seconds", "histogram", "", "time until the control group had taken a report of what was spent";
+    BORROWED = "cypressfork_borrowed_tokens_total", "counter", "", "tokens that other gateways set aside for requests of this one";
+    LEADS = "cypressfork_group_leads", "gauge", "", "1 while this replica of the control group leads";
+    TERM = "cypressfork_group_term", "gauge", "", "the control group's term";
+    COMMITTED = "cypressfork_group_committed", "gauge", "", "position of the last committed entry";
+    COMMIT = "cypressfork_commit_seconds", "histogram", "", "time from a proposal at the leader to its commit";
+    SYNC = "cypressfork_sync_seconds", "histogram", "", "time of one sync of the log";
     LINK_SENT = "cypressfork_link_sent_bytes_total", "counter", "", "bytes sent to other processes of the system";
     LINK_RECEIVED = "cypressfork_link_received_bytes_total", "counter", "", "bytes received from other processes of the system";
 }
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -51,6 +51,21 @@
     Late,
 }
 
+impl Ended {
+    /// Its name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Ended::Answered => "answered",
+            Ended::Left => "caller_left",
+            Ended::NotSent(_) => "not_sent",
+            Ended::NotRun => "not_run",
+            Ended::Failed(_) => "failed",
+            Ended::Broken(_) => "broken",
+            Ended::Late => "late",
+        }
+    }
+}
+
 impl From<Broken> for Ended {
     fn from(b: Broken) -> Ended {
         match b {
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -16,7 +16,7 @@
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::metric;
-use metrics::counter;
+use metrics::{counter, histogram};
 use tokio::time::Instant;
 
 use super::answer::refuse;
@@ -171,7 +171,10 @@
     if !admission::may_begin(gw.active.get() as u64, gw.settings.places, job.priority) {
         return Outcome::Refused(Refusal::from(Code::Overloaded).after(OVERLOADED_AFTER));
     }
-    let held = match tokens(&job, prepaid).await {
+    let begun = Instant::now();
+    let held = tokens(&job, prepaid).await;
+    histogram!(metric::TOKENS_WAIT).record(begun.elapsed());
+    let held = match held {
         Ok(held) => held,
         Err(r) => return Outcome::Refused(r),
     };
@@ -263,6 +266,7 @@
             self.tried.push(choice.address);
             let ended =
                 attempt::run::<D>(self.job, client, &mut self.events, &choice, &replica).await;
+            counter!(metric::ATTEMPTS, "end" => ended.name()).increment(1);
             let failed = !matches!(ended, Ended::Answered | Ended::Left | Ended::NotRun);
             self.job.gw.done(&self.job.service, &choice, failed);
             emit!(
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -6,7 +6,7 @@
 
 use actix_http::{Method, Request, Response, StatusCode};
 use cypressfork_core::code::Code;
-use cypressfork_http::Body;
+use cypressfork_http::{Body, operators};
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
 use cypressfork_node::link::Credentials;
@@ -14,7 +14,7 @@
 use cypressfork_node::settings::load;
 use cypressfork_node::time::Clock;
 use cypressfork_node::{emit, logging};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -27,7 +27,6 @@
 use super::settings::{File, Settings};
 use super::share::{expire_forever, serve_peers};
 use super::state::Gateway;
-use crate::ops::text;
 use crate::reply::json_response;
 
 /// How often connections that have rested too long are looked for.
@@ -46,12 +45,11 @@
 /// Serves in the words of `D` until asked to stop.
 pub async fn serve<D: Dialect>(s: Settings, file: PathBuf) -> Result<(), Failure> {
     logging::start(s.base.log_level, s.base.log_form);
-    let metrics = PrometheusBuilder::new()
-        .install_recorder()
+    let metrics = operators::start_metrics()
         .map_err(|e| (Code::SettingsValue, format!("could not start metrics: {e}")))?;
     let callers = listen(s.listen).await?;
     let peers = listen(s.link).await?;
-    let operators = listen(s.operators).await?;
+    let for_operators = listen(s.operators).await?;
     let base = s.base.clone();
     let me = Credentials { key: base.key, cluster: base.cluster, name: base.vm };
     let group = Group::new(me.clone(), base.control.clone());
@@ -60,7 +58,11 @@
     let (door, closed) = watch::channel(false);
     actix_rt::spawn(accept::<D>(gw.clone(), callers, closed));
     let g = gw.clone();
-    actix_rt::spawn(cypressfork_http::serve(operators, move |req| {
+    if let Some(address) = gw.settings.metrics {
+        let listener = listen(address).await?;
+        actix_rt::spawn(operators::serve_metrics(listener, metrics.clone()));
+    }
+    actix_rt::spawn(cypressfork_http::serve(for_operators, move |req| {
         let response = ops(&g, &metrics, &req);
         async move { response }
     }));
@@ -101,7 +103,7 @@
     }
     match (req.method(), path) {
         (&Method::GET, "/healthz") => json_response(StatusCode::OK, &json!({ "alive": true })),
-        (&Method::GET, "/metrics") => text(metrics.render()),
+        (&Method::GET, "/metrics") => operators::text(StatusCode::OK, metrics.render()),
         _ => json_response(
             StatusCode::NOT_FOUND,
             &json!({ "paths": [gw.settings.ready_path, "/healthz", "/metrics"] }),
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -21,6 +21,9 @@
     pub link: String,
     /// Where operators read health and metrics.
     pub operators: String,
+    /// Where metrics are served besides, on an address of their own.
+    #[serde(default)]
+    pub metrics: Option<String>,
     /// The path that tells whether this gateway takes callers.
     #[serde(default = "ready_default")]
     pub ready_path: String,
@@ -86,6 +89,8 @@
     pub link: SocketAddr,
     /// Where operators connect.
     pub operators: SocketAddr,
+    /// Where metrics are served besides.
+    pub metrics: Option<SocketAddr>,
     /// The path that tells whether this gateway takes callers.
     pub ready_path: String,
     /// Time between reports of what was spent.
@@ -118,6 +123,7 @@
             listen: address("listen", &self.listen)?,
             link: address("link", &self.link)?,
             operators: address("operators", &self.operators)?,
+            metrics: self.metrics.map(|a| address("metrics", &a)).transpose()?,
             ready_path: self.ready_path,
             report: Duration::from_millis(range("report_ms", self.report_ms, 10, 60_000)?),
             retry: Bound { hundredths: ratio, extra: self.retry_extra, window },
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -15,7 +15,9 @@
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
 use cypressfork_node::link::{self, Credentials, Link};
+use cypressfork_node::metric;
 use cypressfork_wire::{Ask, Frame, Return, body};
+use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -123,6 +125,7 @@
                 parts.push(part);
             }
             if missing == 0 {
+                counter!(metric::BORROWED).increment(tokens);
                 emit!(
                     Event::TokensBorrowed,
                     account = account,
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use cypressfork_core::config::{Upstream, Vm};
 use cypressfork_core::fleet::registry::{Record, Standing};
@@ -16,7 +17,9 @@
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
 use cypressfork_node::link::Credentials;
+use cypressfork_node::metric;
 use cypressfork_node::time::Clock;
+use metrics::{counter, histogram};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
@@ -206,6 +209,8 @@
     pub fn learn(&self, service: &str, c: &Choice, first_us: u64) {
         if let Some(pool) = self.pools.borrow_mut().get_mut(service) {
             pool.learn(c, first_us);
+            let seconds = Duration::from_micros(first_us);
+            histogram!(metric::FIRST_TOKEN, "service" => service.to_owned()).record(seconds);
         }
     }
 
@@ -232,7 +237,12 @@
             bound.extra = 0;
         }
         let mut all = self.retries.borrow_mut();
-        all.entry(service.to_owned()).or_default().take(self.now(), &bound, routers + 1)
+        let window = all.entry(service.to_owned()).or_default();
+        let taken = window.take(self.now(), &bound, routers + 1);
+        if !taken {
+            counter!(metric::RETRIES_REFUSED, "service" => service.to_owned()).increment(1);
+        }
+        taken
     }
 }
 
--- a/crates/router/src/ops.rs
+++ b/crates/router/src/ops.rs
@@ -2,10 +2,8 @@
 
 use std::rc::Rc;
 
-use actix_http::header::{CONTENT_TYPE, HeaderValue};
 use actix_http::{Method, Request, Response, StatusCode};
-use bytes::Bytes;
-use cypressfork_http::Body;
+use cypressfork_http::{Body, operators};
 use cypressfork_node::metric;
 use metrics::gauge;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -21,7 +19,7 @@
         (&Method::GET, "/readyz") => ready(app),
         (&Method::GET, "/metrics") => {
             observe(app);
-            text(metrics.render())
+            operators::text(StatusCode::OK, metrics.render())
         }
         _ => json_response(
             StatusCode::NOT_FOUND,
@@ -54,11 +52,3 @@
     });
     json_response(status, &v)
 }
-
-/// An answer with metrics in text form.
-pub fn text(s: String) -> Response<Body> {
-    let mut r = Response::with_body(StatusCode::OK, Body::Whole(Bytes::from(s)));
-    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
-    r.headers_mut().insert(CONTENT_TYPE, kind);
-    r
-}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use cypressfork_core::code::Code;
+use cypressfork_http::operators;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
 use cypressfork_node::link::Credentials;
@@ -11,7 +12,6 @@
 use cypressfork_node::settings::load;
 use cypressfork_node::time::Clock;
 use cypressfork_node::{emit, logging};
-use metrics_exporter_prometheus::PrometheusBuilder;
 
 use crate::app::App;
 use crate::drain::drain;
@@ -38,11 +38,10 @@
 /// Serves until asked to stop.
 pub async fn run(s: Settings, file: PathBuf) -> Result<(), Failure> {
     logging::start(s.base.log_level, s.base.log_form);
-    let metrics = PrometheusBuilder::new()
-        .install_recorder()
+    let metrics = operators::start_metrics()
         .map_err(|e| (Code::SettingsValue, format!("could not start metrics: {e}")))?;
     let callers = listen(s.listen).await?;
-    let operators = listen(s.operators).await?;
+    let for_operators = listen(s.operators).await?;
     let base = s.base.clone();
     let me = Credentials { key: base.key, cluster: base.cluster, name: base.vm };
     let reserve = s.reserve.map(|a| Group::new(me.clone(), vec![a]));
@@ -56,7 +55,7 @@
         async move { serve(app, req).await }
     }));
     let a = app.clone();
-    actix_rt::spawn(cypressfork_http::serve(operators, move |req| {
+    actix_rt::spawn(cypressfork_http::serve(for_operators, move |req| {
         let response = ops(&a, &metrics, &req);
         async move { response }
     }));
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -16,8 +16,10 @@
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
+use cypressfork_node::metric;
 use cypressfork_node::time::Clock;
 use cypressfork_wire::{Ask as WireAsk, body};
+use metrics::histogram;
 use tokio::sync::{Mutex, Notify};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -353,7 +355,9 @@
             after,
             bounds: bounds.clone(),
         };
+        let begun = Instant::now();
         if let Ok(Answer::Tallied { known, .. }) = self.group.command(&c, TALLY_WITHIN).await {
+            histogram!(metric::REPORT).record(begun.elapsed());
             self.own.acknowledge(now, &reports, &known);
             self.batch.borrow_mut().1.clear();
             if seq > 0 {
