--- a/crates/control/src/duty.rs
+++ b/crates/control/src/leader_tasks.rs
@@ -13,7 +13,7 @@
 use crate::disk::Storage;
 use crate::machine::{Machine, Moment};
 
-/// How often a leader looks after its duties.
+/// How often a leader looks after its tasks.
 const EVERY: Millis = Millis(500);
 
 /// How often a leader looks whether the group needs mending.
@@ -27,7 +27,7 @@
 
 /// What a leader has done since it began to lead.
 #[derive(Default)]
-pub struct Duties {
+pub struct LeaderTasks {
     next: Time,
     next_repair: Time,
     next_burial: Time,
@@ -35,20 +35,20 @@
 }
 
 impl<S: Storage, T> Machine<S, T> {
-    pub(crate) fn tick_duties(&mut self, at: Moment) {
-        if !self.raft.leads() || at.now < self.duties.next {
+    pub(crate) fn tick_leader_tasks(&mut self, at: Moment) {
+        if !self.raft.leads() || at.now < self.leader_tasks.next {
             return;
         }
-        self.duties.next = at.now.after(EVERY);
+        self.leader_tasks.next = at.now.after(EVERY);
         self.lapse_silent_routers(at);
     }
 
     /// As leader, makes the next change that mends the group.
     pub fn repair(&mut self, at: Moment, candidates: &Candidates, want: usize) {
-        if !self.raft.leads() || at.now < self.duties.next_repair {
+        if !self.raft.leads() || at.now < self.leader_tasks.next_repair {
             return;
         }
-        self.duties.next_repair = at.now.after(REPAIR_EVERY);
+        self.leader_tasks.next_repair = at.now.after(REPAIR_EVERY);
         let committed = self.raft.committed();
         let followers: BTreeMap<_, _> = self.raft.followers().collect();
         let health = |n: NodeId| {
@@ -68,10 +68,10 @@
     /// As leader, decides what holders whose successors have registered can have spent. A span
     /// that this leader did not see begin is taken from the time of day, if enough clocks agree.
     pub fn bury_dead(&mut self, at: Moment, sure: bool) {
-        if !self.raft.leads() || at.now < self.duties.next_burial {
+        if !self.raft.leads() || at.now < self.leader_tasks.next_burial {
             return;
         }
-        self.duties.next_burial = at.now.after(BURY_EVERY);
+        self.leader_tasks.next_burial = at.now.after(BURY_EVERY);
         let dead: Vec<_> = self.state.dead().collect();
         for (holder, age) in dead {
             let chain = self.state.ledger().chain(holder);
@@ -110,10 +110,10 @@
         let all: Vec<_> = self.state.routers().iter().map(|r| r.holder).collect();
         let (gone, heard): (Vec<_>, Vec<_>) = all.into_iter().partition(|h| silent(*h));
         for h in heard {
-            self.duties.lapsed.remove(&h);
+            self.leader_tasks.lapsed.remove(&h);
         }
         for h in gone {
-            if self.duties.lapsed.insert(h) {
+            if self.leader_tasks.lapsed.insert(h) {
                 emit!(Event::RouterLapsed, holder = h);
                 self.propose_own(at, &Command::Lapse(h));
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,9 +3,9 @@
 pub mod desk;
 pub mod dialect;
 pub mod disk;
-mod duty;
 mod founding;
 mod front;
+mod leader_tasks;
 mod links;
 pub mod machine;
 pub mod native;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -25,7 +25,7 @@
 use metrics::histogram;
 
 use crate::disk::{Kept, Storage};
-use crate::duty::Duties;
+use crate::leader_tasks::LeaderTasks;
 use crate::read::Reads;
 
 /// Bytes of the time stamp before a command in the log.
@@ -80,7 +80,7 @@
     pub(crate) storage: S,
     pub(crate) signs: Signs,
     pub(crate) reads: Reads<T>,
-    pub(crate) duties: Duties,
+    pub(crate) leader_tasks: LeaderTasks,
     pub(crate) outputs: Vec<Output<T>>,
     /// The entries that a caller waits for.
     proposed: BTreeMap<Index, Proposed<T>>,
@@ -113,7 +113,7 @@
             storage,
             signs: Signs::default(),
             reads: Reads::default(),
-            duties: Duties::default(),
+            leader_tasks: LeaderTasks::default(),
             outputs: Vec::new(),
             proposed: BTreeMap::new(),
             seed,
@@ -156,7 +156,7 @@
     /// Lets time pass.
     pub fn tick(&mut self, at: Moment) {
         self.raft.tick(at.now);
-        self.tick_duties(at);
+        self.tick_leader_tasks(at);
         self.answer_followers(at);
     }
 
@@ -246,7 +246,7 @@
             Action::Lead(true) => {
                 emit!(Event::LeaderGained, term = self.raft.term());
                 self.signs.restart(at.now);
-                self.duties = Duties::default();
+                self.leader_tasks = LeaderTasks::default();
             }
             Action::Lead(false) => {
                 emit!(Event::LeaderLost, term = self.raft.term());
@@ -288,7 +288,7 @@
     pub(crate) fn propose_own(&mut self, at: Moment, c: &Command) {
         let mut bytes = at.wall.0.to_be_bytes().to_vec();
         bytes.extend_from_slice(&body::pack(c));
-        // A full log is no harm: the duty comes up again.
+        // A full log is no harm: the task comes up again.
         let _ = self.raft.propose(at.now, Payload::Command(Arc::from(bytes)));
     }
 
--- a/crates/control/src/reserve.rs
+++ b/crates/control/src/reserve.rs
@@ -1,13 +1,13 @@
 //! A data centre's reserve, kept on this process's own disk.
 //!
-//! It is no part of the replicated log: during a cut it must answer without a quorum. Every deed
+//! It is no part of the replicated log: during a cut it must answer without a quorum. Every command
 //! is synced before it is answered, so that a restart forgets nothing.
 
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::path::Path;
 
-use cypressfork_core::budget::{Custody, Deed, Done};
+use cypressfork_core::budget::{ReserveAnswer, ReserveCommand, ReserveLedger};
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::state::State;
@@ -18,7 +18,7 @@
 
 /// Kinds of record in the log.
 mod kind {
-    pub(super) const DEED: u8 = 1;
+    pub(super) const COMMAND: u8 = 1;
     pub(super) const WHOLE: u8 = 2;
 }
 
@@ -26,10 +26,10 @@
 const LOG_MOST: u64 = 4 * 1024 * 1024;
 
 #[derive(Serialize, Deserialize)]
-struct DeedRecord {
+struct CommandRecord {
     at: Time,
     id: LeaseId,
-    deed: Deed,
+    command: ReserveCommand,
 }
 
 /// An answer and where it goes.
@@ -41,9 +41,9 @@
     data_centre: String,
     folder: Folder,
     log: Log<File>,
-    custody: Custody,
+    reserve_ledger: ReserveLedger,
     holder: Option<HolderId>,
-    deeds: u64,
+    commands: u64,
     replies: Vec<Reply<T>>,
     failed: bool,
 }
@@ -59,9 +59,9 @@
     ) -> Result<Reserve<T>, Error> {
         let folder = Folder::open(path, region, fresh)?;
         let (log, records) = folder.log()?;
-        let mut custody = Custody::default();
+        let mut reserve_ledger = ReserveLedger::default();
         for (n, r) in records.iter().enumerate() {
-            replay(&mut custody, r)
+            replay(&mut reserve_ledger, r)
                 .ok_or_else(|| Error::Damaged(path.join(format!("record {n}")), 0))?;
         }
         Ok(Reserve {
@@ -69,32 +69,34 @@
             data_centre: data_centre.to_owned(),
             folder,
             log,
-            custody,
+            reserve_ledger,
             holder: None,
-            deeds: 0,
+            commands: 0,
             replies: Vec::new(),
             failed: false,
         })
     }
 
-    /// Does a router's deed; the answer comes with the next [`Reserve::finish`].
+    /// Does a router's command; the answer comes with the next [`Reserve::finish`].
     pub fn serve(&mut self, now: Time, bytes: &[u8], from: T) {
-        let result = match body::unpack::<Deed>(bytes) {
-            Ok(d @ (Deed::Ask(_) | Deed::Report(..))) => Ok(body::pack(&self.apply(now, &d))),
+        let result = match body::unpack::<ReserveCommand>(bytes) {
+            Ok(d @ (ReserveCommand::Ask(_) | ReserveCommand::Report(..))) => {
+                Ok(body::pack(&self.apply(now, &d)))
+            }
             _ => Err(Code::MessageBad),
         };
         self.replies.push((from, result));
     }
 
-    fn apply(&mut self, now: Time, d: &Deed) -> Done {
-        self.deeds += 1;
+    fn apply(&mut self, now: Time, d: &ReserveCommand) -> ReserveAnswer {
+        self.commands += 1;
         let identity = self.folder.identity();
         // No other start, and no other disk, has the same first number.
         let term = identity.node.wrapping_add(identity.incarnation);
-        let id = LeaseId { term, index: self.deeds };
-        let record = DeedRecord { at: now, id, deed: d.clone() };
-        self.log.append(kind::DEED, &body::pack(&record));
-        self.custody.apply(now, id, d)
+        let id = LeaseId { term, index: self.commands };
+        let record = CommandRecord { at: now, id, command: d.clone() };
+        self.log.append(kind::COMMAND, &body::pack(&record));
+        self.reserve_ledger.apply(now, id, d)
     }
 
     /// Syncs what was done; returns the answers. After a failed sync nothing more is answered.
@@ -107,7 +109,7 @@
         self.failed = true;
         self.log.sync()?;
         if self.log.size() > LOG_MOST {
-            let whole = Record { kind: kind::WHOLE, payload: body::pack(&self.custody) };
+            let whole = Record { kind: kind::WHOLE, payload: body::pack(&self.reserve_ledger) };
             self.log.replace(&[whole])?;
         }
         self.failed = false;
@@ -115,7 +117,7 @@
     }
 
     /// What to have committed by the group, as this replica's state, late or not, suggests.
-    pub fn duties(&mut self, now: Time, state: &State) -> Vec<Command> {
+    pub fn commands_due(&mut self, now: Time, state: &State) -> Vec<Command> {
         let Some(holder) = self.holder else {
             let nonce = self.folder.identity().node;
             return vec![Command::Enlist { vm: self.vm.clone(), nonce }];
@@ -124,11 +126,11 @@
         for budget in self.budgets(state) {
             let Some(f) = state.ledger().get(&budget) else { continue };
             let target = if f.recalling(now) { 0 } else { f.policy.target(f.free()) };
-            let excess = self.custody.excess(&budget, target);
+            let excess = self.reserve_ledger.excess(&budget, target);
             if excess > 0 {
-                self.apply(now, &Deed::GiveBack(budget.clone(), excess));
+                self.apply(now, &ReserveCommand::GiveBack(budget.clone(), excess));
             }
-            commands.extend(self.custody.ask(holder, &budget, target).map(Command::Ask));
+            commands.extend(self.reserve_ledger.ask(holder, &budget, target).map(Command::Ask));
             commands.extend(self.tally(holder, &budget, state));
         }
         commands
@@ -141,7 +143,7 @@
             f.leases().any(|(id, l)| *id == r.lease && (l.used, l.keep) == (r.used, r.keep))
         };
         let reports: Vec<_> =
-            self.custody.reports(budget).into_iter().filter(|r| !known(r)).collect();
+            self.reserve_ledger.reports(budget).into_iter().filter(|r| !known(r)).collect();
         let none = reports.is_empty();
         (!none).then_some(Command::Tally {
             holder,
@@ -163,21 +165,21 @@
             .iter()
             .filter(|(_, f)| f.leases().any(|(_, l)| here.contains(&l.holder)))
             .map(|(name, _)| name.clone());
-        spent.chain(self.custody.budgets().cloned()).collect()
+        spent.chain(self.reserve_ledger.budgets().cloned()).collect()
     }
 
-    /// Takes the group's answer to a duty.
+    /// Takes the group's answer to a command.
     pub fn answered(&mut self, now: Time, c: &Command, a: &Answer, state: &State) {
         match (c, a) {
             (Command::Enlist { .. }, Answer::Registered(h)) => self.holder = Some(*h),
             (Command::Ask(ask), Answer::Decided(Ok(g))) => {
                 let policy = state.ledger().get(&ask.budget).map(|f| f.policy).unwrap_or_default();
-                self.apply(now, &Deed::Granted(ask.budget.clone(), *g, policy));
+                self.apply(now, &ReserveCommand::Granted(ask.budget.clone(), *g, policy));
             }
             (Command::Tally { reports, .. }, Answer::Tallied { .. }) => {
                 for r in reports {
                     if let Some(budget) = self.budget_of(r.lease) {
-                        self.apply(now, &Deed::Acknowledged(budget, *r));
+                        self.apply(now, &ReserveCommand::Acknowledged(budget, *r));
                     }
                 }
             }
@@ -188,8 +190,8 @@
     }
 
     fn budget_of(&self, lease: LeaseId) -> Option<String> {
-        let holds = |b: &&String| self.custody.reports(b).iter().any(|r| r.lease == lease);
-        self.custody.budgets().find(holds).cloned()
+        let holds = |b: &&String| self.reserve_ledger.reports(b).iter().any(|r| r.lease == lease);
+        self.reserve_ledger.budgets().find(holds).cloned()
     }
 
     /// Whether the group knows this reserve.
@@ -198,13 +200,13 @@
     }
 }
 
-fn replay(custody: &mut Custody, r: &Record) -> Option<()> {
+fn replay(reserve_ledger: &mut ReserveLedger, r: &Record) -> Option<()> {
     match r.kind {
-        kind::DEED => {
-            let d: DeedRecord = body::unpack(&r.payload).ok()?;
-            custody.apply(d.at, d.id, &d.deed);
+        kind::COMMAND => {
+            let d: CommandRecord = body::unpack(&r.payload).ok()?;
+            reserve_ledger.apply(d.at, d.id, &d.command);
         }
-        kind::WHOLE => *custody = body::unpack(&r.payload).ok()?,
+        kind::WHOLE => *reserve_ledger = body::unpack(&r.payload).ok()?,
         _ => return None,
     }
     Some(())
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -45,11 +45,11 @@
 /// Messages that may wait for one link; more are dropped, and the link with them.
 pub(crate) const QUEUE: usize = 1024;
 
-/// How often the reserve looks after its duties.
-const DUTY_EVERY: Millis = Millis(250);
+/// How often the reserve looks after what it has to tell the group.
+const RESERVE_EVERY: Millis = Millis(250);
 
-/// How long a duty may wait for the group.
-const DUTY_WITHIN: Duration = Duration::from_secs(2);
+/// How long a command of the reserve may wait for the group.
+const RESERVE_WITHIN: Duration = Duration::from_secs(2);
 
 /// How long a planned stop leaves the next leader to take over.
 const HAND_OVER: Duration = Duration::from_millis(300);
@@ -64,8 +64,8 @@
 pub(crate) enum Input {
     Call(Ask, ReplyTo),
     Raft(Message, Option<String>),
-    /// The group's answer to a duty of the reserve.
-    Duty(Box<Command>, Result<Answer, Code>),
+    /// The group's answer to a command of the reserve.
+    ReserveAnswered(Box<Command>, Result<Answer, Code>),
     /// What another control process has heard.
     Seen(SocketAddr, Box<Seen>),
 }
@@ -99,9 +99,9 @@
     peers: BTreeMap<NodeId, Peer>,
     reserve: Option<Reserve<ReplyTo>>,
     group: Group,
-    /// Duties of the reserve that wait for the group.
-    duties: usize,
-    next_duty: Time,
+    /// Commands of the reserve that wait for the group.
+    reserve_commands: usize,
+    next_reserve_command: Time,
     /// Where replicas said that they listen, for those that are no members yet.
     heard_at: BTreeMap<NodeId, String>,
     fleet: Option<Fleet>,
@@ -136,8 +136,8 @@
             peers: BTreeMap::new(),
             reserve,
             group,
-            duties: 0,
-            next_duty: Time(0),
+            reserve_commands: 0,
+            next_reserve_command: Time(0),
             heard_at: BTreeMap::new(),
             fleet,
             feeds: Rc::default(),
@@ -162,7 +162,7 @@
                 _ = ticks.tick() => {
                     self.machine.tick(self.moment());
                     self.observe();
-                    self.begin_duties(&tx);
+                    self.send_reserve_commands(&tx);
                     self.tick_fleet(&tx);
                 }
             }
@@ -195,8 +195,8 @@
                 Some(r) => r.serve(at.wall, &bytes, to),
                 None => self.reply(to, Err(Code::ReserveNone)),
             },
-            Input::Duty(c, result) => {
-                self.duties -= 1;
+            Input::ReserveAnswered(c, result) => {
+                self.reserve_commands -= 1;
                 if let (Some(r), Ok(a)) = (&mut self.reserve, result) {
                     let known = r.is_enlisted();
                     r.answered(at.wall, &c, &a, self.machine.state());
@@ -326,21 +326,21 @@
         }
     }
 
-    /// Sends the reserve's duties to the group, once those before are answered.
-    fn begin_duties(&mut self, tx: &mpsc::Sender<Input>) {
+    /// Sends the reserve's commands to the group, once those before are answered.
+    fn send_reserve_commands(&mut self, tx: &mpsc::Sender<Input>) {
         let at = self.moment();
         let Some(r) = &mut self.reserve else { return };
-        if self.duties > 0 || at.now < self.next_duty {
+        if self.reserve_commands > 0 || at.now < self.next_reserve_command {
             return;
         }
-        self.next_duty = at.now.after(DUTY_EVERY);
-        for c in r.duties(at.wall, self.machine.state()) {
-            self.duties += 1;
+        self.next_reserve_command = at.now.after(RESERVE_EVERY);
+        for c in r.commands_due(at.wall, self.machine.state()) {
+            self.reserve_commands += 1;
             let (group, tx) = (self.group.clone(), tx.clone());
             actix_rt::spawn(async move {
-                let answer = group.command(&c, DUTY_WITHIN).await;
+                let answer = group.command(&c, RESERVE_WITHIN).await;
                 // A server that has stopped needs no answer.
-                let _ = tx.send(Input::Duty(Box::new(c), answer)).await;
+                let _ = tx.send(Input::ReserveAnswered(Box::new(c), answer)).await;
             });
         }
     }
--- a/crates/control/tests/group.rs
+++ b/crates/control/tests/group.rs
@@ -326,7 +326,7 @@
     }
 }
 
-/// A fault, or a client's deed.
+/// A fault, or what a client does.
 #[derive(Clone, Debug)]
 enum Step {
     Run(u64),
--- a/crates/core/examples/policies/world.rs
+++ b/crates/core/examples/policies/world.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 
 use cypressfork_core::budget::{
-    Ask, Custody, Decision, Deed, Done, Ledger, Region, Reservation, Shortage, SliceStore,
+    Ask, Decision, Ledger, Region, Reservation, ReserveAnswer, ReserveCommand, ReserveLedger,
+    Shortage, SliceStore,
 };
 use cypressfork_core::unit::{HolderId, LeaseId, Time};
 
@@ -34,7 +35,7 @@
     region: Region,
     region_seq: u64,
     /// The reserve of each data centre.
-    reserves: Vec<Custody>,
+    reserves: Vec<ReserveLedger>,
     nodes: Vec<Node>,
     pub now: u64,
     index: u64,
@@ -52,7 +53,7 @@
             home,
             region: Region::default(),
             region_seq: 0,
-            reserves: vec![Custody::default(); CENTRES],
+            reserves: vec![ReserveLedger::default(); CENTRES],
             nodes: Vec::new(),
             now: 0,
             index: 0,
@@ -211,8 +212,8 @@
         let ask = self.nodes[n].spare.ask(now, holder, BUDGET, bound)?;
         let seq = ask.seq;
         let id = self.lease();
-        let done = self.reserves[n % CENTRES].apply(now, id, &Deed::Ask(ask));
-        let Done::Decided(decision) = done else { return None };
+        let done = self.reserves[n % CENTRES].apply(now, id, &ReserveCommand::Ask(ask));
+        let ReserveAnswer::Decided(decision) = done else { return None };
         self.nodes[n].spare.answer(seq, &decision);
         self.nodes[n].spare.reserve(now, bound)
     }
@@ -235,13 +236,13 @@
             let excess = self.reserves[c].excess(BUDGET, target);
             let id = self.lease();
             if excess > 0 {
-                self.reserves[c].apply(now, id, &Deed::GiveBack(BUDGET.into(), excess));
+                self.reserves[c].apply(now, id, &ReserveCommand::GiveBack(BUDGET.into(), excess));
                 self.report_reserve(c, holder);
             } else if let Some(ask) = self.reserves[c].ask(holder, BUDGET, target)
                 && let Some(Ok(g)) = self.home.ask(now, id, &ask)
             {
                 let policy = self.rule.policy();
-                self.reserves[c].apply(now, id, &Deed::Granted(BUDGET.into(), g, policy));
+                self.reserves[c].apply(now, id, &ReserveCommand::Granted(BUDGET.into(), g, policy));
             }
         }
     }
@@ -251,7 +252,7 @@
         for r in self.reserves[c].reports(BUDGET) {
             if self.home.report(now, holder, &r) {
                 let id = self.lease();
-                self.reserves[c].apply(now, id, &Deed::Acknowledged(BUDGET.into(), r));
+                self.reserves[c].apply(now, id, &ReserveCommand::Acknowledged(BUDGET.into(), r));
             }
         }
     }
@@ -262,8 +263,9 @@
             self.nodes[n].spare.recall();
         }
         let reports = self.nodes[n].spare.reports(now);
-        let deed = Deed::Report(holder, reports.clone());
-        if let Done::Reported(known) = self.reserves[n % CENTRES].apply(now, id, &deed) {
+        let command = ReserveCommand::Report(holder, reports.clone());
+        if let ReserveAnswer::Reported(known) = self.reserves[n % CENTRES].apply(now, id, &command)
+        {
             for (r, known) in reports.iter().zip(known) {
                 self.nodes[n].spare.acknowledge(now, r, known);
             }
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -7,14 +7,14 @@
 
 mod allot;
 mod bound;
-mod custody;
 mod ledger;
 mod policy;
+mod reserve;
 mod slice_store;
 
 pub use allot::Region;
 pub use bound::{Bound, Bounds, Chain, Elapsed, Told};
-pub use custody::{Custody, Deed, Done};
 pub use ledger::{Ask, Burial, Decision, Funds, Grant, Lease, Ledger, Report, Shortage};
 pub use policy::{Policy, Rate};
+pub use reserve::{ReserveAnswer, ReserveCommand, ReserveLedger};
 pub use slice_store::{Reservation, SliceStore};
--- a/crates/core/src/budget/custody.rs
+++ b/crates/core/src/budget/reserve.rs
@@ -17,7 +17,7 @@
 
 /// A change of a reserve. The holder of the reserve stores each before it acts on it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Deed {
+pub enum ReserveCommand {
     /// The group granted a part of a budget.
     Granted(String, Grant, Policy),
     /// A router asks.
@@ -30,9 +30,9 @@
     Acknowledged(String, Report),
 }
 
-/// What a deed came to.
+/// What a command came to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Done {
+pub enum ReserveAnswer {
     /// The answer to an ask.
     Decided(Decision),
     /// For each report whether its lease is open.
@@ -43,37 +43,37 @@
 
 /// A data centre's reserve of all budgets.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Custody {
+pub struct ReserveLedger {
     region: Region,
     /// The number of the last ask of the group that was granted, by budget.
     granted: BTreeMap<String, u64>,
 }
 
-impl Custody {
-    /// Does a deed; `id` names the lease if one is granted.
-    pub fn apply(&mut self, now: Time, id: LeaseId, d: &Deed) -> Done {
+impl ReserveLedger {
+    /// Does a command; `id` names the lease if one is granted.
+    pub fn apply(&mut self, now: Time, id: LeaseId, d: &ReserveCommand) -> ReserveAnswer {
         match d {
-            Deed::Granted(budget, g, policy) => {
+            ReserveCommand::Granted(budget, g, policy) => {
                 self.region.allot(budget, g, *policy);
                 *self.granted.entry(budget.clone()).or_default() += 1;
-                Done::Nothing
+                ReserveAnswer::Nothing
             }
-            Deed::Ask(ask) => {
+            ReserveCommand::Ask(ask) => {
                 // A recall would need the other routers' word; the asker cannot wait for it.
                 let decision = self.region.ask_once(now, id, ask);
-                Done::Decided(decision.unwrap_or(Err(Shortage::Spent)))
+                ReserveAnswer::Decided(decision.unwrap_or(Err(Shortage::Spent)))
             }
-            Deed::Report(holder, reports) => {
+            ReserveCommand::Report(holder, reports) => {
                 let known = reports.iter().map(|r| self.region.report(now, *holder, r));
-                Done::Reported(known.collect())
+                ReserveAnswer::Reported(known.collect())
             }
-            Deed::GiveBack(budget, n) => {
+            ReserveCommand::GiveBack(budget, n) => {
                 self.region.give_back(budget, *n);
-                Done::Nothing
+                ReserveAnswer::Nothing
             }
-            Deed::Acknowledged(budget, r) => {
+            ReserveCommand::Acknowledged(budget, r) => {
                 self.region.acknowledge(budget, r);
-                Done::Nothing
+                ReserveAnswer::Nothing
             }
         }
     }
--- a/crates/core/src/route/gate.rs
+++ b/crates/core/src/route/limiter.rs
@@ -8,7 +8,7 @@
 /// Weight of the newest run in the mean time of a run, as a divisor.
 const SMOOTHING: u64 = 8;
 
-/// The number of a request at its gate.
+/// The number of a request at its limiter.
 pub type Ticket = u64;
 
 /// A request that waits.
@@ -26,7 +26,7 @@
     pub concurrency: u32,
 }
 
-/// What became of a request that came to the gate.
+/// What became of a request that came to the limiter.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Entered {
     /// It runs now.
@@ -39,13 +39,13 @@
     Refused(Millis),
 }
 
-/// The gate of one service at one router.
+/// The limiter of one service at one router.
 ///
 /// A free place goes to the most urgent class; within it to the client account with the fewest
 /// requests running, and of its requests to the oldest. A full queue refuses what is worth least:
 /// the least urgent class, of it the client account with the most waiting, of these the newest.
 #[derive(Clone, Debug, Default)]
-pub struct Gate {
+pub struct Limiter {
     limit: u32,
     room: usize,
     waiting: BTreeMap<Priority, VecDeque<Waiter>>,
@@ -53,10 +53,10 @@
     mean_run: Millis,
 }
 
-impl Gate {
-    /// A gate that lets `limit` requests run and `room` wait.
-    pub fn new(limit: u32, room: u32) -> Gate {
-        Gate { limit, room: room as usize, ..Gate::default() }
+impl Limiter {
+    /// A limiter that lets `limit` requests run and `room` wait.
+    pub fn new(limit: u32, room: u32) -> Limiter {
+        Limiter { limit, room: room as usize, ..Limiter::default() }
     }
 
     /// Changes the limits; what runs or waits already goes on.
--- a/crates/core/tests/escrow_parts.rs
+++ b/crates/core/tests/escrow_parts.rs
@@ -1,7 +1,8 @@
 //! The parts of the escrow one by one: a slice store's slices, a region's allotments, a reserve.
 
 use cypressfork_core::budget::{
-    Ask, Custody, Deed, Done, Grant, Ledger, Policy, Region, Report, Shortage, SliceStore,
+    Ask, Grant, Ledger, Policy, Region, Report, ReserveAnswer, ReserveCommand, ReserveLedger,
+    Shortage, SliceStore,
 };
 use cypressfork_core::unit::{HolderId, LeaseId, Millis, Time};
 
@@ -162,14 +163,14 @@
 
 #[test]
 fn a_reserve_asks_when_low_and_gives_back_when_the_rest_shrinks() {
-    let mut c = Custody::default();
+    let mut c = ReserveLedger::default();
     let first = c.ask(HolderId(3), BUDGET, 1_000).unwrap();
     assert_eq!((first.seq, first.need, first.want), (1, 0, 1_000));
-    c.apply(Time(0), lease(1), &Deed::Granted(BUDGET.into(), grant(1, 900), policy()));
+    c.apply(Time(0), lease(1), &ReserveCommand::Granted(BUDGET.into(), grant(1, 900), policy()));
     assert_eq!(c.ask(HolderId(3), BUDGET, 1_000), None, "it has enough");
     assert_eq!(c.excess(BUDGET, 500), 0);
     assert_eq!(c.excess(BUDGET, 100), 800);
-    c.apply(Time(0), lease(2), &Deed::GiveBack(BUDGET.into(), 800));
+    c.apply(Time(0), lease(2), &ReserveCommand::GiveBack(BUDGET.into(), 800));
     assert_eq!(c.reports(BUDGET)[0].keep, 100);
     let next = c.ask(HolderId(3), BUDGET, 1_000).unwrap();
     assert_eq!((next.seq, next.want), (2, 900));
@@ -177,15 +178,15 @@
 
 #[test]
 fn a_reserve_grants_no_more_than_it_has() {
-    let mut c = Custody::default();
-    c.apply(Time(0), lease(1), &Deed::Granted(BUDGET.into(), grant(1, 100), policy()));
-    let decide = |c: &mut Custody, n: u64, need| {
-        c.apply(Time(1), lease(10 + n), &Deed::Ask(ask(n, 1, need)))
+    let mut c = ReserveLedger::default();
+    c.apply(Time(0), lease(1), &ReserveCommand::Granted(BUDGET.into(), grant(1, 100), policy()));
+    let decide = |c: &mut ReserveLedger, n: u64, need| {
+        c.apply(Time(1), lease(10 + n), &ReserveCommand::Ask(ask(n, 1, need)))
     };
-    assert!(matches!(decide(&mut c, 1, 60), Done::Decided(Ok(_))));
-    assert!(matches!(decide(&mut c, 2, 60), Done::Decided(Err(_))));
-    assert!(matches!(decide(&mut c, 3, 40), Done::Decided(Ok(_))));
+    assert!(matches!(decide(&mut c, 1, 60), ReserveAnswer::Decided(Ok(_))));
+    assert!(matches!(decide(&mut c, 2, 60), ReserveAnswer::Decided(Err(_))));
+    assert!(matches!(decide(&mut c, 3, 40), ReserveAnswer::Decided(Ok(_))));
     let other = Ask { budget: "other".into(), ..ask(4, 1, 1) };
-    let none = c.apply(Time(1), lease(20), &Deed::Ask(other));
-    assert_eq!(none, Done::Decided(Err(Shortage::Spent)));
+    let none = c.apply(Time(1), lease(20), &ReserveCommand::Ask(other));
+    assert_eq!(none, ReserveAnswer::Decided(Err(Shortage::Spent)));
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -5,7 +5,7 @@
 
 use cypressfork_core::config::{Priority, Upstream, Vm};
 use cypressfork_core::route::{
-    Choice, Entered, Gate, Listed, Pool, Retries, Trail, Vms, Waiter, Work,
+    Choice, Entered, Limiter, Listed, Pool, Retries, Trail, Vms, Waiter, Work,
 };
 use cypressfork_core::unit::{Millis, Time};
 use rand::SeedableRng;
@@ -53,9 +53,9 @@
     Waiter { ticket, client_account, priority, deadline: Time(1_000_000), concurrency: 9 }
 }
 
-/// A gate with `run` requests of account `a` running.
-fn full(limit: u32, room: u32) -> Gate {
-    let mut g = Gate::new(limit, room);
+/// A limiter with `run` requests of account `a` running.
+fn full(limit: u32, room: u32) -> Limiter {
+    let mut g = Limiter::new(limit, room);
     for t in 0..u64::from(limit) {
         assert_eq!(g.enter(Time(0), waiter(1_000 + t, "a", Priority::Normal)), Entered::Run);
     }
@@ -123,7 +123,7 @@
 
 #[test]
 fn an_account_at_its_limit_waits_while_others_go() {
-    let mut g = Gate::new(4, 10);
+    let mut g = Limiter::new(4, 10);
     let limited = |t| Waiter { concurrency: 1, ..waiter(t, "a", Priority::Live) };
     assert_eq!(g.enter(Time(0), limited(1)), Entered::Run);
     assert_eq!(g.enter(Time(0), limited(2)), Entered::Wait);
--- a/crates/cypressfork/tests/engines.rs
+++ b/crates/cypressfork/tests/engines.rs
@@ -21,7 +21,7 @@
 
 /// Each row: the fault, the code that the caller gets, what is charged at least and at most.
 /// A request reserves the prompt's bound and 12 tokens. An engine that mixes another answer in
-/// is left at that event, and after five legs of two tokens each the request is given up.
+/// is left at that event, and after five attempts of two tokens each the request is given up.
 #[rstest]
 #[case::sends_more_than_asked("overrun", "CF1306", 3 + 12, 3 + 12)]
 #[case::mixes_another_answer_in("cross", "CF1306", 3 + 5 + 7 + 9 + 11 + 10, 3 + 5 + 7 + 9 + 11 + 10)]
@@ -49,7 +49,7 @@
 }
 
 /// Every stream breaks off after three tokens: the answer is taken up with the text so far, and
-/// the caller gets it whole and once. Each leg's prompt holds the words before it.
+/// the caller gets it whole and once. Each attempt's prompt holds the words before it.
 #[test]
 fn an_answer_that_breaks_off_three_times_is_whole() {
     let f = fleet("break");
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -30,8 +30,8 @@
     TOKENS = "cypressfork_tokens_total", "counter", "kind", "tokens charged, prompt and output";
     FIRST_TOKEN = "cypressfork_first_token_seconds", "histogram", "service", "time from dispatch to an engine's first event";
     ACTIVE = "cypressfork_active_requests", "gauge", "", "requests under way";
-    RUNNING = "cypressfork_running_requests", "gauge", "service", "requests let in at a service's gate";
-    WAITING = "cypressfork_waiting_requests", "gauge", "service", "requests that wait at a service's gate";
+    RUNNING = "cypressfork_running_requests", "gauge", "service", "requests let in at a service's limiter";
+    WAITING = "cypressfork_waiting_requests", "gauge", "service", "requests that wait at a service's limiter";
     USABLE = "cypressfork_usable_upstreams", "gauge", "service", "replicas that get new work";
     VERSION = "cypressfork_configuration_version", "gauge", "", "the configuration in force";
     ATTEMPTS = "cypressfork_attempts_total", "counter", "end", "requests sent to replicas, by how that ended";
--- a/crates/router/src/leg.rs
+++ b/crates/router/src/attempt.rs
@@ -1,4 +1,4 @@
-//! One run of a request on one engine. An answer that breaks off is taken up by another leg.
+//! One run of a request on one engine. An answer that breaks off is taken up by another attempt.
 
 use std::time::Duration;
 
@@ -10,12 +10,12 @@
 use crate::hold::Hold;
 
 /// One run on one engine, with the tokens reserved for it.
-pub struct Leg {
+pub struct Attempt {
     hold: Hold,
     counter: Counter,
     /// The most tokens that it may generate.
     pub cap: Tokens,
-    /// Bytes of the answer that came from the legs before it.
+    /// Bytes of the answer that came from the attempts before it.
     pub text_before: usize,
     /// It was sent to an engine that may have run it.
     pub dispatched: bool,
@@ -24,10 +24,10 @@
     engine_id: Option<String>,
 }
 
-impl Leg {
-    /// A leg that has not begun.
-    pub fn new(hold: Hold, prompt_bound: Tokens, cap: Tokens, text_before: usize) -> Leg {
-        Leg {
+impl Attempt {
+    /// A attempt that has not begun.
+    pub fn new(hold: Hold, prompt_bound: Tokens, cap: Tokens, text_before: usize) -> Attempt {
+        Attempt {
             hold,
             counter: Counter::new(prompt_bound, cap),
             cap,
@@ -71,7 +71,7 @@
         self.counter.is_odd()
     }
 
-    /// Whether an event with this id belongs to this leg's answer: all carry one.
+    /// Whether an event with this id belongs to this attempt's answer: all carry one.
     pub fn is_own(&mut self, id: &str) -> bool {
         self.engine_id.get_or_insert_with(|| id.to_owned()) == id
     }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -16,19 +16,19 @@
 use tokio::time::timeout_at;
 
 use crate::app::App;
+use crate::attempt::{Answering, Attempt};
 use crate::caller::{Caller, Undelivered};
 use crate::chat::{Plan, Started};
 use crate::claim::Claim;
 use crate::count::Usage;
 use crate::hold::Hold;
-use crate::leg::{Answering, Leg};
 use crate::reply::Refusal;
 
-/// Engines that one leg is tried on at most.
+/// Engines that one attempt is tried on at most.
 const TRIES: usize = 3;
 
-/// Legs that one answer may consist of.
-const LEGS: usize = 5;
+/// Attempts that one answer may consist of.
+const ATTEMPTS: usize = 5;
 
 /// When to come back if no engine could be reached.
 const NO_UPSTREAM_AFTER: Millis = Millis::seconds(2);
@@ -42,9 +42,9 @@
     pub(crate) plan: Plan,
     pub(crate) claim: Option<Claim>,
     pub(crate) caller: Caller,
-    pub(crate) leg: Leg,
-    /// The legs that broke off, whose text the caller has.
-    pub(crate) before: Vec<Leg>,
+    pub(crate) attempt: Attempt,
+    /// The attempts that broke off, whose text the caller has.
+    pub(crate) before: Vec<Attempt>,
     pub(crate) text: String,
     pub(crate) finish: Option<String>,
     /// Events that the caller was sent.
@@ -86,13 +86,13 @@
         caller: Caller,
     ) -> Exchange {
         let run = app.next_run();
-        let leg = Leg::new(hold, plan.ask.prompt_bound, plan.cap, 0);
+        let attempt = Attempt::new(hold, plan.ask.prompt_bound, plan.cap, 0);
         Exchange {
             app,
             plan,
             claim,
             caller,
-            leg,
+            attempt,
             before: Vec::new(),
             text: String::new(),
             finish: None,
@@ -127,24 +127,24 @@
         }
     }
 
-    /// Begins another leg with the text so far, if the answer may be taken up.
+    /// Begins another attempt with the text so far, if the answer may be taken up.
     async fn take_up(&mut self) -> Option<Answering> {
-        let made = self.leg.usage().output;
-        let cap = self.leg.cap.saturating_sub(made);
-        let may = self.claim.is_none() && self.before.len() + 1 < LEGS && self.finish.is_none();
-        let fresh = self.text.len() > self.leg.text_before || self.before.is_empty();
-        if !may || !fresh || cap == 0 || self.text.is_empty() || self.leg.is_over() {
+        let made = self.attempt.usage().output;
+        let cap = self.attempt.cap.saturating_sub(made);
+        let may = self.claim.is_none() && self.before.len() + 1 < ATTEMPTS && self.finish.is_none();
+        let fresh = self.text.len() > self.attempt.text_before || self.before.is_empty();
+        if !may || !fresh || cap == 0 || self.text.is_empty() || self.attempt.is_over() {
             return None;
         }
         let bound = self.plan.ask.prompt_bound + self.text.len() as u64;
         let (token_store, budget) =
-            (self.leg.hold().token_store().clone(), self.leg.hold().budget());
+            (self.attempt.hold().token_store().clone(), self.attempt.hold().budget());
         let policy = self.plan.policy;
         let held =
             token_store.reserve(budget, policy, bound + cap, self.plan.deadline).await.ok()?;
         let hold = Hold::new(token_store.clone(), budget.to_owned(), held);
-        let next = Leg::new(hold, bound, cap, self.text.len());
-        let mut broken = std::mem::replace(&mut self.leg, next);
+        let next = Attempt::new(hold, bound, cap, self.text.len());
+        let mut broken = std::mem::replace(&mut self.attempt, next);
         broken.close();
         self.before.push(broken);
         // Another engine if there is one, else the same again.
@@ -189,14 +189,14 @@
             let (service, address) = (&self.plan.service, choice.address);
             emit!(Event::UpstreamFailed, service = service, address = address, why = why);
         }
-        if self.leg.dispatched || !why.is_empty() {
+        if self.attempt.dispatched || !why.is_empty() {
             return Err(failure(Code::UpstreamFailed, why).after(NO_UPSTREAM_AFTER));
         }
         Err(Refusal::from(Code::NoUpstream).after(NO_UPSTREAM_AFTER))
     }
 
     fn ran(&self) -> Ran {
-        if self.leg.dispatched { Ran::Unknown } else { Ran::No }
+        if self.attempt.dispatched { Ran::Unknown } else { Ran::No }
     }
 
     async fn send(&mut self, address: SocketAddr) -> Result<awc::ClientResponse, Failed> {
@@ -213,18 +213,18 @@
         if let Some(c) = &self.claim {
             c.start();
         }
-        let sending = req.send_body(plan.ask.for_engine(self.leg.cap, &self.text));
-        self.leg.sending();
+        let sending = req.send_body(plan.ask.for_engine(self.attempt.cap, &self.text));
+        self.attempt.sending();
         let sent = tokio::select! {
             sent = timeout_at(plan.deadline, sending) => sent,
             () = self.caller.gone() => {
-                self.leg.dispatched = true;
+                self.attempt.dispatched = true;
                 return Err(Failed::Left);
             }
         };
         let not_sent = matches!(&sent, Ok(Err(e)) if is_not_sent(e));
         let refused = matches!(&sent, Ok(Ok(r)) if is_refusal(r.status()));
-        self.leg.dispatched |= !not_sent && !refused;
+        self.attempt.dispatched |= !not_sent && !refused;
         match sent {
             Err(_) => Err(Failed::Late),
             Ok(Err(_)) if not_sent => Err(Failed::NotSent),
@@ -244,7 +244,7 @@
     }
 
     async fn end(mut self, ended: Result<(), Failed>, address: SocketAddr) {
-        if self.leg.is_odd() && ended.is_ok() {
+        if self.attempt.is_odd() && ended.is_ok() {
             emit!(Event::UpstreamMiscounted, service = self.plan.service, address = address);
         }
         self.close(ended.is_ok(), Ran::Unknown);
@@ -262,21 +262,21 @@
         }
     }
 
-    /// What all legs used.
+    /// What all attempts used.
     pub(crate) fn usage(&self) -> Usage {
-        let legs = self.before.iter().chain([&self.leg]);
-        legs.map(Leg::usage).fold(Usage::default(), Usage::plus)
+        let attempts = self.before.iter().chain([&self.attempt]);
+        attempts.map(Attempt::usage).fold(Usage::default(), Usage::plus)
     }
 
     /// Bills what was used and tells the claim's end, before the caller hears of it.
     fn close(&mut self, whole: bool, ran: Ran) {
         let _settling = self.plan.trace.span("settlement");
-        self.leg.close();
+        self.attempt.close();
         let usage = self.usage();
-        if self.leg.dispatched || !self.before.is_empty() {
+        if self.attempt.dispatched || !self.before.is_empty() {
             counter!(metric::TOKENS, "kind" => "prompt").increment(usage.prompt);
             counter!(metric::TOKENS, "kind" => "output").increment(usage.output);
-            let hold = self.leg.hold();
+            let hold = self.attempt.hold();
             hold.token_store().bill(Bill {
                 id: self.plan.id,
                 run: self.run,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod ask;
+mod attempt;
 mod budget_slices;
 mod caller;
 mod chat;
@@ -14,7 +15,6 @@
 pub mod gateway;
 mod head;
 mod hold;
-mod leg;
 mod oneshot;
 mod ops;
 mod plain;
--- a/crates/router/src/queue.rs
+++ b/crates/router/src/queue.rs
@@ -1,4 +1,4 @@
-//! The gate of one service, and the requests that wait at it.
+//! The limiter of one service, and the requests that wait at it.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -7,7 +7,7 @@
 
 use cypressfork_core::code::Code;
 use cypressfork_core::config::Priority;
-use cypressfork_core::route::{Entered, Gate, Ticket, Waiter};
+use cypressfork_core::route::{Entered, Limiter, Ticket, Waiter};
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::time::Clock;
 use tokio::sync::oneshot;
@@ -23,10 +23,10 @@
     client_account: String,
 }
 
-/// The gate of one service.
+/// The limiter of one service.
 pub struct Queue {
     clock: Clock,
-    gate: RefCell<Gate>,
+    limiter: RefCell<Limiter>,
     waiting: RefCell<HashMap<Ticket, Waiting>>,
     tickets: Cell<Ticket>,
 }
@@ -50,9 +50,9 @@
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         self.queue.waiting.borrow_mut().remove(&self.ticket);
-        self.queue.gate.borrow_mut().remove(self.ticket);
+        self.queue.limiter.borrow_mut().remove(self.ticket);
         if matches!(self.rx.try_recv(), Ok(Ok(()))) {
-            self.queue.gate.borrow_mut().leave(self.client_account, None);
+            self.queue.limiter.borrow_mut().leave(self.client_account, None);
             self.queue.pump();
         }
     }
@@ -63,11 +63,11 @@
 }
 
 impl Queue {
-    /// A gate that lets `limit` requests run and `room` wait.
+    /// A limiter that lets `limit` requests run and `room` wait.
     pub fn new(clock: Clock, limit: u32, room: u32) -> Queue {
         Queue {
             clock,
-            gate: RefCell::new(Gate::new(limit, room)),
+            limiter: RefCell::new(Limiter::new(limit, room)),
             waiting: RefCell::default(),
             tickets: Cell::new(0),
         }
@@ -75,7 +75,7 @@
 
     /// Changes the limits.
     pub fn set(&self, limit: u32, room: u32) {
-        self.gate.borrow_mut().set(limit, room);
+        self.limiter.borrow_mut().set(limit, room);
         self.pump();
     }
 
@@ -98,7 +98,7 @@
             deadline: now.after(millis(left)),
             concurrency,
         };
-        let entered = self.gate.borrow_mut().enter(now, waiter);
+        let entered = self.limiter.borrow_mut().enter(now, waiter);
         match entered {
             Entered::Run => return Ok(self.permit(client_account)),
             Entered::Refused(wait) => return Err(refused(Code::Overloaded, wait)),
@@ -140,21 +140,21 @@
     /// Lets in whoever may run now.
     fn pump(&self) {
         loop {
-            let next = self.gate.borrow_mut().admit();
+            let next = self.limiter.borrow_mut().admit();
             let Some(ticket) = next else { return };
             let client = self.waiting.borrow().get(&ticket).map(|w| w.client_account.clone());
             if !self.tell(ticket, Ok(()))
                 && let Some(client) = client
             {
-                self.gate.borrow_mut().leave(&client, None);
+                self.limiter.borrow_mut().leave(&client, None);
             }
         }
     }
 
     /// Requests that run and that wait.
     pub fn load(&self) -> (u32, usize) {
-        let gate = self.gate.borrow();
-        (gate.running(), gate.waiting())
+        let limiter = self.limiter.borrow();
+        (limiter.running(), limiter.waiting())
     }
 }
 
@@ -165,7 +165,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let ran = self.queue.clock.now().since(self.since);
-        self.queue.gate.borrow_mut().leave(&self.client_account, Some(ran));
+        self.queue.limiter.borrow_mut().leave(&self.client_account, Some(ran));
         self.queue.pump();
     }
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -13,9 +13,9 @@
 use tokio::time::{timeout, timeout_at};
 
 use crate::ask::Form;
+use crate::attempt::Answering;
 use crate::count::{text_of, usage_of};
 use crate::exchange::{Exchange, Failed};
-use crate::leg::Answering;
 use crate::sse::Parser;
 
 /// How long a stream may be silent before a comment keeps idle links alive.
@@ -58,7 +58,7 @@
     }
 
     fn note_first(&mut self, a: &Answering) {
-        if let Some(span) = self.leg.begin() {
+        if let Some(span) = self.attempt.begin() {
             let service = self.plan.service.clone();
             histogram!(metric::FIRST_TOKEN, "service" => service).record(span);
             self.app.learn(&self.plan.service, &a.choice, span);
@@ -75,14 +75,14 @@
     async fn take(&mut self, event: &[u8]) -> Result<(), Failed> {
         let mut v: Value = serde_json::from_slice(event)
             .map_err(|e| Failed::Sent(format!("an event is not JSON: {e}")))?;
-        if !self.leg.is_own(v["id"].as_str().unwrap_or_default()) {
+        if !self.attempt.is_own(v["id"].as_str().unwrap_or_default()) {
             return Err(Failed::Sent("an event belongs to another answer".into()));
         }
         let usage = usage_of(&v);
         let (text, finish) = text_of(&v);
-        self.leg.add(text.len(), usage);
-        if self.leg.is_over() {
-            emit!(Event::UpstreamOverCap, service = self.plan.service, cap = self.leg.cap);
+        self.attempt.add(text.len(), usage);
+        if self.attempt.is_over() {
+            emit!(Event::UpstreamOverCap, service = self.plan.service, cap = self.attempt.cap);
             return Err(Failed::Sent("the engine generates more than was asked for".into()));
         }
         self.text.push_str(text);
@@ -102,9 +102,9 @@
         Ok(self.caller.pass(piece, self.plan.deadline).await?)
     }
 
-    /// The answer's id for the caller: the first leg's, whichever engine goes on with it.
+    /// The answer's id for the caller: the first attempt's, whichever engine goes on with it.
     fn answer_id(&self) -> &str {
-        let first = self.before.iter().chain([&self.leg]).next();
+        let first = self.before.iter().chain([&self.attempt]).next();
         first.and_then(|l| l.engine_id()).unwrap_or_default()
     }
 
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -8,7 +8,7 @@
 
 use cypressfork_core::bill::Bill;
 use cypressfork_core::budget::{
-    Ask, Bound, Decision, Deed, Done, Policy, Report, Reservation, Shortage,
+    Ask, Bound, Decision, Policy, Report, Reservation, ReserveAnswer, ReserveCommand, Shortage,
 };
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
@@ -208,8 +208,8 @@
             emit!(Event::ReserveUsed, budget = budget, tokens = n);
             let within = RESERVE_WITHIN.min(deadline.saturating_duration_since(Instant::now()));
             let seq = ask.seq;
-            match deed(group, &Deed::Ask(ask), within).await {
-                Ok(Done::Decided(d)) => p.slices.borrow_mut().answer(seq, &d),
+            match command(group, &ReserveCommand::Ask(ask), within).await {
+                Ok(ReserveAnswer::Decided(d)) => p.slices.borrow_mut().answer(seq, &d),
                 _ => break,
             }
         }
@@ -383,8 +383,8 @@
         let now: Time = self.clock.now();
         let reports = self.spare.reports(now);
         let Some(group) = self.reserve.as_ref().filter(|_| !reports.is_empty()) else { return };
-        let d = Deed::Report(self.holder, bare(&reports));
-        if let Ok(Done::Reported(known)) = deed(group, &d, RESERVE_WITHIN).await {
+        let d = ReserveCommand::Report(self.holder, bare(&reports));
+        if let Ok(ReserveAnswer::Reported(known)) = command(group, &d, RESERVE_WITHIN).await {
             self.spare.acknowledge(now, &reports, &known);
         }
     }
@@ -406,8 +406,12 @@
     reports.iter().map(|(_, r)| *r).collect()
 }
 
-/// Has the reserve do a deed.
-async fn deed(group: &Group, d: &Deed, within: Duration) -> Result<Done, Code> {
+/// Has the reserve do a command.
+async fn command(
+    group: &Group,
+    d: &ReserveCommand,
+    within: Duration,
+) -> Result<ReserveAnswer, Code> {
     let bytes = group.call(WireAsk::Reserve(body::pack(d)), within).await?;
     body::unpack(&bytes).map_err(|_| Code::MessageBad)
 }
