cypressfork trace: what the logs of many processes say of one request

Cause: an operator had to search each process's log for an id and put the lines in order by hand. What the group said of a budget names the account, not the request, and has to be looked up with it. Tests: crates/cli/tests/trace.rs (both forms, whole ids, order, bad input).

--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod member;
 mod shell;
 mod status;
+mod trace;
 
 use getopts::{Options, ParsingStyle};
 
@@ -43,6 +44,7 @@
     bill::COMMAND,
     member::COMMAND,
     key::COMMAND,
+    trace::COMMAND,
     shell::COMPLETIONS,
     shell::MANUAL,
 ];
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod context;
 pub mod document;
 pub mod error;
+pub mod line;
 pub mod settings;
 pub mod table;
