--- a/crates/cypressfork/tests/fleet.rs
+++ b/crates/cypressfork/tests/fleet.rs
@@ -58,6 +58,19 @@
         Fleet { controls, front, link, operators, metrics, gateway: None, dir }
     }
 
+    /// One control process, a gateway and a registered replica, with requests answered.
+    fn serving() -> Fleet {
+        let mut f = Fleet::new(1);
+        f.start_control(0, true);
+        f.start_gateway();
+        f.publish(3);
+        let beat = json!({ "service": "board", "address": replica().to_string(),
+            "data_centre": "tamar-a", "sequence": 1 });
+        f.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string()).unwrap();
+        until("an answer", || f.ask("/board/x").is_some_and(|a| a.0 == 200));
+        f
+    }
+
     fn common(&self, vm: &str) -> String {
         // Three seeds, as a platform would name them; the others have to be found.
         let seeds: Vec<_> = self.controls.iter().take(3).map(|c| c.link.to_string()).collect();
@@ -262,14 +275,7 @@
 
 #[test]
 fn a_gateway_that_is_cut_off_serves_on_with_what_it_knows() {
-    let mut f = Fleet::new(1);
-    f.start_control(0, true);
-    f.start_gateway();
-    f.publish(3);
-    let beat = json!({ "service": "board", "address": replica().to_string(),
-        "data_centre": "tamar-a", "sequence": 1 });
-    f.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string()).unwrap();
-    until("an answer", || f.ask("/board/x").is_some_and(|a| a.0 == 200));
+    let mut f = Fleet::serving();
     f.controls[0].process.as_mut().unwrap().kill();
     assert_eq!(f.ask("/board/x").unwrap().0, 200);
     // One that starts while it is cut off says so, and not that there is no such route.
@@ -281,14 +287,7 @@
 
 #[test]
 fn a_request_that_comes_before_the_first_document_waits_for_it() {
-    let mut f = Fleet::new(1);
-    f.start_control(0, true);
-    f.start_gateway();
-    f.publish(3);
-    let beat = json!({ "service": "board", "address": replica().to_string(),
-        "data_centre": "tamar-a", "sequence": 1 });
-    f.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string()).unwrap();
-    until("an answer", || f.ask("/board/x").is_some_and(|a| a.0 == 200));
+    let mut f = Fleet::serving();
     // Power is lost everywhere, and the gateway is back before the control process.
     f.gateway.as_mut().unwrap().kill();
     f.controls[0].process.as_mut().unwrap().kill();
@@ -312,14 +311,7 @@
 
 #[test]
 fn every_process_tells_its_health_and_metrics() {
-    let mut f = Fleet::new(1);
-    f.start_control(0, true);
-    f.start_gateway();
-    f.publish(3);
-    let beat = json!({ "service": "board", "address": replica().to_string(),
-        "data_centre": "tamar-a", "sequence": 1 });
-    f.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string()).unwrap();
-    until("an answer", || f.ask("/board/x").is_some_and(|a| a.0 == 200));
+    let f = Fleet::serving();
     let control = f.controls[0].metrics;
     for address in [control, f.metrics, f.operators] {
         assert_eq!(exchange(address, "GET", "/healthz", "", "").unwrap().0, 200);
