A stream that was late says where its time went

Cause: nobody could tell whether a late stream waited for tokens, at the gateway, for its first event, in a pause of the replica or in passing on. Now event 424 and cypressfork_late_streams_total say so.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod document;
 pub mod entry;
 pub mod format;
+pub mod lateness;
 pub mod patience;
 pub mod registry;
 pub mod repair;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -90,6 +90,7 @@
     SettingsReloaded = 421, Info, "the settings were read anew";
     SettingsKept = 422, Warn, "the settings cannot be used: those before stay";
     TokensBorrowed = 423, Info, "another gateway has set tokens aside for a request";
+    StreamLate = 424, Info, "a stream was answered later than its route aims at";
 }
 
 /// Logs an event with fields.
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -38,6 +38,7 @@
     RETRIES_REFUSED = "cypressfork_retries_refused_total", "counter", "service", "retries that the fleet's budget of retries did not allow";
     TOKENS_WAIT = "cypressfork_tokens_wait_seconds", "histogram", "", "time that a request waited for its tokens";
     REPORT = "cypressfork_report_seconds", "histogram", "", "time until the control group had taken a report of what was spent";
+    LATE = "cypressfork_late_streams_total", "counter", "cause", "streams answered later than their routes aim at, by the largest cause";
     BORROWED = "cypressfork_borrowed_tokens_total", "counter", "", "tokens that other gateways set aside for requests of this one";
     LEADS = "cypressfork_group_leads", "gauge", "", "1 while this replica of the control group leads";
     TERM = "cypressfork_group_term", "gauge", "", "the control group's term";
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -10,8 +10,7 @@
 
 use super::client::Client;
 use super::dialect::{Dialect, Told};
-use super::events::Events;
-use super::request::Job;
+use super::request::{Job, Progress};
 use super::stream;
 use super::upstream::{Broken, Connection, Outbound};
 
@@ -80,7 +79,7 @@
 pub async fn run<D: Dialect>(
     job: &Job,
     client: &mut Client,
-    events: &mut Events,
+    progress: &mut Progress,
     choice: &Choice,
     replica: &str,
 ) -> Ended {
@@ -88,7 +87,7 @@
     let until = job.deadline;
     // A caller that goes away ends the exchange, and with it the connection to the replica.
     let done = tokio::select! {
-        done = timeout_at(until, exchange.begin::<D>(events.last())) => done,
+        done = timeout_at(until, exchange.begin::<D>(progress.events.last())) => done,
         () = client.gone() => return Ended::Left,
     };
     let (connection, head) = match done {
@@ -96,7 +95,7 @@
         Ok(Err(ended)) => return ended,
         Err(_) => return Ended::Late,
     };
-    exchange.finish::<D>(client, events, connection, head).await
+    exchange.finish::<D>(client, progress, connection, head).await
 }
 
 /// What an attempt consists of.
@@ -173,7 +172,7 @@
     async fn finish<D: Dialect>(
         &self,
         client: &mut Client,
-        events: &mut Events,
+        progress: &mut Progress,
         connection: Connection,
         head: ResponseHead,
     ) -> Ended {
@@ -183,7 +182,7 @@
             return Ended::Broken("the answer is not in the form that was asked for".to_owned());
         }
         if self.job.kind == Kind::Stream && head.status.is_success() && !not_run {
-            return stream::pass(self, client, events, connection, head).await;
+            return stream::pass(self, client, progress, connection, head).await;
         }
         let whole = tokio::select! {
             whole = timeout_at(self.job.deadline, collect(connection)) => whole,
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -22,4 +22,5 @@
 mod share;
 mod state;
 mod stream;
+mod timing;
 mod upstream;
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -10,6 +10,7 @@
 use cypressfork_core::code::{Code, Ran};
 use cypressfork_core::fleet::admission;
 use cypressfork_core::fleet::document::{Kind, Route};
+use cypressfork_core::fleet::lateness::Aim;
 use cypressfork_core::fleet::patience;
 use cypressfork_core::fleet::routes::{Routes, draw};
 use cypressfork_core::unit::{Millis, Tokens};
@@ -26,6 +27,7 @@
 use super::dialect::{Dialect, Inbound, Prompt};
 use super::events::Events;
 use super::state::Gateway;
+use super::timing::Timing;
 use crate::reply::Refusal;
 
 /// When to come back to a gateway that knows no document yet.
@@ -83,6 +85,8 @@
     pub account: Option<String>,
     /// Tokens of one event, at most.
     pub stride: Tokens,
+    /// When it is in time.
+    pub aim: Aim,
     /// When it is given up.
     pub deadline: Instant,
 }
@@ -104,6 +108,18 @@
     }
 }
 
+fn millis(m: Millis) -> Duration {
+    Duration::from_millis(m.0)
+}
+
+/// What has been passed on of the answer to a request, whichever replicas it came from.
+pub struct Progress {
+    /// The events.
+    pub events: Events,
+    /// Where its time went.
+    pub timing: Timing,
+}
+
 /// How a request ended.
 enum Outcome {
     /// Its answer was passed on whole.
@@ -158,6 +174,7 @@
     inbound: Inbound,
     body: Bytes,
 ) -> Outcome {
+    let arrived = Instant::now();
     let wait = patience::for_first_document(gw.now(), inbound.deadline);
     let until = Instant::now() + Duration::from_millis(wait.0);
     let Some(routes) = gw.wait_for_routes(until).await else {
@@ -178,7 +195,7 @@
         Ok(held) => held,
         Err(r) => return Outcome::Refused(r),
     };
-    let mut run = Run::new(&job);
+    let mut run = Run::new(&job, arrived);
     let outcome = run.go::<D>(client).await;
     let spent = run.spent(matches!(outcome, Outcome::Answered));
     if let Some(held) = held {
@@ -216,7 +233,8 @@
         service: backend.name.clone(),
         account: account.map(|a| a.name.clone()),
         stride: backend.engine.map_or(1, |e| e.stride.max(1)),
-        deadline: Instant::now() + Duration::from_millis(limit.0),
+        aim: Aim { first: millis(route.objective), pause: route.gap.map(millis) },
+        deadline: Instant::now() + millis(limit),
         inbound,
     };
     Ok((job, account.and_then(|a| a.prepaid)))
@@ -233,7 +251,7 @@
 /// The attempts of one request.
 struct Run<'a> {
     job: &'a Job,
-    events: Events,
+    progress: Progress,
     tried: Vec<SocketAddr>,
     /// Replicas that may have run it.
     ran: u32,
@@ -242,13 +260,14 @@
 }
 
 impl<'a> Run<'a> {
-    fn new(job: &'a Job) -> Run<'a> {
+    fn new(job: &'a Job, arrived: Instant) -> Run<'a> {
         let events = Events::after(job.inbound.last_event);
-        Run { job, events, tried: Vec::new(), ran: 0, unreached: 0, rejected: 0 }
+        let progress = Progress { events, timing: Timing::new(arrived) };
+        Run { job, progress, tried: Vec::new(), ran: 0, unreached: 0, rejected: 0 }
     }
 
     fn spent(&self, whole: bool) -> Spent {
-        let (ran, events, stride) = (self.ran > 0, self.events.passed(), self.job.stride);
+        let (ran, events, stride) = (self.ran > 0, self.progress.events.passed(), self.job.stride);
         Spent { ran, events, stride, whole }
     }
 
@@ -265,7 +284,7 @@
             };
             self.tried.push(choice.address);
             let ended =
-                attempt::run::<D>(self.job, client, &mut self.events, &choice, &replica).await;
+                attempt::run::<D>(self.job, client, &mut self.progress, &choice, &replica).await;
             counter!(metric::ATTEMPTS, "end" => ended.name()).increment(1);
             let failed = !matches!(ended, Ended::Answered | Ended::Left | Ended::NotRun);
             self.job.gw.done(&self.job.service, &choice, failed);
@@ -276,6 +295,9 @@
                 ended = format_args!("{ended:?}"),
                 expected_us = choice.expected_us,
             );
+            if matches!(ended, Ended::Answered) && self.job.kind == Kind::Stream {
+                self.progress.timing.report(&self.job.inbound.id, &replica, &self.job.aim);
+            }
             if let Some(outcome) = self.after(client, ended).await {
                 return outcome;
             }
@@ -313,7 +335,7 @@
             }
             Ended::Broken(why) => {
                 self.ran += 1;
-                self.events.restart();
+                self.progress.events.restart();
                 let more = self.may_repeat(client);
                 (!more).then(|| self.broken(client, why))
             }
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -7,7 +7,7 @@
 
 use super::attempt::{Ended, Exchange, of_answer};
 use super::client::Client;
-use super::events::Events;
+use super::request::Progress;
 use super::upstream::{Broken, Connection};
 
 /// What a replica sends next.
@@ -24,11 +24,12 @@
 pub async fn pass(
     exchange: &Exchange<'_>,
     client: &mut Client,
-    events: &mut Events,
+    progress: &mut Progress,
     mut connection: Connection,
     head: ResponseHead,
 ) -> Ended {
     let job = exchange.job;
+    let Progress { events, timing } = progress;
     let mut first = true;
     loop {
         let piece = tokio::select! {
@@ -55,6 +56,7 @@
         if whole.is_empty() {
             continue;
         }
+        timing.came(exchange.sent);
         if std::mem::take(&mut first) {
             let us = exchange.sent.elapsed().as_micros() as u64;
             job.gw.learn(&job.service, exchange.choice, us);
@@ -63,6 +65,7 @@
         if !send(client, &head, unframed, whole, job.deadline).await {
             return Ended::Left;
         }
+        timing.passed();
     }
 }
 
