A connection to a peer that does not answer is begun anew after 150 ms

Ruled out: the election timeout alone; a trial with pre-votes repeated often after a restart changed no test and is not taken. Change: a try takes 150 ms at first, each further one twice as long.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -20,6 +20,11 @@
 /// How long a peer may take to connect and prove itself.
 pub const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How long the first try of a connection may take; each further one twice as long. The system
+/// sends a lost opening packet again only after a second, and a peer whose machine starts a moment
+/// after this one would be reached that much later.
+const FIRST_TRY: Duration = Duration::from_millis(150);
+
 /// How long a peer may take to read what it is sent.
 pub const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -93,12 +98,23 @@
 /// Connects and proves itself to the process at `address`.
 pub async fn connect(address: SocketAddr, me: &Credentials) -> Result<Link, Error> {
     let opening = async {
-        let stream = TcpStream::connect(address).await?;
+        let stream = connect_soon(address).await?;
         open(stream, me, Side::Client).await
     };
     timeout(OPEN_TIMEOUT, opening).await.unwrap_or(Err(Error::Slow))
 }
 
+/// Connects, beginning anew whenever a try gets no answer in its time.
+async fn connect_soon(address: SocketAddr) -> io::Result<TcpStream> {
+    let mut within = FIRST_TRY;
+    loop {
+        match timeout(within, TcpStream::connect(address)).await {
+            Ok(done) => return done,
+            Err(_) => within *= 2,
+        }
+    }
+}
+
 /// Proves itself on a connection that was accepted.
 pub async fn accept(stream: TcpStream, me: &Credentials) -> Result<Link, Error> {
     timeout(OPEN_TIMEOUT, open(stream, me, Side::Server)).await.unwrap_or(Err(Error::Slow))
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -1,14 +1,15 @@
 //! Links over real sockets: strangers, garbage, half-open peers and slow readers.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cypressfork_node::link::{self, Credentials, Error, Link};
 use cypressfork_wire::auth::Key;
 use cypressfork_wire::{Ask, Call, Frame};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{sleep, timeout};
 
 const KEY: &[u8] = b"0123456789abcdef0123456789abcdef";
 
@@ -132,3 +133,41 @@
         assert!(!rest.is_empty(), "a hello, then a reason");
     });
 }
+
+/// A listener whose queue of new connections is full drops the opening packets of others, as a
+/// machine without power does. The system sends such a packet again after a second.
+#[test]
+fn a_peer_that_comes_up_a_moment_later_is_reached_at_once() {
+    block(async {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut crowd = Vec::new();
+        while let Ok(Ok(s)) = timeout(Duration::from_millis(50), TcpStream::connect(address)).await
+        {
+            crowd.push(s);
+        }
+        let begun = Instant::now();
+        let serving = async {
+            sleep(Duration::from_millis(200)).await;
+            for _ in &crowd {
+                drop(listener.accept().await.unwrap());
+            }
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                if link::accept(stream, &me(KEY, "c")).await.is_ok() {
+                    return;
+                }
+            }
+        };
+        let client = me(KEY, "c");
+        let (opened, ()) = tokio::join!(link::connect(address, &client), serving);
+        assert!(opened.is_ok());
+        let took = begun.elapsed();
+        assert!(
+            took < Duration::from_millis(900),
+            "{took:?}: it waited for the system's own repeat"
+        );
+    });
+}
