Gateways report what they spent every 250 ms where there are few of them

Change: the group takes 32 reports a second; up to 8 gateways each report every 250 ms, from 32 on every second.

--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -95,6 +95,20 @@
     }
 }
 
+/// Reports of spending that a group takes in a second: each is committed, and a control process with
+/// a tenth of a core bears some hundred commits.
+const REPORTS: u64 = 32;
+
+/// The shortest time between two reports of one holder: what it spends meanwhile is lost to the
+/// budget if it dies, and a shorter time saves less than reading it costs.
+const REPORT_LEAST: Millis = Millis(250);
+
+/// The time between two reports of each of `holders`, `most` at the most: the fewer there are, the
+/// more often each may report.
+pub fn report_every(holders: u64, most: Millis) -> Millis {
+    Millis(holders * 1_000 / REPORTS).max(REPORT_LEAST).min(most)
+}
+
 /// A smoothed rate of spending.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Rate {
--- a/crates/core/tests/bound.rs
+++ b/crates/core/tests/bound.rs
@@ -4,6 +4,7 @@
 
 use cypressfork_core::budget::{
     Ask, Bound, Bounds, Elapsed, Ledger, Policy, Rate, Report, Reservation, SliceStore,
+    report_every,
 };
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::state::State;
@@ -484,3 +485,18 @@
         }
     }
 }
+
+/// Holders, the longest time set, and the time between two reports of each, in milliseconds.
+#[rstest]
+#[case::few(7, 1_000, 250)]
+#[case::more(16, 1_000, 500)]
+#[case::many(67, 1_000, 1_000)]
+#[case::none_known_yet(0, 1_000, 250)]
+#[case::a_setting_that_is_shorter_stands(7, 50, 50)]
+fn the_fewer_holders_there_are_the_more_often_each_reports(
+    #[case] holders: u64,
+    #[case] most: u64,
+    #[case] every: u64,
+) {
+    assert_eq!(report_every(holders, Millis(most)), Millis(every));
+}
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -28,7 +28,8 @@
         let holder = register(&app).await;
         let token_store =
             Rc::new(TokenStore::new(holder, app.group.clone(), app.reserve.clone(), app.clock));
-        actix_rt::spawn(token_store.clone().tally_forever(app.settings.tally));
+        let every = app.settings.tally;
+        actix_rt::spawn(token_store.clone().tally_forever(move || every));
         if let Some(old) = app.set_token_store(token_store) {
             old.retire();
         }
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -110,7 +110,11 @@
         }
         let holder = register(&gw, begun).await;
         let token_store = Rc::new(TokenStore::new(holder, gw.group.clone(), None, gw.clock));
-        actix_rt::spawn(token_store.clone().tally_forever(gw.settings.report));
+        let every = {
+            let gw = gw.clone();
+            move || gw.report_every()
+        };
+        actix_rt::spawn(token_store.clone().tally_forever(every));
         gw.set_token_store(token_store);
         follow_as(&gw, holder).await;
     }
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cypressfork_core::budget::report_every;
 use cypressfork_core::config::{Upstream, Vm};
 use cypressfork_core::fleet::registry::{Record, Standing};
 use cypressfork_core::fleet::retry::Window;
@@ -13,7 +14,7 @@
 use cypressfork_core::fleet::share::Placement;
 use cypressfork_core::fleet::watch::Feed;
 use cypressfork_core::route::{Choice, Pool, Work};
-use cypressfork_core::unit::Time;
+use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
@@ -104,6 +105,12 @@
         self.clock.now()
     }
 
+    /// The time between two reports of what was spent.
+    pub fn report_every(&self) -> Duration {
+        let most = Millis(self.settings.report.as_millis() as u64);
+        Duration::from_millis(report_every(u64::from(self.routers.get()), most).0)
+    }
+
     /// Whether callers are taken.
     pub fn is_open(&self) -> bool {
         !self.stopping.get() && self.routes.borrow().is_some()
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -318,11 +318,11 @@
         told && self.own.is_empty() && self.spare.is_empty()
     }
 
-    /// Tells what was spent, every `every` and whenever something is due.
-    pub async fn tally_forever(self: Rc<Self>, every: Duration) {
+    /// Tells what was spent, after each span that `every` gives and whenever something is due.
+    pub async fn tally_forever(self: Rc<Self>, every: impl Fn() -> Duration) {
         loop {
             tokio::select! {
-                () = sleep(every) => {}
+                () = sleep(every()) => {}
                 () = self.due.notified() => {}
             }
             tokio::join!(self.tally(), self.tally_spare());
