A gateway registers as soon as it has its first document; a restarted control process waits less

Cause: after a loss of power everywhere gateways registered 170 to 460 ms after there was a leader, as their calls slept up to 300 ms between tries; a restarted control process waited 100 to 400 ms before it stood. Change: the first document, read with a quorum, wakes calls that wait; the first wait is 20 to 200 ms, as pre-votes protect a leader that there is; links and the barrier try again after 50 and 100 ms.

--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -15,7 +15,7 @@
 use crate::server::{Input, QUEUE, ReplyTo};
 
 /// How long to wait before a peer that cannot be reached is tried again.
-const RECONNECT: Duration = Duration::from_millis(100);
+const RECONNECT: Duration = Duration::from_millis(50);
 
 /// Accepts links from routers, operators and other control processes.
 pub(crate) async fn accept_all(listener: TcpListener, me: Credentials, tx: mpsc::Sender<Input>) {
--- a/crates/core/src/raft/election.rs
+++ b/crates/core/src/raft/election.rs
@@ -7,8 +7,10 @@
 use super::{Action, Body, Leading, Message, Payload, Position, Progress, Raft, Reads, Role};
 use crate::unit::{Millis, NodeId, Term, Time};
 
-/// Heartbeats that a replica that has just restarted waits for at most.
-const FIRST_HEARTBEATS: u64 = 4;
+/// How long a replica that has just restarted waits for a leader's word, in tenths of a heartbeat:
+/// the least and the most. The spread keeps two from standing at the same time, as a vote takes
+/// some 10 ms with its sync.
+const FIRST_WAIT: (u64, u64) = (2, 20);
 
 impl Raft {
     pub(super) fn draw_timeout(&mut self) {
@@ -16,12 +18,11 @@
         self.timeout = Millis(self.rng.random_range(least..least * 2));
     }
 
-    /// Draws a short wait for a leader's word, for a replica that has just restarted: a leader that
-    /// there is speaks more often than that, and without one nobody refuses a pre-vote.
+    /// Draws a short wait for a leader's word, for a replica that has just restarted: if there is a
+    /// leader, those that hear it refuse a pre-vote, and without one nobody does.
     pub(super) fn draw_first_timeout(&mut self) {
-        let least = self.settings.heartbeat.0;
-        let most = (least * FIRST_HEARTBEATS).min(self.settings.election.0).max(least + 1);
-        self.timeout = Millis(self.rng.random_range(least..most));
+        let tenths = self.rng.random_range(FIRST_WAIT.0..=FIRST_WAIT.1);
+        self.timeout = self.settings.heartbeat.scale(tenths, 10).min(self.settings.election);
     }
 
     pub(super) fn tick_follower(&mut self, now: Time) {
--- a/crates/core/src/raft/rejoin.rs
+++ b/crates/core/src/raft/rejoin.rs
@@ -10,7 +10,7 @@
 use crate::unit::{Index, Millis, NodeId, Time};
 
 /// How often a waiting replica asks again.
-const ASK_AGAIN: Millis = Millis(200);
+const ASK_AGAIN: Millis = Millis(100);
 
 /// How long a quorum's welcome waits for the word of the rest.
 const GRACE: Millis = Millis(600);
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -13,7 +13,7 @@
 use cypressfork_core::query::{Query, Reply};
 use cypressfork_wire::{Ask, Call, Frame, Return, body};
 use rand::Rng;
-use tokio::sync::{Mutex, mpsc, oneshot};
+use tokio::sync::{Mutex, Notify, mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::emit;
@@ -50,6 +50,9 @@
     ids: Cell<i64>,
     live: RefCell<Option<Live>>,
     opening: Mutex<()>,
+    /// How often it was said that the group answers again.
+    wakes: Cell<u64>,
+    woken: Notify,
 }
 
 /// The client of one control group; clones share a link.
@@ -69,6 +72,8 @@
             ids: Cell::new(0),
             live: RefCell::new(None),
             opening: Mutex::new(()),
+            wakes: Cell::new(0),
+            woken: Notify::new(),
         };
         Group { inner: Rc::new(inner) }
     }
@@ -78,6 +83,24 @@
         *self.inner.addresses.borrow_mut() = addresses;
     }
 
+    /// Says that the group answers again: calls that wait for their next try make it now.
+    pub fn wake(&self) {
+        self.inner.wakes.set(self.inner.wakes.get() + 1);
+        self.inner.woken.notify_waiters();
+    }
+
+    /// Waits until the next try of a call that failed, unless the group was woken since that began.
+    /// Returns whether it was.
+    async fn pause(&self, wakes: u64, pause: Duration) -> bool {
+        if self.inner.wakes.get() == wakes {
+            tokio::select! {
+                () = sleep(pause) => {}
+                () = self.inner.woken.notified() => {}
+            }
+        }
+        self.inner.wakes.get() != wakes
+    }
+
     /// Has a command committed.
     pub async fn command(&self, c: &Command, within: Duration) -> Result<Answer, Code> {
         let bytes = self.call(Ask::Command(body::pack(c)), within).await?;
@@ -96,6 +119,7 @@
         let mut wait = WAIT.0;
         loop {
             let end = deadline.min(Instant::now() + TRY);
+            let wakes = self.inner.wakes.get();
             let code = match self.try_once(ask.clone(), end).await {
                 Ok(bytes) => return Ok(bytes),
                 Err(code) if is_final(code) => return Err(code),
@@ -105,8 +129,8 @@
             if Instant::now() + pause >= deadline {
                 return Err(code);
             }
-            sleep(pause).await;
-            wait = (wait * 2).min(WAIT.1);
+            let woken = self.pause(wakes, pause).await;
+            wait = if woken { WAIT.0 } else { (wait * 2).min(WAIT.1) };
         }
     }
 
--- /dev/null
+++ b/crates/node/tests/group.rs
@@ -0,0 +1,65 @@
+//! The client of a control group, against a replica that is scripted here.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cypressfork_core::code::Code;
+use cypressfork_node::group::Group;
+use cypressfork_node::link::{self, Credentials, Link};
+use cypressfork_wire::auth::Key;
+use cypressfork_wire::{Ask, Frame, Return};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// Tries after which a caller's pause has grown to its longest.
+const MANY: usize = 7;
+
+fn me() -> Credentials {
+    Credentials { key: Key::new(&[7; 32]), cluster: "c".into(), name: "entry-1".into() }
+}
+
+/// Answers every call with "this replica does not lead", and notes when each came.
+async fn follower(listener: TcpListener, came: Rc<RefCell<Vec<Instant>>>) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let came = came.clone();
+        actix_rt::spawn(async move {
+            let Link { mut reader, mut writer, .. } = link::accept(stream, &me()).await.unwrap();
+            while let Ok(Frame::Call(c)) = reader.next().await {
+                came.borrow_mut().push(Instant::now());
+                let code = i32::from(Code::NotLeader.number());
+                let answer = Frame::Answer(Return::new(c.id, code, None, None));
+                writer.send(&answer).await.unwrap();
+            }
+        });
+    }
+}
+
+/// The shortest pause at its longest is 100 ms; a try that is woken comes at once.
+#[test]
+fn a_call_that_waits_for_its_next_try_makes_it_when_the_group_answers_again() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let group = Group::new(me(), vec![listener.local_addr().unwrap()]);
+        let came = Rc::new(RefCell::new(Vec::new()));
+        actix_rt::spawn(follower(listener, came.clone()));
+        let calling = group.clone();
+        actix_rt::spawn(async move {
+            // It ends with the test.
+            let _ = calling.call(Ask::Command(Vec::new()), Duration::from_secs(30)).await;
+        });
+        while came.borrow().len() < MANY {
+            sleep(Duration::from_millis(5)).await;
+        }
+        // The answer to that try has come, and the pause after it has begun.
+        sleep(Duration::from_millis(30)).await;
+        let woken = Instant::now();
+        group.wake();
+        while came.borrow().len() == MANY {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let took = came.borrow()[MANY].duration_since(woken);
+        assert!(took < Duration::from_millis(60), "{took:?}: it slept on");
+    });
+}
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -67,6 +67,8 @@
         gw.routers.set(gw.routers.get().max(seen.routers));
         if let Some(source) = &seen.document {
             take_document::<D>(gw, source);
+            // It was read with the group's quorum: there is a leader to register with.
+            gw.group.wake();
             gw.fetching.borrow_mut().end(from);
         }
         let held = gw.routes.borrow().as_ref().map_or(0, |r| r.version());
