A gateway's registration tells how long its process has been running as of each try

Cause: the command was made once and sent again until there was a leader, up to 0.6 s later after a loss of power everywhere; that time counted as one in which the predecessor may have spent. Change: the command is made anew for each try.

--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -107,6 +107,16 @@
         body::unpack(&bytes).map_err(|_| Code::MessageBad)
     }
 
+    /// Has a command committed that is made anew for each try, as it tells the time.
+    pub async fn command_anew(
+        &self,
+        make: impl Fn() -> Command,
+        within: Duration,
+    ) -> Result<Answer, Code> {
+        let bytes = self.call_anew(|| Ask::Command(body::pack(&make())), within).await?;
+        body::unpack(&bytes).map_err(|_| Code::MessageBad)
+    }
+
     /// Has a query answered.
     pub async fn query(&self, q: &Query, within: Duration) -> Result<Reply, Code> {
         let bytes = self.call(Ask::Query(body::pack(q)), within).await?;
@@ -115,12 +125,16 @@
 
     /// Asks the leader, again and again until `within` has passed.
     pub async fn call(&self, ask: Ask, within: Duration) -> Result<Vec<u8>, Code> {
+        self.call_anew(|| ask.clone(), within).await
+    }
+
+    async fn call_anew(&self, make: impl Fn() -> Ask, within: Duration) -> Result<Vec<u8>, Code> {
         let deadline = Instant::now() + within;
         let mut wait = WAIT.0;
         loop {
             let end = deadline.min(Instant::now() + TRY);
             let wakes = self.inner.wakes.get();
-            let code = match self.try_once(ask.clone(), end).await {
+            let code = match self.try_once(make(), end).await {
                 Ok(bytes) => return Ok(bytes),
                 Err(code) if is_final(code) => return Err(code),
                 Err(code) => code,
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -125,15 +125,18 @@
 async fn register(gw: &Gateway, begun: Time) -> HolderId {
     let base = &gw.settings.base;
     let nonce = rand::random();
+    // Its predecessor was dead for as long as this process has been running when it is registered.
+    let register = || Command::Register {
+        vm: base.vm.clone(),
+        data_centre: base.data_centre.clone(),
+        address: gw.settings.listen.to_string(),
+        nonce,
+        age: gw.now().since(begun),
+    };
     loop {
-        let c = Command::Register {
-            vm: base.vm.clone(),
-            data_centre: base.data_centre.clone(),
-            address: gw.settings.listen.to_string(),
-            nonce,
-            age: gw.now().since(begun),
-        };
-        if let Ok(Answer::Registered(holder)) = gw.group.command(&c, REGISTER_WITHIN).await {
+        if let Ok(Answer::Registered(holder)) =
+            gw.group.command_anew(register, REGISTER_WITHIN).await
+        {
             emit!(Event::RouterRegistered, holder = holder);
             return holder;
         }
