A control process whose disk is full stays, takes no part, and comes back when there is room

Cause: a failed write ended the process (CF3105), an exit of its own that callers, replicas and operators pay for: its answers on where to go and its heartbeats rest until the next start. Change: on a failed write the replica halts, callers that wait go to the next leader, and the disk is tried twice a second; then the log is read, written anew (what a failed sync left may be readable and not stored) and the replica passes the barrier of a restart with a new incarnation.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use cypressfork_core::code::Code;
 use cypressfork_core::raft::{Entry, HardState, Mark, Members, Payload, Restored, SnapshotMeta};
 use cypressfork_core::unit::{Index, NodeId, Term};
 use cypressfork_node::metric;
+use cypressfork_node::process::Failure;
 use cypressfork_store::{Error, Folder, Log, Record};
 use metrics::histogram;
 use serde::de::DeserializeOwned;
@@ -22,6 +24,22 @@
     pub(super) const BASE: u8 = 5;
 }
 
+/// The result code of an error of the data folder.
+fn code(e: &Error) -> Code {
+    match e {
+        Error::InUse(_) => Code::FolderInUse,
+        Error::Foreign(..) => Code::FolderForeign,
+        Error::Damaged(..) => Code::LogDamaged,
+        Error::Snapshot(..) => Code::SnapshotDamaged,
+        Error::Io(..) | Error::Poisoned => Code::DiskFailed,
+    }
+}
+
+/// The end of a process whose data folder cannot be used.
+pub(crate) fn disk_failed(e: Error) -> Failure {
+    (code(&e), format!("CF{}: {e}", code(&e).number()))
+}
+
 /// Where a replica keeps what must survive.
 pub trait Storage {
     /// Adds the term and vote to the next sync.
@@ -40,6 +58,8 @@
     fn load(&self, index: Index) -> Result<Vec<u8>, Error>;
     /// Bytes of the log.
     fn size(&self) -> u64;
+    /// Begins anew after a failure, with what is stored for certain.
+    fn reopen(&mut self) -> Result<Restored, Error>;
 }
 
 /// What a shortened log begins with.
@@ -155,17 +175,23 @@
     taken.is_some()
 }
 
+/// What the records of a folder's log come to.
+fn replay_all(folder: &Folder, records: &[Record]) -> Result<Restored, Error> {
+    let incarnation = folder.identity().incarnation;
+    let mut found = Restored { incarnation, ..Restored::default() };
+    for (n, r) in records.iter().enumerate() {
+        if !replay(&mut found, r) {
+            return Err(Error::Damaged(format!("record {n} of the log").into(), 0));
+        }
+    }
+    Ok(found)
+}
+
 impl Disk {
     /// Opens the folder's log and returns what it holds.
     pub fn open(folder: Folder) -> Result<(Disk, Restored), Error> {
         let (log, records) = folder.log()?;
-        let mut found =
-            Restored { incarnation: folder.identity().incarnation, ..Restored::default() };
-        for (n, r) in records.iter().enumerate() {
-            if !replay(&mut found, r) {
-                return Err(Error::Damaged(format!("record {n} of the log").into(), 0));
-            }
-        }
+        let found = replay_all(&folder, &records)?;
         Ok((Disk { folder, log }, found))
     }
 
@@ -221,4 +247,14 @@
     fn size(&self) -> u64 {
         self.log.size()
     }
+
+    fn reopen(&mut self) -> Result<Restored, Error> {
+        self.folder.renew()?;
+        let (mut log, records) = self.folder.log()?;
+        let found = replay_all(&self.folder, &records)?;
+        // What a failed sync left may be readable and yet not stored: all of it is written again.
+        log.replace(&records)?;
+        self.log = log;
+        Ok(found)
+    }
 }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -197,9 +197,26 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Begins anew after its disk has failed, with what is stored.
+    pub fn restart(&mut self, at: Moment, seed: u64) -> Result<(), Error> {
+        let found = self.storage.reopen()?;
+        self.snapshot = found.snapshot.clone();
+        self.state = restore(&self.storage, &self.snapshot)?;
+        self.applied = self.snapshot.index;
+        self.kept = Kept { hard: found.hard, marks: found.marks.clone(), ..Kept::default() };
+        self.raft = Raft::new(at.now, self.raft.id(), self.settings.raft, found, seed);
+        self.signs = Signs::default();
+        self.leader_tasks = LeaderTasks::default();
+        self.seed = seed;
+        self.stopped = false;
+        Ok(())
+    }
+
     fn stop(&mut self, event: Event, code: Code, why: String) {
         emit!(event, why = why);
         self.stopped = true;
+        self.raft.halt();
+        self.give_up_calls();
         self.outputs.push(Output::Stop(code, why));
     }
 
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -22,7 +22,7 @@
 
 use crate::desk::Desk;
 use crate::dialect::Dialect;
-use crate::disk::Disk;
+use crate::disk::{Disk, disk_failed};
 use crate::founding::{Place, keep_place};
 use crate::front::{self, Front};
 use crate::machine::{Machine, Moment};
@@ -42,21 +42,6 @@
     load::<File>(path).map_err(|e| (e.code(), e.to_string()))
 }
 
-/// The result code of an error of the data folder.
-fn code(e: &Error) -> Code {
-    match e {
-        Error::InUse(_) => Code::FolderInUse,
-        Error::Foreign(..) => Code::FolderForeign,
-        Error::Damaged(..) => Code::LogDamaged,
-        Error::Snapshot(..) => Code::SnapshotDamaged,
-        Error::Io(..) | Error::Poisoned => Code::DiskFailed,
-    }
-}
-
-fn disk_failed(e: Error) -> Failure {
-    (code(&e), format!("CF{}: {e}", code(&e).number()))
-}
-
 fn open_reserve(s: &Settings) -> Result<Option<Reserve<ReplyTo>>, Error> {
     if !s.reserve {
         return Ok(None);
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -21,6 +21,7 @@
 use cypressfork_node::process::{Failure, stop_signal};
 use cypressfork_node::time::{Clock, wall};
 use cypressfork_node::watch::{Watcher, watch};
+use cypressfork_store::Error;
 use cypressfork_wire::{Ask, Frame, Return, body};
 use metrics::gauge;
 use tokio::net::TcpListener;
@@ -29,7 +30,7 @@
 
 use crate::desk::{Desk, Followed};
 use crate::dialect::{Answer as DeskAnswer, Call};
-use crate::disk::Disk;
+use crate::disk::{Disk, disk_failed};
 use crate::founding::Place;
 use crate::front::Local;
 use crate::links::{accept_all, send_all};
@@ -86,6 +87,9 @@
     pub voters: usize,
 }
 
+/// How long to wait before a disk that failed is tried again.
+const DISK_AGAIN: Millis = Millis(500);
+
 /// Routers named in one entry answer at most.
 const ENTRY_MOST: usize = 64;
 
@@ -109,6 +113,8 @@
     feeds: Rc<RefCell<BTreeMap<SocketAddr, Feed>>>,
     following: BTreeSet<SocketAddr>,
     walls: Walls,
+    /// When a disk that failed is tried again.
+    disk_again: Option<Time>,
 }
 
 /// The sending end towards another replica.
@@ -143,6 +149,7 @@
             feeds: Rc::default(),
             following: BTreeSet::new(),
             walls: Walls::default(),
+            disk_again: None,
         }
     }
 
@@ -160,6 +167,7 @@
                 Some(input) = rx.recv() => self.take_all(input, &mut rx),
                 Some(local) = next_call(&mut self.fleet) => self.take_call(local),
                 _ = ticks.tick() => {
+                    self.mend_disk()?;
                     self.machine.tick(self.moment());
                     self.observe();
                     self.send_reserve_commands(&tx);
@@ -366,12 +374,37 @@
             match out {
                 Output::Reply(to, result) => self.reply(to, result),
                 Output::Send(m) => self.send(m),
+                // A full or broken disk may store again. Until then this process takes no part in
+                // the group, and answers what needs no disk.
+                Output::Stop(Code::DiskFailed, _) => {
+                    self.disk_again = Some(at.now.after(DISK_AGAIN));
+                }
                 Output::Stop(code, why) => return Err((code, why)),
             }
         }
         Ok(())
     }
 
+    /// Tries a disk that failed, if that is due.
+    fn mend_disk(&mut self) -> Result<(), Failure> {
+        let at = self.moment();
+        if self.disk_again.is_none_or(|due| at.now < due) {
+            return Ok(());
+        }
+        match self.machine.restart(at, rand::random()) {
+            Ok(()) => {
+                self.disk_again = None;
+                emit!(Event::DiskBack);
+            }
+            Err(e @ (Error::Io(..) | Error::Poisoned)) => {
+                self.disk_again = Some(at.now.after(DISK_AGAIN));
+                emit!(Event::DiskFailed, why = e);
+            }
+            Err(e) => return Err(disk_failed(e)),
+        }
+        Ok(())
+    }
+
     fn reply(&self, to: ReplyTo, result: Result<Vec<u8>, Code>) {
         let (code, bytes) = match result {
             Ok(bytes) => (0, Some(bytes)),
--- a/crates/control/tests/group.rs
+++ b/crates/control/tests/group.rs
@@ -118,6 +118,57 @@
     w.heal_and_check();
 }
 
+/// A full disk takes a replica out of its group for as long as it is full; the process stays.
+#[rstest]
+fn a_replica_whose_disk_is_full_takes_no_part_until_there_is_room(
+    #[values(true, false)] leader: bool,
+) {
+    let mut w = World::new(3, 5);
+    w.in_place = true;
+    let lead = w.leader().unwrap();
+    let victim = if leader { lead } else { others(lead)[0] };
+    w.nodes[&victim].disk.borrow_mut().full = true;
+    for _ in 0..100 {
+        w.top_up();
+        w.run(40);
+    }
+    assert_eq!(w.nodes[&victim].stopped, Some(Code::DiskFailed));
+    assert!(!w.machine(victim).raft().leads() && w.machine(victim).raft().leader().is_none());
+    assert!(w.leader().is_some_and(|l| l != victim), "the others go on");
+    assert!(!w.restart_in_place(victim), "it is still full");
+    w.nodes[&victim].disk.borrow_mut().full = false;
+    assert!(w.restart_in_place(victim));
+    w.until(10_000, |w| w.machine(victim).raft().joined());
+    w.until(10_000, |w| {
+        let l = w.leader().unwrap();
+        w.machine(victim).raft().committed() == w.machine(l).raft().committed()
+    });
+    w.heal_and_check();
+}
+
+/// Disks fail at any sync, with the write there or not, and their replicas begin anew in place.
+#[test]
+fn disks_that_fail_again_and_again_lose_nothing() {
+    for seed in 0..30 {
+        let mut w = World::new(5, seed);
+        w.in_place = true;
+        for round in 0..20 {
+            let victim = 1 + (seed + round) % 5;
+            w.fail_sync(victim, round as u32 % 4, (seed + round) % 2 == 0);
+            for _ in 0..10 {
+                w.top_up();
+                w.run(40);
+            }
+            let stopped = w.live().into_iter().filter(|id| w.nodes[id].stopped.is_some());
+            for id in stopped.collect::<Vec<_>>() {
+                assert!(w.restart_in_place(id));
+            }
+            w.run(300);
+        }
+        w.heal_and_check();
+    }
+}
+
 #[test]
 fn a_replica_far_behind_catches_up_by_a_snapshot_in_parts() {
     let mut w = World::new(3, 7);
--- a/crates/control/tests/support/memory.rs
+++ b/crates/control/tests/support/memory.rs
@@ -18,6 +18,8 @@
     /// The sync after this many fails; what it should have written is there or not.
     pub fail_in: Option<(u32, bool)>,
     pub syncs: u64,
+    /// Nothing can be stored.
+    pub full: bool,
 }
 
 #[derive(Clone)]
@@ -47,6 +49,9 @@
     fn fails(&self) -> Option<bool> {
         let mut image = self.image.borrow_mut();
         image.syncs += 1;
+        if image.full {
+            return Some(false);
+        }
         match &mut image.fail_in {
             Some((0, kept)) => Some(*kept),
             Some((n, _)) => {
@@ -131,4 +136,12 @@
     fn size(&self) -> u64 {
         0
     }
+
+    fn reopen(&mut self) -> Result<Restored, Error> {
+        self.pending.clear();
+        if self.image.borrow().full {
+            return Memory::failed();
+        }
+        Ok(Memory::open(&self.image).1)
+    }
 }
--- a/crates/control/tests/support/world.rs
+++ b/crates/control/tests/support/world.rs
@@ -49,6 +49,8 @@
     post: Vec<(Time, Message)>,
     pub cut: BTreeSet<(NodeId, NodeId)>,
     pub drop_percent: u32,
+    /// A replica whose disk has failed stays and may be restarted in its place.
+    pub in_place: bool,
     pub double_percent: u32,
     waiting: BTreeMap<u64, Waiting>,
     calls: u64,
@@ -80,6 +82,7 @@
             post: Vec::new(),
             cut: BTreeSet::new(),
             drop_percent: 0,
+            in_place: false,
             double_percent: 0,
             waiting: BTreeMap::new(),
             calls: 0,
@@ -137,6 +140,18 @@
         self.checked.remove(&id);
     }
 
+    /// Tries the disk of a replica that has stopped; whether it takes part again.
+    pub fn restart_in_place(&mut self, id: NodeId) -> bool {
+        let (at, seed) = (self.moment(), self.rng.random());
+        let node = self.nodes.get_mut(&id).unwrap();
+        let done = node.machine.as_mut().unwrap().restart(at, seed).is_ok();
+        if done {
+            node.stopped = None;
+            self.checked.remove(&id);
+        }
+        done
+    }
+
     /// kill -9: what was not synced is lost.
     pub fn crash(&mut self, id: NodeId) {
         let node = self.nodes.get_mut(&id).unwrap();
@@ -315,7 +330,9 @@
                 Output::Reply(token, result) => self.answered(token, result),
                 Output::Stop(code, _) => {
                     let node = self.nodes.get_mut(&id).unwrap();
-                    node.machine = None;
+                    if !self.in_place {
+                        node.machine = None;
+                    }
                     node.stopped = Some(code);
                 }
             }
@@ -406,6 +423,9 @@
             if self.nodes[&id].stopped != Some(Code::FolderForeign) {
                 self.start(id);
             }
+            if self.in_place && self.nodes[&id].stopped.is_some() {
+                assert!(self.restart_in_place(id));
+            }
         }
         self.run(3_000);
         for _ in 0..60 {
--- a/crates/core/src/raft/election.rs
+++ b/crates/core/src/raft/election.rs
@@ -200,6 +200,13 @@
         false
     }
 
+    /// Takes no part any more: what it says could not be stored.
+    pub fn halt(&mut self) {
+        self.stop_leading();
+        self.role = Role::Outdated;
+        self.leader = None;
+    }
+
     /// Hands the lead to the follower that is furthest, for a planned stop.
     pub fn hand_over(&mut self) {
         let Role::Leader(l) = &self.role else { return };
--- a/crates/core/src/raft/mod.rs
+++ b/crates/core/src/raft/mod.rs
@@ -80,7 +80,7 @@
     PreCandidate(BTreeMap<NodeId, bool>),
     Candidate(BTreeMap<NodeId, bool>),
     Leader(Leading),
-    /// Its data folder is an old copy: it says and does nothing more.
+    /// Its data folder is an old copy, or its disk has failed: it says and does nothing more.
     Outdated,
 }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -69,6 +69,7 @@
     GroupSought = 319, Info, "this process belongs to no group and says so";
     HolderBuried = 320, Info, "a holder is dead: what it cannot have spent comes free";
     BudgetShort = 321, Info, "an ask for tokens is refused: the budget holds too little";
+    DiskBack = 322, Info, "the disk stores again: this replica takes part again";
     RouterRegistered = 401, Info, "this router is registered";
     RouterReady = 402, Info, "this router serves callers";
     ControlLost = 403, Warn, "the control group is out of reach";
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -44,6 +44,14 @@
         Ok(Folder { path: path.to_owned(), identity, _lock: lock })
     }
 
+    /// Opens the folder anew under the same lock, after its disk has failed.
+    pub fn renew(&mut self) -> Result<(), Error> {
+        let next = Identity { incarnation: self.identity.incarnation + 1, ..self.identity.clone() };
+        write_identity(&self.path, &next)?;
+        self.identity = next;
+        Ok(())
+    }
+
     /// Whose it is.
     pub fn identity(&self) -> &Identity {
         &self.identity
