--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cypressfork_core::config::{Priority, Upstream, Vm};
+use cypressfork_core::route::lateness::Aim;
 use cypressfork_core::route::{
     Choice, Entered, Limiter, Listed, Pool, Retries, Trail, Vms, Waiter, Work,
 };
@@ -370,3 +372,60 @@
     let burst = (0..100).filter(|_| r.take()).count();
     assert_eq!((quiet, burst), (500, 20));
 }
+
+/// A prompt of two parts, of which others may share the first, with the aims of a streaming route.
+fn prompt(shared: u64, own: u64, id: u64) -> Work {
+    let aim = Aim { first: Duration::from_millis(800), pause: Some(Duration::from_millis(500)) };
+    Work { trail: Trail::of_parts([(1, shared), (id, own)]), aim: Some(aim) }
+}
+
+/// Another router has sent a replica a prompt: it is spared while it reads that, and not after.
+#[rstest]
+#[case::while_it_reads(100, 1)]
+#[case::when_it_has_read(5_000, 0)]
+fn a_prompt_that_another_router_has_sent_counts_until_it_is_read(
+    #[case] now: u64,
+    #[case] expected: u16,
+) {
+    let (mut p, mut r) = (pool(2), rng());
+    let theirs = prompt(1_000, 40_000, 9);
+    p.placed(Time(0), address(0), 41_000, &theirs.trail);
+    let c = choice(&mut p, now, &prompt(1_000, 300, 2), &mut r);
+    assert_eq!(c.address, address(expected));
+}
+
+/// What a router that sent it told of a prompt's parts makes others find them.
+#[test]
+fn a_shared_part_is_found_where_another_router_has_sent_it() {
+    for seed in 0..20 {
+        let (mut p, mut r) = (pool(12), SmallRng::seed_from_u64(seed));
+        p.placed(Time(0), address(5), 8_000, &prompt(7_000, 1_000, 9).trail);
+        let c = choice(&mut p, 2_000, &prompt(7_000, 300, 2), &mut r);
+        assert_eq!((c.address, c.fresh <= 400), (address(5), true), "seed {seed}");
+    }
+}
+
+/// Reading a long prompt makes the streams beside it pause too long, so it goes where few run.
+#[test]
+fn a_long_prompt_goes_where_it_holds_up_the_fewest_streams() {
+    let (mut p, mut r) = (pool(2), rng());
+    for _ in 0..6 {
+        let c = choice_of(&mut p, 0);
+        assert_eq!(c.address, address(0));
+    }
+    let c = choice(&mut p, 0, &prompt(0, 30_000, 2), &mut r);
+    assert_eq!(c.address, address(1));
+}
+
+/// A first event that is overdue makes its replica look as slow as it is.
+#[test]
+fn a_replica_that_owes_a_first_event_is_spared() {
+    let (mut p, mut r) = (pool(2), rng());
+    let stuck = choice(&mut p, 0, &prompt(0, 500, 2), &mut r);
+    for _ in 0..3 {
+        let c = choice(&mut p, 1_500, &prompt(0, 500, 3), &mut r);
+        assert_ne!(c.address, stuck.address);
+    }
+    p.learn(Time(1_600), &stuck, 1_600_000);
+    p.done(Time(1_700), &stuck, false);
+}
