--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -188,7 +188,8 @@
             let unheard = self.unheard.clone();
             actix_rt::spawn(async move {
                 // It reckons without this prompt, no worse than before it could be told.
-                if peer.call(ask, TELL_WITHIN).await.is_err() {
+                if let Err(code) = peer.call(ask, TELL_WITHIN).await {
+                    emit!(Event::LinkFailed, address = address, why = code);
                     unheard.borrow_mut().insert(address, clock.now());
                 }
             });
