Quantities of a settings file may have a fraction or be empty

Cause: every process of the small twins ended itself with code 78: the platform gives budgetExtra as 32.7 and retry_extra took whole numbers only (CF3002). Ruled out: the template (it passes on what the sheet has). Change: all numbers that the sheet fills in (ratios, extras, seconds, milliseconds, mebibytes) are read as quantities with a fraction or left empty, and rounded to the side on which no bound is passed. Out of range stays CF3003.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -5,7 +5,7 @@
 
 use cypressfork_core::raft::Settings as RaftSettings;
 use cypressfork_core::unit::Millis;
-use cypressfork_node::settings::{Base, Common, Error, Raw, address, folder, range};
+use cypressfork_node::settings::{Base, Common, Error, Quantity, Raw, address, folder, quantity, range};
 use serde::{Deserialize, Serialize};
 
 use crate::machine;
@@ -52,11 +52,11 @@
     #[serde(default = "entry_keep_default")]
     pub entry_keep_ms: u64,
     /// Milliseconds between a replica's heartbeats.
-    #[serde(default = "replica_heartbeat_default")]
-    pub replica_heartbeat_ms: u64,
+    #[serde(default)]
+    pub replica_heartbeat_ms: Quantity,
     /// The whole system starts for the first time: the seeds found the group.
     #[serde(default)]
-    pub found: bool,
+    pub found: Option<bool>,
     /// Voters that the group should have.
     #[serde(default = "voters_default")]
     pub voters: u64,
@@ -66,9 +66,8 @@
     2_000
 }
 
-fn replica_heartbeat_default() -> u64 {
-    1_000
-}
+/// Milliseconds between a replica's heartbeats where the file gives none.
+const REPLICA_HEARTBEAT: f64 = 1_000.0;
 
 fn voters_default() -> u64 {
     5
@@ -93,13 +92,15 @@
 impl FleetFile {
     fn check(self) -> Result<FleetSettings, Error> {
         let keep = range("fleet.entry_keep_ms", self.entry_keep_ms, 100, 600_000)?;
-        let beat = range("fleet.replica_heartbeat_ms", self.replica_heartbeat_ms, 10, 600_000)?;
+        let key = "fleet.replica_heartbeat_ms";
+        let beat = quantity(key, self.replica_heartbeat_ms, REPLICA_HEARTBEAT, 10.0..=600_000.0)?;
         Ok(FleetSettings {
             listen: address("fleet.listen", &self.listen)?,
             entry: address("fleet.entry", &self.entry)?,
             entry_keep: Millis(keep),
-            replica_heartbeat: Millis(beat),
-            found: self.found,
+            // Rounded up: a replica that speaks in time is not taken for silent.
+            replica_heartbeat: Millis(beat.ceil() as u64),
+            found: self.found.unwrap_or(false),
             voters: range("fleet.voters", self.voters, 1, 9)? as usize,
         })
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 
 use cypressfork_core::code::Code;
@@ -190,6 +191,25 @@
     Err(Error::value(key, n, &format!("take a number from {least} to {most}")))
 }
 
+/// A number that may have a fraction, or be left empty where a platform that fills in the file has
+/// none to give.
+pub type Quantity = Option<f64>;
+
+/// A quantity in a range, `default` where it is left empty.
+pub fn quantity(
+    key: &str,
+    n: Quantity,
+    default: f64,
+    range: RangeInclusive<f64>,
+) -> Result<f64, Error> {
+    let n = n.unwrap_or(default);
+    if range.contains(&n) {
+        return Ok(n);
+    }
+    let (least, most) = range.into_inner();
+    Err(Error::value(key, n, &format!("take a number from {least} to {most}")))
+}
+
 /// A folder that exists.
 pub fn folder(key: &str, s: &str) -> Result<PathBuf, Error> {
     let path = PathBuf::from(s);
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -6,7 +6,7 @@
 use cypressfork_core::fleet::admission;
 use cypressfork_core::fleet::retry::Bound;
 use cypressfork_core::unit::Millis;
-use cypressfork_node::settings::{Base, Common, Error, Raw, address, range};
+use cypressfork_node::settings::{Base, Common, Error, Quantity, Raw, address, quantity, range};
 use serde::{Deserialize, Serialize};
 
 /// The settings file.
@@ -31,25 +31,44 @@
     #[serde(default = "report_default")]
     pub report_ms: u64,
     /// The whole fleet's retries, as a part of a service's requests in a window.
-    #[serde(default = "retry_ratio_default")]
-    pub retry_ratio: f64,
+    #[serde(default)]
+    pub retry_ratio: Quantity,
     /// The whole fleet's retries besides.
     #[serde(default)]
-    pub retry_extra: u64,
+    pub retry_extra: Quantity,
     /// Seconds of the window.
-    #[serde(default = "retry_window_default")]
-    pub retry_window_s: u64,
+    #[serde(default)]
+    pub retry_window_s: Quantity,
     /// Mebibytes of memory that the process may use; it bounds the requests under way at once.
-    #[serde(default = "memory_default")]
-    pub memory_mb: u64,
+    #[serde(default)]
+    pub memory_mb: Quantity,
     /// Seconds that a planned stop may take.
-    #[serde(default = "stop_default")]
-    pub stop_within_s: f64,
+    #[serde(default)]
+    pub stop_within_s: Quantity,
     /// Seconds of it in which callers that still have this address are served.
-    #[serde(default = "stop_serve_default")]
-    pub stop_serve_s: f64,
+    #[serde(default)]
+    pub stop_serve_s: Quantity,
 }
 
+/// What a quantity is where the file gives none.
+mod default {
+    /// Retries for each request.
+    pub const RETRY_RATIO: f64 = 0.2;
+    /// Retries of the whole fleet besides.
+    pub const RETRY_EXTRA: f64 = 0.0;
+    /// Seconds.
+    pub const RETRY_WINDOW: f64 = 10.0;
+    /// Mebibytes.
+    pub const MEMORY: f64 = 512.0;
+    /// Seconds.
+    pub const STOP: f64 = 30.0;
+    /// Seconds.
+    pub const STOP_SERVE: f64 = 10.0;
+}
+
+/// The most that ratios, extras and seconds may be.
+const MOST: f64 = 100_000.0;
+
 fn ready_default() -> String {
     "/readyz".to_owned()
 }
@@ -58,26 +77,6 @@
     1_000
 }
 
-fn retry_ratio_default() -> f64 {
-    0.2
-}
-
-fn retry_window_default() -> u64 {
-    10
-}
-
-fn memory_default() -> u64 {
-    512
-}
-
-fn stop_default() -> f64 {
-    30.0
-}
-
-fn stop_serve_default() -> f64 {
-    10.0
-}
-
 /// The settings, checked.
 #[derive(Clone)]
 pub struct Settings {
@@ -113,11 +112,20 @@
         if base.control.is_empty() {
             return Err(Error::value("common.control", "[]", "name at least one control process"));
         }
-        let ratio = hundredths("retry_ratio", self.retry_ratio)?;
-        let window = Millis::seconds(range("retry_window_s", self.retry_window_s, 1, 3_600)?);
-        let memory = range("memory_mb", self.memory_mb, 16, 1024 * 1024)? * 1024 * 1024;
-        let stop = hundredths("stop_within_s", self.stop_within_s)?;
-        let serve = hundredths("stop_serve_s", self.stop_serve_s)?;
+        let ratio = quantity("retry_ratio", self.retry_ratio, default::RETRY_RATIO, 0.0..=MOST)?;
+        let extra = quantity("retry_extra", self.retry_extra, default::RETRY_EXTRA, 0.0..=1e9)?;
+        let window =
+            quantity("retry_window_s", self.retry_window_s, default::RETRY_WINDOW, 1.0..=3_600.0)?;
+        let memory = quantity("memory_mb", self.memory_mb, default::MEMORY, 16.0..=1_048_576.0)?;
+        let stop = quantity("stop_within_s", self.stop_within_s, default::STOP, 0.0..=MOST)?;
+        let serve = quantity("stop_serve_s", self.stop_serve_s, default::STOP_SERVE, 0.0..=MOST)?;
+        // Each is rounded to the safe side: fewer retries in a longer window, less memory, a
+        // shorter stop.
+        let retry = Bound {
+            hundredths: (ratio * 100.0).floor() as u64,
+            extra: extra.floor() as u64,
+            window: Millis((window * 1_000.0).ceil() as u64),
+        };
         Ok(Settings {
             base,
             listen: address("listen", &self.listen)?,
@@ -126,18 +134,18 @@
             metrics: self.metrics.map(|a| address("metrics", &a)).transpose()?,
             ready_path: self.ready_path,
             report: Duration::from_millis(range("report_ms", self.report_ms, 10, 60_000)?),
-            retry: Bound { hundredths: ratio, extra: self.retry_extra, window },
-            places: admission::places(memory),
-            stop_within: Duration::from_millis(stop * 10),
-            stop_serve: Duration::from_millis(serve.min(stop) * 10),
+            retry,
+            places: admission::places((memory * MEBIBYTE).floor() as u64),
+            stop_within: millis(stop),
+            stop_serve: millis(serve.min(stop)),
         })
     }
 }
 
-/// A number of at most two decimals, in hundredths.
-fn hundredths(key: &str, n: f64) -> Result<u64, Error> {
-    if (0.0..=100_000.0).contains(&n) {
-        return Ok((n * 100.0).floor() as u64);
-    }
-    Err(Error::value(key, n, "take a number from 0 to 100000"))
+/// Bytes of a mebibyte.
+const MEBIBYTE: f64 = 1_048_576.0;
+
+/// Seconds as whole milliseconds, rounded down.
+fn millis(seconds: f64) -> Duration {
+    Duration::from_millis((seconds * 1_000.0).floor() as u64)
 }
