--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -2,9 +2,11 @@
 //! routers that ask, and processes that want to join the group.
 
 use cypressfork_core::fleet::entry::Routers;
+use cypressfork_core::fleet::neighbours::{Directory, NOT_WANTED};
 use cypressfork_core::fleet::registry::{Record, Registry};
 use cypressfork_core::fleet::repair::Candidates;
 use cypressfork_core::fleet::watch::{Announce, Feed, Seen, Watch};
+use cypressfork_core::member::Routers as Registered;
 use cypressfork_core::unit::{Millis, Time, Version};
 
 /// How long a standing question waits for news.
@@ -26,6 +28,8 @@
     pub controls: Vec<String>,
     /// What this process's clock shows.
     pub wall: Time,
+    /// The routers that have registered.
+    pub registered: &'a Registered,
 }
 
 /// The state; `T` tells where an answer goes.
@@ -36,6 +40,7 @@
     pub routers: Routers,
     /// Processes that say that they belong to no group.
     pub candidates: Candidates,
+    directory: Directory,
     boot: u64,
     heartbeat: Millis,
     standing: Vec<Standing<T>>,
@@ -56,6 +61,7 @@
             registry: Registry::default(),
             routers: Routers::default(),
             candidates: Candidates::default(),
+            directory: Directory::default(),
             boot,
             heartbeat,
             standing: Vec::new(),
@@ -94,6 +100,7 @@
         let (due, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.standing).into_iter().partition(|s| self.is_due(now, s, f));
         self.standing = rest;
+        self.directory.refresh(now, f.registered.iter(), &self.routers);
         due.into_iter()
             .map(|s| (self.seen(now, &s, f), s.to))
             .map(|(seen, to)| (to, seen))
@@ -117,6 +124,10 @@
             false => self.registry.beats(s.since).cloned().collect(),
         };
         let wanted = s.watch.fetch && f.version > s.watch.version;
+        let near = s.watch.router.as_ref().and_then(|r| self.directory.of(&r.data_centre));
+        let has_homes = near.is_some_and(|n| !n.links.is_empty());
+        let peers = router && !has_homes;
+        let near = near.filter(|n| s.watch.near != NOT_WANTED && s.watch.near != n.digest);
         Seen {
             feed: Feed { boot: self.boot, position: self.registry.position() },
             replicas,
@@ -124,8 +135,9 @@
             document: wanted.then(|| f.source.to_owned()),
             controls: f.controls.clone(),
             routers: self.routers.count(now),
-            peers: if router { self.routers.links(now, PEERS) } else { Vec::new() },
+            peers: if peers { self.routers.links(now, PEERS) } else { Vec::new() },
             wall: f.wall.0,
+            near: near.map(|n| n.links.clone()),
         }
     }
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -8,6 +8,7 @@
 
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
+use cypressfork_core::fleet::neighbours::NOT_WANTED;
 use cypressfork_core::fleet::registry::Standing;
 use cypressfork_core::fleet::walls::Walls;
 use cypressfork_core::fleet::watch::{Announce, Feed, Seen, Watch};
@@ -327,7 +328,8 @@
         let Some(f) = &mut self.fleet else { return };
         let (version, source) = self.machine.state().published();
         let controls = self.machine.members().addresses.values().cloned().collect();
-        let followed = Followed { version, source, controls, wall: wall() };
+        let registered = self.machine.state().routers();
+        let followed = Followed { version, source, controls, wall: wall(), registered };
         let answers = f.desk.answers(now, &followed);
         for (to, seen) in answers {
             self.reply(to, Ok(body::pack(&seen)));
@@ -462,7 +464,13 @@
 impl Watcher for PeerWatch {
     fn question(&self, to: SocketAddr) -> Option<Watch> {
         let feed = self.feeds.borrow().get(&to).copied().unwrap_or_default();
-        (!self.tx.is_closed()).then_some(Watch { router: None, feed, version: 0, fetch: false })
+        (!self.tx.is_closed()).then_some(Watch {
+            router: None,
+            feed,
+            version: 0,
+            fetch: false,
+            near: NOT_WANTED,
+        })
     }
 
     fn seen(&self, from: SocketAddr, seen: Seen) {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -5,7 +5,9 @@
 
 use cypressfork_core::raft::Settings as RaftSettings;
 use cypressfork_core::unit::Millis;
-use cypressfork_node::settings::{Base, Common, Error, Quantity, Raw, address, folder, quantity, range};
+use cypressfork_node::settings::{
+    Base, Common, Error, Quantity, Raw, address, folder, quantity, range,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::machine;
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -26,6 +26,9 @@
         /// was dead before.
         #[serde(default)]
         age: Millis,
+        /// Address for other routers; empty if it has none.
+        #[serde(default)]
+        link: String,
     },
     /// A data centre's reserve has started. It keeps its number as long as its disk.
     Enlist {
--- a/crates/core/src/fleet/entry.rs
+++ b/crates/core/src/fleet/entry.rs
@@ -32,6 +32,13 @@
         self.heard.values().filter(|(_, at)| now.since(*at) < FORGET_AFTER).count() as u32
     }
 
+    /// Whether nothing has been heard of a router for a while, by a process that has been listening
+    /// for as long.
+    pub fn is_silent(&self, now: Time, vm: &str) -> bool {
+        let heard = self.heard.get(vm).map_or(Time(0), |(_, at)| *at);
+        now.since(heard) >= SILENT_AFTER
+    }
+
     /// Addresses of routers for each other, at most `most`.
     pub fn links(&self, now: Time, most: usize) -> Vec<String> {
         let known = self.heard.values().filter(|(_, at)| now.since(*at) < FORGET_AFTER);
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -5,6 +5,8 @@
 pub mod document;
 pub mod entry;
 pub mod format;
+pub mod homes;
+pub mod neighbours;
 pub mod patience;
 pub mod registry;
 pub mod repair;
--- a/crates/core/src/fleet/share.rs
+++ b/crates/core/src/fleet/share.rs
@@ -58,6 +58,29 @@
     },
     /// A prompt was sent to a replica.
     Placed(Placement),
+    /// Set tokens aside at a home of the budget: all of them if they can be had in time, else as
+    /// many as there are.
+    Hold {
+        /// Drawn by the borrower; another for each loan.
+        id: u64,
+        /// The client account.
+        account: String,
+        /// How many, at most.
+        tokens: Tokens,
+        /// How long the home may wait for more.
+        within: Millis,
+    },
+}
+
+/// Why a home could not set aside all tokens that were asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Short {
+    /// The group says that the whole budget does not hold them.
+    Spent,
+    /// They are elsewhere, or may not be spent yet; there may be more after this time.
+    Busy(Millis),
+    /// This router takes on no loans.
+    Closed,
 }
 
 /// A lender's answer.
@@ -69,6 +92,8 @@
     Settled,
     /// It is taken note of.
     Noted,
+    /// So many are set aside at a home, and why not all.
+    Held(Tokens, Option<Short>),
 }
 
 /// The lenders to ask, at most `most`: those that can likely spare most first, and among equals
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -41,6 +41,10 @@
     pub version: Version,
     /// The document itself is wanted of this process, at once, if its version is higher.
     pub fetch: bool,
+    /// Digest of the list of the router's neighbours that it has, see
+    /// [`super::neighbours::Neighbours`].
+    #[serde(default)]
+    pub near: u64,
 }
 
 /// The answer.
@@ -62,6 +66,9 @@
     pub peers: Vec<String>,
     /// What its clock shows, in milliseconds since 1970.
     pub wall: u64,
+    /// The router's neighbours and itself, if its list differs.
+    #[serde(default)]
+    pub near: Option<Vec<String>>,
 }
 
 /// A control process that belongs to no group says that it is there.
--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -1,4 +1,7 @@
-//! A hash that is the same in every process and release: 64-bit FNV-1a.
+//! A hash that is the same in every process and release: 64-bit FNV-1a, and the rank of an address
+//! for a key that is drawn from it.
+
+use std::net::SocketAddr;
 
 /// A hash in the making.
 #[derive(Clone, Copy, Debug)]
@@ -25,3 +28,18 @@
         self.0
     }
 }
+
+/// How an address ranks for a key, by rendezvous hashing: the highest rank of all addresses is its
+/// home, and an address that goes moves only the keys whose home it was.
+pub(crate) fn rendezvous(key: u64, address: SocketAddr) -> u64 {
+    let mut bytes = [0; 18];
+    match address {
+        SocketAddr::V4(a) => bytes[..4].copy_from_slice(&a.ip().octets()),
+        SocketAddr::V6(a) => bytes[..16].copy_from_slice(&a.ip().octets()),
+    }
+    bytes[16..].copy_from_slice(&address.port().to_be_bytes());
+    let mixed = Fnv::new().part(&key.to_be_bytes()).part(&bytes).value();
+    // The last bytes of an FNV hash's input barely reach its high bits.
+    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed ^ (mixed >> 29)
+}
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -30,6 +30,9 @@
     pub nonce: u64,
     /// It has said that it is stopping.
     pub leaving: bool,
+    /// Address for other routers; empty if it has none.
+    #[serde(default)]
+    pub link: String,
 }
 
 /// The registrations of one group; part of its replicated state.
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -11,7 +11,7 @@
 use super::prefix::{Prefixes, Trail};
 use super::replica::Replica;
 use crate::config::Upstream;
-use crate::hash::Fnv;
+use crate::hash::rendezvous;
 use crate::unit::{Millis, Time};
 
 /// How many candidates are compared. Sampling keeps many routers with the same view from all
@@ -176,7 +176,7 @@
     /// the one with the highest hash of the prefix and its address.
     fn home(&self, t: &Trail) -> Option<SocketAddr> {
         let (hash, _) = t.shared()?;
-        self.addresses.iter().copied().max_by_key(|a| home_rank(hash, *a))
+        self.addresses.iter().copied().max_by_key(|a| rendezvous(hash, *a))
     }
 
     /// A candidate, and what it costs to choose it.
@@ -274,16 +274,3 @@
         self.replicas.values()
     }
 }
-
-fn home_rank(prefix: u64, address: SocketAddr) -> u64 {
-    let mut bytes = [0; 18];
-    match address {
-        SocketAddr::V4(a) => bytes[..4].copy_from_slice(&a.ip().octets()),
-        SocketAddr::V6(a) => bytes[..16].copy_from_slice(&a.ip().octets()),
-    }
-    bytes[16..].copy_from_slice(&address.port().to_be_bytes());
-    let mixed = Fnv::new().part(&prefix.to_be_bytes()).part(&bytes).value();
-    // The last bytes of an FNV hash's input barely reach its high bits.
-    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    mixed ^ (mixed >> 29)
-}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -78,11 +78,11 @@
         self.clock = self.clock.max(at);
         let now = self.clock;
         match c {
-            Command::Register { vm, data_centre, address, nonce, age } => {
+            Command::Register { vm, data_centre, address, nonce, age, link } => {
                 let holder = HolderId(pos.index);
                 let (vm, data_centre) = (vm.clone(), data_centre.clone());
-                let (address, nonce) = (address.clone(), *nonce);
-                let r = Router { holder, vm, data_centre, address, nonce, leaving: false };
+                let (address, nonce, link) = (address.clone(), *nonce, link.clone());
+                let r = Router { holder, vm, data_centre, address, nonce, leaving: false, link };
                 self.register(now, r, *age)
             }
             Command::Enlist { vm, nonce } => {
--- a/crates/core/tests/bound.rs
+++ b/crates/core/tests/bound.rs
@@ -187,6 +187,7 @@
         address: "10.0.0.1:80".into(),
         nonce,
         age: Millis(age),
+        link: String::new(),
     };
     let Answer::Registered(old) = apply(&register(1, 0)) else { panic!() };
     let budget = BUDGET.to_owned();
@@ -224,6 +225,7 @@
             address: "10.0.0.1:80".into(),
             nonce: index,
             age: Millis(age),
+            link: String::new(),
         };
         state.apply(Time(index), LeaseId { term: 1, index }, &c);
     }
--- /dev/null
+++ b/crates/core/tests/homes.rs
@@ -0,0 +1,185 @@
+//! The homes of budgets in a data centre with many routers, and the lists that these choose from.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use cypressfork_core::fleet::entry::Routers as Heard;
+use cypressfork_core::fleet::homes::{HOMES, MANY, order, ranked};
+use cypressfork_core::fleet::neighbours::{Directory, digest};
+use cypressfork_core::fleet::watch::RouterSign;
+use cypressfork_core::member::Router;
+use cypressfork_core::unit::{HolderId, Time};
+use rstest::rstest;
+
+fn address(n: usize) -> SocketAddr {
+    format!("10.1.{}.{}:7355", n / 200, n % 200).parse().unwrap()
+}
+
+fn routers(n: usize) -> Vec<SocketAddr> {
+    (0..n).map(address).collect()
+}
+
+fn budget(n: usize) -> String {
+    format!("account/{n}")
+}
+
+fn nobody(_: &SocketAddr) -> bool {
+    false
+}
+
+#[test]
+fn all_routers_name_the_same_homes_whatever_the_order_of_their_lists() {
+    let all = routers(58);
+    let mut turned = all.clone();
+    turned.reverse();
+    for n in 0..40 {
+        assert_eq!(ranked(&budget(n), &all), ranked(&budget(n), &turned));
+    }
+}
+
+#[test]
+fn homes_are_spread_over_routers() {
+    let all = routers(58);
+    let mut kept: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for n in 0..1_000 {
+        for home in ranked(&budget(n), &all).into_iter().take(HOMES) {
+            *kept.entry(home).or_default() += 1;
+        }
+    }
+    let mean = 1_000 * HOMES / 58;
+    assert_eq!(kept.len(), 58);
+    assert!(kept.values().all(|n| (mean / 2..mean * 2).contains(n)), "{kept:?}");
+}
+
+#[test]
+fn a_router_that_goes_moves_only_the_budgets_that_it_kept() {
+    let all = routers(58);
+    let left: Vec<_> = all.iter().copied().filter(|a| *a != address(7)).collect();
+    let mut moved = 0;
+    for n in 0..400 {
+        let before: Vec<_> = ranked(&budget(n), &all).into_iter().take(HOMES).collect();
+        let after: Vec<_> = ranked(&budget(n), &left).into_iter().take(HOMES).collect();
+        let kept = before.iter().filter(|a| after.contains(a)).count();
+        assert_eq!(kept, if before.contains(&address(7)) { HOMES - 1 } else { HOMES });
+        moved += HOMES - kept;
+    }
+    assert!(moved < 400 * HOMES / 20, "{moved}");
+}
+
+#[test]
+fn the_asking_routers_of_a_budget_are_spread_over_its_homes() {
+    let all = routers(58);
+    let ranked = ranked(&budget(1), &all);
+    let mut first: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for own in &all {
+        *first.entry(order(&ranked, *own, nobody)[0]).or_default() += 1;
+    }
+    assert_eq!(
+        first.keys().copied().collect::<BTreeSet<_>>(),
+        ranked[..HOMES].iter().copied().collect()
+    );
+    assert!(first.values().all(|n| *n > 58 / 4), "{first:?}");
+}
+
+/// Positions in the ranking of those that do not answer, the asking router's own position, and the
+/// positions of the homes that it asks.
+#[rstest]
+#[case::it_is_the_first_home(&[], Some(0), &[0, 1])]
+#[case::it_is_the_second_home(&[], Some(1), &[1, 0])]
+#[case::the_next_in_line_serves(&[0], Some(1), &[1, 2])]
+#[case::it_is_the_next_in_line(&[0], Some(2), &[2, 1])]
+#[case::two_are_out(&[0, 1], Some(3), &[3, 2])]
+#[case::nobody_answers(&[0, 1, 2, 3], Some(0), &[0, 1, 2, 3])]
+fn a_home_that_does_not_answer_is_passed_over(
+    #[case] out: &[usize],
+    #[case] own: Option<usize>,
+    #[case] asked: &[usize],
+) {
+    let ranked = ranked(&budget(1), &routers(30));
+    let own = own.map_or(address(99), |n| ranked[n]);
+    let is_out = |a: &SocketAddr| out.iter().any(|n| ranked[*n] == *a);
+    let homes = order(&ranked, own, is_out);
+    let expected: Vec<_> = asked.iter().map(|n| ranked[*n]).collect();
+    assert_eq!(homes, expected);
+}
+
+#[test]
+fn a_data_centre_without_routers_has_no_homes() {
+    assert_eq!(order(&ranked(&budget(1), &[]), address(1), nobody), []);
+}
+
+fn router(n: usize, leaving: bool) -> Router {
+    Router {
+        holder: HolderId(n as u64),
+        vm: format!("entry-{n}"),
+        data_centre: if n < 100 { "tamar-a".into() } else { "tamar-b".into() },
+        address: format!("10.1.0.{n}:80"),
+        nonce: 1,
+        leaving,
+        link: format!("10.1.0.{n}:7355"),
+    }
+}
+
+fn sign(n: usize) -> RouterSign {
+    RouterSign {
+        vm: format!("entry-{n}"),
+        data_centre: "tamar-a".into(),
+        address: String::new(),
+        link: String::new(),
+        open: true,
+    }
+}
+
+/// A directory of routers 1 to `n`, heard of at their times, at `now`.
+fn listed(now: u64, n: usize, heard: &[(usize, u64)], leaving: &[usize]) -> Vec<String> {
+    let mut known = Heard::default();
+    for (n, at) in heard {
+        known.note(Time(*at), &sign(*n));
+    }
+    let all: Vec<_> = (1..=n).map(|n| router(n, leaving.contains(&n))).collect();
+    let mut directory = Directory::default();
+    directory.refresh(Time(now), all.iter(), &known);
+    let list = directory.of("tamar-a").unwrap();
+    assert_eq!(list.digest, digest(&list.links));
+    list.links.clone()
+}
+
+fn links(n: impl IntoIterator<Item = usize>) -> Vec<String> {
+    n.into_iter().map(|n| format!("10.1.0.{n}:7355")).collect()
+}
+
+#[test]
+fn a_control_process_that_has_just_started_lists_who_is_registered() {
+    assert_eq!(listed(10, MANY, &[], &[]), links(1..=MANY));
+}
+
+#[test]
+fn few_routers_have_no_homes() {
+    assert_eq!(listed(10, MANY - 1, &[], &[]), links([]));
+}
+
+#[test]
+fn those_that_leave_or_fall_silent_are_not_listed_and_the_others_keep_their_homes() {
+    let heard: Vec<_> = (1..=MANY).map(|n| (n, if n == 2 { 5_000 } else { 9_000 })).collect();
+    assert_eq!(listed(9_500, MANY, &heard, &[1]), links(3..=MANY));
+}
+
+#[test]
+fn while_most_are_silent_all_are_listed() {
+    let heard: Vec<_> = (1..=MANY).map(|n| (n, if n < 8 { 5_000 } else { 9_000 })).collect();
+    assert_eq!(listed(9_500, MANY, &heard, &[1]), links(2..=MANY));
+}
+
+#[test]
+fn each_data_centre_has_a_list_of_its_own_made_anew_now_and_then() {
+    let all: Vec<_> = (1..=MANY).chain(101..=100 + MANY).map(|n| router(n, false)).collect();
+    let mut directory = Directory::default();
+    directory.refresh(Time(0), all.iter(), &Heard::default());
+    assert_eq!(directory.of("tamar-b").unwrap().links, links(101..=100 + MANY));
+    assert_eq!(directory.of("esk-c"), None);
+    directory.refresh(Time(100), all[1..].iter(), &Heard::default());
+    assert_eq!(directory.of("tamar-a").unwrap().links, links(1..=MANY), "it is too early");
+    directory.refresh(Time(250), all[..MANY - 1].iter(), &Heard::default());
+    assert_eq!(directory.of("tamar-a").unwrap().links, links([]));
+    assert_eq!(directory.of("tamar-b"), None);
+}
--- a/crates/core/tests/sessions.rs
+++ b/crates/core/tests/sessions.rs
@@ -45,7 +45,8 @@
     fn register(&mut self, vm: &str) -> HolderId {
         let (data_centre, address) = ("tamar-a".into(), format!("10.0.0.{}:80", self.index + 1));
         let nonce = self.index;
-        let c = Command::Register { vm: vm.into(), data_centre, address, nonce, age: Millis(0) };
+        let (age, link) = (Millis(0), String::new());
+        let c = Command::Register { vm: vm.into(), data_centre, address, nonce, age, link };
         match self.send(c) {
             Answer::Registered(h) => h,
             a => panic!("{a:?}"),
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -92,6 +92,8 @@
     SettingsKept = 422, Warn, "the settings cannot be used: those before stay";
     TokensBorrowed = 423, Info, "another gateway has set tokens aside for a request";
     StreamLate = 424, Info, "a stream was answered later than its route aims at";
+    NeighboursSeen = 425, Info, "the list of this data centre's gateways has changed";
+    HomeLost = 426, Info, "a gateway that keeps a budget's tokens did not answer";
 }
 
 /// Logs an event with fields.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,8 +2,8 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::os::unix::fs::PermissionsExt;
 use std::ops::RangeInclusive;
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 
 use cypressfork_core::code::Code;
--- a/crates/node/tests/group.rs
+++ b/crates/node/tests/group.rs
@@ -86,6 +86,7 @@
                 address: "10.0.0.1:80".into(),
                 nonce: 7,
                 age: Millis(ages.get()),
+                link: String::new(),
             }
         };
         let answer = group.command_anew(register, Duration::from_millis(200)).await;
--- a/crates/router/src/budget_slices.rs
+++ b/crates/router/src/budget_slices.rs
@@ -57,6 +57,13 @@
         }
     }
 
+    /// Gives back what is idle of the budgets that `of` names; returns whether there are any.
+    pub fn recall_where(&self, of: impl Fn(&str) -> bool) -> bool {
+        let all = self.by_budget.borrow();
+        let named = all.iter().filter(|(budget, p)| of(budget) && !p.slices.borrow().is_empty());
+        named.map(|(_, p)| p.slices.borrow_mut().recall()).count() > 0
+    }
+
     /// Gives back everything that is idle.
     pub fn recall_all(&self) {
         self.by_budget.borrow().values().for_each(|p| p.slices.borrow_mut().recall());
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -45,6 +45,7 @@
         address: app.settings.public.to_string(),
         nonce: rand::random(),
         age: Millis(0),
+        link: String::new(),
     };
     loop {
         if let Ok(Answer::Registered(holder)) = app.group.command(&c, REGISTER_WITHIN).await {
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -1,12 +1,13 @@
 //! The tokens that a request sets aside before it is sent.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use cypressfork_core::budget::{Policy, Reservation};
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::budget_name;
-use cypressfork_core::fleet::share::charges;
+use cypressfork_core::fleet::share::{Short, charges};
 use cypressfork_core::unit::{Millis, Tokens};
 use tokio::time::Instant;
 
@@ -14,7 +15,7 @@
 use super::share::Borrowed;
 use super::state::Gateway;
 use crate::reply::Refusal;
-use crate::token_store::{Source, TokenStore};
+use crate::token_store::{Source, Taken, TokenStore};
 
 /// How long a request waits for more tokens before peers are asked.
 const QUICK: Duration = Duration::from_millis(60);
@@ -25,17 +26,43 @@
 /// When to come back while tokens are elsewhere.
 const AGAIN_AFTER: Millis = Millis(700);
 
+/// The longest time to come back that a caller is told while tokens are elsewhere.
+const BUSY_MOST: Millis = Millis::seconds(2);
+
 /// Events that a replica may have sent unseen when a stream breaks off.
 const UNSEEN: u64 = 2;
 
 /// Tokens set aside for one request. Whatever becomes of it, [`Held::settle`] ends it.
+#[derive(Default)]
 pub struct Held {
-    own: Option<Own>,
-    /// What other gateways have set aside for it.
-    borrowed: Vec<Borrowed>,
+    parts: Vec<Part>,
     prompt: Tokens,
 }
 
+/// A part of a request's tokens.
+enum Part {
+    /// In this gateway's own slices.
+    Own(Own),
+    /// Set aside by another gateway.
+    Borrowed(Borrowed),
+}
+
+impl Part {
+    fn amount(&self) -> Tokens {
+        match self {
+            Part::Own(o) => o.reservation.amount(),
+            Part::Borrowed(b) => b.amount(),
+        }
+    }
+
+    fn settle(self, used: Tokens) {
+        match self {
+            Part::Own(o) => o.settle(used),
+            Part::Borrowed(b) => b.settle(used),
+        }
+    }
+}
+
 /// Tokens set aside in this gateway's own slices.
 struct Own {
     token_store: Rc<TokenStore>,
@@ -50,6 +77,16 @@
     }
 }
 
+/// What a request needs of a budget.
+struct Need<'a> {
+    account: &'a str,
+    budget: String,
+    policy: Policy,
+    /// What it takes at its most.
+    most: Tokens,
+    deadline: Instant,
+}
+
 /// What became of a request's tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Spent {
@@ -71,34 +108,116 @@
     prompt: &Prompt,
     deadline: Instant,
 ) -> Result<Held, Refusal> {
+    let need = Need {
+        account,
+        budget: budget_name(account),
+        policy: Policy::for_prepaid(prepaid),
+        most: prompt.tokens.saturating_add(prompt.most),
+        deadline,
+    };
+    let parts = match gw.share.homes.of(gw.now(), gw.settings.link, &need.budget).is_empty() {
+        true => hold_here(gw, &need).await?,
+        false => hold_at_homes(gw, &need).await?,
+    };
+    Ok(Held { parts, prompt: prompt.tokens })
+}
+
+/// Sets tokens aside at the budget's homes, a part at each if none has all: first what they have,
+/// then what the group gives them.
+async fn hold_at_homes(gw: &Gateway, need: &Need<'_>) -> Result<Vec<Part>, Refusal> {
+    let mut parts: Vec<Part> = Vec::new();
+    let mut missing = need.most;
+    let mut reason = None;
+    for wait in [QUICK, WAIT] {
+        for home in gw.share.homes.of(gw.now(), gw.settings.link, &need.budget) {
+            let within = wait.min(need.deadline.saturating_duration_since(Instant::now()));
+            let (part, short) = hold_at(gw, need, home, missing, within).await;
+            missing -= part.as_ref().map_or(0, Part::amount);
+            parts.extend(part);
+            if missing == 0 {
+                return Ok(parts);
+            }
+            reason = worse(reason, short);
+        }
+    }
+    let at_hand = need.most - missing;
+    parts.into_iter().for_each(|part| part.settle(0));
+    Err(not_held(need, reason, at_hand))
+}
+
+/// Sets aside what one home has of `tokens`.
+async fn hold_at(
+    gw: &Gateway,
+    need: &Need<'_>,
+    home: SocketAddr,
+    tokens: Tokens,
+    within: Duration,
+) -> (Option<Part>, Option<Short>) {
+    if home != gw.settings.link {
+        let (part, short) = gw.share.hold(gw, home, need.account, tokens, within).await;
+        return (part.map(Part::Borrowed), short);
+    }
+    let until = Instant::now() + within;
+    let Some(token_store) = gw.wait_for_token_store(until).await else {
+        return (None, Some(Short::Closed));
+    };
+    let Taken { part, short } = token_store.take(&need.budget, need.policy, tokens, until).await;
+    let own = |(source, reservation)| {
+        Part::Own(Own { token_store, source, budget: need.budget.clone(), reservation })
+    };
+    (part.map(own), short)
+}
+
+/// The reason that says most: that the budget is spent before when to come back.
+fn worse(a: Option<Short>, b: Option<Short>) -> Option<Short> {
+    match (a, b) {
+        (Some(Short::Spent), _) | (_, Some(Short::Spent)) => Some(Short::Spent),
+        (Some(Short::Busy(x)), Some(Short::Busy(y))) => Some(Short::Busy(x.min(y))),
+        (Some(Short::Busy(x)), _) | (_, Some(Short::Busy(x))) => Some(Short::Busy(x)),
+        (a, b) => a.or(b),
+    }
+}
+
+fn not_held(need: &Need<'_>, reason: Option<Short>, at_hand: Tokens) -> Refusal {
+    let (account, most) = (need.account, need.most);
+    let why = format!("account {account}, {most} wanted, {at_hand} at its homes: {reason:?}");
+    match reason {
+        Some(Short::Spent) => Refusal::from(Code::BudgetTooSmall).detail(why),
+        Some(Short::Busy(after)) => {
+            Refusal::from(Code::BudgetUnreachable).after(after.min(BUSY_MOST)).detail(why)
+        }
+        _ => Refusal::from(Code::BudgetUnreachable).after(AGAIN_AFTER).detail(why),
+    }
+}
+
+/// Sets tokens aside in this gateway's own slices, or in those of peers.
+async fn hold_here(gw: &Gateway, need: &Need<'_>) -> Result<Vec<Part>, Refusal> {
     let not_ready = || Refusal::from(Code::BudgetUnreachable).after(AGAIN_AFTER);
+    let Need { account, budget, policy, most, deadline } = need;
+    let (policy, most, deadline) = (*policy, *most, *deadline);
     let registered = deadline.min(Instant::now() + WAIT);
     let token_store = gw.wait_for_token_store(registered).await.ok_or_else(not_ready)?;
-    let budget = budget_name(account);
-    let most = prompt.tokens.saturating_add(prompt.most);
-    let policy = Policy::for_prepaid(prepaid);
     let own = |source, reservation| {
         let (token_store, budget) = (token_store.clone(), budget.clone());
-        Own { token_store, source, budget, reservation }
+        Part::Own(Own { token_store, source, budget, reservation })
     };
-    let held = |own, borrowed| Held { own, borrowed, prompt: prompt.tokens };
     // First what can be had at once, then what peers can spare, then what the group calls back.
     let quick = deadline.min(Instant::now() + QUICK);
-    if let Ok((source, r)) = token_store.reserve(&budget, policy, most, quick).await {
-        return Ok(held(Some(own(source, r)), Vec::new()));
+    if let Ok((source, r)) = token_store.reserve(budget, policy, most, quick).await {
+        return Ok(vec![own(source, r)]);
     }
-    let part = token_store.reserve_part(&budget, policy, most).map(|r| own(Source::Group, r));
-    let at_hand = part.as_ref().map_or(0, |o| o.reservation.amount());
+    let part = token_store.reserve_part(budget, policy, most).map(|r| own(Source::Group, r));
+    let at_hand = part.as_ref().map_or(0, Part::amount);
     if let Some(borrowed) = gw.share.borrow(gw, account, most - at_hand).await {
-        return Ok(held(part, borrowed));
+        return Ok(part.into_iter().chain(borrowed.into_iter().map(Part::Borrowed)).collect());
     }
     if let Some(part) = part {
         part.settle(0);
     }
     let until = deadline.min(Instant::now() + WAIT);
-    match token_store.reserve(&budget, policy, most, until).await {
-        Ok((source, r)) => Ok(held(Some(own(source, r)), Vec::new())),
-        Err(r) => Err(refusal(r, account, most, token_store.at_hand(&budget, policy))),
+    match token_store.reserve(budget, policy, most, until).await {
+        Ok((source, r)) => Ok(vec![own(source, r)]),
+        Err(r) => Err(refusal(r, account, most, token_store.at_hand(budget, policy))),
     }
 }
 
@@ -117,15 +236,8 @@
     pub fn settle(self, s: Spent) {
         let events = if s.whole { s.events } else { s.events + UNSEEN };
         let used = if s.ran { self.prompt + events * s.stride } else { 0 };
-        let own = self.own.as_ref().map_or(0, |o| o.reservation.amount());
-        let lent = self.borrowed.iter().map(Borrowed::amount);
-        let parts: Vec<Tokens> = [own].into_iter().chain(lent).collect();
-        let mut charged = charges(&parts, used).into_iter();
-        let own_charge = charged.next().unwrap_or(0);
-        if let Some(own) = self.own {
-            own.settle(own_charge);
-        }
-        for (part, charge) in self.borrowed.into_iter().zip(charged) {
+        let parts: Vec<Tokens> = self.parts.iter().map(Part::amount).collect();
+        for (part, charge) in self.parts.into_iter().zip(charges(&parts, used)) {
             part.settle(charge);
         }
     }
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cypressfork_core::command::{Answer, Command};
+use cypressfork_core::fleet::neighbours;
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::watch::{RouterSign, Seen, Watch};
 use cypressfork_core::query::{Query, Reply, digest};
@@ -58,7 +59,8 @@
         let fetch = gw.fetching.borrow().is_from(to);
         // One that is not asked for the document need not tell of it again.
         let version = if fetch { version } else { version.max(gw.fetching.borrow().version()) };
-        Some(Watch { router: Some(router), feed, version, fetch })
+        let near = gw.share.homes.digest_for(to);
+        Some(Watch { router: Some(router), feed, version, fetch, near })
     }
 
     fn seen(&self, from: SocketAddr, seen: Seen) {
@@ -74,6 +76,9 @@
         let held = gw.routes.borrow().as_ref().map_or(0, |r| r.version());
         gw.fetching.borrow_mut().told(gw.now(), from, held, seen.version);
         gw.share.meet(&gw.me, gw.settings.link, &seen.peers);
+        if let Some(links) = &seen.near {
+            take_neighbours(gw, from, links);
+        }
         for r in seen.replicas {
             gw.take_replica(r);
         }
@@ -82,10 +87,27 @@
 
     fn lost(&self, from: SocketAddr) {
         self.gw.fetching.borrow_mut().end(from);
+        self.gw.share.homes.lost(from);
         emit!(Event::LinkFailed, address = from);
     }
 }
 
+/// Takes the list of the own data centre's gateways into use, and gives back the tokens of budgets
+/// whose home this gateway is no longer.
+fn take_neighbours(gw: &Gateway, from: SocketAddr, links: &[String]) {
+    let homes = &gw.share.homes;
+    homes.set(from, links, neighbours::digest(links));
+    gw.share.meet_near(&gw.me, gw.settings.link);
+    let own = gw.settings.link;
+    let is_elsewhere = |budget: &str| {
+        let all = homes.of(gw.now(), own, budget);
+        !all.is_empty() && !all.contains(&own)
+    };
+    if let Some(token_store) = gw.token_store() {
+        token_store.recall_where(is_elsewhere);
+    }
+}
+
 /// Takes a document into force if it is newer than the present one.
 fn take_document<D: Dialect>(gw: &Gateway, source: &str) {
     let held = gw.routes.borrow().as_ref().map_or(0, |r| r.version());
@@ -132,6 +154,7 @@
         address: gw.settings.listen.to_string(),
         nonce,
         age: gw.now().since(begun),
+        link: gw.settings.link.to_string(),
     };
     loop {
         if let Ok(Answer::Registered(holder)) =
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod events;
 mod fetching;
 mod follow;
+mod homes;
 pub mod native;
 mod request;
 pub mod run;
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -1,6 +1,6 @@
 //! Lending tokens to other gateways, borrowing from them, and telling them of long prompts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,7 +9,7 @@
 use cypressfork_core::budget::{Policy, Reservation};
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::budget_name;
-use cypressfork_core::fleet::share::{Loans, Placement, Reply, Request, lenders};
+use cypressfork_core::fleet::share::{Loans, Placement, Reply, Request, Short, lenders};
 use cypressfork_core::unit::{Millis, Time, Tokens};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -19,10 +19,12 @@
 use cypressfork_wire::{Ask, Frame, Return, body};
 use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
 
+use super::homes::Homes;
 use super::state::Gateway;
-use crate::token_store::{Source, TokenStore};
+use crate::token_store::{Source, Taken, TokenStore};
 
 /// How long a lender may take to answer.
 const LEND_WITHIN: Duration = Duration::from_millis(150);
@@ -45,19 +47,26 @@
 /// How often loans whose borrowers keep silent are looked for.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 
+/// The longest that a home waits for more tokens, whatever a borrower asks for.
+const WAIT_MOST: Millis = Millis(1_000);
+
 /// How long to wait when no connection can be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Answers that may wait for a link to a peer.
+const QUEUE: usize = 256;
+
 /// What a lender holds for one loan.
 struct Lent {
     token_store: Rc<TokenStore>,
+    source: Source,
     budget: String,
     reservation: Reservation,
 }
 
 impl Lent {
     fn settle(self, used: Tokens) {
-        self.token_store.settle(Source::Group, &self.budget, self.reservation, used);
+        self.token_store.settle(self.source, &self.budget, self.reservation, used);
     }
 }
 
@@ -70,6 +79,10 @@
     loans: RefCell<Loans<Lent>>,
     /// When each peer last did not answer when it was told of a prompt.
     unheard: Rc<RefCell<BTreeMap<SocketAddr, Time>>>,
+    /// Lenders that have yet to hear what was used.
+    unsettled: Rc<Cell<usize>>,
+    /// Where the tokens of budgets are kept.
+    pub homes: Homes,
 }
 
 /// Tokens that another gateway has set aside for a request of this one.
@@ -77,6 +90,7 @@
     lender: Group,
     id: u64,
     tokens: Tokens,
+    unsettled: Rc<Cell<usize>>,
 }
 
 impl Borrowed {
@@ -88,9 +102,11 @@
     /// Tells the lender what was used.
     pub fn settle(self, used: Tokens) {
         let ask = Ask::Share(body::pack(&Request::Settle { id: self.id, used }));
+        self.unsettled.set(self.unsettled.get() + 1);
         actix_rt::spawn(async move {
             // Out of reach for that long, the lender counts all of it as used.
             let _ = self.lender.call(ask, SETTLE_WITHIN).await;
+            self.unsettled.set(self.unsettled.get() - 1);
         });
     }
 }
@@ -104,6 +120,58 @@
         }
     }
 
+    /// Takes the gateways of the own data centre into use as the only peers.
+    pub fn meet_near(&self, me: &Credentials, own: SocketAddr) {
+        let near = self.homes.near();
+        if near.is_empty() {
+            return;
+        }
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|a, _| near.contains(a));
+        for a in near.into_iter().filter(|a| *a != own) {
+            peers.entry(a).or_insert_with(|| Group::new(me.clone(), vec![a]));
+        }
+    }
+
+    /// Whether every lender has heard what was used of its loans.
+    pub fn is_settled(&self) -> bool {
+        self.unsettled.get() == 0
+    }
+
+    /// Has a home set tokens aside, waiting there for `within` at most if it has too few.
+    pub async fn hold(
+        &self,
+        gw: &Gateway,
+        home: SocketAddr,
+        account: &str,
+        tokens: Tokens,
+        within: Duration,
+    ) -> (Option<Borrowed>, Option<Short>) {
+        let Some(lender) = self.peers.borrow().get(&home).cloned() else {
+            return (None, Some(Short::Closed));
+        };
+        let id = rand::random();
+        let wait = Millis(within.as_millis() as u64);
+        let request = Request::Hold { id, account: account.to_owned(), tokens, within: wait };
+        let answer = lender.call(Ask::Share(body::pack(&request)), within + LEND_WITHIN).await;
+        let loan = |tokens| Borrowed { lender, id, tokens, unsettled: self.unsettled.clone() };
+        match answer.ok().and_then(|b| body::unpack::<Reply>(&b).ok()) {
+            Some(Reply::Held(held, short)) => {
+                if short == Some(Short::Closed) {
+                    self.homes.set_out(gw.now(), home);
+                }
+                ((held > 0).then(|| loan(held.min(tokens))), short)
+            }
+            _ => {
+                // It may have set some aside all the same.
+                loan(0).settle(0);
+                emit!(Event::HomeLost, address = home, account = account);
+                self.homes.set_out(gw.now(), home);
+                (None, Some(Short::Closed))
+            }
+        }
+    }
+
     /// The peers to ask for tokens of an account: those that can likely spare most first.
     fn lenders(&self, now: Time, account: &str) -> Vec<(SocketAddr, Group)> {
         let spare = self.spare.borrow();
@@ -157,6 +225,7 @@
         most: Tokens,
     ) -> Option<Borrowed> {
         let id = rand::random();
+        let unsettled = self.unsettled.clone();
         let request = Request::Reserve { id, account: account.to_owned(), tokens: most };
         let answer = lender.call(Ask::Share(body::pack(&request)), LEND_WITHIN).await;
         match answer.ok().and_then(|b| body::unpack::<Reply>(&b).ok()) {
@@ -165,11 +234,12 @@
                     let key = (address, account.to_owned());
                     self.spare.borrow_mut().insert(key, (0, gw.now()));
                 }
-                (tokens > 0).then_some(Borrowed { lender, id, tokens: tokens.min(most) })
+                let loan = Borrowed { lender, id, tokens: tokens.min(most), unsettled };
+                (tokens > 0).then_some(loan)
             }
             _ => {
                 // It may have set some aside all the same.
-                Borrowed { lender, id, tokens: 0 }.settle(0);
+                Borrowed { lender, id, tokens: 0, unsettled }.settle(0);
                 None
             }
         }
@@ -210,7 +280,46 @@
                 gw.placed(&p);
                 Ok(Reply::Noted)
             }
+            // It may have to wait, and is served by [`Share::serve_home`].
+            Request::Hold { .. } => Err(Code::MessageBad),
+        }
+    }
+
+    /// Sets tokens aside for a request of another gateway, waiting for more if there are too few.
+    async fn serve_home(
+        &self,
+        gw: &Gateway,
+        id: u64,
+        account: &str,
+        tokens: Tokens,
+        within: Millis,
+    ) -> Reply {
+        let prepaid = gw.routes.borrow().as_ref().and_then(|r| r.prepaid(account));
+        let (Some(prepaid), Some(token_store)) = (prepaid, gw.token_store()) else {
+            return Reply::Held(0, Some(Short::Closed));
+        };
+        if gw.stopping.get() {
+            return Reply::Held(0, Some(Short::Closed));
+        }
+        let (budget, policy) = (budget_name(account), Policy::for_prepaid(prepaid));
+        let until = Instant::now() + Duration::from_millis(within.0.min(WAIT_MOST.0));
+        let Taken { part, short } = token_store.take(&budget, policy, tokens, until).await;
+        let Some((source, reservation)) = part else { return Reply::Held(0, short) };
+        let mut loans = self.loans.borrow_mut();
+        let lent = Lent { token_store, source, budget, reservation };
+        // The borrower may have given up meanwhile, or asked twice.
+        if let Some(first) = loans.get(id) {
+            let held = first.reservation.amount();
+            lent.settle(0);
+            return Reply::Held(held, short);
+        }
+        if !loans.may_make(id) {
+            lent.settle(0);
+            return Reply::Held(0, short);
         }
+        let held = lent.reservation.amount();
+        loans.make(gw.now(), id, lent);
+        Reply::Held(held, short)
     }
 
     fn lend(&self, gw: &Gateway, id: u64, account: &str, tokens: Tokens) -> Result<Reply, Code> {
@@ -229,7 +338,8 @@
         };
         let Some(reservation) = reservation else { return Ok(Reply::Reserved(0)) };
         let lent = reservation.amount();
-        loans.make(gw.now(), id, Lent { token_store, budget, reservation });
+        let source = Source::Group;
+        loans.make(gw.now(), id, Lent { token_store, source, budget, reservation });
         Ok(Reply::Reserved(lent))
     }
 }
@@ -252,19 +362,42 @@
         Ok(link) => link,
         Err(e) => return emit!(Event::LinkRefused, address = from, why = e),
     };
+    let (tx, mut rx) = mpsc::channel(QUEUE);
+    let writing = actix_rt::spawn(async move {
+        while let Some(f) = rx.recv().await {
+            if writer.send(&f).await.is_err() {
+                return;
+            }
+        }
+    });
     while let Ok(Frame::Call(c)) = reader.next().await {
         let request = match &c.ask {
             Ask::Share(bytes) => body::unpack::<Request>(bytes).map_err(|_| Code::MessageBad),
             _ => Err(Code::MessageBad),
         };
-        let answer = match request.and_then(|r| gw.share.serve(&gw, r)) {
-            Ok(reply) => Return::new(c.id, 0, Some(body::pack(&reply)), None),
-            Err(code) => Return::new(c.id, i32::from(code.number()), None, None),
-        };
-        if writer.send(&Frame::Answer(answer)).await.is_err() {
-            return;
+        if let Ok(Request::Hold { id, account, tokens, within }) = request {
+            // Others on this link need not wait for it.
+            let (gw, tx) = (gw.clone(), tx.clone());
+            actix_rt::spawn(async move {
+                let reply = gw.share.serve_home(&gw, id, &account, tokens, within).await;
+                // A borrower that has gone settles on another link.
+                let _ = tx.send(answer(c.id, Ok(reply))).await;
+            });
+            continue;
+        }
+        let result = request.and_then(|r| gw.share.serve(&gw, r));
+        if tx.send(answer(c.id, result)).await.is_err() {
+            break;
         }
     }
+    writing.abort();
+}
+
+fn answer(id: i64, result: Result<Reply, Code>) -> Frame {
+    Frame::Answer(match result {
+        Ok(reply) => Return::new(id, 0, Some(body::pack(&reply)), None),
+        Err(code) => Return::new(id, i32::from(code.number()), None, None),
+    })
 }
 
 /// Ends loans whose borrowers keep silent, for as long as the process runs.
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -12,6 +12,7 @@
 };
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
+use cypressfork_core::fleet::share::Short;
 use cypressfork_core::unit::{HolderId, Millis, Time, Tokens};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -41,6 +42,9 @@
 /// When to come back once a budget is spent.
 const SPENT_AFTER: Millis = Millis::seconds(60);
 
+/// When to come back to a budget that is short for no reason known.
+const BUSY_AFTER: Millis = Millis(700);
+
 /// When to come back while the control group is out of reach.
 const UNREACHABLE_AFTER: Millis = Millis::seconds(5);
 
@@ -73,6 +77,14 @@
     telling: Mutex<()>,
 }
 
+/// What could be had of tokens that were asked for.
+pub struct Taken {
+    /// Set aside.
+    pub part: Option<(Source, Reservation)>,
+    /// Why not all.
+    pub short: Option<Short>,
+}
+
 /// What an ask came to.
 #[derive(Clone, Copy, Debug)]
 pub enum Asked {
@@ -267,6 +279,33 @@
         }
     }
 
+    /// Sets aside all of `n` tokens if they can be had by `until`, else what is at hand then.
+    pub async fn take(
+        self: &Rc<Self>,
+        budget: &str,
+        policy: Policy,
+        n: Tokens,
+        until: Instant,
+    ) -> Taken {
+        let refusal = match self.reserve(budget, policy, n, until).await {
+            Ok(part) => return Taken { part: Some(part), short: None },
+            Err(refusal) => refusal,
+        };
+        let part = self.reserve_part(budget, policy, n).map(|r| (Source::Group, r));
+        let short = match refusal.code {
+            Code::BudgetSpent => Short::Spent,
+            _ => Short::Busy(refusal.after.unwrap_or(BUSY_AFTER)),
+        };
+        Taken { part, short: Some(short) }
+    }
+
+    /// Gives back, now, what is idle of the budgets that `of` names.
+    pub fn recall_where(&self, of: impl Fn(&str) -> bool) {
+        if self.own.recall_where(of) {
+            self.due.notify_one();
+        }
+    }
+
     /// Sets aside what is at hand of `n` tokens of a budget; none if that is nothing.
     pub fn reserve_part(&self, budget: &str, policy: Policy, n: Tokens) -> Option<Reservation> {
         let p = self.own.get(budget, policy);
