--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -5,7 +5,7 @@
 use cypressfork_core::fleet::neighbours::{Directory, NOT_WANTED};
 use cypressfork_core::fleet::registry::{Record, Registry};
 use cypressfork_core::fleet::repair::Candidates;
-use cypressfork_core::fleet::watch::{Announce, Feed, Seen, Watch};
+use cypressfork_core::fleet::watch::{Announce, Feed, RouterSign, Seen, Watch};
 use cypressfork_core::member::Routers as Registered;
 use cypressfork_core::unit::{Millis, Time, Version};
 
@@ -124,10 +124,9 @@
             false => self.registry.beats(s.since).cloned().collect(),
         };
         let wanted = s.watch.fetch && f.version > s.watch.version;
-        let near = s.watch.router.as_ref().and_then(|r| self.directory.of(&r.data_centre));
-        let has_homes = near.is_some_and(|n| !n.links.is_empty());
-        let peers = router && !has_homes;
-        let near = near.filter(|n| s.watch.near != NOT_WANTED && s.watch.near != n.digest);
+        let has_homes = |r: &RouterSign| self.directory.has_homes(&r.data_centre);
+        let peers = s.watch.router.as_ref().is_some_and(|r| !has_homes(r));
+        let known = s.watch.areas == NOT_WANTED || s.watch.areas == self.directory.digest();
         Seen {
             feed: Feed { boot: self.boot, position: self.registry.position() },
             replicas,
@@ -137,7 +136,7 @@
             routers: self.routers.count(now),
             peers: if peers { self.routers.links(now, PEERS) } else { Vec::new() },
             wall: f.wall.0,
-            near: near.map(|n| n.links.clone()),
+            areas: (!known).then(|| self.directory.areas().to_vec()),
         }
     }
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -469,7 +469,7 @@
             feed,
             version: 0,
             fetch: false,
-            near: NOT_WANTED,
+            areas: NOT_WANTED,
         })
     }
 
--- a/crates/core/src/budget/bound.rs
+++ b/crates/core/src/budget/bound.rs
@@ -61,6 +61,16 @@
         self.limit.saturating_add(beyond)
     }
 
+    /// How long after `now` it may have spent `n` in all; `None` if it takes a report.
+    pub fn wait_for(&self, now: Time, n: Tokens) -> Option<Millis> {
+        let missing = n.saturating_sub(self.by(now));
+        if missing == 0 {
+            return Some(Millis(0));
+        }
+        let span = missing.saturating_mul(1000).checked_div(self.rate)?;
+        Some(Millis(span.saturating_add(1)))
+    }
+
     /// Notes at `now` that the grantor has taken `b`.
     pub fn taken(&mut self, now: Time, b: &Bound) {
         *self = Allowed { limit: b.limit, rate: b.rate, since: now };
--- a/crates/core/src/budget/slice_store.rs
+++ b/crates/core/src/budget/slice_store.rs
@@ -5,7 +5,7 @@
 use super::bound::{Allowed, Bound};
 use super::ledger::{Ask, Decision, Grant, Report};
 use super::policy::{Policy, Rate};
-use crate::unit::{HolderId, LeaseId, Time, Tokens};
+use crate::unit::{HolderId, LeaseId, Millis, Time, Tokens};
 
 /// The fraction of a lease's span that a holder uses, for clocks that drift.
 const DRIFT: (u64, u64) = (8, 10);
@@ -133,6 +133,15 @@
         }
     }
 
+    /// How long after `now` the limit allows `n` more by itself, for tokens that are idle; `None`
+    /// if tokens are missing, or only a report brings a higher limit.
+    pub fn allows_after(&self, now: Time, n: Tokens) -> Option<Millis> {
+        if !self.policy.bounded || self.idle(now) < n {
+            return None;
+        }
+        self.allowed.wait_for(now, (self.spent + self.reserved).saturating_add(n))
+    }
+
     /// A request that needs `n` tokens begins to wait for a higher limit: the next bounds ask for
     /// one, until [`SliceStore::unwant_limit`].
     pub fn want_limit(&mut self, n: Tokens) {
--- a/crates/core/src/fleet/homes.rs
+++ b/crates/core/src/fleet/homes.rs
@@ -43,8 +43,13 @@
         homes = ranked.to_vec();
     }
     let start = homes.iter().position(|a| *a == own);
-    let draw = rendezvous(0, own) as usize;
-    let start = start.unwrap_or_else(|| draw.checked_rem(homes.len()).unwrap_or(0));
+    let start = start.unwrap_or_else(|| turn(own, homes.len()));
     homes.rotate_left(start);
     homes
 }
+
+/// Which of `n` a router begins with, so that not all begin with the same; 0 of none.
+pub fn turn(own: SocketAddr, n: usize) -> usize {
+    let draw = rendezvous(0, own) as usize;
+    draw.checked_rem(n).unwrap_or(0)
+}
--- a/crates/core/src/fleet/neighbours.rs
+++ b/crates/core/src/fleet/neighbours.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use super::entry::Routers as Heard;
 use super::homes::MANY;
 use crate::hash::Fnv;
@@ -14,19 +16,26 @@
 /// In place of a digest: no list is wanted.
 pub const NOT_WANTED: u64 = u64::MAX;
 
-/// One data centre's list.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Neighbours {
-    /// Addresses for other routers; none where there are too few of them for homes.
+/// The routers of one data centre that has enough of them for homes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Area {
+    /// The data centre.
+    pub data_centre: String,
+    /// Its routers' addresses for other routers.
     pub links: Vec<String>,
-    /// By which a router tells that it knows this list.
-    pub digest: u64,
 }
 
-/// The lists of all data centres.
+/// The digest by which a router tells which areas it knows, the same in every process and release.
+pub fn digest(areas: &[Area]) -> u64 {
+    let links = areas.iter().flat_map(|a| &a.links);
+    links.fold(Fnv::new(), |h, l| h.part(l.as_bytes())).value()
+}
+
+/// The areas, as one control process knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    lists: BTreeMap<String, Neighbours>,
+    areas: Vec<Area>,
+    digest: u64,
     made: Option<Time>,
 }
 
@@ -49,28 +58,35 @@
         for r in registered.filter(|r| !r.link.is_empty()) {
             all.entry(&r.data_centre).or_default().push(r);
         }
-        self.lists =
-            all.into_iter().map(|(dc, of)| (dc.to_owned(), list(now, &of, heard))).collect();
+        let many = all.into_iter().filter(|(_, routers)| routers.len() >= MANY);
+        let area = |(dc, routers): (&str, Vec<&Router>)| Area {
+            data_centre: dc.to_owned(),
+            links: links(now, &routers, heard),
+        };
+        self.areas = many.map(area).collect();
+        self.digest = digest(&self.areas);
+    }
+
+    /// All areas.
+    pub fn areas(&self) -> &[Area] {
+        &self.areas
     }
 
-    /// The list of a data centre.
-    pub fn of(&self, data_centre: &str) -> Option<&Neighbours> {
-        self.lists.get(data_centre)
+    /// Their digest.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Whether budgets have homes in a data centre.
+    pub fn has_homes(&self, data_centre: &str) -> bool {
+        self.areas.iter().any(|a| a.data_centre == data_centre)
     }
 }
 
-fn list(now: Time, routers: &[&Router], heard: &Heard) -> Neighbours {
+fn links(now: Time, routers: &[&Router], heard: &Heard) -> Vec<String> {
     let staying = routers.iter().filter(|r| !r.leaving);
     let live: Vec<_> = staying.clone().filter(|r| !heard.is_silent(now, &r.vm)).collect();
     // While most are silent, the cut is on this side.
     let named = if live.len() * 2 > routers.len() { live } else { staying.collect() };
-    let many = routers.len() >= MANY;
-    let links: Vec<_> = named.into_iter().filter(|_| many).map(|r| r.link.clone()).collect();
-    let digest = digest(&links);
-    Neighbours { links, digest }
-}
-
-/// The digest of a list, the same in every process and release.
-pub fn digest(links: &[String]) -> u64 {
-    links.iter().fold(Fnv::new(), |h, l| h.part(l.as_bytes())).value()
+    named.into_iter().map(|r| r.link.clone()).collect()
 }
--- a/crates/core/src/fleet/share.rs
+++ b/crates/core/src/fleet/share.rs
@@ -77,8 +77,10 @@
 pub enum Short {
     /// The group says that the whole budget does not hold them.
     Spent,
-    /// They are elsewhere, or may not be spent yet; there may be more after this time.
+    /// They are elsewhere; there may be more after this time.
     Busy(Millis),
+    /// The home has them, and may spend them after this time.
+    Limited(Millis),
     /// This router takes on no loans.
     Closed,
 }
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::neighbours::Area;
 use super::registry::Record;
 use crate::unit::Version;
 
@@ -41,10 +42,9 @@
     pub version: Version,
     /// The document itself is wanted of this process, at once, if its version is higher.
     pub fetch: bool,
-    /// Digest of the list of the router's neighbours that it has, see
-    /// [`super::neighbours::Neighbours`].
+    /// Digest of the areas that the router knows.
     #[serde(default)]
-    pub near: u64,
+    pub areas: u64,
 }
 
 /// The answer.
@@ -66,9 +66,9 @@
     pub peers: Vec<String>,
     /// What its clock shows, in milliseconds since 1970.
     pub wall: u64,
-    /// The router's neighbours and itself, if its list differs.
+    /// The areas, if the router knows others.
     #[serde(default)]
-    pub near: Option<Vec<String>>,
+    pub areas: Option<Vec<Area>>,
 }
 
 /// A control process that belongs to no group says that it is there.
--- a/crates/core/tests/homes.rs
+++ b/crates/core/tests/homes.rs
@@ -5,7 +5,7 @@
 
 use cypressfork_core::fleet::entry::Routers as Heard;
 use cypressfork_core::fleet::homes::{HOMES, MANY, order, ranked};
-use cypressfork_core::fleet::neighbours::{Directory, digest};
+use cypressfork_core::fleet::neighbours::{Area, Directory, digest};
 use cypressfork_core::fleet::watch::RouterSign;
 use cypressfork_core::member::Router;
 use cypressfork_core::unit::{HolderId, Time};
@@ -139,9 +139,15 @@
     let all: Vec<_> = (1..=n).map(|n| router(n, leaving.contains(&n))).collect();
     let mut directory = Directory::default();
     directory.refresh(Time(now), all.iter(), &known);
-    let list = directory.of("tamar-a").unwrap();
-    assert_eq!(list.digest, digest(&list.links));
-    list.links.clone()
+    assert_eq!(directory.digest(), digest(directory.areas()));
+    of(&directory, "tamar-a")
+}
+
+/// The list of one data centre; empty if budgets have no homes there.
+fn of(directory: &Directory, data_centre: &str) -> Vec<String> {
+    let area = directory.areas().iter().find(|a| a.data_centre == data_centre);
+    assert_eq!(area.is_some(), directory.has_homes(data_centre));
+    area.map(|a| a.links.clone()).unwrap_or_default()
 }
 
 fn links(n: impl IntoIterator<Item = usize>) -> Vec<String> {
@@ -175,11 +181,10 @@
     let all: Vec<_> = (1..=MANY).chain(101..=100 + MANY).map(|n| router(n, false)).collect();
     let mut directory = Directory::default();
     directory.refresh(Time(0), all.iter(), &Heard::default());
-    assert_eq!(directory.of("tamar-b").unwrap().links, links(101..=100 + MANY));
-    assert_eq!(directory.of("esk-c"), None);
+    assert_eq!(of(&directory, "tamar-b"), links(101..=100 + MANY));
+    assert_eq!(of(&directory, "esk-c"), links([]));
     directory.refresh(Time(100), all[1..].iter(), &Heard::default());
-    assert_eq!(directory.of("tamar-a").unwrap().links, links(1..=MANY), "it is too early");
+    assert_eq!(of(&directory, "tamar-a"), links(1..=MANY), "it is too early");
     directory.refresh(Time(250), all[..MANY - 1].iter(), &Heard::default());
-    assert_eq!(directory.of("tamar-a").unwrap().links, links([]));
-    assert_eq!(directory.of("tamar-b"), None);
+    assert_eq!(directory.areas(), Vec::<Area>::new());
 }
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -26,7 +26,8 @@
 /// When to come back while tokens are elsewhere.
 const AGAIN_AFTER: Millis = Millis(700);
 
-/// The longest time to come back that a caller is told while tokens are elsewhere.
+/// The times to come back that a caller is told while tokens are elsewhere, at least and at most.
+const BUSY_LEAST: Millis = Millis(300);
 const BUSY_MOST: Millis = Millis::seconds(2);
 
 /// Events that a replica may have sent unseen when a stream breaks off.
@@ -122,14 +123,19 @@
     Ok(Held { parts, prompt: prompt.tokens })
 }
 
-/// Sets tokens aside at the budget's homes, a part at each if none has all: first what they have,
-/// then what the group gives them.
+/// Sets tokens aside at the budget's homes, a part at each if none has all: first what those of
+/// the own data centre have, then what those elsewhere have, then what the group gives.
 async fn hold_at_homes(gw: &Gateway, need: &Need<'_>) -> Result<Vec<Part>, Refusal> {
     let mut parts: Vec<Part> = Vec::new();
     let mut missing = need.most;
     let mut reason = None;
-    for wait in [QUICK, WAIT] {
-        for home in gw.share.homes.of(gw.now(), gw.settings.link, &need.budget) {
+    let (homes, own) = (&gw.share.homes, gw.settings.link);
+    for (wait, is_near) in [(QUICK, true), (Duration::ZERO, false), (WAIT, true)] {
+        let all = match is_near {
+            true => homes.of(gw.now(), own, &need.budget),
+            false => homes.elsewhere(gw.now(), own, &need.budget),
+        };
+        for home in all {
             let within = wait.min(need.deadline.saturating_duration_since(Instant::now()));
             let (part, short) = hold_at(gw, need, home, missing, within).await;
             missing -= part.as_ref().map_or(0, Part::amount);
@@ -137,7 +143,13 @@
             if missing == 0 {
                 return Ok(parts);
             }
-            reason = worse(reason, short);
+            reason = of_both(reason, short);
+            if reason == Some(Short::Spent) {
+                break;
+            }
+        }
+        if reason == Some(Short::Spent) {
+            break;
         }
     }
     let at_hand = need.most - missing;
@@ -168,26 +180,27 @@
     (part.map(own), short)
 }
 
-/// The reason that says most: that the budget is spent before when to come back.
-fn worse(a: Option<Short>, b: Option<Short>) -> Option<Short> {
-    match (a, b) {
-        (Some(Short::Spent), _) | (_, Some(Short::Spent)) => Some(Short::Spent),
-        (Some(Short::Busy(x)), Some(Short::Busy(y))) => Some(Short::Busy(x.min(y))),
-        (Some(Short::Busy(x)), _) | (_, Some(Short::Busy(x))) => Some(Short::Busy(x)),
-        (a, b) => a.or(b),
-    }
+/// What callers are told of the reasons of two homes: that the budget is spent before when to come
+/// back, and the sooner of two times.
+fn of_both(a: Option<Short>, b: Option<Short>) -> Option<Short> {
+    let rank = |s: &Short| match s {
+        Short::Spent => (0, Millis(0)),
+        Short::Limited(after) => (1, *after),
+        Short::Busy(after) => (2, *after),
+        Short::Closed => (3, Millis(0)),
+    };
+    [a, b].into_iter().flatten().min_by_key(rank)
 }
 
 fn not_held(need: &Need<'_>, reason: Option<Short>, at_hand: Tokens) -> Refusal {
     let (account, most) = (need.account, need.most);
-    let why = format!("account {account}, {most} wanted, {at_hand} at its homes: {reason:?}");
-    match reason {
-        Some(Short::Spent) => Refusal::from(Code::BudgetTooSmall).detail(why),
-        Some(Short::Busy(after)) => {
-            Refusal::from(Code::BudgetUnreachable).after(after.min(BUSY_MOST)).detail(why)
-        }
-        _ => Refusal::from(Code::BudgetUnreachable).after(AGAIN_AFTER).detail(why),
-    }
+    let why = format!("account {account}, {most} wanted, {at_hand} at its homes, {reason:?}");
+    let after = match reason {
+        Some(Short::Spent) => return Refusal::from(Code::BudgetTooSmall).detail(why),
+        Some(Short::Busy(after) | Short::Limited(after)) => after.clamp(BUSY_LEAST, BUSY_MOST),
+        _ => AGAIN_AFTER,
+    };
+    Refusal::from(Code::BudgetUnreachable).after(after).detail(why)
 }
 
 /// Sets tokens aside in this gateway's own slices, or in those of peers.
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cypressfork_core::command::{Answer, Command};
-use cypressfork_core::fleet::neighbours;
+use cypressfork_core::fleet::neighbours::Area;
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::watch::{RouterSign, Seen, Watch};
 use cypressfork_core::query::{Query, Reply, digest};
@@ -59,8 +59,8 @@
         let fetch = gw.fetching.borrow().is_from(to);
         // One that is not asked for the document need not tell of it again.
         let version = if fetch { version } else { version.max(gw.fetching.borrow().version()) };
-        let near = gw.share.homes.digest_for(to);
-        Some(Watch { router: Some(router), feed, version, fetch, near })
+        let areas = gw.share.homes.digest_for(to);
+        Some(Watch { router: Some(router), feed, version, fetch, areas })
     }
 
     fn seen(&self, from: SocketAddr, seen: Seen) {
@@ -75,9 +75,9 @@
         }
         let held = gw.routes.borrow().as_ref().map_or(0, |r| r.version());
         gw.fetching.borrow_mut().told(gw.now(), from, held, seen.version);
-        gw.share.meet(&gw.me, gw.settings.link, &seen.peers);
-        if let Some(links) = &seen.near {
-            take_neighbours(gw, from, links);
+        gw.share.meet(gw.settings.link, &seen.peers);
+        if let Some(areas) = &seen.areas {
+            take_areas(gw, from, areas);
         }
         for r in seen.replicas {
             gw.take_replica(r);
@@ -92,12 +92,12 @@
     }
 }
 
-/// Takes the list of the own data centre's gateways into use, and gives back the tokens of budgets
-/// whose home this gateway is no longer.
-fn take_neighbours(gw: &Gateway, from: SocketAddr, links: &[String]) {
+/// Takes the gateways of all data centres into use, and gives back the tokens of budgets whose home
+/// this gateway is no longer.
+fn take_areas(gw: &Gateway, from: SocketAddr, areas: &[Area]) {
     let homes = &gw.share.homes;
-    homes.set(from, links, neighbours::digest(links));
-    gw.share.meet_near(&gw.me, gw.settings.link);
+    homes.set(from, &gw.settings.base.data_centre, areas);
+    gw.share.meet_near(gw.settings.link);
     let own = gw.settings.link;
     let is_elsewhere = |budget: &str| {
         let all = homes.of(gw.now(), own, budget);
--- a/crates/router/src/gateway/homes.rs
+++ b/crates/router/src/gateway/homes.rs
@@ -1,12 +1,12 @@
-//! The gateways of the own data centre, and which of them keep the tokens of a budget.
+//! The gateways of all data centres, and which of them keep the tokens of a budget.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use cypressfork_core::fleet::homes::{order, ranked};
-use cypressfork_core::fleet::neighbours::NOT_WANTED;
+use cypressfork_core::fleet::homes::{order, ranked, turn};
+use cypressfork_core::fleet::neighbours::{Area, NOT_WANTED, digest};
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -14,20 +14,30 @@
 /// How long a home that did not answer is not asked again.
 const OUT_SPAN: Millis = Millis(1_500);
 
-/// What this gateway knows of its neighbours. Control processes hear from them at different times,
-/// so one of them is followed, and another once that is out of reach.
+/// What this gateway knows of the others. Control processes hear from them at different times, so one
+/// of them is followed, and another once that is out of reach.
 #[derive(Default)]
 pub struct Homes {
     near: RefCell<Vec<SocketAddr>>,
+    /// The gateways of the other data centres.
+    far: RefCell<Vec<Vec<SocketAddr>>>,
     digest: Cell<u64>,
     source: Cell<Option<SocketAddr>>,
-    ranked: RefCell<HashMap<String, Rc<[SocketAddr]>>>,
+    ranked: RefCell<HashMap<String, Rc<Ranked>>>,
     /// When homes last did not answer.
     out: RefCell<BTreeMap<SocketAddr, Time>>,
 }
 
+/// The gateways that come into question as homes of one budget.
+struct Ranked {
+    /// In the own data centre.
+    near: Vec<SocketAddr>,
+    /// In each other one.
+    far: Vec<Vec<SocketAddr>>,
+}
+
 impl Homes {
-    /// The digest of the list that is known, to tell a control process.
+    /// The digest of the areas that are known, to tell a control process.
     pub fn digest_for(&self, control: SocketAddr) -> u64 {
         match self.source.get() {
             Some(source) if source != control => NOT_WANTED,
@@ -35,13 +45,16 @@
         }
     }
 
-    /// Takes a control process's list into use.
-    pub fn set(&self, from: SocketAddr, links: &[String], digest: u64) {
+    /// Takes a control process's areas into use; `own` is the data centre of this gateway.
+    pub fn set(&self, from: SocketAddr, own: &str, areas: &[Area]) {
         self.source.set(Some(from));
-        self.digest.set(digest);
-        *self.near.borrow_mut() = links.iter().filter_map(|a| a.parse().ok()).collect();
+        self.digest.set(digest(areas));
+        let (near, far): (Vec<&Area>, Vec<_>) = areas.iter().partition(|a| a.data_centre == own);
+        *self.near.borrow_mut() = near.into_iter().flat_map(addresses).collect();
+        *self.far.borrow_mut() = far.into_iter().map(addresses).collect();
         self.ranked.borrow_mut().clear();
-        emit!(Event::NeighboursSeen, from = from, routers = links.len());
+        let routers = self.near.borrow().len();
+        emit!(Event::NeighboursSeen, from = from, routers = routers, areas = areas.len());
     }
 
     /// Notes that a control process is out of reach.
@@ -56,18 +69,40 @@
         self.near.borrow().clone()
     }
 
+    /// Whether a gateway may still be asked for tokens.
+    pub fn is_known(&self, gateway: &SocketAddr) -> bool {
+        let far = self.far.borrow();
+        self.near.borrow().contains(gateway) || far.iter().any(|area| area.contains(gateway))
+    }
+
     /// The homes of a budget to ask, in order; none where each gateway holds its own slices.
     pub fn of(&self, now: Time, own: SocketAddr, budget: &str) -> Vec<SocketAddr> {
-        let near = self.near.borrow();
-        if near.is_empty() {
+        if self.near.borrow().is_empty() {
             return Vec::new();
         }
+        order(&self.ranked(budget).near, own, |a| self.is_out(now, a))
+    }
+
+    /// A home of the budget in each other data centre, for what those of the own one lack.
+    pub fn elsewhere(&self, now: Time, own: SocketAddr, budget: &str) -> Vec<SocketAddr> {
+        let ranked = self.ranked(budget);
+        let home =
+            |area: &Vec<SocketAddr>| order(area, own, |a| self.is_out(now, a)).first().copied();
+        let mut homes: Vec<_> = ranked.far.iter().filter_map(home).collect();
+        let turn = turn(own, homes.len());
+        homes.rotate_left(turn);
+        homes
+    }
+
+    fn ranked(&self, budget: &str) -> Rc<Ranked> {
         let mut all = self.ranked.borrow_mut();
-        let ranked = match all.get(budget) {
-            Some(known) => known.clone(),
-            None => all.entry(budget.to_owned()).or_insert(ranked(budget, &near).into()).clone(),
-        };
-        order(&ranked, own, |a| self.is_out(now, a))
+        if let Some(known) = all.get(budget) {
+            return known.clone();
+        }
+        let far = self.far.borrow().iter().map(|area| ranked(budget, area)).collect();
+        let fresh = Rc::new(Ranked { near: ranked(budget, &self.near.borrow()), far });
+        all.insert(budget.to_owned(), fresh.clone());
+        fresh
     }
 
     /// Notes that a home did not answer, or takes on no more.
@@ -79,3 +114,7 @@
         self.out.borrow().get(home).is_some_and(|at| now.since(*at) < OUT_SPAN)
     }
 }
+
+fn addresses(a: &Area) -> Vec<SocketAddr> {
+    a.links.iter().filter_map(|l| l.parse().ok()).collect()
+}
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -1,7 +1,7 @@
 //! Lending tokens to other gateways, borrowing from them, and telling them of long prompts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,7 +73,10 @@
 /// Other gateways, and the loans between them and this one.
 #[derive(Default)]
 pub struct Share {
-    peers: RefCell<BTreeMap<SocketAddr, Group>>,
+    /// Clients of other gateways.
+    clients: RefCell<BTreeMap<SocketAddr, Group>>,
+    /// Those that are told of prompts, and asked for tokens where budgets have no homes.
+    peers: RefCell<BTreeSet<SocketAddr>>,
     /// What each peer could last spare of an account, and when it said so.
     spare: RefCell<BTreeMap<(SocketAddr, String), (Tokens, Time)>>,
     loans: RefCell<Loans<Lent>>,
@@ -113,24 +116,26 @@
 
 impl Share {
     /// Takes addresses of other gateways into use.
-    pub fn meet(&self, me: &Credentials, own: SocketAddr, addresses: &[String]) {
-        let mut peers = self.peers.borrow_mut();
-        for a in addresses.iter().filter_map(|a| a.parse().ok()).filter(|a| *a != own) {
-            peers.entry(a).or_insert_with(|| Group::new(me.clone(), vec![a]));
-        }
+    pub fn meet(&self, own: SocketAddr, addresses: &[String]) {
+        let parsed = addresses.iter().filter_map(|a| a.parse::<SocketAddr>().ok());
+        self.peers.borrow_mut().extend(parsed.filter(|a| *a != own));
+    }
+
+    fn client(&self, me: &Credentials, address: SocketAddr) -> Group {
+        let mut all = self.clients.borrow_mut();
+        let fresh = || Group::new(me.clone(), vec![address]);
+        all.entry(address).or_insert_with(fresh).clone()
     }
 
-    /// Takes the gateways of the own data centre into use as the only peers.
-    pub fn meet_near(&self, me: &Credentials, own: SocketAddr) {
+    /// Takes the gateways of the own data centre into use as the only peers, and forgets those
+    /// that are no longer listed.
+    pub fn meet_near(&self, own: SocketAddr) {
         let near = self.homes.near();
         if near.is_empty() {
             return;
         }
-        let mut peers = self.peers.borrow_mut();
-        peers.retain(|a, _| near.contains(a));
-        for a in near.into_iter().filter(|a| *a != own) {
-            peers.entry(a).or_insert_with(|| Group::new(me.clone(), vec![a]));
-        }
+        *self.peers.borrow_mut() = near.into_iter().filter(|a| *a != own).collect();
+        self.clients.borrow_mut().retain(|a, _| self.homes.is_known(a));
     }
 
     /// Whether every lender has heard what was used of its loans.
@@ -147,9 +152,7 @@
         tokens: Tokens,
         within: Duration,
     ) -> (Option<Borrowed>, Option<Short>) {
-        let Some(lender) = self.peers.borrow().get(&home).cloned() else {
-            return (None, Some(Short::Closed));
-        };
+        let lender = self.client(&gw.me, home);
         let id = rand::random();
         let wait = Millis(within.as_millis() as u64);
         let request = Request::Hold { id, account: account.to_owned(), tokens, within: wait };
@@ -173,7 +176,7 @@
     }
 
     /// The peers to ask for tokens of an account: those that can likely spare most first.
-    fn lenders(&self, now: Time, account: &str) -> Vec<(SocketAddr, Group)> {
+    fn lenders(&self, now: Time, account: &str) -> Vec<SocketAddr> {
         let spare = self.spare.borrow();
         let hope = |a: &SocketAddr| {
             let known = spare.get(&(*a, account.to_owned()));
@@ -182,7 +185,7 @@
             fresh.map_or(Tokens::MAX, |(tokens, _)| *tokens)
         };
         let peers = self.peers.borrow();
-        let all = peers.iter().map(|(a, g)| ((*a, g.clone()), hope(a)));
+        let all = peers.iter().map(|a| (*a, hope(a)));
         lenders(all.filter(|(_, hope)| *hope > 0), LENDERS, &mut rand::rng())
     }
 
@@ -195,8 +198,8 @@
     ) -> Option<Vec<Borrowed>> {
         let mut parts = Vec::new();
         let mut missing = tokens;
-        for (address, lender) in self.lenders(gw.now(), account) {
-            if let Some(part) = self.borrow_of(gw, address, lender, account, missing).await {
+        for address in self.lenders(gw.now(), account) {
+            if let Some(part) = self.borrow_of(gw, address, account, missing).await {
                 missing -= part.amount();
                 parts.push(part);
             }
@@ -220,10 +223,10 @@
         &self,
         gw: &Gateway,
         address: SocketAddr,
-        lender: Group,
         account: &str,
         most: Tokens,
     ) -> Option<Borrowed> {
+        let lender = self.client(&gw.me, address);
         let id = rand::random();
         let unsettled = self.unsettled.clone();
         let request = Request::Reserve { id, account: account.to_owned(), tokens: most };
@@ -249,12 +252,12 @@
     pub fn tell(&self, gw: &Gateway, p: Placement) {
         let (now, clock) = (gw.now(), gw.clock);
         let ask = Ask::Share(body::pack(&Request::Placed(p)));
-        for (address, peer) in self.peers.borrow().iter() {
-            let unheard = self.unheard.borrow().get(address).copied();
+        for address in self.peers.borrow().iter().copied() {
+            let unheard = self.unheard.borrow().get(&address).copied();
             if unheard.is_some_and(|at| now.since(at) < TELL_PAUSE) {
                 continue;
             }
-            let (address, peer, ask) = (*address, peer.clone(), ask.clone());
+            let (peer, ask) = (self.client(&gw.me, address), ask.clone());
             let unheard = self.unheard.clone();
             actix_rt::spawn(async move {
                 // It reckons without this prompt, no worse than before it could be told.
@@ -302,8 +305,11 @@
             return Reply::Held(0, Some(Short::Closed));
         }
         let (budget, policy) = (budget_name(account), Policy::for_prepaid(prepaid));
-        let until = Instant::now() + Duration::from_millis(within.0.min(WAIT_MOST.0));
-        let Taken { part, short } = token_store.take(&budget, policy, tokens, until).await;
+        let within = Duration::from_millis(within.0.min(WAIT_MOST.0));
+        let Taken { part, short } = match within {
+            Duration::ZERO => token_store.take_at_hand(&budget, policy, tokens),
+            within => token_store.take(&budget, policy, tokens, Instant::now() + within).await,
+        };
         let Some((source, reservation)) = part else { return Reply::Held(0, short) };
         let mut loans = self.loans.borrow_mut();
         let lent = Lent { token_store, source, budget, reservation };
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -291,12 +291,23 @@
             Ok(part) => return Taken { part: Some(part), short: None },
             Err(refusal) => refusal,
         };
-        let part = self.reserve_part(budget, policy, n).map(|r| (Source::Group, r));
-        let short = match refusal.code {
-            Code::BudgetSpent => Short::Spent,
-            _ => Short::Busy(refusal.after.unwrap_or(BUSY_AFTER)),
+        let at_hand = self.take_at_hand(budget, policy, n);
+        let short = match (refusal.code, at_hand.short) {
+            (Code::BudgetSpent, _) => Some(Short::Spent),
+            (_, Some(Short::Busy(_))) => Some(Short::Busy(refusal.after.unwrap_or(BUSY_AFTER))),
+            (_, short) => short,
         };
-        Taken { part, short: Some(short) }
+        Taken { short, ..at_hand }
+    }
+
+    /// Sets aside what is at hand of `n` tokens.
+    pub fn take_at_hand(&self, budget: &str, policy: Policy, n: Tokens) -> Taken {
+        let p = self.own.get(budget, policy);
+        let wait = p.slices.borrow().allows_after(self.clock.now(), n);
+        let part = self.reserve_part(budget, policy, n).map(|r| (Source::Group, r));
+        let is_whole = part.as_ref().is_some_and(|(_, r)| r.amount() == n);
+        let short = wait.map_or(Short::Busy(BUSY_AFTER), Short::Limited);
+        Taken { part, short: (!is_whole).then_some(short) }
     }
 
     /// Gives back, now, what is idle of the budgets that `of` names.
