Tests of homes over real processes: a budget is spent to its end through any of 14 gateways and no further, by two holders; the next in line serves when homes die

Found by running them: a_group_founds_itself_takes_in_others_and_mends_lost_disks failed once with 'Address already in use' on a port of its own (control-4, 17:35). Cause: the port was drawn from the range of outgoing connections, and links to the same loopback address took it before the process started. Ports now lie below that range; still checked to be free.

--- a/crates/cypressfork/tests/fleet.rs
+++ b/crates/cypressfork/tests/fleet.rs
@@ -33,6 +33,33 @@
     process: Option<Process>,
 }
 
+/// A gateway beside the fleet's first one.
+struct Neighbour {
+    front: SocketAddr,
+    operators: SocketAddr,
+    process: Process,
+}
+
+impl Neighbour {
+    fn is_home(&self) -> bool {
+        is_home(self.operators)
+    }
+
+    /// What it answers a request that takes so many tokens: the status and the result code.
+    fn spend(&self, id: usize, tokens: u64) -> Option<(u16, String)> {
+        let more = format!(
+            "X-Request-Id: r-{id}\r\nAuthorization: Bearer club-key\r\nX-Tokens: {tokens},0\r\n"
+        );
+        let (status, v) = exchange(self.front, "GET", "/board/x", &more, "")?;
+        Some((status, v["error"]["code"].as_str().unwrap_or_default().to_owned()))
+    }
+}
+
+/// Whether a gateway holds slices of a budget: it has reported on some.
+fn is_home(operators: SocketAddr) -> bool {
+    sample(operators, "cypressfork_report_seconds_count").is_some_and(|n| n > 0.0)
+}
+
 /// Control processes and one gateway.
 struct Fleet {
     controls: Vec<Control>,
@@ -41,6 +68,7 @@
     operators: SocketAddr,
     metrics: SocketAddr,
     gateway: Option<Process>,
+    replica: Option<SocketAddr>,
     // The last to be dropped: processes read their logs in it as they end.
     dir: TempDir,
 }
@@ -55,7 +83,7 @@
         let controls = (0..controls).map(control).collect();
         let (front, link, operators, metrics) = (free[0], free[1], free[2], free[3]);
         let dir = TempDir::new().unwrap();
-        Fleet { controls, front, link, operators, metrics, gateway: None, dir }
+        Fleet { controls, front, link, operators, metrics, gateway: None, replica: None, dir }
     }
 
     /// One control process, a gateway and a registered replica, with requests answered.
@@ -64,13 +92,21 @@
         f.start_control(0, true);
         f.start_gateway();
         f.publish(3);
-        let beat = json!({ "service": "board", "address": replica().to_string(),
-            "data_centre": "tamar-a", "sequence": 1 });
-        f.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string()).unwrap();
+        let address = replica();
+        f.beat(address, 1);
+        f.replica = Some(address);
         until("an answer", || f.ask("/board/x").is_some_and(|a| a.0 == 200));
         f
     }
 
+    /// Says that the replica is there.
+    fn beat(&self, replica: SocketAddr, sequence: usize) {
+        let beat = json!({ "service": "board", "address": replica.to_string(),
+            "data_centre": "tamar-a", "sequence": sequence });
+        let answer = self.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string());
+        assert_eq!(answer.map(|a| a.0), Some(200));
+    }
+
     fn common(&self, vm: &str) -> String {
         // Three seeds, as a platform would name them; the others have to be found.
         let seeds: Vec<_> = self.controls.iter().take(3).map(|c| c.link.to_string()).collect();
@@ -109,6 +145,24 @@
         self.gateway = Some(self.start("gateway-0", "gateway", &text));
     }
 
+    /// Starts `n` more gateways in the same data centre.
+    fn start_neighbours(&self, n: usize) -> Vec<Neighbour> {
+        let free = free(&own_ip(), 3 * n);
+        let start = |(n, own): (usize, &[SocketAddr])| {
+            let name = format!("neighbour-{n}");
+            let text = format!(
+                "{}listen: \"{}\"\nlink: \"{}\"\noperators: \"{}\"\nreport_ms: 50\n",
+                self.common(&name),
+                own[0],
+                own[1],
+                own[2],
+            );
+            let process = self.start(&name, "gateway", &text);
+            Neighbour { front: own[0], operators: own[2], process }
+        };
+        free.chunks(3).enumerate().map(start).collect()
+    }
+
     fn start(&self, name: &str, program: &str, settings: &str) -> Process {
         let file = self.dir.path().join(format!("{name}.yaml"));
         fs::write(&file, settings).unwrap();
@@ -327,3 +381,53 @@
     assert!(sample(f.metrics, answered).unwrap() >= 1.0);
     assert_eq!(sample(f.metrics, answered), sample(f.operators, answered));
 }
+
+/// Gateways of one data centre that are enough for budgets to have homes among them.
+const MANY: usize = 13;
+
+/// A fleet in which every gateway knows the homes.
+fn with_homes(prepaid: u64) -> (Fleet, Vec<Neighbour>) {
+    let f = Fleet::serving();
+    let mut raised = document(4);
+    raised["accounts"][0]["prepaid"] = json!(prepaid);
+    assert_eq!(f.call(0, "PUT", "/v1/document", &raised.to_string()).unwrap().0, 200);
+    let all = f.start_neighbours(MANY);
+    let knows = |n: usize| {
+        let text = log(f.dir.path(), &format!("neighbour-{n}"));
+        // The first gateway of the fleet is listed too.
+        text.contains(&format!("routers={}", MANY + 1))
+    };
+    until("the list of all gateways", || (0..MANY).all(knows));
+    (f, all)
+}
+
+#[test]
+fn a_budget_is_spent_to_its_end_through_any_gateway_and_no_further() {
+    let (fleet, all) = with_homes(1_000);
+    // 1,000 tokens are prepaid: enough for eleven of these.
+    for (n, gateway) in all.iter().chain(&all).enumerate() {
+        let answer = gateway.spend(n, 90).unwrap();
+        let expected = if n < 11 { (200, "") } else { (402, "CF1205") };
+        assert_eq!((answer.0, answer.1.as_str()), expected, "request {n}");
+    }
+    let homes = all.iter().filter(|g| g.is_home()).count() + usize::from(is_home(fleet.operators));
+    assert!((1..=2).contains(&homes), "{homes} gateways hold slices");
+}
+
+#[test]
+fn gateways_whose_homes_have_died_are_served_by_the_next_in_line() {
+    let (mut fleet, all) = with_homes(1_000_000);
+    for (n, gateway) in all.iter().enumerate() {
+        assert_eq!(gateway.spend(n, 10).unwrap().0, 200);
+    }
+    let (mut dead, live): (Vec<_>, Vec<_>) = all.into_iter().partition(Neighbour::is_home);
+    if is_home(fleet.operators) {
+        fleet.gateway.as_mut().unwrap().kill();
+    }
+    dead.iter_mut().for_each(|g| g.process.kill());
+    for (n, gateway) in live.iter().enumerate() {
+        fleet.beat(fleet.replica.unwrap(), 2 + n);
+        until("an answer", || gateway.spend(100 + n, 10).is_some_and(|answer| answer.0 == 200));
+    }
+    assert!(live.iter().any(Neighbour::is_home) || is_home(fleet.operators));
+}
--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -108,6 +108,9 @@
     }
 }
 
+/// Ports below are left to services of the machine.
+const LEAST_PORT: u16 = 10_000;
+
 /// A loopback address that no other fleet uses at the same time: a port that is free on it stays
 /// free until this fleet takes it.
 pub fn own_ip() -> String {
@@ -116,10 +119,17 @@
     format!("127.{}.{}.{}", 1 + pid / 250 % 250, 1 + pid % 250, 1 + n % 250)
 }
 
-/// Addresses on `ip` that the system has free.
+/// Addresses on `ip` that the system has free. Their ports lie below those that it draws for
+/// outgoing connections: one of those could take a port that this fleet has yet to use.
 pub fn free_addresses(ip: &str, n: usize) -> Vec<String> {
-    let bound: Vec<_> = (0..n).map(|_| TcpListener::bind(format!("{ip}:0")).unwrap()).collect();
-    bound.iter().map(|l| l.local_addr().unwrap().to_string()).collect()
+    let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap();
+    let first_drawn: u16 = range.split_whitespace().next().unwrap().parse().unwrap();
+    let ports = (LEAST_PORT..first_drawn).filter(|p| TcpListener::bind((ip, *p)).is_ok());
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let from = TAKEN.fetch_add(n as u32, Ordering::Relaxed) as usize;
+    let found: Vec<_> = ports.skip(from).take(n).map(|p| format!("{ip}:{p}")).collect();
+    assert_eq!(found.len(), n, "too few ports are free");
+    found
 }
 
 /// What a fleet consists of.
