--- a/crates/core/src/fleet/share.rs
+++ b/crates/core/src/fleet/share.rs
@@ -142,6 +142,16 @@
         !self.settled.contains_key(&id)
     }
 
+    /// Makes a loan of `held`, unless it was made or settled meanwhile: then `held` is handed back
+    /// to be given up, and a copy of the request is told of what was made first.
+    pub fn make_once(&mut self, now: Time, id: u64, held: R) -> Result<(), R> {
+        if self.open.contains_key(&id) || !self.may_make(id) {
+            return Err(held);
+        }
+        self.make(now, id, held);
+        Ok(())
+    }
+
     /// What is held for loan `id`, if it is open.
     pub fn get(&self, id: u64) -> Option<&R> {
         self.open.get(&id).map(|(_, held)| held)
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -10,7 +10,7 @@
 use cypressfork_wire::{Frame, Goodbye, decode, encode};
 use metrics::counter;
 use quick_error::quick_error;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
@@ -64,9 +64,14 @@
     pub name: String,
 }
 
+/// Bytes that are read ahead of a message, so that one system call brings its head and the rest.
+const READ_AHEAD: usize = 4 * 1024;
+
+type Receiving = BufReader<OwnedReadHalf>;
+
 /// The receiving half.
 pub struct Reader {
-    io: OwnedReadHalf,
+    io: Receiving,
     opener: Opener,
 }
 
@@ -86,7 +91,7 @@
     pub writer: Writer,
 }
 
-async fn read_payload(io: &mut OwnedReadHalf, cap: usize) -> Result<Vec<u8>, Error> {
+async fn read_payload(io: &mut Receiving, cap: usize) -> Result<Vec<u8>, Error> {
     let mut head = [0; HEAD];
     io.read_exact(&mut head).await?;
     let len = frame::length(head, cap)?;
@@ -122,7 +127,8 @@
 
 async fn open(stream: TcpStream, me: &Credentials, side: Side) -> Result<Link, Error> {
     stream.set_nodelay(true)?;
-    let (mut rx, mut tx) = stream.into_split();
+    let (rx, mut tx) = stream.into_split();
+    let mut rx = BufReader::with_capacity(READ_AHEAD, rx);
     let nonce: [u8; NONCE] = rand::random();
     let mut hs = Handshake::new(me.key.clone(), side, &me.cluster, &me.name, nonce);
     tx.write_all(&frame::prefixed(&hs.hello())).await?;
@@ -142,7 +148,7 @@
     }
 }
 
-async fn stranger_payload(rx: &mut OwnedReadHalf) -> Result<Vec<u8>, Error> {
+async fn stranger_payload(rx: &mut Receiving) -> Result<Vec<u8>, Error> {
     let payload = read_payload(rx, CAP_STRANGER).await?;
     match decode(&payload) {
         Ok(Frame::Goodbye(g)) => Err(Error::Goodbye(g.code, g.why)),
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -20,6 +20,10 @@
 /// How long a request waits for more tokens before peers are asked.
 const QUICK: Duration = Duration::from_millis(60);
 
+/// How long a request waits at a home for tokens to be called back: with the rounds before, what is
+/// refused hears of it within a quarter of the objectives met so far (600 ms and more), or a little later.
+const LAST_WAIT: Duration = Duration::from_millis(200);
+
 /// How long it waits for tokens to be called back after that.
 const WAIT: Duration = Duration::from_millis(400);
 
@@ -123,21 +127,47 @@
     Ok(Held { parts, prompt: prompt.tokens })
 }
 
+/// The rounds in which a request asks the homes of its budget.
+#[derive(Clone, Copy)]
+enum Round {
+    /// Those of the own data centre, for what they have or can have at once.
+    Near,
+    /// One of each other data centre, for what it has.
+    Elsewhere,
+    /// One of the own data centre again, for what the group calls back.
+    Last,
+}
+
+impl Round {
+    fn homes(self, gw: &Gateway, budget: &str) -> Vec<SocketAddr> {
+        let (homes, own) = (&gw.share.homes, gw.settings.link);
+        match self {
+            Round::Near => homes.of(gw.now(), own, budget),
+            Round::Elsewhere => homes.elsewhere(gw.now(), own, budget),
+            Round::Last => homes.of(gw.now(), own, budget).into_iter().take(1).collect(),
+        }
+    }
+
+    /// How long a home may wait for tokens.
+    fn wait(self) -> Duration {
+        match self {
+            Round::Near => QUICK,
+            Round::Elsewhere => Duration::ZERO,
+            Round::Last => LAST_WAIT,
+        }
+    }
+}
+
 /// Sets tokens aside at the budget's homes, a part at each if none has all: first what those of
 /// the own data centre have, then what those elsewhere have, then what the group gives.
 async fn hold_at_homes(gw: &Gateway, need: &Need<'_>) -> Result<Vec<Part>, Refusal> {
     let mut parts: Vec<Part> = Vec::new();
     let mut missing = need.most;
     let mut reason = None;
-    let (homes, own) = (&gw.share.homes, gw.settings.link);
-    for (wait, is_near) in [(QUICK, true), (Duration::ZERO, false), (WAIT, true)] {
-        let all = match is_near {
-            true => homes.of(gw.now(), own, &need.budget),
-            false => homes.elsewhere(gw.now(), own, &need.budget),
-        };
-        for home in all {
-            let within = wait.min(need.deadline.saturating_duration_since(Instant::now()));
-            let (part, short) = hold_at(gw, need, home, missing, within).await;
+    'rounds: for round in [Round::Near, Round::Elsewhere, Round::Last] {
+        for home in round.homes(gw, &need.budget) {
+            let left = need.deadline.saturating_duration_since(Instant::now());
+            let (part, short) = hold_at(gw, need, home, missing, round.wait().min(left)).await;
             missing -= part.as_ref().map_or(0, Part::amount);
             parts.extend(part);
             if missing == 0 {
@@ -145,12 +175,9 @@
             }
             reason = of_both(reason, short);
             if reason == Some(Short::Spent) {
-                break;
+                break 'rounds;
             }
         }
-        if reason == Some(Short::Spent) {
-            break;
-        }
     }
     let at_hand = need.most - missing;
     parts.into_iter().for_each(|part| part.settle(0));
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -314,18 +314,10 @@
         let mut loans = self.loans.borrow_mut();
         let lent = Lent { token_store, source, budget, reservation };
         // The borrower may have given up meanwhile, or asked twice.
-        if let Some(first) = loans.get(id) {
-            let held = first.reservation.amount();
+        if let Err(lent) = loans.make_once(gw.now(), id, lent) {
             lent.settle(0);
-            return Reply::Held(held, short);
         }
-        if !loans.may_make(id) {
-            lent.settle(0);
-            return Reply::Held(0, short);
-        }
-        let held = lent.reservation.amount();
-        loans.make(gw.now(), id, lent);
-        Reply::Held(held, short)
+        Reply::Held(loans.get(id).map_or(0, |lent| lent.reservation.amount()), short)
     }
 
     fn lend(&self, gw: &Gateway, id: u64, account: &str, tokens: Tokens) -> Result<Reply, Code> {
