--- a/crates/core/tests/bound.rs
+++ b/crates/core/tests/bound.rs
@@ -152,6 +152,31 @@
     assert!(w.reserve(0, later).is_some());
 }
 
+/// It is known when the limit allows a request by itself, and never too early.
+#[test]
+fn it_is_known_when_an_unanswered_holder_may_spend_more() {
+    let mut w = World::new();
+    w.tell(0, Fate::Answered);
+    let now = w.now;
+    let allowed = w.slices(0).allowed(now);
+    assert_eq!(w.slices(0).allows_after(now, allowed), Some(Millis(0)));
+    let span = w.slices(0).allows_after(now, allowed + 2_000).unwrap();
+    assert!(span > Millis(0));
+    w.pass(span.0 - 2);
+    assert!(w.reserve(0, allowed + 2_000).is_none(), "it is too early");
+    w.pass(2);
+    assert!(w.reserve(0, allowed + 2_000).is_some());
+    let (now, idle) = (w.now, w.held(0));
+    assert_eq!(w.slices(0).allows_after(now, idle + 1), None, "tokens are missing");
+}
+
+#[test]
+fn a_holder_that_was_never_answered_waits_for_a_report() {
+    let mut w = World::new();
+    let now = w.now;
+    assert_eq!(w.slices(0).allows_after(now, 10), None);
+}
+
 #[test]
 fn a_death_frees_what_was_not_allowed() {
     let mut w = World::new();
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -151,9 +151,12 @@
                 self.refill(budget, &p);
                 return Ok((Source::Group, r));
             }
-            if self.is_limited(&p, now, n) && !self.away.get() {
-                self.wait_for_limit(&p, n, deadline).await?;
-                continue;
+            if self.is_limited(&p, now, n) {
+                let allows = self.allows_by(&p, now, n, deadline);
+                if allows.is_some() || !self.away.get() {
+                    self.wait_for_limit(&p, n, allows, deadline).await?;
+                    continue;
+                }
             }
             if self.away.get() {
                 return self.reserve_spare(budget, policy, n, deadline).await;
@@ -184,18 +187,36 @@
         slices.idle(now) >= n && slices.is_limited(now, n)
     }
 
-    /// Waits until the grantor has taken a report, which asks for a limit that allows `n` more.
+    /// When the limit allows `n` more by itself, if that is before `deadline`.
+    fn allows_by(
+        &self,
+        p: &BudgetSlices,
+        now: Time,
+        n: Tokens,
+        deadline: Instant,
+    ) -> Option<Instant> {
+        let span = p.slices.borrow().allows_after(now, n)?;
+        let at = Instant::now() + Duration::from_millis(span.0);
+        (at <= deadline).then_some(at)
+    }
+
+    /// Waits until the grantor has taken a report, which asks for a limit that allows `n` more, or
+    /// until the limit allows them by itself.
     async fn wait_for_limit(
         &self,
         p: &BudgetSlices,
         n: Tokens,
+        allows: Option<Instant>,
         deadline: Instant,
     ) -> Result<(), Refusal> {
         p.slices.borrow_mut().want_limit(n);
         self.due.notify_one();
-        let taken = timeout_at(deadline, p.changed.notified()).await;
+        let taken = timeout_at(allows.unwrap_or(deadline), p.changed.notified()).await;
         p.slices.borrow_mut().unwant_limit(n);
-        taken.map_err(|_| Refusal::from(Code::BudgetBusy).after(Millis::seconds(1)))
+        if taken.is_err() && allows.is_none() {
+            return Err(Refusal::from(Code::BudgetBusy).after(Millis::seconds(1)));
+        }
+        Ok(())
     }
 
     /// Sets tokens of the data centre's reserve aside. It is asked once: it has nobody to call
