--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -20,8 +20,8 @@
 /// How long a request waits for more tokens before peers are asked.
 const QUICK: Duration = Duration::from_millis(60);
 
-/// How long a request waits at a home for tokens to be called back: with the rounds before, what is
-/// refused hears of it within a quarter of the objectives met so far (600 ms and more), or a little later.
+/// How long a request waits at a home for tokens to be called back. The rounds before it take up to
+/// two times [`QUICK`] and a message to each data centre.
 const LAST_WAIT: Duration = Duration::from_millis(200);
 
 /// How long it waits for tokens to be called back after that.
