--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -13,6 +13,5 @@
 pub mod retry;
 pub mod routes;
 pub mod share;
-pub mod telling;
 pub mod walls;
 pub mod watch;
