A stream that breaks off as its time ends gets no second head

Cause, from the code and then by test: replicas stop at whole milliseconds, the gateway's timer fires up to a millisecond late; between the two the stream breaks off with its time over, the next try finds no time left and wrote a 504 into the stream that had begun. Ruled out: a cut write (the connection ends then), heads left in the buffer (flushed with their first event).

--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -282,7 +282,7 @@
     async fn go<D: Dialect>(&mut self, client: &mut Client) -> Outcome {
         loop {
             if self.job.left() == Duration::ZERO {
-                return self.late();
+                return self.late(client);
             }
             let work = self.job.work();
             let chosen = self.job.gw.choose(&self.job.service, &work, &self.tried);
@@ -383,8 +383,11 @@
         Outcome::Refused(Refusal::from(code).after(FULL_AFTER).detail(why))
     }
 
-    /// Its time is over before a replica had it.
-    fn late(&self) -> Outcome {
+    /// Its time is over before a replica, or the next one, had it.
+    fn late(&self, client: &Client) -> Outcome {
+        if client.has_begun() {
+            return Outcome::Broken("its time is over".to_owned());
+        }
         let ran = if self.ran > 0 { Ran::Unknown } else { Ran::No };
         Outcome::Refused(Refusal::from(Code::DeadlinePassed).ran(ran))
     }
