Logs tell when a document is known, asked for and given up, and by which a request is judged

Events 323 to 325 (not on every question: once a version, once a fetch), the document and its age in each refusal for want of a route or key, counters of standing questions and of answers dropped at a control process. No decision changes.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -24,7 +24,7 @@
 use cypressfork_node::watch::{Watcher, watch};
 use cypressfork_store::Error;
 use cypressfork_wire::{Ask, Frame, Return, body};
-use metrics::gauge;
+use metrics::{counter, gauge};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch as place};
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -418,6 +418,7 @@
         };
         let r = Return::new(to.id, code, bytes, leader);
         if to.tx.try_send(Frame::Answer(r)).is_err() {
+            counter!(metric::REPLIES_DROPPED).increment(1);
             emit!(Event::LinkSlow);
         }
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -70,6 +70,9 @@
     HolderBuried = 320, Info, "a holder is dead: what it cannot have spent comes free";
     BudgetShort = 321, Info, "an ask for tokens is refused: the budget holds too little";
     DiskBack = 322, Info, "the disk stores again: this replica takes part again";
+    DocumentKnown = 323, Info, "a control process tells of a newer document";
+    DocumentAsked = 324, Info, "a newer document is asked for";
+    DocumentGivenUp = 325, Info, "a control process has not sent a document in time";
     RouterRegistered = 401, Info, "this router is registered";
     RouterReady = 402, Info, "this router serves callers";
     ControlLost = 403, Warn, "the control group is out of reach";
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -46,5 +46,7 @@
     COMMIT = "cypressfork_commit_seconds", "histogram", "", "time from a proposal at the leader to its commit";
     SYNC = "cypressfork_sync_seconds", "histogram", "", "time of one sync of the log";
     LINK_SENT = "cypressfork_link_sent_bytes_total", "counter", "", "bytes sent to other processes of the system";
+    QUESTIONS = "cypressfork_watch_questions_total", "counter", "", "standing questions put to control processes";
+    REPLIES_DROPPED = "cypressfork_replies_dropped_total", "counter", "", "answers of a control process that were dropped because the asker reads too slowly";
     LINK_RECEIVED = "cypressfork_link_received_bytes_total", "counter", "", "bytes received from other processes of the system";
 }
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -13,7 +13,9 @@
 use cypressfork_core::unit::{HolderId, Time, Version};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
+use cypressfork_node::metric;
 use cypressfork_node::watch::{Watcher, watch};
+use metrics::counter;
 use tokio::time::sleep;
 
 use super::dialect::Dialect;
@@ -47,7 +49,7 @@
 impl<D: Dialect> Watcher for Follower<D> {
     fn question(&self, to: SocketAddr) -> Option<Watch> {
         let gw = &self.gw;
-        let version = gw.routes.borrow().as_ref().map_or(0, |r| r.version());
+        let version = gw.held_version();
         let router = RouterSign {
             vm: gw.settings.base.vm.clone(),
             data_centre: gw.settings.base.data_centre.clone(),
@@ -55,6 +57,7 @@
             link: gw.settings.link.to_string(),
             open: gw.is_open(),
         };
+        counter!(metric::QUESTIONS).increment(1);
         let feed = gw.feeds.borrow().get(&to).copied().unwrap_or_default();
         let fetch = gw.fetching.borrow().is_from(to);
         // One that is not asked for the document need not tell of it again.
@@ -71,10 +74,9 @@
             take_document::<D>(gw, source);
             // It was read with the group's quorum: there is a leader to register with.
             gw.group.wake();
-            gw.fetching.borrow_mut().end(from);
+            gw.fetching.borrow_mut().end(gw.now(), from);
         }
-        let held = gw.routes.borrow().as_ref().map_or(0, |r| r.version());
-        gw.fetching.borrow_mut().told(gw.now(), from, held, seen.version);
+        note_version(gw, from, seen.version);
         gw.share.meet(gw.settings.link, &seen.peers);
         if let Some(areas) = &seen.areas {
             take_areas(gw, from, areas);
@@ -86,12 +88,30 @@
     }
 
     fn lost(&self, from: SocketAddr) {
-        self.gw.fetching.borrow_mut().end(from);
+        let after = self.gw.fetching.borrow_mut().end(self.gw.now(), from);
+        if let Some(after) = after {
+            emit!(Event::DocumentGivenUp, from = from, after_ms = after.0, why = "the link failed");
+        }
         self.gw.share.homes.lost(from);
         emit!(Event::LinkFailed, address = from);
     }
 }
 
+/// Takes the word of a control process that it has a document.
+fn note_version(gw: &Gateway, from: SocketAddr, version: Version) {
+    let held = gw.held_version();
+    let told = gw.fetching.borrow_mut().told(gw.now(), from, held, version);
+    if told.first {
+        emit!(Event::DocumentKnown, version = version, from = from, held = held);
+    }
+    if let Some((before, after)) = told.given_up {
+        emit!(Event::DocumentGivenUp, from = before, after_ms = after.0, why = "it took too long");
+    }
+    if told.asked {
+        emit!(Event::DocumentAsked, version = version, from = from, held = held);
+    }
+}
+
 /// Takes the gateways of all data centres into use, and gives back the tokens of budgets whose home
 /// this gateway is no longer.
 fn take_areas(gw: &Gateway, from: SocketAddr, areas: &[Area]) {
@@ -110,7 +130,7 @@
 
 /// Takes a document into force if it is newer than the present one.
 fn take_document<D: Dialect>(gw: &Gateway, source: &str) {
-    let held = gw.routes.borrow().as_ref().map_or(0, |r| r.version());
+    let held = gw.held_version();
     match D::document(source) {
         Ok(d) if d.version > held => {
             emit!(Event::DocumentSeen, version = d.version, before = held);
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -189,7 +189,7 @@
     };
     let (job, prepaid) = match find(gw, &routes, req, inbound, body) {
         Ok(found) => found,
-        Err(code) => return Outcome::Refused(Refusal::from(code)),
+        Err(code) => return Outcome::Refused(Refusal::from(code).detail(in_force(gw))),
     };
     gw.count_request(&job.service);
     if !admission::may_begin(gw.active.get() as u64, gw.settings.places, job.priority) {
@@ -211,6 +211,11 @@
     outcome
 }
 
+/// By which document a request was judged, and for how long that has been in force.
+fn in_force(gw: &Gateway) -> String {
+    format!("by document {}, in force for {} ms", gw.held_version(), gw.held_for().0)
+}
+
 /// Finds the route, the account and the service of a request.
 fn find(
     gw: &Rc<Gateway>,
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -14,7 +14,7 @@
 use cypressfork_core::fleet::share::Placement;
 use cypressfork_core::fleet::watch::Feed;
 use cypressfork_core::route::{Choice, Pool, Work};
-use cypressfork_core::unit::{Millis, Time};
+use cypressfork_core::unit::{Millis, Time, Version};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
@@ -65,6 +65,7 @@
     pub stopping: Cell<bool>,
     /// Connections with a request under way.
     pub active: Cell<usize>,
+    routes_since: Cell<Time>,
     replicas: RefCell<BTreeMap<String, Record>>,
     pools: RefCell<HashMap<String, Pool>>,
     retries: RefCell<HashMap<String, Window>>,
@@ -91,6 +92,7 @@
             routers: Cell::new(0),
             stopping: Cell::new(false),
             active: Cell::new(0),
+            routes_since: Cell::default(),
             replicas: RefCell::default(),
             pools: RefCell::default(),
             retries: RefCell::default(),
@@ -127,8 +129,19 @@
         self.learned.notify_waiters();
     }
 
+    /// Version of the document in force; 0 for none.
+    pub fn held_version(&self) -> Version {
+        self.routes.borrow().as_ref().map_or(0, |r| r.version())
+    }
+
+    /// How long the document in force has been so.
+    pub fn held_for(&self) -> Millis {
+        self.now().since(self.routes_since.get())
+    }
+
     /// Puts a document in force.
     pub fn set_routes(&self, r: Routes) {
+        self.routes_since.set(self.now());
         *self.routes.borrow_mut() = Some(Rc::new(r));
         self.learned.notify_waiters();
     }
