--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code, missing_docs, unused_imports)]
 
+pub mod control;
 mod http;
+pub mod slow_link;
 
 use std::fs::{self, File};
 use std::net::TcpListener;
