Documents travel compressed and in parts; what has arrived is kept; a refusal for good needs the newest document

Cause: a document was one answer. It was put to a second control process after 600 ms and dropped with its link after 1.7 s, whether or not bytes were arriving; every new try began at its first byte beside what was still under way. At 0.8 MB and 10 Mbit/s (0.65 s a copy) that is certain, and with two copies under way a gateway never gets out. Class: a fixed time for a whole transfer, and a hedge that adds load to what it waits for. Ruled out: other traffic (the control processes' bytes add up to the gateways'); a version that overtakes (lengthens one fetch, not 12 s). Change: packed once a version (flate2), 32 KiB a part, any control process goes on where another stopped, one is asked at a time and given up only when a part does not come for 600 ms. The known version is kept for each control process, so no question is repeated without pause (second test). A gateway that has been told of a newer document, or hears of nobody for 2 s, answers 503 with a time to come back in place of 401 or 404. The same kind elsewhere: the feed of replicas was one answer of any size; it comes in batches of 256.

--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -5,9 +5,11 @@
 use cypressfork_core::fleet::neighbours::{Directory, NOT_WANTED};
 use cypressfork_core::fleet::registry::{Record, Registry};
 use cypressfork_core::fleet::repair::Candidates;
+use cypressfork_core::fleet::transfer::Packs;
 use cypressfork_core::fleet::watch::{Announce, Feed, RouterSign, Seen, Watch};
 use cypressfork_core::member::Routers as Registered;
 use cypressfork_core::unit::{Millis, Time, Version};
+use cypressfork_wire::packed;
 
 /// How long a standing question waits for news.
 const WATCH_SPAN: Millis = Millis(1_000);
@@ -15,6 +17,10 @@
 /// How long heartbeats are gathered before they are passed on to another control process.
 const GATHER: Millis = Millis(300);
 
+/// Replicas that one answer tells of at most, some 50 kB of them: the rest follows in the next. An
+/// answer has to come over the slowest link within the time that its asker waits for it.
+const RECORDS: usize = 256;
+
 /// Routers that a router is told of for lending tokens.
 const PEERS: usize = 32;
 
@@ -44,6 +50,7 @@
     boot: u64,
     heartbeat: Millis,
     standing: Vec<Standing<T>>,
+    packs: Packs,
 }
 
 struct Standing<T> {
@@ -53,6 +60,13 @@
     to: T,
 }
 
+impl<T> Standing<T> {
+    /// It asks for a part of a document, and has none as new as `version` in force.
+    fn is_behind(&self, version: Version) -> bool {
+        self.watch.fetch.is_some_and(|w| version > w.held)
+    }
+}
+
 impl<T> Desk<T> {
     /// Knows nothing yet; `boot` is drawn at each start, and replicas tell of themselves about
     /// every `heartbeat`.
@@ -65,6 +79,7 @@
             boot,
             heartbeat,
             standing: Vec::new(),
+            packs: Packs::default(),
         }
     }
 
@@ -100,6 +115,9 @@
         let (due, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.standing).into_iter().partition(|s| self.is_due(now, s, f));
         self.standing = rest;
+        if due.iter().any(|s| s.is_behind(f.version)) && self.packs.newest() < f.version {
+            self.packs.put(f.version, packed::pack(f.source));
+        }
         self.directory.refresh(now, f.registered.iter(), &self.routers);
         due.into_iter()
             .map(|s| (self.seen(now, &s, f), s.to))
@@ -112,26 +130,26 @@
         let newer = s.watch.router.is_some() && f.version > s.watch.version;
         let beats = s.watch.router.is_none() && waited >= GATHER;
         newer
+            || s.is_behind(f.version)
             || waited >= WATCH_SPAN
-            || self.registry.changes(s.since).next().is_some()
-            || (beats && self.registry.beats(s.since).next().is_some())
+            || self.registry.has_changes(s.since)
+            || (beats && self.registry.has_beats(s.since))
     }
 
     fn seen(&self, now: Time, s: &Standing<T>, f: &Followed) -> Seen {
         let router = s.watch.router.is_some();
-        let replicas = match router {
-            true => self.registry.changes(s.since).cloned().collect(),
-            false => self.registry.beats(s.since).cloned().collect(),
+        let batch = match router {
+            true => self.registry.changes(s.since, RECORDS),
+            false => self.registry.beats(s.since, RECORDS),
         };
-        let wanted = s.watch.fetch && f.version > s.watch.version;
         let has_homes = |r: &RouterSign| self.directory.has_homes(&r.data_centre);
         let peers = s.watch.router.as_ref().is_some_and(|r| !has_homes(r));
         let known = s.watch.areas == NOT_WANTED || s.watch.areas == self.directory.digest();
         Seen {
-            feed: Feed { boot: self.boot, position: self.registry.position() },
-            replicas,
+            feed: Feed { boot: self.boot, position: batch.position },
+            replicas: batch.records,
             version: f.version,
-            document: wanted.then(|| f.source.to_owned()),
+            part: s.watch.fetch.and_then(|want| self.packs.part(&want)),
             controls: f.controls.clone(),
             routers: self.routers.count(now),
             peers: if peers { self.routers.links(now, PEERS) } else { Vec::new() },
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -469,7 +469,7 @@
             router: None,
             feed,
             version: 0,
-            fetch: false,
+            fetch: None,
             areas: NOT_WANTED,
         })
     }
@@ -485,4 +485,8 @@
     fn lost(&self, from: SocketAddr) {
         emit!(Event::LinkClosed, peer = from);
     }
+
+    async fn urged(&self) {
+        std::future::pending().await
+    }
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod document;
 pub mod entry;
+pub mod fetch;
 pub mod format;
 pub mod homes;
 pub mod neighbours;
@@ -13,5 +14,6 @@
 pub mod retry;
 pub mod routes;
 pub mod share;
+pub mod transfer;
 pub mod walls;
 pub mod watch;
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -68,6 +68,15 @@
     beaten: u64,
 }
 
+/// A part of the feed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// The records.
+    pub records: Vec<Record>,
+    /// How far they bring a follower.
+    pub position: u64,
+}
+
 /// The replicas that one process knows of, with a feed of changes.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -123,14 +132,36 @@
         }
     }
 
-    /// What has changed for routers after `since`.
-    pub fn changes(&self, since: u64) -> impl Iterator<Item = &Record> {
-        self.entries.values().filter(move |e| e.changed > since).map(|e| &e.record)
+    /// Whether anything has changed for routers after `since`.
+    pub fn has_changes(&self, since: u64) -> bool {
+        self.entries.values().any(|e| e.changed > since)
     }
 
-    /// All that was said after `since`, heartbeats included: for other control processes.
-    pub fn beats(&self, since: u64) -> impl Iterator<Item = &Record> {
-        self.entries.values().filter(move |e| e.beaten > since).map(|e| &e.record)
+    /// Whether anything was said after `since`, heartbeats included.
+    pub fn has_beats(&self, since: u64) -> bool {
+        self.entries.values().any(|e| e.beaten > since)
+    }
+
+    /// What has changed for routers after `since`, the oldest change first, at most `most` records.
+    pub fn changes(&self, since: u64, most: usize) -> Batch {
+        self.batch(since, most, |e| e.changed)
+    }
+
+    /// All that was said after `since`, heartbeats included, the oldest first, at most `most`
+    /// records: for other control processes.
+    pub fn beats(&self, since: u64, most: usize) -> Batch {
+        self.batch(since, most, |e| e.beaten)
+    }
+
+    fn batch(&self, since: u64, most: usize, at: impl Fn(&Entry) -> u64) -> Batch {
+        let mut all: Vec<_> = self.entries.values().filter(|e| at(e) > since).collect();
+        all.sort_by_key(|e| at(e));
+        let position = match all.get(most) {
+            Some(_) => at(all[most - 1]),
+            None => self.position,
+        };
+        let records = all.into_iter().take(most).map(|e| e.record.clone()).collect();
+        Batch { records, position }
     }
 
     /// All replicas.
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -5,6 +5,7 @@
 
 use super::neighbours::Area;
 use super::registry::Record;
+use super::transfer::{Part, Want};
 use crate::unit::Version;
 
 /// How far a watcher has followed one control process.
@@ -38,10 +39,10 @@
     pub router: Option<RouterSign>,
     /// What it has.
     pub feed: Feed,
-    /// Version of the document that it has, or knows of; 0 for none.
+    /// Version of the document that it has, or that this process has told it of; 0 for none.
     pub version: Version,
-    /// The document itself is wanted of this process, at once, if its version is higher.
-    pub fetch: bool,
+    /// The next part of a newer document is wanted of this process, at once.
+    pub fetch: Option<Want>,
     /// Digest of the areas that the router knows.
     #[serde(default)]
     pub areas: u64,
@@ -56,8 +57,8 @@
     pub replicas: Vec<Record>,
     /// Version of the document in force.
     pub version: Version,
-    /// The document, as submitted, if it was asked for and is newer than the watcher's.
-    pub document: Option<String>,
+    /// A part of a newer document, if one was asked for.
+    pub part: Option<Part>,
     /// Addresses of the group's control processes.
     pub controls: Vec<String>,
     /// How many routers this process has heard of lately.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -23,6 +23,9 @@
 use rand::rngs::SmallRng;
 use rstest::rstest;
 
+/// Records that one answer may hold, more than there are here.
+const MOST: usize = 1_000;
+
 fn route(host: &str, prefix: &str, service: &str) -> Route {
     Route {
         name: format!("{host}{prefix}"),
@@ -175,12 +178,12 @@
     assert!(r.take(Time(0), record("i-1", 1, Standing::Ready)));
     let since = r.position();
     assert!(!r.take(Time(900), record("i-1", 2, Standing::Ready)));
-    assert_eq!(r.changes(since).count(), 0);
-    assert_eq!(r.beats(since).count(), 1, "other control processes do");
+    assert_eq!(r.changes(since, MOST).records.len(), 0);
+    assert_eq!(r.beats(since, MOST).records.len(), 1, "other control processes do");
     r.tick(Time(4_800), Millis(1_000));
-    assert_eq!(r.changes(since).count(), 0, "it spoke 3.9 s ago");
+    assert_eq!(r.changes(since, MOST).records.len(), 0, "it spoke 3.9 s ago");
     r.tick(Time(4_900), Millis(1_000));
-    assert_eq!(r.changes(since).next().unwrap().standing, Standing::Silent);
+    assert_eq!(r.changes(since, MOST).records[0].standing, Standing::Silent);
     assert!(r.leave(Time(5_000), "i-1"));
     assert!(!r.leave(Time(5_000), "i-2"), "nobody knows it");
 }
--- /dev/null
+++ b/crates/core/tests/transfer.rs
@@ -0,0 +1,216 @@
+//! Documents in parts: whatever order parts come in and whichever process sends them, a router ends
+//! with a whole document or goes on, and never begins anew without need.
+
+#![allow(missing_docs)]
+
+use std::net::SocketAddr;
+
+use cypressfork_core::fleet::fetch::{Fetch, GivenUp};
+use cypressfork_core::fleet::registry::{Record, Registration, Registry, Standing};
+use cypressfork_core::fleet::transfer::{Assembly, PART, Packs, Part, Taken, Want};
+use cypressfork_core::unit::{Millis, Time};
+use proptest::prelude::*;
+
+fn packed(version: u64, len: usize) -> Vec<u8> {
+    (0..len).map(|n| (n as u64 * 31 + version) as u8).collect()
+}
+
+fn packs(all: &[(u64, usize)]) -> Packs {
+    let mut packs = Packs::default();
+    all.iter().for_each(|(version, len)| packs.put(*version, packed(*version, *len)));
+    packs
+}
+
+fn address(n: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], n))
+}
+
+/// Fetches to the end; returns the bytes and how many parts that took.
+fn fetch(
+    a: &mut Assembly,
+    held: u64,
+    mut part: impl FnMut(&Want) -> Option<Part>,
+) -> (Vec<u8>, usize) {
+    for n in 1.. {
+        let p = part(&a.want(held)).expect("there is a newer document");
+        if let Taken::Whole(bytes) = a.take(held, p) {
+            return (bytes, n);
+        }
+        assert!(n < 10_000, "no end");
+    }
+    unreachable!()
+}
+
+#[test]
+fn a_document_comes_whole_in_as_many_parts_as_it_needs() {
+    for (len, parts) in [(1, 1), (PART, 1), (PART + 1, 2), (5 * PART, 5)] {
+        let all = packs(&[(3, len)]);
+        let (bytes, n) = fetch(&mut Assembly::default(), 2, |w| all.part(w));
+        assert_eq!((bytes, n), (packed(3, len), parts), "{len} bytes");
+    }
+}
+
+#[test]
+fn who_has_the_newest_in_force_gets_no_part() {
+    let all = packs(&[(3, 10)]);
+    assert_eq!(all.part(&Want { held: 3, ..Want::default() }), None);
+    assert_eq!(Packs::default().part(&Want::default()), None);
+}
+
+#[test]
+fn another_process_goes_on_where_the_first_has_fallen_silent() {
+    let (one, other) = (packs(&[(3, 4 * PART)]), packs(&[(3, 4 * PART)]));
+    let mut turn = 0;
+    let (bytes, parts) = fetch(&mut Assembly::default(), 0, |w| {
+        turn += 1;
+        if turn <= 2 { one.part(w) } else { other.part(w) }
+    });
+    assert_eq!((bytes, parts), (packed(3, 4 * PART), 4), "nothing is sent twice");
+}
+
+#[test]
+fn a_document_that_is_overtaken_is_fetched_to_its_end_while_it_is_kept() {
+    let mut all = packs(&[(3, 4 * PART)]);
+    let (mut a, mut version) = (Assembly::default(), 3);
+    let (bytes, _) = fetch(&mut a, 0, |w| {
+        let p = all.part(w);
+        // A new version with every other part.
+        if !w.offset.is_multiple_of(2 * PART as u64) {
+            version += 1;
+            all.put(version, packed(version, 4 * PART));
+        }
+        p
+    });
+    assert_eq!(bytes, packed(3, 4 * PART));
+}
+
+#[test]
+fn changes_without_end_do_not_keep_a_router_from_every_document() {
+    let mut all = packs(&[(1, 2 * PART)]);
+    let mut a = Assembly::default();
+    let mut version = 1;
+    let (bytes, parts) = fetch(&mut a, 0, |w| {
+        let p = all.part(w);
+        version += 1;
+        all.put(version, packed(version, 2 * PART));
+        p
+    });
+    assert!(parts <= 4, "{parts} parts");
+    assert_eq!(bytes.len(), 2 * PART);
+}
+
+#[test]
+fn a_process_that_packs_otherwise_sends_the_document_from_its_beginning() {
+    let one = packs(&[(3, 2 * PART)]);
+    let mut other = Packs::default();
+    other.put(3, packed(9, 3 * PART));
+    let mut a = Assembly::default();
+    let first = one.part(&a.want(0)).unwrap();
+    assert_eq!(a.take(0, first), Taken::More);
+    let (bytes, parts) = fetch(&mut a, 0, |w| other.part(w));
+    assert_eq!((bytes, parts), (packed(9, 3 * PART), 3));
+}
+
+#[test]
+fn changed_bytes_are_found_out() {
+    let all = packs(&[(3, 10)]);
+    let mut part = all.part(&Want::default()).unwrap();
+    part.bytes[4] ^= 1;
+    let mut a = Assembly::default();
+    assert_eq!(a.take(0, part), Taken::Corrupt);
+    assert_eq!(a.want(0).offset, 0, "it begins anew");
+}
+
+proptest! {
+    #[test]
+    fn late_doubled_and_older_parts_do_no_harm(
+        order in prop::collection::vec((0usize..3, 0usize..6), 0..60),
+    ) {
+        let all: Vec<_> = [(3, 5 * PART), (4, 3 * PART + 7), (5, 2 * PART)]
+            .map(|(version, len)| packs(&[(version, len)])).into();
+        let mut a = Assembly::default();
+        let mut held = 0;
+        for (doc, part) in order {
+            let version = 3 + doc as u64;
+            let whole = Want { version, ..Want::default() };
+            let Some(first) = all[doc].part(&whole) else { continue };
+            let want = Want { offset: (part * PART) as u64, digest: first.digest, ..whole };
+            let p = all[doc].part(&want).unwrap();
+            if let Taken::Whole(bytes) = a.take(held, p) {
+                prop_assert!(version > held);
+                held = version;
+                prop_assert_eq!(&bytes, &packed(version, bytes.len()));
+            }
+        }
+        if held < 5 {
+            let (bytes, _) = fetch(&mut a, held, |w| all[2].part(w));
+            prop_assert_eq!(bytes, packed(5, 2 * PART));
+        }
+    }
+}
+
+#[test]
+fn one_process_is_asked_at_a_time_and_the_next_after_it_has_fallen_silent() {
+    let mut f = Fetch::default();
+    assert_eq!(f.choose(Time(0), 0, None), None, "nobody has told of anything");
+    assert!(f.told(address(2), 5));
+    assert!(!f.told(address(1), 5));
+    assert_eq!(f.choose(Time(0), 4, None), Some(address(1)));
+    assert_eq!(f.choose(Time(0), 4, None), None, "one is asked");
+    assert!(f.is_from(address(1)) && !f.is_from(address(2)));
+    assert_eq!(f.overdue(Time(500)), None);
+    f.progress(Time(500), address(1));
+    assert_eq!(f.overdue(Time(1_000)), None, "a part has come meanwhile");
+    f.progress(Time(900), address(2));
+    let given_up = GivenUp { from: address(1), after: Millis(600) };
+    assert_eq!(f.overdue(Time(1_100)), Some(given_up));
+    assert_eq!(f.choose(Time(1_100), 4, Some(address(1))), Some(address(2)));
+    assert_eq!(f.overdue(Time(1_700)).map(|g| g.from), Some(address(2)));
+    assert_eq!(f.choose(Time(1_700), 4, Some(address(2))), Some(address(1)), "in turn");
+}
+
+#[test]
+fn a_process_out_of_reach_is_not_asked_and_what_is_held_is_not_fetched() {
+    let mut f = Fetch::default();
+    f.told(address(1), 5);
+    f.told(address(2), 4);
+    assert_eq!(f.choose(Time(0), 3, None), Some(address(1)), "it has told of most");
+    assert_eq!(f.lost(Time(100), address(2)), None);
+    assert_eq!(f.lost(Time(100), address(1)).map(|g| g.after), Some(Millis(100)));
+    assert_eq!(f.choose(Time(100), 3, Some(address(1))), None, "nobody is left");
+    assert_eq!((f.known(), f.told_by(address(1))), (5, 0));
+    f.told(address(2), 4);
+    assert_eq!(f.choose(Time(200), 4, None), None);
+    assert_eq!(f.choose(Time(200), 3, None), Some(address(2)));
+    f.done();
+    assert!(!f.is_active());
+}
+
+#[test]
+fn a_follower_far_behind_gets_the_feed_in_batches_and_misses_nothing() {
+    let mut registry = Registry::default();
+    for n in 0..700 {
+        let registration = Registration {
+            id: format!("r-{n:03}"),
+            service: "talk".to_owned(),
+            address: format!("10.0.{}.{}:80", n / 250, n % 250),
+            data_centre: "tamar-a".to_owned(),
+            slots: 4,
+            cold: Millis(0),
+            sequence: 1,
+        };
+        registry.take(Time(n), Record { registration, standing: Standing::Ready });
+    }
+    // One that was known early changes late: its place in the feed is the later one.
+    registry.leave(Time(800), "r-000");
+    let (mut since, mut seen, mut answers) = (0, Vec::new(), 0);
+    while registry.has_changes(since) {
+        let batch = registry.changes(since, 256);
+        assert!(batch.records.len() <= 256 && batch.position > since);
+        since = batch.position;
+        seen.extend(batch.records.into_iter().map(|r| r.registration.id));
+        answers += 1;
+    }
+    assert_eq!((since, answers, seen.len()), (registry.position(), 3, 700));
+    assert_eq!(seen.last().map(String::as_str), Some("r-000"));
+}
--- a/crates/cypressfork/tests/documents.rs
+++ b/crates/cypressfork/tests/documents.rs
@@ -16,13 +16,14 @@
 use serde_json::json;
 use support::control::Control;
 use support::slow_link::SlowLink;
-use support::{Process, free_addresses, get, own_ip, program, until};
+use support::{Process, Request, free_addresses, get, own_ip, program, until};
 use tempfile::TempDir;
 
 /// A gateway that follows the control processes at some addresses.
 struct Gateway {
+    callers: String,
     operators: String,
-    _process: Process,
+    process: Process,
     _dir: TempDir,
 }
 
@@ -42,7 +43,17 @@
         fs::write(&file, text).unwrap();
         let args = ["--settings", file.to_str().unwrap()];
         let process = Process::start(dir.path(), "gateway", program("gateway"), &args);
-        Gateway { operators: free[2].clone(), _process: process, _dir: dir }
+        Gateway { callers: free[0].clone(), operators: free[2].clone(), process, _dir: dir }
+    }
+
+    /// The status with which a caller's request is answered.
+    fn ask(&self, path: &str) -> u16 {
+        let req = Request::new(&self.callers, path).method("GET");
+        req.header("host", "club.example").header("x-request-id", "r-1").send("").status
+    }
+
+    fn log(&self) -> String {
+        self.process.log()
     }
 
     /// The version in force.
@@ -111,3 +122,25 @@
     assert!(questions <= 4, "{questions} questions in {span:?}");
     until("the higher document", || gw.version() == 3);
 }
+
+#[test]
+fn nobody_is_refused_for_good_by_a_document_that_is_known_to_be_old() {
+    let all = controls(1);
+    let gw = Gateway::start(&[all[0].address]);
+    all[0].publish(1, &document(1, 1));
+    until("the first document", || gw.version() == 1);
+    assert_eq!(gw.ask("/new/x"), 404);
+    // Version 2 has the route; its parts do not come.
+    *all[0].inside.withholds.lock().unwrap() = true;
+    let mut next: serde_json::Value = serde_json::from_str(&document(2, 200)).unwrap();
+    next["routes"][0]["host"] = "club.example".into();
+    next["routes"][0]["prefix"] = "/new/".into();
+    all[0].publish(2, &next.to_string());
+    until("the word of version 2", || gw.log().contains("CFE324"));
+    until("a refusal that promises nothing for good", || gw.ask("/new/x") == 503);
+    assert_eq!(gw.version(), 1);
+    *all[0].inside.withholds.lock().unwrap() = false;
+    until("version 2", || gw.version() == 2);
+    assert_eq!(gw.ask("/elsewhere/x"), 404);
+    assert_eq!(gw.ask("/new/x"), 503, "the route is there, and no replica");
+}
--- a/crates/cypressfork/tests/support/control.rs
+++ b/crates/cypressfork/tests/support/control.rs
@@ -2,7 +2,6 @@
 //! test puts into it, and everything else as one that does not lead.
 
 use std::net::{SocketAddr, TcpListener as StdListener};
-use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
@@ -74,7 +73,7 @@
     let (tx, mut rx) = queue::channel(QUEUE);
     let mut desk = Desk::new(1, Millis::seconds(1));
     let clock = Clock::start();
-    let count = Rc::new(inside.clone());
+    let count = inside.clone();
     actix_rt::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             actix_rt::spawn(read(stream, tx.clone(), count.clone()));
@@ -100,11 +99,7 @@
     }
 }
 
-async fn read(
-    stream: TcpStream,
-    watches: queue::Sender<(Vec<u8>, ReplyTo)>,
-    inside: Rc<Arc<Inside>>,
-) {
+async fn read(stream: TcpStream, watches: queue::Sender<(Vec<u8>, ReplyTo)>, inside: Arc<Inside>) {
     let name = "control".to_owned();
     let me = Credentials { key: Key::new(b"test"), cluster: "test".to_owned(), name };
     let Ok(link) = link::accept(stream, &me).await else { return };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod process;
 pub mod settings;
 pub mod time;
+pub mod urge;
 pub mod watch;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -5,7 +5,7 @@
 
 use cypressfork_core::fleet::watch::{Seen, Watch};
 use cypressfork_wire::{Ask, Call, Frame, body};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::link::{self, Credentials, Link};
 
@@ -26,6 +26,8 @@
     fn seen(&self, from: SocketAddr, seen: Seen);
     /// The control process is out of reach.
     fn lost(&self, from: SocketAddr);
+    /// Waits until the next question is to be put though the last is not answered yet.
+    fn urged(&self) -> impl Future<Output = ()>;
 }
 
 /// Follows the control process at `address` until there is no question left.
@@ -39,20 +41,35 @@
     }
 }
 
-/// Asks again and again until the link breaks.
-async fn ask_on(mut link: Link, address: SocketAddr, watcher: &impl Watcher) {
+/// Asks again and again until the link breaks. An answer to a question that was overtaken is taken
+/// as well: it counts as received there.
+async fn ask_on(link: Link, address: SocketAddr, watcher: &impl Watcher) {
+    let Link { mut reader, mut writer, .. } = link;
     let mut id = 0;
-    while let Some(question) = watcher.question(address) {
-        id += 1;
-        let call = Frame::Call(Call::new(id, Ask::Watch(body::pack(&question)), None));
-        if link.writer.send(&call).await.is_err() {
-            return;
-        }
-        let Ok(Ok(Frame::Answer(r))) = timeout(ANSWER_WITHIN, link.reader.next()).await else {
-            return;
+    let mut due = true;
+    let mut until = Instant::now() + ANSWER_WITHIN;
+    loop {
+        let answer = reader.next();
+        tokio::pin!(answer);
+        let answer = loop {
+            if due {
+                let Some(question) = watcher.question(address) else { return };
+                id += 1;
+                let call = Frame::Call(Call::new(id, Ask::Watch(body::pack(&question)), None));
+                if writer.send(&call).await.is_err() {
+                    return;
+                }
+                until = Instant::now() + ANSWER_WITHIN;
+            }
+            tokio::select! {
+                answer = timeout_at(until, &mut answer) => break answer,
+                () = watcher.urged() => due = true,
+            }
         };
-        let answer = r.body.as_deref().and_then(|b| body::unpack::<Seen>(b).ok());
-        let Some(seen) = answer.filter(|_| r.id == id && r.code == 0) else { return };
+        let Ok(Ok(Frame::Answer(r))) = answer else { return };
+        let seen = r.body.as_deref().and_then(|b| body::unpack::<Seen>(b).ok());
+        let Some(seen) = seen.filter(|_| r.code == 0) else { return };
         watcher.seen(address, seen);
+        due = r.id == id;
     }
 }
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -7,18 +7,19 @@
 
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::fleet::neighbours::Area;
-use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::watch::{RouterSign, Seen, Watch};
 use cypressfork_core::query::{Query, Reply, digest};
 use cypressfork_core::unit::{HolderId, Time, Version};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::metric;
+use cypressfork_node::urge::Urge;
 use cypressfork_node::watch::{Watcher, watch};
 use metrics::counter;
 use tokio::time::sleep;
 
 use super::dialect::Dialect;
+use super::documents;
 use super::state::Gateway;
 use crate::token_store::TokenStore;
 
@@ -34,22 +35,26 @@
 /// Follows the control processes at `addresses`, and those that they tell of.
 pub fn follow_all<D: Dialect>(gw: &Rc<Gateway>, addresses: impl IntoIterator<Item = SocketAddr>) {
     for address in addresses {
-        if gw.following.borrow_mut().insert(address) {
-            let follower = Follower::<D> { gw: gw.clone(), dialect: std::marker::PhantomData };
-            actix_rt::spawn(watch(address, gw.me.clone(), follower));
+        if gw.following.borrow().contains_key(&address) {
+            continue;
         }
+        let urge = Rc::new(Urge::default());
+        gw.following.borrow_mut().insert(address, urge.clone());
+        let follower = Follower::<D> { gw: gw.clone(), urge, dialect: std::marker::PhantomData };
+        actix_rt::spawn(watch(address, gw.me.clone(), follower));
     }
 }
 
 struct Follower<D> {
     gw: Rc<Gateway>,
+    urge: Rc<Urge>,
     dialect: std::marker::PhantomData<D>,
 }
 
 impl<D: Dialect> Watcher for Follower<D> {
     fn question(&self, to: SocketAddr) -> Option<Watch> {
         let gw = &self.gw;
-        let version = gw.held_version();
+        self.urge.clear();
         let router = RouterSign {
             vm: gw.settings.base.vm.clone(),
             data_centre: gw.settings.base.data_centre.clone(),
@@ -59,9 +64,8 @@
         };
         counter!(metric::QUESTIONS).increment(1);
         let feed = gw.feeds.borrow().get(&to).copied().unwrap_or_default();
-        let fetch = gw.fetching.borrow().is_from(to);
-        // One that is not asked for the document need not tell of it again.
-        let version = if fetch { version } else { version.max(gw.fetching.borrow().version()) };
+        let version = gw.documents.version_at(to);
+        let fetch = gw.documents.want(to);
         let areas = gw.share.homes.digest_for(to);
         Some(Watch { router: Some(router), feed, version, fetch, areas })
     }
@@ -70,13 +74,11 @@
         let gw = &self.gw;
         gw.feeds.borrow_mut().insert(from, seen.feed);
         gw.routers.set(gw.routers.get().max(seen.routers));
-        if let Some(source) = &seen.document {
-            take_document::<D>(gw, source);
-            // It was read with the group's quorum: there is a leader to register with.
+        if seen.part.is_some() {
+            // A document is committed: there was a leader to register with.
             gw.group.wake();
-            gw.fetching.borrow_mut().end(gw.now(), from);
         }
-        note_version(gw, from, seen.version);
+        documents::take::<D>(gw, from, seen.version, seen.part);
         gw.share.meet(gw.settings.link, &seen.peers);
         if let Some(areas) = &seen.areas {
             take_areas(gw, from, areas);
@@ -88,27 +90,13 @@
     }
 
     fn lost(&self, from: SocketAddr) {
-        let after = self.gw.fetching.borrow_mut().end(self.gw.now(), from);
-        if let Some(after) = after {
-            emit!(Event::DocumentGivenUp, from = from, after_ms = after.0, why = "the link failed");
-        }
+        documents::lost(&self.gw, from);
         self.gw.share.homes.lost(from);
         emit!(Event::LinkFailed, address = from);
     }
-}
 
-/// Takes the word of a control process that it has a document.
-fn note_version(gw: &Gateway, from: SocketAddr, version: Version) {
-    let held = gw.held_version();
-    let told = gw.fetching.borrow_mut().told(gw.now(), from, held, version);
-    if told.first {
-        emit!(Event::DocumentKnown, version = version, from = from, held = held);
-    }
-    if let Some((before, after)) = told.given_up {
-        emit!(Event::DocumentGivenUp, from = before, after_ms = after.0, why = "it took too long");
-    }
-    if told.asked {
-        emit!(Event::DocumentAsked, version = version, from = from, held = held);
+    async fn urged(&self) {
+        self.urge.wished().await;
     }
 }
 
@@ -128,20 +116,6 @@
     }
 }
 
-/// Takes a document into force if it is newer than the present one.
-fn take_document<D: Dialect>(gw: &Gateway, source: &str) {
-    let held = gw.held_version();
-    match D::document(source) {
-        Ok(d) if d.version > held => {
-            emit!(Event::DocumentSeen, version = d.version, before = held);
-            gw.set_routes(Routes::new(d));
-        }
-        Ok(_) => {}
-        // The control process has checked it: another release of this program reads it otherwise.
-        Err(e) => emit!(Event::ConfigRefused, code = e.code.number(), why = e.why),
-    }
-}
-
 /// Registers for tokens, and follows what is called back, for as long as the process runs.
 pub async fn register_forever(gw: Rc<Gateway>) {
     // The first registration follows a process that had ended before this one started. A later one
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -26,6 +26,7 @@
 use super::budget::{Held, Spent, hold};
 use super::client::Client;
 use super::dialect::{Dialect, Inbound, Prompt};
+use super::documents::depends_on_document;
 use super::events::Events;
 use super::state::Gateway;
 use super::timing::Timing;
@@ -187,9 +188,19 @@
     let Some(routes) = gw.wait_for_routes(until).await else {
         return Outcome::Refused(Refusal::from(Code::NotReady).after(NOT_READY_AFTER));
     };
+    let routes = match may_route(&routes, req, &inbound) {
+        Err(code) if depends_on_document(code) => match newest_routes(gw, &inbound).await {
+            Some(routes) => routes,
+            None => return Outcome::Refused(behind(gw)),
+        },
+        _ => routes,
+    };
     let (job, prepaid) = match find(gw, &routes, req, inbound, body) {
         Ok(found) => found,
-        Err(code) => return Outcome::Refused(Refusal::from(code).detail(in_force(gw))),
+        Err(code) => {
+            let by = gw.documents.describe(gw.now());
+            return Outcome::Refused(Refusal::from(code).detail(by));
+        }
     };
     gw.count_request(&job.service);
     if !admission::may_begin(gw.active.get() as u64, gw.settings.places, job.priority) {
@@ -211,9 +222,26 @@
     outcome
 }
 
-/// By which document a request was judged, and for how long that has been in force.
-fn in_force(gw: &Gateway) -> String {
-    format!("by document {}, in force for {} ms", gw.held_version(), gw.held_for().0)
+/// Whether the document allows a request at all.
+fn may_route(routes: &Routes, req: &Request, inbound: &Inbound) -> Result<(), Code> {
+    let route = routes.route(&inbound.host, req.path())?;
+    routes.account(route, inbound.key.as_deref()).map(|_| ())
+}
+
+/// The document by which a request may be refused for good: the newest that any control process has
+/// told of lately. None: this gateway does not have it in time, or hears of nobody.
+async fn newest_routes(gw: &Gateway, inbound: &Inbound) -> Option<Rc<Routes>> {
+    if gw.documents.is_cut_off(gw.now()) {
+        return None;
+    }
+    let wait = patience::for_newer_document(inbound.deadline);
+    gw.wait_for_newest_routes(Instant::now() + Duration::from_millis(wait.0)).await
+}
+
+/// A refusal that a newer document may turn into an answer.
+fn behind(gw: &Gateway) -> Refusal {
+    let by = gw.documents.describe(gw.now());
+    Refusal::from(Code::NotReady).after(NOT_READY_AFTER).detail(by)
 }
 
 /// Finds the route, the account and the service of a request.
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -114,7 +114,7 @@
 fn ready(gw: &Gateway) -> Response<Body> {
     let open = gw.is_open();
     let status = if open { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    let version = gw.held_version();
+    let version = gw.documents.held();
     let v = json!({ "ready": open, "stopping": gw.stopping.get(), "document": version });
     json_response(status, &v)
 }
--- a/crates/router/src/gateway/server.rs
+++ b/crates/router/src/gateway/server.rs
@@ -82,7 +82,7 @@
 ) {
     let mut client = Client::new(stream, config);
     loop {
-        let limits = gw.routes.borrow().as_ref().map_or(LIMITS, |r| *r.limits());
+        let limits = gw.documents.in_force().map_or(LIMITS, |r| *r.limits());
         let stop = async {
             // A door that is gone is closed.
             let _ = closed.wait_for(|c| *c).await;
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -297,7 +297,7 @@
         tokens: Tokens,
         within: Millis,
     ) -> Reply {
-        let prepaid = gw.routes.borrow().as_ref().and_then(|r| r.prepaid(account));
+        let prepaid = gw.documents.in_force().and_then(|r| r.prepaid(account));
         let (Some(prepaid), Some(token_store)) = (prepaid, gw.token_store()) else {
             return Reply::Held(0, Some(Short::Closed));
         };
@@ -325,7 +325,7 @@
         if let Some(lent) = loans.get(id) {
             return Ok(Reply::Reserved(lent.reservation.amount()));
         }
-        let prepaid = gw.routes.borrow().as_ref().and_then(|r| r.prepaid(account));
+        let prepaid = gw.documents.in_force().and_then(|r| r.prepaid(account));
         let (Some(prepaid), Some(token_store)) = (prepaid, gw.token_store()) else {
             return Ok(Reply::Reserved(0));
         };
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! What all requests of a gateway share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,20 +14,21 @@
 use cypressfork_core::fleet::share::Placement;
 use cypressfork_core::fleet::watch::Feed;
 use cypressfork_core::route::{Choice, Pool, Work};
-use cypressfork_core::unit::{Millis, Time, Version};
+use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
 use cypressfork_node::link::Credentials;
 use cypressfork_node::metric;
 use cypressfork_node::time::Clock;
+use cypressfork_node::urge::Urge;
 use metrics::{counter, histogram};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
-use super::fetching::Fetching;
+use super::documents::Documents;
 use super::settings::Settings;
 use super::share::Share;
 use super::upstream::Connections;
@@ -47,25 +48,22 @@
     pub me: Credentials,
     /// The control group.
     pub group: Group,
-    /// The document in force; none since the start.
-    pub routes: RefCell<Option<Rc<Routes>>>,
+    /// The document in force, and the one that is on its way.
+    pub documents: Documents,
     /// Connections to replicas.
     pub connections: Connections,
     /// How far each control process is followed.
     pub feeds: RefCell<BTreeMap<SocketAddr, Feed>>,
-    /// From which control process a newer document is fetched.
-    pub fetching: RefCell<Fetching>,
     /// Other gateways that lend tokens.
     pub share: Share,
-    /// The control processes that are followed.
-    pub following: RefCell<BTreeSet<SocketAddr>>,
+    /// The control processes that are followed, and the wish to ask one of them at once.
+    pub following: RefCell<BTreeMap<SocketAddr, Rc<Urge>>>,
     /// Routers of the fleet, as far as is known.
     pub routers: Cell<u32>,
     /// A planned stop is under way.
     pub stopping: Cell<bool>,
     /// Connections with a request under way.
     pub active: Cell<usize>,
-    routes_since: Cell<Time>,
     replicas: RefCell<BTreeMap<String, Record>>,
     pools: RefCell<HashMap<String, Pool>>,
     retries: RefCell<HashMap<String, Window>>,
@@ -83,16 +81,14 @@
             clock,
             me,
             group,
-            routes: RefCell::default(),
+            documents: Documents::default(),
             connections: Connections::default(),
             feeds: RefCell::default(),
-            fetching: RefCell::default(),
             share: Share::default(),
             following: RefCell::default(),
             routers: Cell::new(0),
             stopping: Cell::new(false),
             active: Cell::new(0),
-            routes_since: Cell::default(),
             replicas: RefCell::default(),
             pools: RefCell::default(),
             retries: RefCell::default(),
@@ -115,7 +111,7 @@
 
     /// Whether callers are taken.
     pub fn is_open(&self) -> bool {
-        !self.stopping.get() && self.routes.borrow().is_some()
+        !self.stopping.get() && self.documents.held() > 0
     }
 
     /// The tokens in hand under the present registration.
@@ -129,26 +125,27 @@
         self.learned.notify_waiters();
     }
 
-    /// Version of the document in force; 0 for none.
-    pub fn held_version(&self) -> Version {
-        self.routes.borrow().as_ref().map_or(0, |r| r.version())
-    }
-
-    /// How long the document in force has been so.
-    pub fn held_for(&self) -> Millis {
-        self.now().since(self.routes_since.get())
+    /// Wakes the requests that wait for a document or a registration.
+    pub fn notify(&self) {
+        self.learned.notify_waiters();
     }
 
-    /// Puts a document in force.
-    pub fn set_routes(&self, r: Routes) {
-        self.routes_since.set(self.now());
-        *self.routes.borrow_mut() = Some(Rc::new(r));
-        self.learned.notify_waiters();
+    /// Has the control process at `address` asked at once.
+    pub fn urge(&self, address: SocketAddr) {
+        if let Some(u) = self.following.borrow().get(&address) {
+            u.wish();
+        }
     }
 
     /// The document in force, waiting for the first one until `until` at most.
     pub async fn wait_for_routes(&self, until: Instant) -> Option<Rc<Routes>> {
-        self.wait_for(until, || self.routes.borrow().clone()).await
+        self.wait_for(until, || self.documents.in_force()).await
+    }
+
+    /// The document in force once nobody tells of a newer one, waiting until `until` at most.
+    pub async fn wait_for_newest_routes(&self, until: Instant) -> Option<Rc<Routes>> {
+        let newest = || self.documents.in_force().filter(|_| !self.documents.is_behind());
+        self.wait_for(until, newest).await
     }
 
     /// The tokens in hand, waiting for a registration until `until` at most.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod convert;
 pub mod frame;
 mod generated;
+pub mod packed;
 
 use quick_error::quick_error;
 
