A soak of the project's own: drawn faults against real processes, fifteen promises checked from outside

A seed draws a fleet and 5 to 14 overlapping faults; links pass through proxies that cut by pair and direction. For that: settings advertise and link_advertise, and the client connection of the router moves to crates/http (one for both). Each check is shown to find its fault (31 tests).

--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -123,7 +123,7 @@
     let seeds = s.base.control;
     let group = Group::new(me.clone(), seeds.clone());
     let fleet = match &s.fleet {
-        Some(f) => Some(open_fleet::<D>(f, &me, s.listen, &seeds, group.clone()).await?),
+        Some(f) => Some(open_fleet::<D>(f, &me, s.advertise, &seeds, group.clone()).await?),
         None => None,
     };
     let g = group.clone();
@@ -131,7 +131,7 @@
         move || settings(&file),
         move |s| g.set_addresses(s.base.control),
     ));
-    Server::new(machine, clock, me, s.listen, reserve, group, fleet).run(listener).await?;
+    Server::new(machine, clock, me, s.advertise, reserve, group, fleet).run(listener).await?;
     emit!(Event::Stopped);
     Ok(())
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -99,7 +99,7 @@
     machine: Machine<Disk, ReplyTo>,
     clock: Clock,
     me: Credentials,
-    /// Where this process listens.
+    /// Where others reach this process.
     address: String,
     peers: BTreeMap<NodeId, Peer>,
     reserve: Option<Reserve<ReplyTo>>,
@@ -130,7 +130,7 @@
         machine: Machine<Disk, ReplyTo>,
         clock: Clock,
         me: Credentials,
-        listen: SocketAddr,
+        advertise: SocketAddr,
         reserve: Option<Reserve<ReplyTo>>,
         group: Group,
         fleet: Option<Fleet>,
@@ -139,7 +139,7 @@
             machine,
             clock,
             me,
-            address: listen.to_string(),
+            address: advertise.to_string(),
             peers: BTreeMap::new(),
             reserve,
             group,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -20,6 +20,9 @@
     pub common: Common,
     /// Where routers, operators and the other replicas connect.
     pub listen: String,
+    /// The address at which they reach it, if it is another: behind a translation of addresses.
+    #[serde(default)]
+    pub advertise: Option<String>,
     /// The data folder.
     pub data_folder: String,
     /// Where health and metrics are served; nowhere by default.
@@ -130,6 +133,8 @@
     pub base: Base,
     /// Where to listen.
     pub listen: SocketAddr,
+    /// Where others reach it.
+    pub advertise: SocketAddr,
     /// The data folder.
     pub data_folder: PathBuf,
     /// Where health and metrics are served.
@@ -156,6 +161,7 @@
         let snapshot_every = range("snapshot_every", self.snapshot_every, 16, 10_000_000)?;
         Ok(Settings {
             base: self.common.check()?,
+            advertise: address("advertise", self.advertise.as_ref().unwrap_or(&self.listen))?,
             listen: address("listen", &self.listen)?,
             data_folder: folder("data_folder", &self.data_folder)?,
             metrics: self.metrics.map(|a| address("metrics", &a)).transpose()?,
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -6,13 +6,13 @@
 use cypressfork_core::fleet::document::Kind;
 use cypressfork_core::route::Choice;
 use cypressfork_core::unit::Millis;
+use cypressfork_http::client::{Broken, Connection, Outbound};
 use tokio::time::{Instant, timeout_at};
 
 use super::client::Client;
 use super::dialect::{Dialect, Told};
 use super::request::{Job, Progress};
 use super::stream;
-use super::upstream::{Broken, Connection, Outbound};
 
 /// The largest answer that is not a stream.
 const ANSWER_CAP: usize = 8 * 1024 * 1024;
@@ -117,7 +117,7 @@
         last_event: Option<u64>,
     ) -> Result<(Connection, ResponseHead), Ended> {
         let gw = &self.job.gw;
-        let mut connection = gw.connections.get(gw.now(), self.choice.address).await?;
+        let mut connection = gw.connections.get(Instant::now(), self.choice.address).await?;
         self.sent = Instant::now();
         match self.send::<D>(&mut connection, last_event).await {
             Err(Broken::Stale) if self.job.is_repeatable() => {
@@ -192,7 +192,7 @@
             Ok(Ok((connection, body))) => {
                 let gw = &self.job.gw;
                 let unframed = connection.is_unframed();
-                gw.connections.put(gw.now(), self.choice.address, connection);
+                gw.connections.put(Instant::now(), self.choice.address, connection);
                 (body, unframed)
             }
             Ok(Err(_)) if not_run => return Ended::NotRun,
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -17,7 +17,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::dialect::Dialect;
 use super::drain::drain;
@@ -48,7 +48,7 @@
     let metrics = operators::start_metrics()
         .map_err(|e| (Code::SettingsValue, format!("could not start metrics: {e}")))?;
     let callers = listen(s.listen).await?;
-    let peers = listen(s.link).await?;
+    let peers = listen(s.link_listen).await?;
     let for_operators = listen(s.operators).await?;
     let base = s.base.clone();
     let me = Credentials { key: base.key, cluster: base.cluster, name: base.vm };
@@ -91,7 +91,7 @@
 async fn trim_forever(gw: Rc<Gateway>) {
     loop {
         sleep(TRIM_EVERY).await;
-        gw.connections.trim(gw.now());
+        gw.connections.trim(Instant::now());
     }
 }
 
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -19,6 +19,9 @@
     pub listen: String,
     /// Where other gateways connect.
     pub link: String,
+    /// The address at which they reach it, if it is another: behind a translation of addresses.
+    #[serde(default)]
+    pub link_advertise: Option<String>,
     /// Where operators read health and metrics.
     pub operators: String,
     /// Where metrics are served besides, on an address of their own.
@@ -84,7 +87,9 @@
     pub base: Base,
     /// Where callers connect.
     pub listen: SocketAddr,
-    /// Where other gateways connect.
+    /// Where to listen for other gateways.
+    pub link_listen: SocketAddr,
+    /// Where other gateways reach this one.
     pub link: SocketAddr,
     /// Where operators connect.
     pub operators: SocketAddr,
@@ -129,7 +134,8 @@
         Ok(Settings {
             base,
             listen: address("listen", &self.listen)?,
-            link: address("link", &self.link)?,
+            link: address("link_advertise", self.link_advertise.as_ref().unwrap_or(&self.link))?,
+            link_listen: address("link", &self.link)?,
             operators: address("operators", &self.operators)?,
             metrics: self.metrics.map(|a| address("metrics", &a)).transpose()?,
             ready_path: self.ready_path,
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -3,12 +3,12 @@
 use actix_http::ResponseHead;
 use actix_http::body::BodySize;
 use bytes::Bytes;
+use cypressfork_http::client::{Broken, Connection};
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{Ended, Exchange, of_answer};
 use super::client::Client;
 use super::request::Progress;
-use super::upstream::{Broken, Connection};
 
 /// What a replica sends next.
 enum Piece {
@@ -111,7 +111,7 @@
 ) -> Ended {
     let gw = &exchange.job.gw;
     let unframed = connection.is_unframed();
-    gw.connections.put(gw.now(), exchange.choice.address, connection);
+    gw.connections.put(Instant::now(), exchange.choice.address, connection);
     if begin(client, head, unframed).is_err() || client.end().is_err() {
         return Ended::Left;
     }
--- /dev/null
+++ b/crates/soak/src/check.rs
@@ -0,0 +1,367 @@
+//! The promises, over what was seen in one run.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use crate::history::{At, Change, Disruption, History, Kind, Outcome, Request};
+
+/// The bounds of the promises.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Tokens that each account has prepaid.
+    pub prepaid: BTreeMap<&'static str, u64>,
+    /// Within this time an acknowledged change is in force at every gateway, in milliseconds.
+    pub in_force_ms: u64,
+    /// A machine counts for that only after so long without a disruption anywhere.
+    pub calm_ms: u64,
+    /// No new work after leaving is acknowledged, in milliseconds.
+    pub drain_ms: u64,
+    /// Retries of the fleet as a part of a service's requests in a window.
+    pub retry_ratio: f64,
+    /// Retries besides.
+    pub retry_extra: u64,
+    /// The window, in milliseconds.
+    pub retry_window_ms: u64,
+    /// How long a planned stop may take, in milliseconds.
+    pub stop_ms: u64,
+    /// Each gateway answers again within this time of the end of all faults, in milliseconds.
+    pub back_ms: u64,
+    /// The longest that a caller waits for an answer, in milliseconds.
+    pub patience_ms: u64,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// Its name.
+    pub promise: &'static str,
+    /// When.
+    pub at: At,
+    /// What was seen.
+    pub why: String,
+    /// What to look for in the logs: ids of requests, names of processes.
+    pub about: Vec<String>,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} at {} ms: {}", self.promise, self.at, self.why)
+    }
+}
+
+/// A check over the whole history.
+type Check = fn(&History, &Bounds) -> Vec<Broken>;
+
+/// Every check.
+const ALL: &[Check] = &[
+    spend_is_within_what_is_prepaid,
+    what_is_counted_is_what_was_had,
+    at_most_once,
+    not_run_is_true,
+    answers_are_whole_and_the_own,
+    accounts_are_their_own,
+    streams_are_in_order,
+    no_new_work_after_leaving,
+    a_planned_stop_cuts_nothing,
+    what_is_acknowledged_is_read,
+    no_gateway_goes_back,
+    a_change_is_in_force_in_time,
+    retries_are_within_their_budget,
+    service_is_back,
+    no_process_ends_by_itself,
+];
+
+/// The broken promises, the earliest first.
+pub fn check(h: &History, b: &Bounds) -> Vec<Broken> {
+    let mut all: Vec<_> = ALL.iter().flat_map(|c| c(h, b)).collect();
+    all.sort_by_key(|b| b.at);
+    all
+}
+
+fn broken(promise: &'static str, at: At, why: String, about: &[&str]) -> Broken {
+    let about = about.iter().map(|s| (*s).to_owned()).collect();
+    Broken { promise, at, why, about }
+}
+
+/// Whether nothing was done to the fleet from `from` to `until`.
+fn is_calm(h: &History, from: At, until: At) -> bool {
+    let overlaps = |d: &Disruption| d.from <= until && d.until >= from;
+    !h.disruptions.iter().any(overlaps)
+}
+
+fn by_id(h: &History) -> BTreeMap<&str, &Request> {
+    h.requests.iter().map(|r| (r.id.as_str(), r)).collect()
+}
+
+/// The ids of requests that a replica has run.
+fn run(h: &History) -> BTreeSet<&str> {
+    h.arrivals.iter().filter(|a| a.run).map(|a| a.id.as_str()).collect()
+}
+
+/// Tokens of each account by what replicas have read and made.
+fn used(h: &History) -> BTreeMap<&'static str, u64> {
+    let requests = by_id(h);
+    let mut all = BTreeMap::new();
+    for id in run(h) {
+        let Some(r) = requests.get(id).filter(|r| r.kind == Kind::Stream) else { continue };
+        let made = h.made.get(id).copied().unwrap_or(0);
+        *all.entry(r.account).or_default() += r.prompt + made;
+    }
+    all
+}
+
+fn spend_is_within_what_is_prepaid(h: &History, b: &Bounds) -> Vec<Broken> {
+    let over = |(account, used): (&'static str, u64)| {
+        let prepaid = b.prepaid.get(account).copied()?;
+        let why = format!("replicas gave {account} {used} tokens of {prepaid}");
+        (used > prepaid).then(|| broken("spend", h.healed, why, &[]))
+    };
+    used(h).into_iter().filter_map(over).collect()
+}
+
+/// The group's count is never below what callers have had, nor above what is prepaid.
+fn what_is_counted_is_what_was_had(h: &History, b: &Bounds) -> Vec<Broken> {
+    let mut had: BTreeMap<&str, u64> = BTreeMap::new();
+    for r in h.requests.iter().filter(|r| r.kind == Kind::Stream) {
+        if let Outcome::Answered { events, .. } = &r.outcome {
+            let distinct: BTreeSet<_> = events.iter().collect();
+            *had.entry(r.account).or_default() += r.prompt + distinct.len() as u64;
+        }
+    }
+    let wrong = |(account, spent): (&&'static str, &u64)| {
+        let had = had.get(account).copied().unwrap_or(0);
+        let prepaid = b.prepaid.get(account).copied().unwrap_or(u64::MAX);
+        let why = format!("the group counts {spent} for {account}, who had {had} of {prepaid}");
+        (*spent < had || *spent > prepaid).then(|| broken("billing", h.healed, why, &[]))
+    };
+    h.spent.iter().filter_map(wrong).collect()
+}
+
+fn at_most_once(h: &History, _: &Bounds) -> Vec<Broken> {
+    let requests = by_id(h);
+    let mut runs: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut all = Vec::new();
+    for a in h.arrivals.iter().filter(|a| a.run) {
+        let n = runs.entry(&a.id).or_default();
+        *n += 1;
+        let once = requests.get(a.id.as_str()).is_some_and(|r| r.kind == Kind::Unsafe);
+        if once && *n == 2 {
+            let why = format!("{} ran again at {}", a.id, a.replica);
+            all.push(broken("at most once", a.at, why, &[&a.id]));
+        }
+    }
+    all
+}
+
+/// Statuses that say that a request was not run.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+fn not_run_is_true(h: &History, _: &Bounds) -> Vec<Broken> {
+    let run = run(h);
+    let lies = |r: &&Request| {
+        let says = matches!(r.outcome, Outcome::Refused(s) if NOT_RUN.contains(&s));
+        says && run.contains(r.id.as_str())
+    };
+    let tell = |r: &Request| {
+        let why = format!("{} ran, and was answered {:?}", r.id, r.outcome);
+        broken("not run", r.ended, why, &[&r.id])
+    };
+    h.requests.iter().filter(lies).map(tell).collect()
+}
+
+fn answers_are_whole_and_the_own(h: &History, _: &Bounds) -> Vec<Broken> {
+    let bad = |r: &&Request| matches!(r.outcome, Outcome::Answered { whole: false, .. });
+    let tell = |r: &Request| {
+        let why = format!("{} got a success that is not its whole answer", r.id);
+        broken("whole answer", r.ended, why, &[&r.id])
+    };
+    h.requests.iter().filter(bad).map(tell).collect()
+}
+
+fn accounts_are_their_own(h: &History, _: &Bounds) -> Vec<Broken> {
+    let requests = by_id(h);
+    let mut all = Vec::new();
+    for a in &h.arrivals {
+        let own = requests.get(a.id.as_str()).is_none_or(|r| r.account == a.account);
+        if !own {
+            let why = format!("{} reached {} as of account {}", a.id, a.replica, a.account);
+            all.push(broken("account", a.at, why, &[&a.id]));
+        }
+    }
+    all
+}
+
+fn streams_are_in_order(h: &History, _: &Bounds) -> Vec<Broken> {
+    let mut all = Vec::new();
+    for r in &h.requests {
+        let (Outcome::Answered { events, .. } | Outcome::Cut { events, .. }) = &r.outcome else {
+            continue;
+        };
+        let in_order = events.iter().zip(1..).all(|(got, want)| *got == want);
+        let complete = !matches!(r.outcome, Outcome::Answered { .. })
+            || r.kind != Kind::Stream
+            || events.len() as u64 == r.events;
+        if !in_order || !complete {
+            let why = format!("{} got events {events:?} of {}", r.id, r.events);
+            all.push(broken("stream", r.ended, why, &[&r.id]));
+        }
+    }
+    all
+}
+
+fn no_new_work_after_leaving(h: &History, b: &Bounds) -> Vec<Broken> {
+    let acked: BTreeMap<&str, At> =
+        h.leaving.iter().map(|l| (l.replica.as_str(), l.acked)).collect();
+    let requests = by_id(h);
+    let mut all = Vec::new();
+    for a in &h.arrivals {
+        let Some(acked) = acked.get(a.replica.as_str()) else { continue };
+        let late = a.at > acked + b.drain_ms;
+        let calm = is_calm(h, acked.saturating_sub(b.calm_ms), a.at);
+        // A request that had waited in its gateway does not count as sent now.
+        let sent_late = requests.get(a.id.as_str()).is_some_and(|r| r.sent > acked + b.drain_ms);
+        if late && calm && sent_late {
+            let why = format!("{} reached {}, which left at {acked} ms", a.id, a.replica);
+            all.push(broken("leaving", a.at, why, &[&a.id, &a.replica]));
+        }
+    }
+    all
+}
+
+/// Whether anything but the stop itself was done to the fleet around a request.
+fn is_calm_but_for(h: &History, stop: &str, from: At, until: At) -> bool {
+    let others = h.disruptions.iter().filter(|d| d.what != stop);
+    !others.into_iter().any(|d| d.from <= until && d.until >= from)
+}
+
+/// The name of the disruption that a planned stop of a gateway is.
+pub fn stop_of(gateway: usize) -> String {
+    format!("planned stop of gateway-{gateway}")
+}
+
+fn a_planned_stop_cuts_nothing(h: &History, b: &Bounds) -> Vec<Broken> {
+    let run = run(h);
+    let mut all = Vec::new();
+    for s in &h.stops {
+        let name = stop_of(s.gateway);
+        let end = s.ended.unwrap_or(s.asked + b.stop_ms);
+        if end > s.asked + b.stop_ms {
+            let why = format!("it took {} ms", end - s.asked);
+            all.push(broken("planned stop", end, why, &[&format!("gateway-{}", s.gateway)]));
+        }
+        for r in h.requests.iter().filter(|r| r.gateway == s.gateway) {
+            let around = r.sent <= end && r.ended >= s.asked;
+            let cut = matches!(r.outcome, Outcome::Cut { .. }) && run.contains(r.id.as_str());
+            let calm = is_calm_but_for(h, &name, r.sent.saturating_sub(b.calm_ms), r.ended);
+            if around && cut && calm {
+                let why = format!("{} was cut by the {name}", r.id);
+                all.push(broken("planned stop", r.ended, why, &[&r.id]));
+            }
+        }
+    }
+    all
+}
+
+fn what_is_acknowledged_is_read(h: &History, _: &Bounds) -> Vec<Broken> {
+    let newest = |at: At| {
+        let before = h.changes.iter().filter(|c| c.acked.is_some_and(|a| a <= at));
+        before.map(|c| c.version).max().unwrap_or(0)
+    };
+    let mut all = Vec::new();
+    for r in &h.reads {
+        let newest = newest(r.sent);
+        if r.version < newest {
+            let why = format!("version {} was read after {newest} was acknowledged", r.version);
+            all.push(broken("configuration", r.sent, why, &[]));
+        }
+    }
+    all
+}
+
+fn no_gateway_goes_back(h: &History, _: &Bounds) -> Vec<Broken> {
+    let mut highest: BTreeMap<(usize, u32), u64> = BTreeMap::new();
+    let mut all = Vec::new();
+    for s in &h.held {
+        let known = highest.entry((s.gateway, s.incarnation)).or_default();
+        if s.version < *known {
+            let why = format!("gateway-{} went from {known} back to {}", s.gateway, s.version);
+            all.push(broken("configuration", s.at, why, &[&format!("gateway-{}", s.gateway)]));
+        }
+        *known = (*known).max(s.version);
+    }
+    all
+}
+
+fn a_change_is_in_force_in_time(h: &History, b: &Bounds) -> Vec<Broken> {
+    let acked: BTreeMap<u64, At> =
+        h.changes.iter().filter_map(|c: &Change| Some((c.version, c.acked?))).collect();
+    let mut all = Vec::new();
+    for r in &h.requests {
+        let (Kind::Probe(version), Outcome::Refused(404)) = (r.kind, &r.outcome) else { continue };
+        let Some(acked) = acked.get(&version) else { continue };
+        let due = acked + b.in_force_ms;
+        if r.sent > due && is_calm(h, r.sent.saturating_sub(b.calm_ms), r.ended) {
+            let gateway = format!("gateway-{}", r.gateway);
+            let why = format!("{gateway} did not know version {version}, due at {due} ms");
+            all.push(broken("configuration", r.sent, why, &[&r.id, &gateway]));
+        }
+    }
+    // What every document allows is never denied, not even by a gateway that is cut off.
+    let denied = |r: &&Request| {
+        let always = !matches!(r.kind, Kind::Probe(_));
+        always && matches!(r.outcome, Outcome::Refused(401 | 403 | 404))
+    };
+    all.extend(h.requests.iter().filter(denied).map(|r| {
+        let why = format!("{} was denied: {:?}", r.id, r.outcome);
+        broken("denied", r.sent, why, &[&r.id])
+    }));
+    all
+}
+
+fn retries_are_within_their_budget(h: &History, b: &Bounds) -> Vec<Broken> {
+    let mut all = Vec::new();
+    let services: BTreeSet<_> = h.arrivals.iter().map(|a| a.service).collect();
+    for service in services {
+        let mut seen = BTreeSet::new();
+        let of_service = h.arrivals.iter().filter(|a| a.service == service);
+        let again: Vec<At> = of_service.filter(|a| !seen.insert(&a.id)).map(|a| a.at).collect();
+        let asks = |r: &&Request| service_of(r.kind) == service;
+        let sent: Vec<At> = h.requests.iter().filter(asks).map(|r| r.sent).collect();
+        for end in &again {
+            let from = end.saturating_sub(b.retry_window_ms);
+            let retries = again.iter().filter(|at| (from..=*end).contains(*at)).count() as f64;
+            // A request counts when it comes; its retry may follow until its caller leaves.
+            let first = from.saturating_sub(b.patience_ms);
+            let requests = sent.iter().filter(|at| (first..=*end).contains(*at)).count() as f64;
+            let allowed = requests * b.retry_ratio + b.retry_extra as f64;
+            if retries > allowed {
+                let why = format!("{service}: {retries} retries, {allowed:.1} allowed");
+                all.push(broken("retries", *end, why, &[]));
+                break;
+            }
+        }
+    }
+    all
+}
+
+/// The service that a request goes to.
+pub fn service_of(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Stream => "talk",
+        _ => "board",
+    }
+}
+
+fn service_is_back(h: &History, b: &Bounds) -> Vec<Broken> {
+    let late = |(n, back): (usize, &Option<At>)| {
+        let in_time = back.is_some_and(|at| at <= h.healed + b.back_ms);
+        let why = format!("gateway-{n} answered again at {back:?}, healed at {} ms", h.healed);
+        (!in_time).then(|| broken("service back", h.healed, why, &[&format!("gateway-{n}")]))
+    };
+    h.back.iter().enumerate().filter_map(late).collect()
+}
+
+fn no_process_ends_by_itself(h: &History, _: &Bounds) -> Vec<Broken> {
+    let tell = |name: &String| broken("ends by itself", h.healed, name.clone(), &[name]);
+    h.ended.iter().map(tell).collect()
+}
--- /dev/null
+++ b/crates/soak/src/command.rs
@@ -0,0 +1,177 @@
+//! The soak's command line: which seeds, how long, how many at a time.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+use getopts::Options as Getopts;
+
+use crate::check::Broken;
+use crate::error::{Error, io};
+use crate::fleet::Programs;
+use crate::plan::Plan;
+use crate::run::{Verdict, play};
+
+/// Lines of each log that are shown for a broken promise.
+const LINES: usize = 12;
+
+/// What to play.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// The first seed.
+    pub from: u64,
+    /// How many.
+    pub seeds: u64,
+    /// How long the faults of one run last in all.
+    pub millis: u64,
+    /// Runs at a time.
+    pub jobs: u64,
+    /// A fleet of as many processes as a machine bears.
+    pub large: bool,
+    /// The folder of the programs.
+    pub programs: PathBuf,
+    /// Where the runs' files go; those of runs without a broken promise are removed.
+    pub keep: PathBuf,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Args {
+    /// Play.
+    Run(Options),
+    /// Print this text and end.
+    Print(String),
+}
+
+/// Reads the command line.
+pub fn args(words: &[String]) -> Result<Args, String> {
+    let mut o = Getopts::new();
+    o.optopt("f", "from", "the first seed (1)", "SEED");
+    o.optopt("n", "seeds", "how many seeds (50)", "N");
+    o.optopt("s", "seconds", "how long the faults of a run last (10)", "S");
+    o.optopt("j", "jobs", "runs at a time (4)", "N");
+    o.optopt("p", "programs", "folder of the programs (target/release)", "DIR");
+    o.optopt("k", "keep", "folder for the files of runs (target/soak)", "DIR");
+    o.optflag("l", "large", "9 control processes and 40 gateways");
+    o.optflag("h", "help", "show this help");
+    let m = o.parse(words).map_err(|e| e.to_string())?;
+    if m.opt_present("help") {
+        let brief = "Plays seeds of faults against the real programs.\n\nUsage: cypressfork-soak";
+        return Ok(Args::Print(o.usage(brief)));
+    }
+    if let Some(extra) = m.free.first() {
+        return Err(format!("'{extra}' is not expected"));
+    }
+    let number = |name: &str, default: u64, least: u64, most: u64| {
+        let n = m.opt_get_default(name, default).map_err(|_| format!("--{name}: not a number"))?;
+        match (least..=most).contains(&n) {
+            true => Ok(n),
+            false => Err(format!("--{name}: {least} to {most}")),
+        }
+    };
+    let folder = |name: &str, default: &str| {
+        PathBuf::from(m.opt_str(name).unwrap_or_else(|| default.to_owned()))
+    };
+    Ok(Args::Run(Options {
+        from: number("from", 1, 0, u64::from(u32::MAX))?,
+        seeds: number("seeds", 50, 1, 10_000)?,
+        millis: number("seconds", 10, 2, 600)? * 1_000,
+        jobs: number("jobs", 4, 1, 16)?,
+        large: m.opt_present("large"),
+        programs: folder("programs", "target/release"),
+        keep: folder("keep", "target/soak"),
+    }))
+}
+
+/// Plays all seeds and prints what came of them. Fails if a promise was broken or a run could not
+/// be played.
+pub fn run(o: &Options) -> ExitCode {
+    let next = AtomicU64::new(o.from);
+    let broken = Mutex::new(0);
+    let failed = Mutex::new(0);
+    thread::scope(|s| {
+        for _ in 0..o.jobs {
+            s.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= o.from + o.seeds {
+                        return;
+                    }
+                    match play_seed(o, seed) {
+                        Ok(v) => *broken.lock().expect("no thread panics") += tell(o, &v),
+                        Err(e) => {
+                            println!("seed {seed} was not played: {e}");
+                            *failed.lock().expect("no thread panics") += 1;
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let (broken, failed): (usize, u64) = (
+        broken.into_inner().expect("no thread panics"),
+        failed.into_inner().expect("no thread panics"),
+    );
+    if failed > 0 {
+        println!("{failed} seeds were not played");
+    }
+    println!("{} seeds, {broken} promises broken", o.seeds - failed);
+    if broken + failed as usize > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
+
+/// Plays one seed in a thread of its own.
+pub fn play_seed(o: &Options, seed: u64) -> Result<Verdict, Error> {
+    let plan = Plan::draw(seed, o.millis, o.large);
+    let dir =
+        std::path::absolute(o.keep.join(format!("seed-{seed}"))).map_err(io("find a folder"))?;
+    if dir.exists() {
+        fs::remove_dir_all(&dir).map_err(io("empty a folder"))?;
+    }
+    fs::create_dir_all(&dir).map_err(io("make a folder"))?;
+    let programs = Programs::in_folder(&o.programs);
+    let verdict = actix_rt::System::new().block_on(play(plan, &programs, &dir))?;
+    if verdict.broken.is_empty() {
+        fs::remove_dir_all(&dir).map_err(io("remove a folder"))?;
+    }
+    Ok(verdict)
+}
+
+/// Prints a run; returns how many promises it broke.
+fn tell(o: &Options, v: &Verdict) -> usize {
+    let (sent, answered) = v.requests;
+    let seed = v.plan.seed;
+    let n = v.broken.len();
+    let mut text = format!(
+        "seed {seed}: {} faults, {answered} of {sent} requests answered, {n} promises broken\n",
+        v.plan.steps.len()
+    );
+    if let Some(first) = v.broken.first() {
+        v.plan.steps.iter().for_each(|s| text.push_str(&format!("    {s}\n")));
+        v.broken.iter().take(LINES).for_each(|b| text.push_str(&format!("  {b}\n")));
+        text.push_str(&log_lines(&v.dir, first));
+        let large = if v.plan.size.gateways > 10 { " --large" } else { "" };
+        text.push_str(&format!(
+            "  again: cypressfork-soak --from {seed} --seeds 1 --seconds {}{large}\n",
+            o.millis / 1_000
+        ));
+    }
+    print!("{text}");
+    n
+}
+
+/// The lines of the logs that name what a broken promise is about.
+fn log_lines(dir: &Path, b: &Broken) -> String {
+    let mut text = String::new();
+    let Ok(files) = fs::read_dir(dir) else { return text };
+    for file in files.flatten().filter(|f| f.path().extension().is_some_and(|e| e == "log")) {
+        let Ok(log) = fs::read_to_string(file.path()) else { continue };
+        let named = |l: &&str| b.about.iter().any(|a| l.contains(&format!("\"{a}\"")));
+        for l in log.lines().filter(named).take(LINES) {
+            text.push_str(&format!("  {}: {l}\n", file.file_name().to_string_lossy()));
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,187 @@
+//! What a seed does to a fleet, and when.
+
+use std::fmt;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// How large a fleet is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Control processes.
+    pub controls: usize,
+    /// Gateways.
+    pub gateways: usize,
+    /// Replicas of the service of streams.
+    pub talk: usize,
+    /// Replicas of the plain service.
+    pub board: usize,
+    /// Callers.
+    pub callers: usize,
+}
+
+/// One thing done to a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A gateway is killed and started again.
+    KillGateway(usize),
+    /// A control process is killed and started again.
+    KillControl(usize),
+    /// All control processes are killed at the same moment and started again.
+    KillControls,
+    /// All processes are killed at the same moment and started again.
+    KillAll,
+    /// A control process is killed, its disk emptied, and it is started again.
+    EmptyDisk(usize),
+    /// A gateway stands still.
+    PauseGateway(usize),
+    /// A control process stands still.
+    PauseControl(usize),
+    /// A gateway is asked to stop, and started again once it has ended.
+    StopGateway(usize),
+    /// A control process is asked to stop, and started again once it has ended.
+    StopControl(usize),
+    /// Nothing from or to a gateway arrives at other processes.
+    CutGateway(usize),
+    /// Nothing from or to a control process arrives at other processes.
+    CutControl(usize),
+    /// Nothing from any gateway arrives at any control process, and back.
+    CutAllGateways,
+    /// A control process is heard, and hears nothing.
+    DeafControl(usize),
+    /// Links to a control process or gateway (counted after them) take so many milliseconds.
+    Delay(usize, u64),
+    /// Open links of all processes are reset.
+    Reset,
+    /// A replica of streams is gone at once; another starts elsewhere.
+    CrashTalk(usize),
+    /// A plain replica is gone at once; another starts elsewhere.
+    CrashBoard(usize),
+    /// A replica of streams says that it leaves; another starts before.
+    LeaveTalk(usize),
+    /// A plain replica says that it leaves; another starts before.
+    LeaveBoard(usize),
+    /// Connections of a replica of streams are reset now and then.
+    GreyTalk(usize),
+    /// A plain replica rejects what it gets.
+    FullBoard(usize),
+    /// A document with so many more routes.
+    Grow(usize),
+    /// Several documents in quick succession.
+    Storm(usize),
+    /// Two documents of the same version, and an older one again.
+    Race,
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// When, in milliseconds since requests began.
+    pub at: u64,
+    /// How long it lasts, in milliseconds, where it does.
+    pub span: u64,
+    /// What.
+    pub fault: Fault,
+}
+
+/// What a seed does.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The seed.
+    pub seed: u64,
+    /// How large the fleet is.
+    pub size: Size,
+    /// When the last fault has ended, in milliseconds.
+    pub healed: u64,
+    /// The faults in the order of their times.
+    pub steps: Vec<Step>,
+}
+
+/// Faults of one run: the fewest and the most.
+const STEPS: (usize, usize) = (5, 14);
+
+/// How long one lasts, in milliseconds: the shortest and the longest.
+const SPAN: (u64, u64) = (200, 3_500);
+
+/// Time before the first fault, in milliseconds.
+const QUIET_BEFORE: u64 = 1_000;
+
+/// The size of a usual fleet.
+fn small(rng: &mut SmallRng) -> Size {
+    let controls = if rng.random_bool(0.6) { 3 } else { 5 };
+    let (gateways, talk, board) =
+        (rng.random_range(2..=5), rng.random_range(2..=4), rng.random_range(2..=3));
+    Size { controls, gateways, talk, board, callers: rng.random_range(6..=14) }
+}
+
+/// The size of a fleet with as many processes as a machine of 8 cores bears, gateways enough in one
+/// data centre for budgets to have homes.
+const LARGE: Size = Size { controls: 9, gateways: 40, talk: 8, board: 4, callers: 30 };
+
+impl Plan {
+    /// The plan of a seed whose faults last `millis` in all.
+    pub fn draw(seed: u64, millis: u64, large: bool) -> Plan {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let size = if large { LARGE } else { small(&mut rng) };
+        let n = rng.random_range(STEPS.0..=STEPS.1);
+        let mut steps: Vec<_> = (0..n).map(|_| step(&mut rng, &size, millis)).collect();
+        steps.sort_by_key(|s| s.at);
+        keep_one_emptied_disk(&mut steps);
+        Plan { seed, size, healed: millis, steps }
+    }
+}
+
+fn step(rng: &mut SmallRng, size: &Size, millis: u64) -> Step {
+    let at = rng.random_range(QUIET_BEFORE..millis.max(QUIET_BEFORE + 1));
+    let span = rng.random_range(SPAN.0..=SPAN.1).min(millis - at);
+    Step { at, span, fault: fault(rng, size) }
+}
+
+fn fault(rng: &mut SmallRng, size: &Size) -> Fault {
+    let g = rng.random_range(0..size.gateways);
+    let c = rng.random_range(0..size.controls);
+    let (t, b) = (rng.random_range(0..size.talk), rng.random_range(0..size.board));
+    match rng.random_range(0..24) {
+        0 => Fault::KillGateway(g),
+        1 => Fault::KillControl(c),
+        2 => Fault::KillControls,
+        3 => Fault::KillAll,
+        4 => Fault::EmptyDisk(c),
+        5 => Fault::PauseGateway(g),
+        6 => Fault::PauseControl(c),
+        7 | 8 => Fault::StopGateway(g),
+        9 => Fault::StopControl(c),
+        10 => Fault::CutGateway(g),
+        11 => Fault::CutControl(c),
+        12 => Fault::CutAllGateways,
+        13 => Fault::DeafControl(c),
+        14 => Fault::Delay(rng.random_range(0..size.controls + size.gateways), 150),
+        15 => Fault::Reset,
+        16 => Fault::CrashTalk(t),
+        17 => Fault::CrashBoard(b),
+        18 => Fault::LeaveTalk(t),
+        19 => Fault::LeaveBoard(b),
+        20 => Fault::GreyTalk(t),
+        21 => Fault::FullBoard(b),
+        22 => Fault::Grow(rng.random_range(50..2_000)),
+        _ if rng.random_bool(0.5) => Fault::Storm(rng.random_range(3..12)),
+        _ => Fault::Race,
+    }
+}
+
+/// A second disk lost before the first is mended is more than the group promises to bear.
+fn keep_one_emptied_disk(steps: &mut Vec<Step>) {
+    let mut seen = false;
+    steps.retain(|s| {
+        let empties = matches!(s.fault, Fault::EmptyDisk(_));
+        let keep = !empties || !seen;
+        seen |= empties;
+        keep
+    });
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:>6} ms  {:?} for {} ms", self.at, self.fault, self.span)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/replica.rs
@@ -0,0 +1,235 @@
+//! Stand-in replicas: they tell of themselves, run what they get, and note it.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use cypressfork_http::{Body, serve};
+use futures_util::StreamExt;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+use crate::history::{Arrival, Leaving};
+use crate::http::call;
+use crate::proxy::Gate;
+use crate::world::World;
+
+/// How often a replica tells of itself.
+const BEAT_EVERY: Duration = Duration::from_millis(500);
+
+/// How long one heartbeat may take.
+const BEAT_WITHIN: Duration = Duration::from_secs(1);
+
+/// Tries to have a leaving acknowledged.
+const LEAVE_TRIES: usize = 40;
+
+/// How long a replica that leaves goes on serving after the acknowledgement.
+const LINGER: Duration = Duration::from_secs(4);
+
+/// How often the connections of a grey replica are reset.
+const GREY_EVERY: Duration = Duration::from_millis(150);
+
+/// The most events of a stream.
+pub const EVENTS_MOST: u64 = 30;
+
+/// The time between two events.
+const EVENT_EVERY: Duration = Duration::from_millis(10);
+
+/// How long a plain request runs.
+const RUN: Duration = Duration::from_millis(8);
+
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// The events of the answer to a request, the same at every replica.
+pub fn events_of(id: &str) -> u64 {
+    let sum = id.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
+    1 + sum % EVENTS_MOST
+}
+
+/// The text of one event.
+pub fn event(id: &str, n: u64) -> String {
+    format!("id: {n}\ndata: {id} {n}\n\n")
+}
+
+/// The body of a plain answer.
+pub fn answer(id: &str) -> String {
+    format!("answer to {id}")
+}
+
+/// One start of a replica.
+pub struct Replica {
+    /// Its id.
+    pub id: String,
+    service: &'static str,
+    gate: Gate,
+    full: Cell<bool>,
+    leaving: Cell<bool>,
+    beats: Cell<u64>,
+    serving: Cell<Option<AbortHandle>>,
+    beating: Cell<Option<AbortHandle>>,
+}
+
+impl Replica {
+    /// Starts one.
+    pub async fn start(
+        w: &Rc<World>,
+        service: &'static str,
+        id: String,
+    ) -> io::Result<Rc<Replica>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let gate = Gate::start(listener.local_addr()?).await?;
+        let replica = Rc::new(Replica {
+            id,
+            service,
+            gate,
+            full: Cell::new(false),
+            leaving: Cell::new(false),
+            beats: Cell::new(0),
+            serving: Cell::new(None),
+            beating: Cell::new(None),
+        });
+        let (own, world) = (replica.clone(), w.clone());
+        let serving =
+            actix_rt::spawn(serve(listener, move |req| handle(own.clone(), world.clone(), req)));
+        replica.serving.set(Some(serving.abort_handle()));
+        let beating = actix_rt::spawn(beat_forever(replica.clone(), w.clone()));
+        replica.beating.set(Some(beating.abort_handle()));
+        Ok(replica)
+    }
+
+    /// Rejects all that comes from now on, or no longer.
+    pub fn set_full(&self, full: bool) {
+        self.full.set(full);
+    }
+
+    /// Resets connections now and then, for `span`.
+    pub async fn turn_grey(&self, span: Duration) {
+        for _ in 0..span.as_millis() / GREY_EVERY.as_millis() {
+            sleep(GREY_EVERY).await;
+            self.gate.reset();
+        }
+    }
+
+    /// Is gone at once.
+    pub fn crash(&self) {
+        self.gate.close();
+        for task in [self.beating.take(), self.serving.take()].into_iter().flatten() {
+            task.abort();
+        }
+    }
+
+    /// Says that it leaves, serves on for a while, and is gone.
+    pub async fn leave(self: Rc<Self>, w: Rc<World>) {
+        self.leaving.set(true);
+        for _ in 0..LEAVE_TRIES {
+            if self.beat(&w).await {
+                let acked = w.at();
+                let leaving = Leaving { replica: self.id.clone(), acked };
+                w.history.borrow_mut().leaving.push(leaving);
+                break;
+            }
+            sleep(BEAT_EVERY / 5).await;
+        }
+        sleep(LINGER).await;
+        let path = format!("/v1/replicas/{}", self.id);
+        // It ends whether or not anybody hears of it.
+        let _ = call(w.any_api(), Method::DELETE, &path, Bytes::new(), BEAT_WITHIN).await;
+        self.crash();
+    }
+
+    /// Tells of itself once; whether that was acknowledged.
+    async fn beat(&self, w: &World) -> bool {
+        self.beats.set(self.beats.get() + 1);
+        let body = json!({
+            "service": self.service, "address": self.gate.address.to_string(),
+            "data_centre": "tamar-a", "slots": 16, "draining": self.leaving.get(),
+            "sequence": self.beats.get(),
+        });
+        let path = format!("/v1/replicas/{}", self.id);
+        let body = Bytes::from(body.to_string());
+        let answer = call(w.any_api(), Method::PUT, &path, body, BEAT_WITHIN).await;
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+}
+
+async fn beat_forever(r: Rc<Replica>, w: Rc<World>) {
+    loop {
+        // Another process is told at once if one does not answer.
+        let heard = r.beat(&w).await;
+        sleep(if heard { BEAT_EVERY } else { BEAT_EVERY / 5 }).await;
+    }
+}
+
+fn text<'a>(h: &'a HeaderMap, name: &'static str) -> &'a str {
+    let value = h.get(HeaderName::from_static(name));
+    value.and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
+
+fn respond(id: &str, status: StatusCode, body: Body) -> Response<Body> {
+    let mut r = Response::with_body(status, body);
+    if let Ok(v) = HeaderValue::from_str(id) {
+        r.headers_mut().insert(REQUEST_ID, v);
+    }
+    r
+}
+
+fn reject(id: &str, status: StatusCode) -> Response<Body> {
+    let mut r = respond(id, status, Body::Whole(Bytes::new()));
+    r.headers_mut().insert(NOT_RUN, HeaderValue::from_static("true"));
+    r
+}
+
+async fn handle(r: Rc<Replica>, w: Rc<World>, req: Request) -> Response<Body> {
+    let h = req.headers();
+    let id = text(h, "x-request-id").to_owned();
+    let meant = text(h, "x-replica") == r.id;
+    let account = text(h, "x-client-account").to_owned();
+    let last: u64 = text(h, "last-event-id").parse().unwrap_or(0);
+    let run = meant && !r.full.get();
+    let at = w.at();
+    let arrival =
+        Arrival { id: id.clone(), service: r.service, replica: r.id.clone(), at, account, run };
+    w.history.borrow_mut().arrivals.push(arrival);
+    read_all(req).await;
+    if !meant {
+        return reject(&id, StatusCode::MISDIRECTED_REQUEST);
+    }
+    if !run {
+        return reject(&id, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    if r.service == "talk" {
+        let (tx, rx) = mpsc::channel(4);
+        actix_rt::spawn(make_events(w, id.clone(), last, tx));
+        return respond(&id, StatusCode::OK, Body::Pieces(rx));
+    }
+    sleep(RUN).await;
+    respond(&id, StatusCode::OK, Body::Whole(Bytes::from(answer(&id))))
+}
+
+async fn read_all(req: Request) {
+    let mut payload = req.into_parts().1;
+    while let Some(Ok(_)) = payload.next().await {}
+}
+
+async fn make_events(w: Rc<World>, id: String, last: u64, tx: mpsc::Sender<Bytes>) {
+    for n in last + 1..=events_of(&id) {
+        sleep(EVENT_EVERY).await;
+        {
+            let mut h = w.history.borrow_mut();
+            let made = h.made.entry(id.clone()).or_default();
+            *made = (*made).max(n);
+        }
+        // The caller has gone.
+        if tx.send(Bytes::from(event(&id, n))).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/check.rs
@@ -0,0 +1,165 @@
+//! Each check finds the fault that it exists for, and finds nothing in a run without one.
+
+#![allow(missing_docs)]
+
+use cypressfork_soak::check::{Broken, check, stop_of};
+use cypressfork_soak::history::{
+    Arrival, Change, Disruption, Held, History, Kind, Leaving, Outcome, Read, Request, Stop,
+};
+use cypressfork_soak::plan::{Fault, Plan};
+use cypressfork_soak::run::bounds;
+use rstest::rstest;
+
+fn request(id: &str, kind: Kind, outcome: Outcome) -> Request {
+    let (prompt, events) = if kind == Kind::Stream { (40, 3) } else { (0, 0) };
+    Request {
+        id: id.to_owned(),
+        kind,
+        account: "club",
+        prompt,
+        events,
+        gateway: 0,
+        sent: 10_000,
+        ended: 10_050,
+        outcome,
+    }
+}
+
+fn answered(events: &[u64]) -> Outcome {
+    Outcome::Answered { whole: true, events: events.to_vec() }
+}
+
+fn arrival(id: &str, service: &'static str, at: u64) -> Arrival {
+    let (replica, account) = (format!("{service}-1"), "club".to_owned());
+    Arrival { id: id.to_owned(), service, replica, at, account, run: true }
+}
+
+/// A run without a fault, with something of everything in it.
+fn sound() -> History {
+    let mut h = History {
+        requests: vec![
+            request("s", Kind::Stream, answered(&[1, 2, 3])),
+            request("u", Kind::Unsafe, answered(&[])),
+            request("f", Kind::Safe, Outcome::Refused(503)),
+            request("p", Kind::Probe(2), answered(&[])),
+        ],
+        arrivals: vec![
+            arrival("s", "talk", 10_010),
+            arrival("u", "board", 10_010),
+            arrival("p", "board", 10_010),
+        ],
+        changes: vec![
+            Change { version: 1, acked: Some(0) },
+            Change { version: 2, acked: Some(5_000) },
+            Change { version: 3, acked: None },
+        ],
+        reads: vec![Read { sent: 6_000, version: 2 }],
+        held: vec![
+            Held { gateway: 0, incarnation: 1, at: 4_000, version: 1 },
+            Held { gateway: 0, incarnation: 1, at: 6_000, version: 2 },
+            Held { gateway: 0, incarnation: 2, at: 7_000, version: 1 },
+        ],
+        stops: vec![Stop { gateway: 0, asked: 9_000, ended: Some(12_000) }],
+        leaving: vec![Leaving { replica: "talk-9".to_owned(), acked: 2_000 }],
+        healed: 15_000,
+        back: vec![Some(15_500)],
+        ..History::default()
+    };
+    h.disruptions.push(Disruption { what: stop_of(0), from: 9_000, until: 13_000 });
+    h.made.insert("s".to_owned(), 3);
+    h.spent.insert("club", 43);
+    h
+}
+
+fn found(h: &History) -> Vec<&'static str> {
+    let mut all: Vec<_> = check(h, &bounds()).into_iter().map(|b: Broken| b.promise).collect();
+    all.dedup();
+    all
+}
+
+#[test]
+fn a_sound_run_breaks_nothing() {
+    assert_eq!(check(&sound(), &bounds()), Vec::new());
+}
+
+#[rstest]
+#[case::spend_by_events("spend", |h: &mut History| { h.made.insert("s".into(), 6_000_000); })]
+#[case::spend_by_prompts("spend", |h: &mut History| { h.requests[0].prompt = 6_000_000; h.spent.clear(); h.requests[0].outcome = Outcome::Left; })]
+#[case::counted_below("billing", |h: &mut History| { h.spent.insert("club", 42); })]
+#[case::counted_above("billing", |h: &mut History| { h.spent.insert("mill", 1_000_000); })]
+#[case::twice("at most once", |h: &mut History| h.arrivals.push(arrival("u", "board", 10_020)))]
+#[case::refused_and_run("not run", |h: &mut History| h.arrivals.push(arrival("f", "board", 10_020)))]
+#[case::another_answer("whole answer", |h: &mut History| {
+    h.requests[1].outcome = Outcome::Answered { whole: false, events: Vec::new() };
+})]
+#[case::another_account("account", |h: &mut History| h.arrivals[0].account = "mill".into())]
+#[case::event_missing("stream", |h: &mut History| h.requests[0].outcome = answered(&[1, 3]))]
+#[case::event_twice("stream", |h: &mut History| h.requests[0].outcome = answered(&[1, 2, 2, 3]))]
+#[case::end_missing("stream", |h: &mut History| h.requests[0].outcome = answered(&[1, 2]))]
+#[case::cut_with_a_gap("stream", |h: &mut History| {
+    h.stops.clear();
+    h.requests[0].outcome = Outcome::Cut { begun: true, events: vec![2] };
+})]
+#[case::work_after_leaving("leaving", |h: &mut History| {
+    h.disruptions.clear();
+    h.arrivals[0].replica = "talk-9".into();
+})]
+#[case::cut_by_a_stop("planned stop", |h: &mut History| {
+    h.requests[1].outcome = Outcome::Cut { begun: false, events: Vec::new() };
+})]
+#[case::stop_too_long("planned stop", |h: &mut History| h.stops[0].ended = Some(40_000))]
+#[case::stop_without_end("planned stop", |h: &mut History| { h.stops[0].ended = Some(u64::MAX / 2); })]
+#[case::read_older("configuration", |h: &mut History| h.reads[0].version = 1)]
+#[case::back_in_one_life("configuration", |h: &mut History| h.held[2].incarnation = 1)]
+#[case::not_in_force("configuration", |h: &mut History| {
+    h.disruptions.clear();
+    h.requests[3].outcome = Outcome::Refused(404);
+})]
+#[case::always_allowed("denied", |h: &mut History| h.requests[2].outcome = Outcome::Refused(404))]
+#[case::retries("retries", |h: &mut History| {
+    (0..12).for_each(|n| h.arrivals.push(arrival("s", "talk", 10_020 + n)));
+})]
+#[case::not_back("service back", |h: &mut History| h.back[0] = None)]
+#[case::back_late("service back", |h: &mut History| h.back[0] = Some(40_000))]
+#[case::ended("ends by itself", |h: &mut History| h.ended.push("gateway-0".into()))]
+fn a_fault_is_found(#[case] promise: &str, #[case] put_in: fn(&mut History)) {
+    let mut h = sound();
+    put_in(&mut h);
+    assert_eq!(found(&h), [promise]);
+}
+
+#[rstest]
+#[case::cut_while_others_are_disturbed(|h: &mut History| {
+    h.requests[1].outcome = Outcome::Cut { begun: false, events: Vec::new() };
+    h.disruptions.push(Disruption { what: "Reset".into(), from: 9_900, until: 10_000 });
+})]
+#[case::closed_before_it_was_passed_on(|h: &mut History| {
+    h.requests[1].outcome = Outcome::Cut { begun: false, events: Vec::new() };
+    h.arrivals.remove(1);
+})]
+#[case::not_in_force_beside_a_fault(|h: &mut History| h.requests[3].outcome = Outcome::Refused(404))]
+#[case::behind_and_says_so(|h: &mut History| {
+    h.disruptions.clear();
+    h.requests[3].outcome = Outcome::Refused(503);
+    h.arrivals.remove(2);
+})]
+#[case::stream_repeated(|h: &mut History| h.arrivals.push(arrival("s", "talk", 10_020)))]
+fn what_is_allowed_is_no_fault(#[case] put_in: fn(&mut History)) {
+    let mut h = sound();
+    put_in(&mut h);
+    assert_eq!(found(&h), [""; 0]);
+}
+
+#[test]
+fn a_seed_is_always_the_same_plan() {
+    let plans: Vec<_> = (0..200).map(|seed| Plan::draw(seed, 10_000, false)).collect();
+    for p in &plans {
+        let again = Plan::draw(p.seed, 10_000, false);
+        assert_eq!((again.size, &again.steps), (p.size, &p.steps));
+        assert!(p.steps.iter().all(|s| s.at + s.span <= 10_000), "all ends by the time of healing");
+        let disks = p.steps.iter().filter(|s| matches!(s.fault, Fault::EmptyDisk(_))).count();
+        assert!(disks <= 1, "one disk is lost at most");
+    }
+    let differ = plans.windows(2).filter(|w| w[0].steps != w[1].steps).count();
+    assert_eq!(differ, 199);
+}
