--- a/crates/cypressfork/benches/fleet.rs
+++ b/crates/cypressfork/benches/fleet.rs
@@ -63,8 +63,8 @@
 
 fn metric(f: &Fleet, name: &str) -> f64 {
     let text = support::text(&format!("http://{}/metrics", f.ops_addresses[0])).unwrap();
-    let line = text.lines().find(|l| l.starts_with(name) && !l.starts_with('#'));
-    line.map_or(0.0, |l| l.rsplit(' ').next().unwrap().parse().unwrap())
+    let lines = text.lines().filter(|l| l.starts_with(name));
+    lines.map(|l| l.rsplit(' ').next().unwrap().parse::<f64>().unwrap()).sum()
 }
 
 fn link_bytes(f: &Fleet) -> f64 {
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -1,13 +1,15 @@
 //! Links between processes: a TCP connection on which both sides have proved themselves.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use cypressfork_core::code::Code;
 use cypressfork_wire::auth::{Handshake, Key, NONCE, Opener, Sealer, Side};
 use cypressfork_wire::frame::{self, CAP, CAP_STRANGER, HEAD};
-use cypressfork_wire::{Frame, Goodbye, decode, encode};
+use cypressfork_wire::{Ask, Frame, Goodbye, decode, encode};
 use metrics::counter;
 use quick_error::quick_error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -69,16 +71,44 @@
 
 type Receiving = BufReader<OwnedReadHalf>;
 
+/// What the last call on a link was for; answers have the purpose of the call before them.
+#[derive(Clone, Default)]
+struct Purpose(Rc<Cell<&'static str>>);
+
+impl Purpose {
+    /// The purpose of a frame, as the label of a metric.
+    fn of(&self, f: &Frame) -> &'static str {
+        let named = match f {
+            Frame::Call(c) => Some(match c.ask {
+                Ask::Watch(_) => "watch",
+                Ask::Command(_) => "command",
+                Ask::Query(_) => "query",
+                Ask::Share(_) => "share",
+                Ask::Reserve(_) => "reserve",
+                _ => "members",
+            }),
+            Frame::Raft(_) => Some("log"),
+            _ => None,
+        };
+        if let Some(name) = named {
+            self.0.set(name);
+        }
+        self.0.get()
+    }
+}
+
 /// The receiving half.
 pub struct Reader {
     io: Receiving,
     opener: Opener,
+    purpose: Purpose,
 }
 
 /// The sending half.
 pub struct Writer {
     io: OwnedWriteHalf,
     sealer: Sealer,
+    purpose: Purpose,
 }
 
 /// An open link.
@@ -141,8 +171,9 @@
     let theirs = stranger_payload(&mut rx).await?;
     match hs.on_proof(&theirs) {
         Ok((peer, sealer, opener)) => {
-            let reader = Reader { io: rx, opener };
-            Ok(Link { peer, reader, writer: Writer { io: tx, sealer } })
+            let purpose = Purpose::default();
+            let reader = Reader { io: rx, opener, purpose: purpose.clone() };
+            Ok(Link { peer, reader, writer: Writer { io: tx, sealer, purpose } })
         }
         Err(e) => refuse(&mut tx, e).await,
     }
@@ -166,9 +197,12 @@
     /// The next message.
     pub async fn next(&mut self) -> Result<Frame, Error> {
         let sealed = read_payload(&mut self.io, CAP).await?;
-        counter!(metric::LINK_RECEIVED).increment((HEAD + sealed.len()) as u64);
         let payload = self.opener.open(&sealed)?;
-        Ok(decode(payload)?)
+        let f = decode(payload)?;
+        let purpose = self.purpose.of(&f);
+        let bytes = (HEAD + sealed.len()) as u64;
+        counter!(metric::LINK_RECEIVED, "purpose" => purpose).increment(bytes);
+        Ok(f)
     }
 }
 
@@ -176,7 +210,8 @@
     /// Sends a message; a peer that does not read it in time breaks the link.
     pub async fn send(&mut self, f: &Frame) -> Result<(), Error> {
         let bytes = frame::prefixed(&self.sealer.seal(encode(f)));
-        counter!(metric::LINK_SENT).increment(bytes.len() as u64);
+        let purpose = self.purpose.of(f);
+        counter!(metric::LINK_SENT, "purpose" => purpose).increment(bytes.len() as u64);
         match timeout(WRITE_TIMEOUT, self.io.write_all(&bytes)).await {
             Ok(done) => Ok(done?),
             Err(_) => Err(Error::Slow),
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -40,13 +40,14 @@
     REPORT = "cypressfork_report_seconds", "histogram", "", "time until the control group had taken a report of what was spent";
     LATE = "cypressfork_late_streams_total", "counter", "cause", "streams answered later than their routes aim at, by the largest cause";
     BORROWED = "cypressfork_borrowed_tokens_total", "counter", "", "tokens that other gateways set aside for requests of this one";
+    SERVED = "cypressfork_served_bytes_total", "counter", "way", "bytes from and to callers";
     LEADS = "cypressfork_group_leads", "gauge", "", "1 while this replica of the control group leads";
     TERM = "cypressfork_group_term", "gauge", "", "the control group's term";
     COMMITTED = "cypressfork_group_committed", "gauge", "", "position of the last committed entry";
     COMMIT = "cypressfork_commit_seconds", "histogram", "", "time from a proposal at the leader to its commit";
     SYNC = "cypressfork_sync_seconds", "histogram", "", "time of one sync of the log";
-    LINK_SENT = "cypressfork_link_sent_bytes_total", "counter", "", "bytes sent to other processes of the system";
+    LINK_SENT = "cypressfork_link_sent_bytes_total", "counter", "purpose", "bytes sent to other processes of the system, by what the last call on the link was for";
     QUESTIONS = "cypressfork_watch_questions_total", "counter", "", "standing questions put to control processes";
     REPLIES_DROPPED = "cypressfork_replies_dropped_total", "counter", "", "answers of a control process that were dropped because the asker reads too slowly";
-    LINK_RECEIVED = "cypressfork_link_received_bytes_total", "counter", "", "bytes received from other processes of the system";
+    LINK_RECEIVED = "cypressfork_link_received_bytes_total", "counter", "purpose", "bytes received from other processes of the system, by what the last call on the link was for";
 }
--- a/crates/router/src/gateway/client.rs
+++ b/crates/router/src/gateway/client.rs
@@ -11,6 +11,8 @@
 use bytes::{Bytes, BytesMut};
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::Limits;
+use cypressfork_node::metric;
+use metrics::counter;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -71,7 +73,9 @@
 
     async fn fill(&mut self) -> io::Result<bool> {
         self.buf.reserve(READ);
-        Ok(self.reader.read_buf(&mut self.buf).await? > 0)
+        let n = self.reader.read_buf(&mut self.buf).await?;
+        counter!(metric::SERVED, "way" => "from_callers").increment(n as u64);
+        Ok(n > 0)
     }
 
     /// Waits for the next request: as long as it may rest, and then for its whole head.
@@ -212,6 +216,7 @@
             return Ok(());
         }
         self.begun = true;
+        counter!(metric::SERVED, "way" => "to_callers").increment(self.out.len() as u64);
         self.writer.write_all(&self.out).await?;
         self.out.clear();
         Ok(())
