--- a/crates/control/src/front.rs
+++ b/crates/control/src/api.rs
@@ -39,7 +39,7 @@
 }
 
 /// What all requests share.
-pub struct Front {
+pub struct Api {
     /// The control group.
     pub group: Group,
     /// The process's own state.
@@ -47,7 +47,7 @@
 }
 
 /// Serves one request.
-pub async fn serve<D: Dialect>(front: Rc<Front>, req: Request) -> Response<Body> {
+pub async fn serve<D: Dialect>(api: Rc<Api>, req: Request) -> Response<Body> {
     let method = req.method().clone();
     let uri = req.uri().clone();
     let answer = match body(req).await {
@@ -55,7 +55,7 @@
             let (path, query) = (uri.path(), uri.query().unwrap_or_default());
             let incoming = Incoming { method: &method, path, query, body: &bytes };
             match D::call(&incoming) {
-                Ok(call) => answer::<D>(&front, call).await,
+                Ok(call) => answer::<D>(&api, call).await,
                 Err(refused) => refused,
             }
         }
@@ -83,15 +83,15 @@
     timeout(BODY_WITHIN, collect).await.ok()?
 }
 
-async fn answer<D: Dialect>(front: &Front, call: Call) -> Answer {
+async fn answer<D: Dialect>(api: &Api, call: Call) -> Answer {
     match call {
-        Call::Publish(source) => publish::<D>(front, source).await,
-        Call::Current => current(front).await,
-        call => local(front, call).await,
+        Call::Publish(source) => publish::<D>(api, source).await,
+        Call::Current => current(api).await,
+        call => local(api, call).await,
     }
 }
 
-async fn publish<D: Dialect>(front: &Front, source: String) -> Answer {
+async fn publish<D: Dialect>(api: &Api, source: String) -> Answer {
     let document = match D::document(&source) {
         Ok(d) => d,
         Err(e) => return Answer::Refused(e.code, e.why),
@@ -99,7 +99,7 @@
     let budgets = document.budgets().collect();
     let version = document.version;
     let command = Command::Publish { version, source, budgets };
-    match front.group.command(&command, PUBLISH_WITHIN).await {
+    match api.group.command(&command, PUBLISH_WITHIN).await {
         Ok(Committed::Published(held)) => {
             emit!(Event::DocumentPublished, version = version, held = held);
             Answer::Published(held)
@@ -109,18 +109,18 @@
     }
 }
 
-async fn current(front: &Front) -> Answer {
-    match front.group.query(&Query::Published, READ_WITHIN).await {
+async fn current(api: &Api) -> Answer {
+    match api.group.query(&Query::Published, READ_WITHIN).await {
         Ok(Reply::Published(Some(source))) => Answer::Current(source),
         Ok(_) => Answer::Refused(Code::NotReady, "no document is in force yet".to_owned()),
         Err(code) => Answer::Refused(code, "no quorum confirmed what is in force".to_owned()),
     }
 }
 
-async fn local(front: &Front, call: Call) -> Answer {
+async fn local(api: &Api, call: Call) -> Answer {
     let (to, answer) = oneshot::channel();
     let busy = || Answer::Refused(Code::QueueFull, "too many calls wait".to_owned());
-    if front.local.try_send(Local { call, to }).is_err() {
+    if api.local.try_send(Local { call, to }).is_err() {
         return busy();
     }
     answer.await.unwrap_or_else(|_| busy())
--- a/crates/control/src/desk.rs
+++ b/crates/control/src/fleet_view.rs
@@ -39,7 +39,7 @@
 }
 
 /// The state; `T` tells where an answer goes.
-pub struct Desk<T> {
+pub struct FleetView<T> {
     /// The replicas.
     pub registry: Registry,
     /// The routers.
@@ -67,11 +67,11 @@
     }
 }
 
-impl<T> Desk<T> {
+impl<T> FleetView<T> {
     /// Knows nothing yet; `boot` is drawn at each start, and replicas tell of themselves about
     /// every `heartbeat`.
-    pub fn new(boot: u64, heartbeat: Millis) -> Desk<T> {
-        Desk {
+    pub fn new(boot: u64, heartbeat: Millis) -> FleetView<T> {
+        FleetView {
             registry: Registry::default(),
             routers: Routers::default(),
             candidates: Candidates::default(),
--- a/crates/control/src/leader_tasks.rs
+++ b/crates/control/src/leader_tasks.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cypressfork_core::budget::{Burial, Elapsed, Told};
+use cypressfork_core::budget::{Elapsed, Told, WriteOff};
 use cypressfork_core::command::Command;
 use cypressfork_core::fleet::repair::{Candidates, Health, next_change};
 use cypressfork_core::member::LAPSE_AFTER;
@@ -20,7 +20,7 @@
 const REPAIR_EVERY: Millis = Millis(200);
 
 /// How often a leader looks for dead holders.
-const BURY_EVERY: Millis = Millis(100);
+const WRITE_OFF_EVERY: Millis = Millis(100);
 
 /// What the clocks of two leaders may differ by.
 const CLOCK_MARGIN: Millis = Millis(500);
@@ -30,7 +30,7 @@
 pub struct LeaderTasks {
     next: Time,
     next_repair: Time,
-    next_burial: Time,
+    next_write_off: Time,
     lapsed: BTreeSet<HolderId>,
 }
 
@@ -67,11 +67,11 @@
 
     /// As leader, decides what holders whose successors have registered can have spent. A span
     /// that this leader did not see begin is taken from the time of day, if enough clocks agree.
-    pub fn bury_dead(&mut self, at: Moment, sure: bool) {
-        if !self.raft.leads() || at.now < self.leader_tasks.next_burial {
+    pub fn write_off_dead(&mut self, at: Moment, sure: bool) {
+        if !self.raft.leads() || at.now < self.leader_tasks.next_write_off {
             return;
         }
-        self.leader_tasks.next_burial = at.now.after(BURY_EVERY);
+        self.leader_tasks.next_write_off = at.now.after(WRITE_OFF_EVERY);
         let dead: Vec<_> = self.state.dead().collect();
         for (holder, age) in dead {
             let chain = self.state.ledger().chain(holder);
@@ -81,16 +81,17 @@
             };
             if let (Some(last), Some(before)) = (span(chain.last), span(chain.before)) {
                 let elapsed = Elapsed { last: Some(last), before: Some(before) };
-                let Burial { counted, freed } = self.state.ledger().burial(holder, &elapsed);
+                let WriteOff { counted, freed } =
+                    self.state.ledger().write_off_of(holder, &elapsed);
                 emit!(
-                    Event::HolderBuried,
+                    Event::HolderWrittenOff,
                     holder = holder,
                     last_ms = last.0,
                     before_ms = before.0,
                     counted = counted,
                     freed = freed,
                 );
-                self.propose_own(at, &Command::Bury { holder, elapsed });
+                self.propose_own(at, &Command::WriteOff { holder, elapsed });
             }
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,10 +1,10 @@
 //! The control process: a region's replicated, durable state.
 
-pub mod desk;
+mod api;
 pub mod dialect;
 pub mod disk;
+pub mod fleet_view;
 mod founding;
-mod front;
 mod leader_tasks;
 mod links;
 pub mod machine;
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -20,11 +20,11 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
-use crate::desk::Desk;
+use crate::api::{self, Api};
 use crate::dialect::Dialect;
 use crate::disk::{Disk, disk_failed};
+use crate::fleet_view::FleetView;
 use crate::founding::{Place, keep_place};
-use crate::front::{self, Front};
 use crate::machine::{Machine, Moment};
 use crate::native::Native;
 use crate::reserve::Reserve;
@@ -75,21 +75,21 @@
     let (local, calls) = mpsc::channel(CALLS);
     let (place, places) = watch::channel(Place::default());
     let place_group = group.clone();
-    let front = Rc::new(Front { group, local });
+    let api = Rc::new(Api { group, local });
     for address in BTreeSet::from([f.listen, f.entry]) {
-        let front = front.clone();
+        let api = api.clone();
         let listener = listen(address).await?;
         actix_rt::spawn(cypressfork_http::serve(listener, move |req| {
-            front::serve::<D>(front.clone(), req)
+            api::serve::<D>(api.clone(), req)
         }));
     }
     let founder = f.found && seeds.iter().min() == Some(&own);
     let founds = founder.then(|| seeds.to_vec());
     let keep = keep_place(me.clone(), own, place_group, founds, places);
     actix_rt::spawn(keep);
-    let desk = Desk::new(rand::random(), f.replica_heartbeat);
+    let view = FleetView::new(rand::random(), f.replica_heartbeat);
     let (entry_keep, voters) = (f.entry_keep, f.voters);
-    Ok(Fleet { desk, calls, place, seeds: seeds.to_vec(), entry_keep, voters })
+    Ok(Fleet { view, calls, place, seeds: seeds.to_vec(), entry_keep, voters })
 }
 
 /// Serves until asked to stop, over HTTP in the project's own words.
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -8,9 +8,9 @@
 
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
+use cypressfork_core::fleet::clocks::Clocks;
 use cypressfork_core::fleet::neighbours::NOT_WANTED;
 use cypressfork_core::fleet::registry::Standing;
-use cypressfork_core::fleet::walls::Walls;
 use cypressfork_core::fleet::watch::{Announce, Feed, Seen, Watch};
 use cypressfork_core::raft::{Members, Message};
 use cypressfork_core::unit::{Millis, NodeId, Time};
@@ -29,11 +29,11 @@
 use tokio::sync::{mpsc, watch as place};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::desk::{Desk, Followed};
-use crate::dialect::{Answer as DeskAnswer, Call};
+use crate::api::Local;
+use crate::dialect::{Answer as CallAnswer, Call};
 use crate::disk::{Disk, disk_failed};
+use crate::fleet_view::{FleetView, Followed};
 use crate::founding::Place;
-use crate::front::Local;
 use crate::links::{accept_all, send_all};
 use crate::machine::{Machine, Moment, Output};
 use crate::reserve::Reserve;
@@ -75,7 +75,7 @@
 /// The fleet's side of a control process.
 pub struct Fleet {
     /// What it knows.
-    pub desk: Desk<ReplyTo>,
+    pub view: FleetView<ReplyTo>,
     /// Calls that arrive over HTTP.
     pub calls: mpsc::Receiver<Local>,
     /// Where it tells how it stands with its group.
@@ -113,7 +113,7 @@
     /// How far the other control processes are followed.
     feeds: Rc<RefCell<BTreeMap<SocketAddr, Feed>>>,
     following: BTreeSet<SocketAddr>,
-    walls: Walls,
+    clocks: Clocks,
     /// When a disk that failed is tried again.
     disk_again: Option<Time>,
 }
@@ -149,7 +149,7 @@
             fleet,
             feeds: Rc::default(),
             following: BTreeSet::new(),
-            walls: Walls::default(),
+            clocks: Clocks::default(),
             disk_again: None,
         }
     }
@@ -186,7 +186,7 @@
 
     fn moment(&self) -> Moment {
         let now = self.clock.now();
-        Moment { now, wall: self.walls.agreed(now, wall()) }
+        Moment { now, wall: self.clocks.agreed(now, wall()) }
     }
 
     fn take_all(&mut self, first: Input, rx: &mut mpsc::Receiver<Input>) {
@@ -220,9 +220,9 @@
                 self.reply(to, result);
             }
             Input::Seen(from, seen) => {
-                self.walls.note(at.now, from, Time(seen.wall));
+                self.clocks.note(at.now, from, Time(seen.wall));
                 if let Some(f) = &mut self.fleet {
-                    f.desk.learn(at.now, seen.replicas);
+                    f.view.learn(at.now, seen.replicas);
                 }
             }
             Input::Call(ask, to) => self.machine.call(at, ask, to),
@@ -238,7 +238,7 @@
     fn take_watch(&mut self, at: Moment, bytes: &[u8], to: ReplyTo) {
         let question = body::unpack::<Watch>(bytes);
         match (&mut self.fleet, question) {
-            (Some(f), Ok(w)) => f.desk.watch(at.now, w, to),
+            (Some(f), Ok(w)) => f.view.watch(at.now, w, to),
             _ => self.reply(to, Err(Code::MessageBad)),
         }
     }
@@ -249,7 +249,7 @@
         if !self.machine.raft().leads() {
             return Err(Code::NotLeader);
         }
-        f.desk.announce(at.now, a);
+        f.view.announce(at.now, a);
         Ok(Vec::new())
     }
 
@@ -260,27 +260,27 @@
         let Some(f) = &mut self.fleet else { return };
         let answer = match local.call {
             Call::Entry(data_centre) => {
-                let addresses = f.desk.routers.addresses(now, &data_centre, ENTRY_MOST);
+                let addresses = f.view.routers.addresses(now, &data_centre, ENTRY_MOST);
                 match addresses.is_empty() {
                     true => no_entry(),
-                    false => DeskAnswer::Entry(addresses, f.entry_keep),
+                    false => CallAnswer::Entry(addresses, f.entry_keep),
                 }
             }
             Call::Beat(r) if r.standing < Standing::Draining || led => {
                 let id = r.registration.id.clone();
-                if f.desk.registry.take(now, r) {
+                if f.view.registry.take(now, r) {
                     emit!(Event::ReplicaChanged, replica = id);
                 }
-                DeskAnswer::Noted
+                CallAnswer::Noted
             }
             Call::Leave(id) if led => {
-                if f.desk.registry.leave(now, &id) {
+                if f.view.registry.leave(now, &id) {
                     emit!(Event::ReplicaChanged, replica = id);
                 }
-                DeskAnswer::Noted
+                CallAnswer::Noted
             }
             // Cut off from the group, this process could not tell all routers.
-            _ => DeskAnswer::Refused(Code::NoQuorum, "this process knows no leader".to_owned()),
+            _ => CallAnswer::Refused(Code::NoQuorum, "this process knows no leader".to_owned()),
         };
         // A caller that has gone needs no answer.
         let _ = local.to.send(answer);
@@ -291,7 +291,7 @@
     fn tick_fleet(&mut self, tx: &mpsc::Sender<Input>) {
         let at = self.moment();
         let Some(f) = &mut self.fleet else { return };
-        f.desk.tick(at.now);
+        f.view.tick(at.now);
         let raft = self.machine.raft();
         let founding = raft.committed() == 0;
         let place = Place {
@@ -301,9 +301,9 @@
             founding,
         };
         f.place.send_if_modified(|p| std::mem::replace(p, place.clone()) != place);
-        self.machine.repair(at, &f.desk.candidates, f.voters);
+        self.machine.repair(at, &f.view.candidates, f.voters);
         let quorum = self.machine.members().quorum();
-        self.machine.bury_dead(at, self.walls.is_sure(at.now, quorum));
+        self.machine.write_off_dead(at, self.clocks.is_sure(at.now, quorum));
         let known = raft_addresses(self.machine.members());
         let all: BTreeSet<_> = known.into_iter().chain(f.seeds.iter().copied()).collect();
         for address in all.into_iter().filter(|a| a.to_string() != self.address) {
@@ -330,7 +330,7 @@
         let controls = self.machine.members().addresses.values().cloned().collect();
         let registered = self.machine.state().routers();
         let followed = Followed { version, source, controls, wall: wall(), registered };
-        let answers = f.desk.answers(now, &followed);
+        let answers = f.view.answers(now, &followed);
         for (to, seen) in answers {
             self.reply(to, Ok(body::pack(&seen)));
         }
@@ -448,8 +448,8 @@
     }
 }
 
-fn no_entry() -> DeskAnswer {
-    DeskAnswer::Refused(Code::NotReady, "no router has been heard of yet".to_owned())
+fn no_entry() -> CallAnswer {
+    CallAnswer::Refused(Code::NotReady, "no router has been heard of yet".to_owned())
 }
 
 fn raft_addresses(m: &Members) -> Vec<SocketAddr> {
--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -327,7 +327,7 @@
 
 /// What the end of a dead holder's leases comes to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Burial {
+pub struct WriteOff {
     /// Tokens that count as spent though nobody reported them.
     pub counted: Tokens,
     /// Tokens that come free.
@@ -435,9 +435,9 @@
         self.bounds.chain(holder)
     }
 
-    /// What [`Ledger::bury`] would come to, over all budgets that bind their holders.
-    pub fn burial(&self, holder: HolderId, e: &Elapsed) -> Burial {
-        let mut sum = Burial::default();
+    /// What [`Ledger::write_off`] would come to, over all budgets that bind their holders.
+    pub fn write_off_of(&self, holder: HolderId, e: &Elapsed) -> WriteOff {
+        let mut sum = WriteOff::default();
         for (name, f) in self.funds.iter().filter(|(_, f)| f.policy.bounded) {
             let of_holder = f.leases.values().filter(|l| l.holder == holder);
             let open: Tokens = of_holder.map(Lease::open).sum();
@@ -450,7 +450,7 @@
 
     /// Ends the leases of a holder that is known to be dead. What it can have spent unreported by
     /// its own word counts as spent; the rest comes free. Leases of budgets that bind nobody stay.
-    pub fn bury(&mut self, holder: HolderId, e: &Elapsed) {
+    pub fn write_off(&mut self, holder: HolderId, e: &Elapsed) {
         let bounds = &self.bounds;
         for (name, f) in self.funds.iter_mut().filter(|(_, f)| f.policy.bounded) {
             let mut left = bounds.unreported(holder, name, e);
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -14,7 +14,7 @@
 
 pub use allot::Region;
 pub use bound::{Bound, Bounds, Chain, Elapsed, Told};
-pub use ledger::{Ask, Burial, Decision, Funds, Grant, Lease, Ledger, Report, Shortage};
+pub use ledger::{Ask, Decision, Funds, Grant, Lease, Ledger, Report, Shortage, WriteOff};
 pub use policy::{Policy, Rate, report_every};
 pub use reserve::{ReserveAnswer, ReserveCommand, ReserveLedger};
 pub use slice_store::{Reservation, SliceStore};
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -115,7 +115,9 @@
         budgets: Vec<(String, Tokens)>,
     },
     /// A holder is dead: its successor has registered.
-    Bury {
+    // Logs of earlier releases hold it under this name.
+    #[serde(rename = "Bury")]
+    WriteOff {
         /// Who.
         holder: HolderId,
         /// For how long it may have gone on after its last reports.
--- a/crates/core/src/fleet/walls.rs
+++ b/crates/core/src/fleet/clocks.rs
@@ -11,7 +11,7 @@
 
 /// What the other control processes' clocks show, against a steady clock of this process.
 #[derive(Clone, Debug, Default)]
-pub struct Walls {
+pub struct Clocks {
     others: BTreeMap<SocketAddr, (i64, Time)>,
 }
 
@@ -19,7 +19,7 @@
     wall.0 as i64 - now.0 as i64
 }
 
-impl Walls {
+impl Clocks {
     /// Notes at `now` what the clock of another process showed just before.
     pub fn note(&mut self, now: Time, from: SocketAddr, wall: Time) {
         self.others.insert(from, (offset(now, wall), now));
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! replicas that register, and the messages in which control processes pass both on.
 
 pub mod admission;
+pub mod clocks;
 pub mod document;
 pub mod entry;
 pub mod fetch;
@@ -15,5 +16,4 @@
 pub mod routes;
 pub mod share;
 pub mod transfer;
-pub mod walls;
 pub mod watch;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -130,9 +130,9 @@
                 self.once(op, c, |s| s.top_up(budget, *tokens))
             }
             Command::Release { op, lease } => self.once(op, c, |s| s.release(*lease)),
-            Command::Bury { holder, elapsed } => {
+            Command::WriteOff { holder, elapsed } => {
                 if self.dead.remove(holder).is_some() {
-                    self.ledger.bury(*holder, elapsed);
+                    self.ledger.write_off(*holder, elapsed);
                 }
                 Answer::Done
             }
@@ -266,7 +266,7 @@
         }
     }
 
-    /// Holders that are known to be dead and not buried yet, and for how long at least their
+    /// Holders that are known to be dead and not written off yet, and for how long at least their
     /// successors had been running as they registered.
     pub fn dead(&self) -> impl Iterator<Item = (HolderId, Millis)> {
         self.dead.iter().map(|(holder, age)| (*holder, *age))
--- a/crates/core/tests/bound.rs
+++ b/crates/core/tests/bound.rs
@@ -123,17 +123,17 @@
 
 /// What can have been spent unreported counts, and the rest comes free, as the event says.
 #[test]
-fn a_burial_is_told_beforehand() {
+fn a_write_off_is_told_beforehand() {
     let mut w = World::new();
     w.ask(0, 100_000);
     w.tell(0, Fate::Answered);
     let holder = w.holders[0].id;
     let elapsed = Elapsed { last: span(1_000), before: span(1_000) };
     let open = w.held(0);
-    let told = w.ledger.burial(holder, &elapsed);
+    let told = w.ledger.write_off_of(holder, &elapsed);
     assert_eq!(told.counted + told.freed, open);
     let spent = w.ledger.get(BUDGET).unwrap().spent();
-    w.ledger.bury(holder, &elapsed);
+    w.ledger.write_off(holder, &elapsed);
     assert_eq!(w.ledger.get(BUDGET).unwrap().spent() - spent, told.counted);
     assert_eq!(w.held(0), 0);
 }
@@ -232,9 +232,9 @@
     assert_ne!(old, new);
     assert_eq!(apply(&register(2, 700)), Answer::Registered(new), "a resend");
     let elapsed = Elapsed { last: span(3_000), before: span(9_000) };
-    let bury = Command::Bury { holder: old, elapsed };
-    apply(&bury);
-    apply(&bury);
+    let write_off = Command::WriteOff { holder: old, elapsed };
+    apply(&write_off);
+    apply(&write_off);
     assert_eq!(state.dead().count(), 0);
     let f = state.ledger().get(BUDGET).unwrap();
     assert_eq!((f.spent(), f.open(), f.free()), (23_000, 0, TOTAL - 23_000));
@@ -428,7 +428,7 @@
             seq => self.came.get(&(id, seq)).map(|at| self.now.since(*at)),
         };
         let elapsed = Elapsed { last: since(chain.last.seq), before: since(chain.before.seq) };
-        self.ledger.bury(id, &elapsed);
+        self.ledger.write_off(id, &elapsed);
         self.holders[n] = self.fresh();
     }
 
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -5,6 +5,7 @@
 
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::admission;
+use cypressfork_core::fleet::clocks::Clocks;
 use cypressfork_core::fleet::document::{
     Backend, Document, Kind, Limits, Route, Target, Tenant, budget_name,
 };
@@ -15,7 +16,6 @@
 use cypressfork_core::fleet::retry::{Bound, Window};
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::share::{Loans, charges, lenders};
-use cypressfork_core::fleet::walls::Walls;
 use cypressfork_core::fleet::watch::{Announce, RouterSign};
 use cypressfork_core::raft::{MemberChange, Members};
 use cypressfork_core::unit::{Millis, NodeId, Time};
@@ -327,7 +327,7 @@
 #[case::an_even_number_takes_the_lower(&[0, 2_400, 2_400], 0, 0)]
 fn most_clocks_decide(#[case] others: &[i64], #[case] step: i64, #[case] agreed: i64) {
     let (now, wall) = (Time(50_000), 1_000_000i64);
-    let mut w = Walls::default();
+    let mut w = Clocks::default();
     for (n, lead) in others.iter().enumerate() {
         let from = format!("10.0.0.{n}:1").parse().unwrap();
         w.note(now, from, Time((wall + lead) as u64));
--- a/crates/cypressfork/tests/support/control.rs
+++ b/crates/cypressfork/tests/support/control.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use cypressfork_control::desk::{Desk, Followed};
+use cypressfork_control::fleet_view::{FleetView, Followed};
 use cypressfork_core::code::Code;
 use cypressfork_core::member::Routers;
 use cypressfork_core::unit::{Millis, Time};
@@ -71,7 +71,7 @@
     address.send(listener.local_addr().unwrap()).unwrap();
     let listener = TcpListener::from_std(listener).unwrap();
     let (tx, mut rx) = queue::channel(QUEUE);
-    let mut desk = Desk::new(1, Millis::seconds(1));
+    let mut view = FleetView::new(1, Millis::seconds(1));
     let clock = Clock::start();
     let count = inside.clone();
     actix_rt::spawn(async move {
@@ -82,13 +82,13 @@
     loop {
         while let Ok((bytes, to)) = rx.try_recv() {
             let bytes: Vec<u8> = bytes;
-            desk.watch(clock.now(), body::unpack(&bytes).unwrap(), to);
+            view.watch(clock.now(), body::unpack(&bytes).unwrap(), to);
         }
         let (version, source) = inside.document.lock().unwrap().clone();
         let registered = Routers::default();
         let (controls, wall) = (Vec::new(), Time(0));
         let f = Followed { version, source: &source, controls, wall, registered: &registered };
-        for (to, seen) in desk.answers(clock.now(), &f) {
+        for (to, seen) in view.answers(clock.now(), &f) {
             let bytes = body::pack(&seen);
             if bytes.len() < LARGE || !*inside.withholds.lock().unwrap() {
                 let to: ReplyTo = to;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -67,7 +67,7 @@
     ReplicaChanged = 317, Info, "a replica has registered, changed, fallen silent or left";
     RepairBegun = 318, Info, "the group's members are changed by the leader, to mend it";
     GroupSought = 319, Info, "this process belongs to no group and says so";
-    HolderBuried = 320, Info, "a holder is dead: what it cannot have spent comes free";
+    HolderWrittenOff = 320, Info, "a holder is dead: what it cannot have spent comes free";
     BudgetShort = 321, Info, "an ask for tokens is refused: the budget holds too little";
     DiskBack = 322, Info, "the disk stores again: this replica takes part again";
     DocumentKnown = 323, Info, "a control process tells of a newer document";
