--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -120,6 +120,7 @@
         most: prompt.tokens.saturating_add(prompt.most),
         deadline,
     };
+    gw.share.homes.note_request(gw.now(), &need.budget);
     let parts = match gw.share.homes.of(gw.now(), gw.settings.link, &need.budget).is_empty() {
         true => hold_here(gw, &need).await?,
         false => hold_at_homes(gw, &need).await?,
--- a/crates/router/src/gateway/homes.rs
+++ b/crates/router/src/gateway/homes.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use cypressfork_core::fleet::demand::Demand;
 use cypressfork_core::fleet::homes::{order, ranked, turn};
 use cypressfork_core::fleet::neighbours::{Area, NOT_WANTED, digest};
 use cypressfork_core::unit::{Millis, Time};
@@ -26,6 +27,8 @@
     ranked: RefCell<HashMap<String, Rc<Ranked>>>,
     /// When homes last did not answer.
     out: RefCell<BTreeMap<SocketAddr, Time>>,
+    /// The requests of each budget that come to this gateway.
+    demand: RefCell<HashMap<String, Demand>>,
 }
 
 /// The gateways that come into question as homes of one budget.
@@ -80,7 +83,24 @@
         if self.near.borrow().is_empty() {
             return Vec::new();
         }
-        order(&self.ranked(budget).near, own, |a| self.is_out(now, a))
+        let mut homes = order(&self.ranked(budget).near, own, |a| self.is_out(now, a));
+        if self.is_heavy(now, budget) && homes.first() != Some(&own) {
+            homes.insert(0, own);
+        }
+        homes
+    }
+
+    /// Counts a request of a budget.
+    pub fn note_request(&self, now: Time, budget: &str) {
+        let mut all = self.demand.borrow_mut();
+        match all.get_mut(budget) {
+            Some(d) => d.note(now),
+            None => all.entry(budget.to_owned()).or_default().note(now),
+        }
+    }
+
+    fn is_heavy(&self, now: Time, budget: &str) -> bool {
+        self.demand.borrow().get(budget).is_some_and(|d| d.is_heavy(now))
     }
 
     /// A home of the budget in each other data centre, for what those of the own one lack.
