--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -16,5 +16,6 @@
 pub mod retry;
 pub mod routes;
 pub mod share;
+pub mod telling;
 pub mod transfer;
 pub mod watch;
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -41,6 +41,7 @@
     LATE = "cypressfork_late_streams_total", "counter", "cause", "streams answered later than their routes aim at, by the largest cause";
     BORROWED = "cypressfork_borrowed_tokens_total", "counter", "", "tokens that other gateways set aside for requests of this one";
     SERVED = "cypressfork_served_bytes_total", "counter", "way", "bytes from and to callers";
+    UNTOLD = "cypressfork_untold_prompts_total", "counter", "", "long prompts that other gateways were not told of, as there were too many";
     LEADS = "cypressfork_group_leads", "gauge", "", "1 while this replica of the control group leads";
     TERM = "cypressfork_group_term", "gauge", "", "the control group's term";
     COMMITTED = "cypressfork_group_committed", "gauge", "", "position of the last committed entry";
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -10,6 +10,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::budget_name;
 use cypressfork_core::fleet::share::{Loans, Placement, Reply, Request, Short, lenders};
+use cypressfork_core::fleet::telling::Allowance;
 use cypressfork_core::unit::{Millis, Time, Tokens};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -82,6 +83,7 @@
     loans: RefCell<Loans<Lent>>,
     /// When each peer last did not answer when it was told of a prompt.
     unheard: Rc<RefCell<BTreeMap<SocketAddr, Time>>>,
+    telling: RefCell<Allowance>,
     /// Lenders that have yet to hear what was used.
     unsettled: Rc<Cell<usize>>,
     /// Where the tokens of budgets are kept.
@@ -251,8 +253,12 @@
     /// Tells peers of a prompt that was sent to a replica, without waiting for them.
     pub fn tell(&self, gw: &Gateway, p: Placement) {
         let (now, clock) = (gw.now(), gw.clock);
+        let peers = self.peers.borrow();
+        if !self.telling.borrow_mut().take(now, peers.len() as u64) {
+            return counter!(metric::UNTOLD).increment(1);
+        }
         let ask = Ask::Share(body::pack(&Request::Placed(p)));
-        for address in self.peers.borrow().iter().copied() {
+        for address in peers.iter().copied() {
             let unheard = self.unheard.borrow().get(&address).copied();
             if unheard.is_some_and(|at| now.since(at) < TELL_PAUSE) {
                 continue;
