--- a/crates/core/tests/transfer.rs
+++ b/crates/core/tests/transfer.rs
@@ -10,6 +10,7 @@
 use cypressfork_core::fleet::transfer::{Assembly, PART, Packs, Part, Taken, Want};
 use cypressfork_core::unit::{Millis, Time};
 use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 fn packed(version: u64, len: usize) -> Vec<u8> {
     (0..len).map(|n| (n as u64 * 31 + version) as u8).collect()
@@ -121,13 +122,18 @@
     assert_eq!(a.want(0).offset, 0, "it begins anew");
 }
 
-proptest! {
-    #[test]
-    fn late_doubled_and_older_parts_do_no_harm(
-        order in prop::collection::vec((0usize..3, 0usize..6), 0..60),
-    ) {
-        let all: Vec<_> = [(3, 5 * PART), (4, 3 * PART + 7), (5, 2 * PART)]
-            .map(|(version, len)| packs(&[(version, len)])).into();
+/// The seed of the runs; CI always takes the same one.
+const SEED: [u8; 32] = *b"cypressfork transfer parts seed1";
+
+#[test]
+fn late_doubled_and_older_parts_do_no_harm() {
+    let config = Config { cases: 500, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let all: Vec<_> = [(3, 5 * PART), (4, 3 * PART + 7), (5, 2 * PART)]
+        .map(|(version, len)| packs(&[(version, len)]))
+        .into();
+    let order = prop::collection::vec((0usize..3, 0usize..6), 0..60);
+    let result = TestRunner::new_with_rng(config, rng).run(&order, |order| {
         let mut a = Assembly::default();
         let mut held = 0;
         for (doc, part) in order {
@@ -146,7 +152,9 @@
             let (bytes, _) = fetch(&mut a, held, |w| all[2].part(w));
             prop_assert_eq!(bytes, packed(5, 2 * PART));
         }
-    }
+        Ok(())
+    });
+    result.unwrap();
 }
 
 #[test]
--- a/crates/cypressfork/tests/documents.rs
+++ b/crates/cypressfork/tests/documents.rs
@@ -144,3 +144,17 @@
     assert_eq!(gw.ask("/elsewhere/x"), 404);
     assert_eq!(gw.ask("/new/x"), 503, "the route is there, and no replica");
 }
+
+#[test]
+fn nobody_is_refused_for_good_by_a_gateway_that_hears_of_no_control_process() {
+    let all = controls(2);
+    let addresses: Vec<_> = all.iter().map(|c| c.address).collect();
+    let gw = Gateway::start(&addresses);
+    all.iter().for_each(|c| c.publish(1, &document(1, 1)));
+    until("the first document", || gw.version() == 1);
+    assert_eq!(gw.ask("/new/x"), 404);
+    all.iter().for_each(|c| *c.inside.silent.lock().unwrap() = true);
+    until("a refusal that promises nothing for good", || gw.ask("/new/x") == 503);
+    all.iter().for_each(|c| *c.inside.silent.lock().unwrap() = false);
+    until("the word that the document is the newest", || gw.ask("/new/x") == 404);
+}
--- a/crates/cypressfork/tests/fleet.rs
+++ b/crates/cypressfork/tests/fleet.rs
@@ -10,6 +10,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 
 use serde_json::{Value, json};
@@ -414,6 +415,42 @@
     assert!((1..=2).contains(&homes), "{homes} gateways hold slices");
 }
 
+/// Sets a flag when it is dropped, in a panic too.
+struct SetAtEnd<'a>(&'a AtomicBool);
+
+impl Drop for SetAtEnd<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+#[test]
+fn a_gateway_that_many_callers_of_an_account_use_keeps_tokens_of_its_own() {
+    let (fleet, all) = with_homes(1_000_000);
+    all[0].spend(0, 1).unwrap();
+    let used = all.iter().find(|g| !g.is_home()).expect("most gateways are no homes");
+    // Eight callers at once come to twenty requests a second on a busy machine, too.
+    let (done, sent) = (AtomicBool::new(false), AtomicUsize::new(1));
+    thread::scope(|s| {
+        for _ in 0..8 {
+            s.spawn(|| {
+                while !done.load(Ordering::Relaxed) {
+                    used.spend(sent.fetch_add(1, Ordering::Relaxed), 1);
+                }
+            });
+        }
+        // The callers end whatever becomes of the wait.
+        let _end = SetAtEnd(&done);
+        let mut beats = 1;
+        until("a home of its own", || {
+            beats += 1;
+            fleet.beat(fleet.replica.unwrap(), beats);
+            used.is_home()
+        });
+    });
+    assert_eq!(used.spend(sent.into_inner(), 1).unwrap().0, 200);
+}
+
 #[test]
 fn gateways_whose_homes_have_died_are_served_by_the_next_in_line() {
     let (mut fleet, all) = with_homes(1_000_000);
--- /dev/null
+++ b/crates/cypressfork/tests/strangers.rs
@@ -0,0 +1,86 @@
+//! What strangers send to every port of a real gateway and a real control process ends neither, and
+//! the next who asks properly is answered.
+
+#![allow(missing_docs)]
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use cypressfork_soak::fleet::{Fleet, Programs};
+use cypressfork_soak::plan::Size;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use support::{get, program, until};
+use tempfile::TempDir;
+
+/// A seed of this test's own: it draws addresses that no soak uses.
+const SEED: u64 = 61_000;
+
+/// Pieces of what callers, replicas and operators send, to be put together wrongly.
+const PIECES: [&[u8]; 16] = [
+    b"GET / HTTP/1.1\r\n",
+    b"PUT /v1/document HTTP/1.1\r\n",
+    b"PUT /v1/replicas/r-1 HTTP/1.1\r\n",
+    b"POST /talk/x HTTP/1.0\r\n",
+    b"Host: club.example\r\n",
+    b"Content-Length: 18446744073709551616\r\n",
+    b"Content-Length: 5\r\n",
+    b"Content-Length: 7\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: identity\r\n",
+    b"X-Request-Id: \xff\xfe\r\n",
+    b"X-Tokens: 99999999999999999999,1\r\n",
+    b"\r\n",
+    b"ffffffffffffffff\r\n",
+    b"{\"version\":1e300,\"routes\":[[[[[[[[",
+    b"\x00\x00\x04\x00\x1c\x15\x02\x18\xff\xff\xff\xff\x07",
+];
+
+fn noise(rng: &mut SmallRng) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for _ in 0..rng.random_range(1..8) {
+        match rng.random_bool(0.8) {
+            true => bytes.extend_from_slice(PIECES[rng.random_range(0..PIECES.len())]),
+            false => bytes.extend((0..rng.random_range(1..200)).map(|_| rng.random::<u8>())),
+        }
+    }
+    bytes
+}
+
+fn send(to: SocketAddr, bytes: &[u8]) {
+    let Ok(mut s) = TcpStream::connect(to) else { panic!("nobody listens at {to}") };
+    s.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+    // Either side may close at any moment.
+    let _ = s.write_all(bytes);
+    let _ = s.read(&mut [0; 512]);
+}
+
+#[test]
+fn noise_on_every_port_ends_no_process() {
+    let dir = TempDir::new().unwrap();
+    let size = Size { controls: 1, gateways: 1, talk: 0, board: 0, callers: 0 };
+    let programs =
+        Programs { control: program("control").into(), gateway: program("gateway").into() };
+    actix_rt::System::new().block_on(async {
+        let fleet = Fleet::lay_out(SEED, &size, &programs, dir.path()).await.unwrap();
+        fleet.processes().for_each(|p| p.start().unwrap());
+        let (control, gateway) = (&fleet.controls[0], &fleet.gateways[0]);
+        let ports = [control.api, control.link, gateway.callers, gateway.operators, gateway.link];
+        for to in ports {
+            until("all ports", || TcpStream::connect(to).is_ok());
+        }
+        let mut rng = SmallRng::seed_from_u64(SEED);
+        for to in ports {
+            (0..60).for_each(|_| send(to, &noise(&mut rng)));
+        }
+        assert!(fleet.processes().all(|p| !p.has_ended()), "a process has ended");
+        let health = format!("http://{}/healthz", gateway.operators);
+        until("an answer", || get(&health).is_some_and(|v| v["alive"] == true));
+        // The control process belongs to a group of one by now, and says what it has.
+        let document = format!("http://{}/v1/document", control.api);
+        until("an answer", || get(&document).is_some());
+    });
+}
--- a/crates/cypressfork/tests/support/control.rs
+++ b/crates/cypressfork/tests/support/control.rs
@@ -36,6 +36,8 @@
     pub document: Mutex<(u64, String)>,
     /// Large answers are never sent.
     pub withholds: Mutex<bool>,
+    /// Nothing is ever sent.
+    pub silent: Mutex<bool>,
     /// Standing questions that have come.
     pub questions: AtomicUsize,
 }
@@ -90,7 +92,8 @@
         let f = Followed { version, source: &source, controls, wall, registered: &registered };
         for (to, seen) in view.answers(clock.now(), &f) {
             let bytes = body::pack(&seen);
-            if bytes.len() < LARGE || !*inside.withholds.lock().unwrap() {
+            let kept_back = bytes.len() >= LARGE && *inside.withholds.lock().unwrap();
+            if !kept_back && !*inside.silent.lock().unwrap() {
                 let to: ReplyTo = to;
                 let _ = to.tx.send(Frame::Answer(Return::new(to.id, 0, bytes, None))).await;
             }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -130,6 +130,8 @@
     pub process: Process,
     /// Where it takes calls over HTTP.
     pub api: SocketAddr,
+    /// Where it listens for links, behind its proxy.
+    pub link: SocketAddr,
     data: PathBuf,
 }
 
@@ -141,6 +143,8 @@
     pub callers: SocketAddr,
     /// Where it tells operators of itself.
     pub operators: SocketAddr,
+    /// Where it listens for links, behind its proxy.
+    pub link: SocketAddr,
 }
 
 /// The processes of one run.
@@ -228,7 +232,7 @@
         fs::create_dir_all(&data).map_err(io("make a data folder"))?;
         let process =
             self.process(&name, &programs.control, &self.control_settings(&name, p, true))?;
-        Ok(Control { process, api: p.first, data })
+        Ok(Control { process, api: p.first, link: p.link, data })
     }
 
     fn control_settings(&self, name: &str, p: &Place, found: bool) -> String {
@@ -253,7 +257,7 @@
             p.second,
         );
         let process = self.process(&name, &programs.gateway, &settings)?;
-        Ok(Gateway { process, callers: p.first, operators: p.second })
+        Ok(Gateway { process, callers: p.first, operators: p.second, link: p.link })
     }
 
     /// Where the control processes are reached by links.
