--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -41,8 +41,8 @@
     }
 }
 
-/// Asks again and again until the link breaks. An answer to a question that was overtaken is taken
-/// as well: it counts as received there.
+/// Asks again and again until the link breaks. Answers come in the order of the questions. One to a
+/// question that a later one has overtaken is taken as well: its sender counts the news as told.
 async fn ask_on(link: Link, address: SocketAddr, watcher: &impl Watcher) {
     let Link { mut reader, mut writer, .. } = link;
     let mut id = 0;
