A process outside its group finds it, whatever became of the seeds

Ruled out: the 1.2 s that an announcement may take, and place.led.

Change: control processes tell each other who leads and where members are, and each question says where its asker is (core::fleet::contacts); a process outside the group names the leader that it was told of; group clients learn addresses beside their settings'; founding means an empty log, for 2 s at most; one that waits to be welcomed back asks the leader for the members, confirmed by a quorum, and needs a quorum of those; a folder that is an old copy is set aside, so that the next start joins as another identity.

Before: all 18 cases of places.rs red with the old rules put in (no word of leaders, members of the own log, founders silent). After: green, and the 55 of group.rs.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -1,6 +1,7 @@
 //! What a control process knows of the fleet without its being durable: replicas that register,
 //! routers that ask, and processes that want to join the group.
 
+use cypressfork_core::fleet::contacts::Lead;
 use cypressfork_core::fleet::entry::Routers;
 use cypressfork_core::fleet::neighbours::{Directory, NOT_WANTED};
 use cypressfork_core::fleet::registry::{Record, Registry};
@@ -36,6 +37,8 @@
     pub wall: Time,
     /// The routers that have registered.
     pub registered: &'a Registered,
+    /// Who leads the group, if that is known here.
+    pub lead: Option<Lead>,
 }
 
 /// The state; `T` tells where an answer goes.
@@ -155,6 +158,7 @@
             peers: if peers { self.routers.links(now, PEERS) } else { Vec::new() },
             wall: f.wall.0,
             areas: (!known).then(|| self.directory.areas().to_vec()),
+            lead: f.lead.clone(),
         }
     }
 }
--- a/crates/control/src/founding.rs
+++ b/crates/control/src/founding.rs
@@ -8,16 +8,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cypressfork_core::fleet::contacts::Place;
 use cypressfork_core::fleet::watch::Announce;
-use cypressfork_core::query::Identity;
+use cypressfork_core::query::{Identity, Query, Reply};
 use cypressfork_core::raft::Members;
+use cypressfork_core::unit::Millis;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
 use cypressfork_node::link::Credentials;
 use cypressfork_wire::{Ask, Founders, Peer, body};
-use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep};
 
 /// How often a process looks whether it has a group.
 const LOOK: Duration = Duration::from_millis(250);
@@ -28,19 +30,6 @@
 /// How long a word to the group may take.
 const ANNOUNCE_WITHIN: Duration = Duration::from_millis(1_200);
 
-/// How this process stands with its group.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Place {
-    /// The identity in its data folder.
-    pub node: u64,
-    /// The members that it knows.
-    pub members: Members,
-    /// It knows a leader.
-    pub led: bool,
-    /// No entry was ever committed here.
-    pub founding: bool,
-}
-
 /// Looks after this process's place in a group for as long as it runs. The founder is handed the
 /// addresses of all `founders`.
 pub async fn keep_place(
@@ -49,9 +38,12 @@
     group: Group,
     founders: Option<Vec<SocketAddr>>,
     place: watch::Receiver<Place>,
+    told: mpsc::Sender<Members>,
 ) {
+    let started = Instant::now();
     loop {
         let p = place.borrow().clone();
+        let waited = Millis(started.elapsed().as_millis() as u64);
         if p.node == 0 {
             // Nothing is known yet.
             sleep(LOOK).await;
@@ -59,23 +51,29 @@
         }
         if let Some(founders) = founders.as_ref().filter(|_| p.members.voters.is_empty()) {
             found(&me, founders).await;
-        } else if p.founding && !p.led {
+        } else if p.is_founding() {
             refound(&me, &p.members).await;
         }
-        if !p.members.voters.contains(&p.node) || !p.led {
-            announce(&group, own, &p).await;
+        if p.seeks_group(waited) {
+            seek(&group, own, &p, &told).await;
         }
         sleep(LOOK).await;
     }
 }
 
-async fn announce(group: &Group, own: SocketAddr, p: &Place) {
-    if p.members.voters.contains(&p.node) && p.founding {
+/// Tells the leader that this process is there. One that waits to be welcomed back asks it for the
+/// members too: those in its own log may all have been replaced.
+async fn seek(group: &Group, own: SocketAddr, p: &Place, told: &mpsc::Sender<Members>) {
+    let a = Announce { node: p.node, address: own.to_string() };
+    if group.call(Ask::Announce(body::pack(&a)), ANNOUNCE_WITHIN).await.is_err() {
         return;
     }
-    let a = Announce { node: p.node, address: own.to_string() };
-    if group.call(Ask::Announce(body::pack(&a)), ANNOUNCE_WITHIN).await.is_ok() {
-        emit!(Event::GroupSought, node = format_args!("{:016x}", p.node));
+    emit!(Event::GroupSought, node = format_args!("{:016x}", p.node));
+    if p.rejoining
+        && let Ok(Reply::Members(members)) = group.query(&Query::Members, ANNOUNCE_WITHIN).await
+    {
+        // A server that has stopped needs no members.
+        let _ = told.send(members).await;
     }
 }
 
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -9,6 +9,7 @@
 use cypressfork_core::budget::{Ask as BudgetAsk, Shortage};
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
+use cypressfork_core::fleet::contacts::{Lead, Place};
 use cypressfork_core::member::Signs;
 use cypressfork_core::query::{Identity, Query};
 use cypressfork_core::raft::{
@@ -166,6 +167,29 @@
         self.raft.members().addresses.get(&leader).cloned()
     }
 
+    /// How this replica stands with its group.
+    pub fn place(&self) -> Place {
+        let raft = &self.raft;
+        Place {
+            node: raft.id(),
+            members: raft.members().clone(),
+            led: raft.leader().is_some(),
+            empty: raft.log().last_index() == 0,
+            rejoining: !raft.joined(),
+        }
+    }
+
+    /// Who leads, if this replica counts in the group and knows.
+    pub fn lead(&self) -> Option<Lead> {
+        let address = self.leader_address()?;
+        Some(Lead { term: self.raft.term(), address })
+    }
+
+    /// Takes the members that the group's leader names.
+    pub fn take_members(&mut self, at: Moment, members: Members) {
+        self.raft.take_members(at.now, members);
+    }
+
     /// The replicated log.
     pub fn raft(&self) -> &Raft {
         &self.raft
--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -125,6 +125,7 @@
                 let (version, source) = self.state.published();
                 Reply::Published((version > 0).then(|| source.to_string()))
             }
+            Query::Members => Reply::Members(self.raft.committed_members().clone()),
             Query::BackTo(version) => {
                 Reply::Items(self.state.config().version(), self.state.config().back_to(version))
             }
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cypressfork_core::code::Code;
+use cypressfork_core::fleet::contacts::Place;
 use cypressfork_core::raft::Restored;
 use cypressfork_http::operators;
 use cypressfork_node::event::Event;
@@ -16,7 +17,7 @@
 use cypressfork_node::settings::load;
 use cypressfork_node::time::{Clock, wall};
 use cypressfork_node::{emit, logging};
-use cypressfork_store::{Error, Folder};
+use cypressfork_store::{Error, Folder, set_aside};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
@@ -24,7 +25,7 @@
 use crate::dialect::Dialect;
 use crate::disk::{Disk, disk_failed};
 use crate::fleet_view::FleetView;
-use crate::founding::{Place, keep_place};
+use crate::founding::keep_place;
 use crate::machine::{Machine, Moment};
 use crate::native::Native;
 use crate::reserve::Reserve;
@@ -74,6 +75,7 @@
 ) -> Result<Fleet, Failure> {
     let (local, calls) = mpsc::channel(CALLS);
     let (place, places) = watch::channel(Place::default());
+    let (tell, told) = mpsc::channel(1);
     let place_group = group.clone();
     let api = Rc::new(Api { group, local });
     for address in BTreeSet::from([f.listen, f.entry]) {
@@ -85,11 +87,11 @@
     }
     let founder = f.found && seeds.iter().min() == Some(&own);
     let founds = founder.then(|| seeds.to_vec());
-    let keep = keep_place(me.clone(), own, place_group, founds, places);
+    let keep = keep_place(me.clone(), own, place_group, founds, places, tell);
     actix_rt::spawn(keep);
     let view = FleetView::new(rand::random(), f.replica_heartbeat);
     let (entry_keep, voters) = (f.entry_keep, f.voters);
-    Ok(Fleet { view, calls, place, seeds: seeds.to_vec(), entry_keep, voters })
+    Ok(Fleet { view, calls, place, told, seeds: seeds.to_vec(), entry_keep, voters })
 }
 
 /// Serves until asked to stop, over HTTP in the project's own words.
@@ -131,7 +133,14 @@
         move || settings(&file),
         move |s| g.set_addresses(s.base.control),
     ));
-    Server::new(machine, clock, me, s.advertise, reserve, group, fleet).run(listener).await?;
+    let server = Server::new(machine, clock, me, s.advertise, reserve, group, fleet);
+    let ended = server.run(listener).await;
+    if let (Err((Code::FolderForeign, _)), Some(_)) = (&ended, &s.fleet) {
+        // The group mends itself: the next start joins it under another identity.
+        set_aside(&s.data_folder).map_err(disk_failed)?;
+        emit!(Event::FolderSetAside, node = format_args!("{node:016x}"));
+    }
+    ended?;
     emit!(Event::Stopped);
     Ok(())
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -9,6 +9,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::fleet::clocks::Clocks;
+use cypressfork_core::fleet::contacts::{Contacts, Place};
 use cypressfork_core::fleet::neighbours::NOT_WANTED;
 use cypressfork_core::fleet::registry::Standing;
 use cypressfork_core::fleet::watch::{Announce, Feed, Seen, Watch};
@@ -33,7 +34,6 @@
 use crate::dialect::{Answer as CallAnswer, Call};
 use crate::disk::{Disk, disk_failed};
 use crate::fleet_view::{FleetView, Followed};
-use crate::founding::Place;
 use crate::links::{accept_all, send_all};
 use crate::machine::{Machine, Moment, Output};
 use crate::reserve::Reserve;
@@ -80,6 +80,8 @@
     pub calls: mpsc::Receiver<Local>,
     /// Where it tells how it stands with its group.
     pub place: place::Sender<Place>,
+    /// The members that the group's leader names to a process that seeks its group.
+    pub told: mpsc::Receiver<Members>,
     /// Addresses of control processes that it was told of.
     pub seeds: Vec<SocketAddr>,
     /// How long callers may keep an entry answer.
@@ -112,7 +114,9 @@
     fleet: Option<Fleet>,
     /// How far the other control processes are followed.
     feeds: Rc<RefCell<BTreeMap<SocketAddr, Feed>>>,
-    following: BTreeSet<SocketAddr>,
+    /// The control processes that are followed.
+    following: Rc<RefCell<BTreeSet<SocketAddr>>>,
+    contacts: Contacts,
     clocks: Clocks,
     /// When a disk that failed is tried again.
     disk_again: Option<Time>,
@@ -148,7 +152,8 @@
             heard_at: BTreeMap::new(),
             fleet,
             feeds: Rc::default(),
-            following: BTreeSet::new(),
+            following: Rc::default(),
+            contacts: Contacts::default(),
             clocks: Clocks::default(),
             disk_again: None,
         }
@@ -221,6 +226,10 @@
             }
             Input::Seen(from, seen) => {
                 self.clocks.note(at.now, from, Time(seen.wall));
+                seen.controls.iter().for_each(|a| self.contacts.hear(at.now, a));
+                if let Some(lead) = &seen.lead {
+                    self.contacts.hear_lead(at.now, lead);
+                }
                 if let Some(f) = &mut self.fleet {
                     f.view.learn(at.now, seen.replicas);
                 }
@@ -238,7 +247,12 @@
     fn take_watch(&mut self, at: Moment, bytes: &[u8], to: ReplyTo) {
         let question = body::unpack::<Watch>(bytes);
         match (&mut self.fleet, question) {
-            (Some(f), Ok(w)) => f.view.watch(at.now, w, to),
+            (Some(f), Ok(w)) => {
+                if let Some(address) = &w.control {
+                    self.contacts.hear(at.now, address);
+                }
+                f.view.watch(at.now, w, to);
+            }
             _ => self.reply(to, Err(Code::MessageBad)),
         }
     }
@@ -292,23 +306,27 @@
         let at = self.moment();
         let Some(f) = &mut self.fleet else { return };
         f.view.tick(at.now);
-        let raft = self.machine.raft();
-        let founding = raft.committed() == 0;
-        let place = Place {
-            node: raft.id(),
-            members: raft.members().clone(),
-            led: raft.leader().is_some(),
-            founding,
-        };
+        while let Ok(members) = f.told.try_recv() {
+            self.machine.take_members(at, members);
+        }
+        let place = self.machine.place();
         f.place.send_if_modified(|p| std::mem::replace(p, place.clone()) != place);
         self.machine.repair(at, &f.view.candidates, f.voters);
         let quorum = self.machine.members().quorum();
         self.machine.write_off_dead(at, self.clocks.is_sure(at.now, quorum));
+        self.contacts.tick(at.now);
         let known = raft_addresses(self.machine.members());
-        let all: BTreeSet<_> = known.into_iter().chain(f.seeds.iter().copied()).collect();
-        for address in all.into_iter().filter(|a| a.to_string() != self.address) {
-            if self.following.insert(address) {
-                let peer = PeerWatch { feeds: self.feeds.clone(), tx: tx.clone() };
+        let heard = self.contacts.addresses().filter_map(|a| a.parse().ok());
+        let all = known.into_iter().chain(f.seeds.iter().copied()).chain(heard);
+        let all: BTreeSet<_> = all.filter(|a| a.to_string() != self.address).collect();
+        self.group.learn(all.iter().copied());
+        for address in all {
+            if self.following.borrow_mut().insert(address) {
+                let peer = PeerWatch {
+                    feeds: self.feeds.clone(),
+                    tx: tx.clone(),
+                    own: self.address.clone(),
+                };
                 actix_rt::spawn(watch(address, self.me.clone(), peer));
             }
         }
@@ -329,7 +347,8 @@
         let (version, source) = self.machine.state().published();
         let controls = self.machine.members().addresses.values().cloned().collect();
         let registered = self.machine.state().routers();
-        let followed = Followed { version, source, controls, wall: wall(), registered };
+        let lead = self.machine.lead();
+        let followed = Followed { version, source, controls, wall: wall(), registered, lead };
         let answers = f.view.answers(now, &followed);
         for (to, seen) in answers {
             self.reply(to, Ok(body::pack(&seen)));
@@ -414,7 +433,7 @@
         };
         let leader = match code {
             0 => None,
-            _ => self.machine.leader_address(),
+            _ => self.leader_address(),
         };
         let r = Return::new(to.id, code, bytes, leader);
         if to.tx.try_send(Frame::Answer(r)).is_err() {
@@ -423,10 +442,17 @@
         }
     }
 
+    /// Where the group's leader is: a process that does not count in the group has been told of it
+    /// by others, so that a caller who knows nobody else finds it.
+    fn leader_address(&self) -> Option<String> {
+        let told = || self.contacts.lead(self.clock.now()).map(|l| l.address.clone());
+        self.machine.leader_address().or_else(told)
+    }
+
     fn send(&mut self, m: Message) {
-        let members = self.machine.members();
-        let address = members.addresses.get(&m.to).or_else(|| self.heard_at.get(&m.to));
-        let Some(address) = address.cloned() else { return };
+        let known = self.machine.raft().address(m.to);
+        let address = known.or_else(|| self.heard_at.get(&m.to).map(String::as_str));
+        let Some(address) = address.map(str::to_owned) else { return };
         let known =
             self.peers.get(&m.to).is_some_and(|p| p.address == address && !p.tx.is_closed());
         if !known {
@@ -460,6 +486,8 @@
 struct PeerWatch {
     feeds: Rc<RefCell<BTreeMap<SocketAddr, Feed>>>,
     tx: mpsc::Sender<Input>,
+    /// Where this process listens for the others.
+    own: String,
 }
 
 impl Watcher for PeerWatch {
@@ -471,6 +499,7 @@
             version: 0,
             fetch: None,
             areas: NOT_WANTED,
+            control: Some(self.own.clone()),
         })
     }
 
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -3,4 +3,5 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod memory;
+pub mod places;
 pub mod world;
--- a/crates/control/tests/support/world.rs
+++ b/crates/control/tests/support/world.rs
@@ -8,6 +8,8 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::config::{Application, Change, Item, Template};
+use cypressfork_core::fleet::contacts::Contacts;
+use cypressfork_core::fleet::repair::Candidates;
 use cypressfork_core::query::{Query, Reply};
 use cypressfork_core::raft::{MemberChange, Members, Message, Payload, Settings as RaftSettings};
 use cypressfork_core::unit::{Index, Millis, NodeId, Term, Time, Version};
@@ -29,6 +31,13 @@
     pub frozen: bool,
     /// Why it stopped by itself.
     pub stopped: Option<Code>,
+    /// Where it listens.
+    pub address: String,
+    pub(super) started: Time,
+    pub(super) contacts: Contacts,
+    pub(super) candidates: Candidates,
+    /// How often it has said that it is there.
+    pub(super) announced: usize,
     inbox: Vec<Message>,
 }
 
@@ -63,16 +72,23 @@
     pub acked_version: Version,
     pub reads: u64,
     pub last_member_answer: Option<Result<(), Code>>,
+    /// The addresses that all processes are told at their start; none: members are ordered by hand.
+    pub seeds: Vec<String>,
     next_id: NodeId,
 }
 
-fn address(n: NodeId) -> String {
+pub(super) fn address(n: NodeId) -> String {
     format!("10.0.0.{n}:7000")
 }
 
 impl World {
     /// Fresh replicas 1 to `n`, made a group, with a first configuration.
     pub fn new(n: u64, seed: u64) -> World {
+        World::without(n, &[], seed)
+    }
+
+    /// The same, where the replicas `away` hear nothing but that the group is founded.
+    pub fn without(n: u64, away: &[NodeId], seed: u64) -> World {
         let raft = RaftSettings { part: 512, ..RaftSettings::default() };
         let mut w = World {
             now: Time(10_000),
@@ -94,6 +110,7 @@
             acked_version: 0,
             reads: 0,
             last_member_answer: None,
+            seeds: Vec::new(),
             next_id: 1,
         };
         for _ in 0..n {
@@ -105,6 +122,9 @@
             let m = w.nodes.get_mut(&i).unwrap().machine.as_mut().unwrap();
             m.call(at, Ask::Founders(Founders::new(peers.clone())), 0);
         }
+        for id in away {
+            w.crash(*id);
+        }
         w.until(5_000, |w| w.leader().is_some());
         w.change();
         while w.acked_version == 0 {
@@ -116,10 +136,25 @@
 
     /// A new replica with an empty disk.
     pub fn add_fresh(&mut self) -> NodeId {
+        self.add_fresh_at(address(self.next_id))
+    }
+
+    /// A new replica with an empty disk, at an address that another may have had.
+    pub fn add_fresh_at(&mut self, address: String) -> NodeId {
         let id = self.next_id;
         self.next_id += 1;
-        let disk = Disk::default();
-        let node = Node { machine: None, disk, frozen: false, stopped: None, inbox: Vec::new() };
+        let node = Node {
+            machine: None,
+            disk: Disk::default(),
+            frozen: false,
+            stopped: None,
+            address,
+            started: self.now,
+            contacts: Contacts::default(),
+            candidates: Candidates::default(),
+            announced: 0,
+            inbox: Vec::new(),
+        };
         self.nodes.insert(id, node);
         self.start(id);
         id
@@ -136,6 +171,9 @@
         let machine = Machine::start(at, "tas-north", settings, memory, (id, found), seed).unwrap();
         node.machine = Some(machine);
         node.stopped = None;
+        node.started = at.now;
+        node.contacts = Contacts::default();
+        node.candidates = Candidates::default();
         node.inbox.clear();
         self.checked.remove(&id);
     }
@@ -310,6 +348,7 @@
         for id in self.live() {
             self.turn(id);
         }
+        self.keep_places();
         self.check();
     }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod clocks;
+pub mod contacts;
 pub mod demand;
 pub mod document;
 pub mod entry;
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::contacts::Lead;
 use super::neighbours::Area;
 use super::registry::Record;
 use super::transfer::{Part, Want};
@@ -46,6 +47,9 @@
     /// Digest of the areas that the router knows.
     #[serde(default)]
     pub areas: u64,
+    /// Where the asker listens for the others, if it is a control process.
+    #[serde(default)]
+    pub control: Option<String>,
 }
 
 /// The answer.
@@ -70,6 +74,9 @@
     /// The areas, if the router knows others.
     #[serde(default)]
     pub areas: Option<Vec<Area>>,
+    /// Who leads the group, as far as this process knows.
+    #[serde(default)]
+    pub lead: Option<Lead>,
 }
 
 /// A control process that belongs to no group says that it is there.
--- a/crates/core/src/query.rs
+++ b/crates/core/src/query.rs
@@ -38,6 +38,8 @@
     BackTo(Version),
     /// The document in force.
     Published,
+    /// The members of the group, for a process that may know old ones.
+    Members,
 }
 
 /// Where a router serves callers.
@@ -190,6 +192,8 @@
     Items(Version, Option<Vec<Item>>),
     /// To [`Query::Published`]: the document as submitted, if there is one.
     Published(Option<String>),
+    /// To [`Query::Members`].
+    Members(Members),
 }
 
 /// A replica's identity and group, as it says itself; not confirmed by anybody.
--- a/crates/core/src/raft/mod.rs
+++ b/crates/core/src/raft/mod.rs
@@ -184,6 +184,11 @@
         self.log.members_at(self.log.last_index())
     }
 
+    /// The members as of what is committed.
+    pub fn committed_members(&self) -> &Members {
+        self.log.members_at(self.commit)
+    }
+
     /// How far each follower is, at a leader.
     pub fn followers(&self) -> impl Iterator<Item = (NodeId, &Progress)> {
         let leading = match &self.role {
--- a/crates/core/src/raft/rejoin.rs
+++ b/crates/core/src/raft/rejoin.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Action, Body, Mark, Message, Raft, Role};
+use super::{Action, Body, Mark, Members, Message, Raft, Role};
 use crate::unit::{Index, Millis, NodeId, Time};
 
 /// How often a waiting replica asks again.
@@ -18,6 +18,8 @@
 /// The welcomes so far.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Rejoin {
+    /// Newer members than the log names, if the group's leader has told of them.
+    members: Option<Members>,
     welcomes: BTreeSet<NodeId>,
     since: Time,
     next_ask: Time,
@@ -47,11 +49,42 @@
         r.next_ask = now.after(ASK_AGAIN);
         let welcomes = r.welcomes.clone();
         let mark = self.own_mark();
-        for n in self.others().into_iter().filter(|n| !welcomes.contains(n)) {
+        let silent = |n: &NodeId| *n != self.id && !welcomes.contains(n);
+        let asked: Vec<_> = self.welcomers().all().filter(silent).collect();
+        for n in asked {
             self.send(n, Body::Rejoin(mark));
         }
     }
 
+    /// The members whose welcome this replica waits for.
+    fn welcomers(&self) -> &Members {
+        let told = match &self.role {
+            Role::Rejoining(r) => r.members.as_ref(),
+            _ => None,
+        };
+        told.unwrap_or(self.members())
+    }
+
+    /// Takes the members that the group's leader names, confirmed by a quorum: a replica that was
+    /// away may know only members that have been replaced since, which never answer. Whoever counts
+    /// now has all that was committed while this replica counted, so a quorum of them can tell an
+    /// old copy as well as those before.
+    pub fn take_members(&mut self, now: Time, members: Members) {
+        let Role::Rejoining(r) = &mut self.role else { return };
+        if members.voters.is_empty() {
+            return;
+        }
+        r.members = Some(members);
+        r.next_ask = now;
+        self.tick_rejoin(now);
+    }
+
+    /// Where a replica listens, as far as this one knows.
+    pub fn address(&self, n: NodeId) -> Option<&str> {
+        let known = self.members().addresses.get(&n);
+        known.or_else(|| self.welcomers().addresses.get(&n)).map(String::as_str)
+    }
+
     pub(super) fn on_rejoin(&mut self, from: NodeId, mark: Mark) {
         let known = self.marks.get(&from).copied().unwrap_or_default();
         let again = mark.boot == known.boot;
@@ -84,8 +117,9 @@
     /// keep silent.
     fn end_rejoin(&mut self, now: Time) {
         let Role::Rejoining(r) = &self.role else { return };
-        let all = self.members().all().all(|n| n == self.id || r.welcomes.contains(&n));
-        let quorum = self.members().agree(|n| n == self.id || r.welcomes.contains(&n));
+        let welcomed = |n: NodeId| n == self.id || r.welcomes.contains(&n);
+        let all = self.welcomers().all().all(welcomed);
+        let quorum = self.welcomers().agree(welcomed);
         if all || (quorum && now.since(r.since) >= GRACE) {
             self.role = Role::Follower;
             self.heard = now;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -73,6 +73,7 @@
     DocumentKnown = 323, Info, "a control process tells of a newer document";
     DocumentAsked = 324, Info, "a newer document is asked for";
     DocumentGivenUp = 325, Info, "a control process has not sent a document in time";
+    FolderSetAside = 326, Warn, "an old copy of a data folder is set aside: the next start is a new replica";
     RouterRegistered = 401, Info, "this router is registered";
     RouterReady = 402, Info, "this router serves callers";
     ControlLost = 403, Warn, "the control group is out of reach";
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -3,7 +3,7 @@
 //! Every command can be sent again without harm, so a call whose answer is lost is repeated.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +33,9 @@
 /// The waits between tries: from the first, doubled up to the second.
 const WAIT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(200));
 
+/// Addresses kept at most beside those of the settings: more than the control processes of a region.
+const LEARNED: usize = 64;
+
 type Waiting = Rc<RefCell<HashMap<i64, oneshot::Sender<Return>>>>;
 
 #[derive(Clone)]
@@ -45,6 +48,8 @@
 struct Inner {
     me: Credentials,
     addresses: RefCell<Vec<SocketAddr>>,
+    /// Addresses that other processes have told of.
+    learned: RefCell<BTreeSet<SocketAddr>>,
     turn: Cell<usize>,
     hint: Cell<Option<SocketAddr>>,
     ids: Cell<i64>,
@@ -67,6 +72,7 @@
         let inner = Inner {
             me,
             addresses: RefCell::new(addresses),
+            learned: RefCell::default(),
             turn: Cell::new(0),
             hint: Cell::new(None),
             ids: Cell::new(0),
@@ -83,6 +89,24 @@
         *self.inner.addresses.borrow_mut() = addresses;
     }
 
+    /// Takes addresses into use, besides those of the settings, that other processes tell of: the
+    /// group may have none of the settings' addresses left.
+    pub fn learn(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let mut learned = self.inner.learned.borrow_mut();
+        for a in addresses {
+            if learned.len() < LEARNED {
+                learned.insert(a);
+            }
+        }
+    }
+
+    /// Says where the group's leader is: it is asked next, unless a link is open.
+    pub fn point_to(&self, leader: SocketAddr) {
+        if self.inner.live.borrow().is_none() {
+            self.inner.hint.set(Some(leader));
+        }
+    }
+
     /// Says that the group answers again: calls that wait for their next try make it now.
     pub fn wake(&self) {
         self.inner.wakes.set(self.inner.wakes.get() + 1);
@@ -217,10 +241,12 @@
         if let Some(a) = self.inner.hint.take() {
             return Some(a);
         }
-        let all = self.inner.addresses.borrow();
+        let own = self.inner.addresses.borrow();
+        let learned = self.inner.learned.borrow();
+        let all = || own.iter().chain(learned.iter().filter(|a| !own.contains(a)));
         let turn = self.inner.turn.get();
         self.inner.turn.set(turn + 1);
-        all.get(turn % all.len().max(1)).copied()
+        all().nth(turn % all().count().max(1)).copied()
     }
 
     fn adopt(&self, address: SocketAddr, link: Link) -> Live {
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -67,7 +67,7 @@
         let version = gw.documents.version_at(to);
         let fetch = gw.documents.want(to);
         let areas = gw.share.homes.digest_for(to);
-        Some(Watch { router: Some(router), feed, version, fetch, areas })
+        Some(Watch { router: Some(router), feed, version, fetch, areas, control: None })
     }
 
     fn seen(&self, from: SocketAddr, seen: Seen) {
@@ -86,7 +86,12 @@
         for r in seen.replicas {
             gw.take_replica(r);
         }
-        follow_all::<D>(gw, seen.controls.iter().filter_map(|a| a.parse().ok()));
+        let controls = || seen.controls.iter().filter_map(|a| a.parse().ok());
+        gw.group.learn(controls());
+        if let Some(leader) = seen.lead.as_ref().and_then(|l| l.address.parse().ok()) {
+            gw.group.point_to(leader);
+        }
+        follow_all::<D>(gw, controls());
     }
 
     fn lost(&self, from: SocketAddr) {
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -3,10 +3,16 @@
 use std::fs::{self, File, TryLockError};
 use std::path::{Path, PathBuf};
 
-use crate::file::write_whole;
+use crate::file::{rename, write_whole};
 use crate::log::{Log, Record};
 use crate::{Error, snapshot};
 
+/// The file that is locked while a process uses the folder.
+const LOCK: &str = "LOCK";
+
+/// The file that says whose the folder is.
+const IDENTITY: &str = "IDENTITY";
+
 /// Whose a data folder is. It is drawn when the folder is first used; an emptied or new folder
 /// has another, and so nothing of its predecessor's.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -78,9 +84,29 @@
     }
 }
 
+/// What the names of files begin with that were set aside.
+const OUTDATED: &str = "outdated-";
+
+/// Sets everything in a folder aside that turned out to be an old copy, in place of what was set
+/// aside before, so that it is taken for a new one with another identity. The old identity goes
+/// last: whatever is left by a crash still belongs to it.
+pub fn set_aside(path: &Path) -> Result<(), Error> {
+    let _lock = lock(path)?;
+    let entries = fs::read_dir(path).map_err(Error::io(path))?;
+    let names: Result<Vec<_>, _> = entries.map(|f| f.map(|f| f.file_name())).collect();
+    let mut names = names.map_err(Error::io(path))?;
+    names.retain(|n| n != LOCK && !n.to_string_lossy().starts_with(OUTDATED));
+    names.sort_by_key(|n| n == IDENTITY);
+    for name in names {
+        let aside = path.join(format!("{OUTDATED}{}", name.to_string_lossy()));
+        rename(&path.join(&name), &aside)?;
+    }
+    Ok(())
+}
+
 fn lock(path: &Path) -> Result<File, Error> {
     fs::create_dir_all(path).map_err(Error::io(path))?;
-    let name = path.join("LOCK");
+    let name = path.join(LOCK);
     let f = File::options()
         .create(true)
         .truncate(false)
@@ -95,7 +121,7 @@
 }
 
 fn read_identity(path: &Path) -> Result<Option<Identity>, Error> {
-    let name = path.join("IDENTITY");
+    let name = path.join(IDENTITY);
     if !name.exists() {
         return Ok(None);
     }
@@ -119,5 +145,5 @@
 fn write_identity(path: &Path, i: &Identity) -> Result<(), Error> {
     let body = format!("node: {:016x}\ngroup: {}\nincarnation: {}", i.node, i.group, i.incarnation);
     let sum = crc32fast::hash(body.as_bytes());
-    write_whole(&path.join("IDENTITY"), format!("{body}\nsum: {sum:08x}\n").as_bytes())
+    write_whole(&path.join(IDENTITY), format!("{body}\nsum: {sum:08x}\n").as_bytes())
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,5 +10,5 @@
 mod snapshot;
 
 pub use error::Error;
-pub use folder::{Folder, Identity};
+pub use folder::{Folder, Identity, set_aside};
 pub use log::{Log, Medium, Record};
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -5,7 +5,7 @@
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
-use cypressfork_store::{Error, Folder, Log, Medium, Record};
+use cypressfork_store::{Error, Folder, Log, Medium, Record, set_aside};
 use rstest::rstest;
 use tempfile::TempDir;
 
@@ -243,3 +243,25 @@
     f.write_all_at(b"X", len - 1).unwrap();
     assert!(matches!(folder.load_snapshot(9), Err(Error::Snapshot(..))));
 }
+
+/// What was set aside is kept, and nothing of it is found again under the new identity.
+#[test]
+fn a_folder_that_is_set_aside_gets_another_identity() {
+    let (dir, _) = three_batches();
+    let old = open(dir.path()).identity().node;
+    set_aside(dir.path()).unwrap();
+    let folder = Folder::open(dir.path(), GROUP, old + 1).unwrap();
+    assert_eq!((folder.identity().node, folder.identity().incarnation), (old + 1, 1));
+    assert!(folder.log().unwrap().1.is_empty());
+    drop(folder);
+    set_aside(dir.path()).unwrap();
+    assert!(dir.path().join("outdated-IDENTITY").exists());
+    assert_eq!(Folder::open(dir.path(), GROUP, 5).unwrap().identity().node, 5);
+}
+
+#[test]
+fn a_folder_in_use_is_not_set_aside() {
+    let (dir, _) = three_batches();
+    let _used = open(dir.path());
+    assert!(matches!(set_aside(dir.path()), Err(Error::InUse(_))));
+}
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -48,7 +48,14 @@
         open: true,
     };
     let fetch = Some(Want { held: 3, version: 4, digest: 5, offset: 6 });
-    Watch { router: Some(router), feed: Default::default(), version: 9, fetch, areas: 7 }
+    Watch {
+        router: Some(router),
+        feed: Default::default(),
+        version: 9,
+        fetch,
+        areas: 7,
+        control: None,
+    }
 }
 
 fn seen() -> Seen {
