A data centre can be evacuated: an order that is committed, durable, and in force at every gateway

Change: Command::Evacuate in the log (core::fleet::evacuation, with the revision of the last change), told at once with the standing questions, taken by revision; pools keep new work from the replicas of an evacuated data centre, and the home of a shared part moves to the open ones; HTTP calls of both dialects, `cypressfork evacuate begin|end`, `status`, events 327 and 427, a gauge, codes 2013 (no such data centre) and 2014 (a body). What runs goes on. Tests: orders in any order and twice, followers of lagging processes, pools (core); real processes with a restart of all (cypressfork/tests/fleet.rs); contract rows. They need code that did not exist, so they did not compile before.

--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod bill;
 mod budget;
 mod diff;
+mod evacuate;
 mod history;
 mod init;
 mod key;
@@ -43,6 +44,7 @@
     budget::RELEASE,
     bill::COMMAND,
     member::COMMAND,
+    evacuate::COMMAND,
     key::COMMAND,
     trace::COMMAND,
     shell::COMPLETIONS,
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -26,9 +26,14 @@
         "region {}: version {}, term {}, position {}\n{} more control VMs may be lost; replacing one now is {safe}\n\n",
         s.region, s.version, s.term, s.committed, s.spare
     );
+    let evacuated = match s.evacuated.is_empty() {
+        true => String::new(),
+        false => format!("evacuated, no new work: {}\n\n", s.evacuated.join(", ")),
+    };
     let nodes: Vec<_> = s.nodes.iter().map(node).collect();
     let routers: Vec<_> = s.routers.iter().map(|r| router(r, s.version)).collect();
-    head + &table(["CONTROL", "ADDRESS", "ROLE", "STATE", "BEHIND"], &nodes)
+    head + &evacuated
+        + &table(["CONTROL", "ADDRESS", "ROLE", "STATE", "BEHIND"], &nodes)
         + "\n"
         + &table(["ROUTER", "DATA CENTRE", "ADDRESS", "STATE", "VERSION", "SILENT"], &routers)
 }
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -21,6 +21,9 @@
 /// How long a document may take to be committed.
 const PUBLISH_WITHIN: Duration = Duration::from_millis(3_500);
 
+/// How long an order about a data centre may take to be committed.
+const ORDER_WITHIN: Duration = Duration::from_millis(900);
+
 /// How long a confirmed read may take.
 const READ_WITHIN: Duration = Duration::from_millis(900);
 
@@ -87,6 +90,7 @@
     match call {
         Call::Publish(source) => publish::<D>(api, source).await,
         Call::Current => current(api).await,
+        Call::Evacuate(data_centre, evacuate) => order(api, data_centre, evacuate).await,
         call => local(api, call).await,
     }
 }
@@ -109,6 +113,17 @@
     }
 }
 
+/// Has an order about a data centre committed. A caller sends it again elsewhere after a second: it
+/// is not kept for longer, lest it overtake the caller's next order.
+async fn order(api: &Api, data_centre: String, evacuate: bool) -> Answer {
+    let command = Command::Evacuate { data_centre, evacuate };
+    match api.group.command(&command, ORDER_WITHIN).await {
+        Ok(Committed::Done) => Answer::Noted,
+        Ok(_) => Answer::Refused(Code::MessageBad, "the group gave another answer".to_owned()),
+        Err(code) => Answer::Refused(code, "the order was not carried out".to_owned()),
+    }
+}
+
 async fn current(api: &Api) -> Answer {
     match api.group.query(&Query::Published, READ_WITHIN).await {
         Ok(Reply::Published(Some(source))) => Answer::Current(source),
--- a/crates/control/src/dialect.rs
+++ b/crates/control/src/dialect.rs
@@ -30,6 +30,8 @@
     Beat(Record),
     /// The replica with this id has left.
     Leave(String),
+    /// Keep new work from the replicas of this data centre, or let it in again.
+    Evacuate(String, bool),
     /// Which routers a caller in this data centre should use.
     Entry(String),
 }
--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -3,6 +3,7 @@
 
 use cypressfork_core::fleet::contacts::Lead;
 use cypressfork_core::fleet::entry::Routers;
+use cypressfork_core::fleet::evacuation::Evacuations;
 use cypressfork_core::fleet::neighbours::{Directory, NOT_WANTED};
 use cypressfork_core::fleet::registry::{Record, Registry};
 use cypressfork_core::fleet::repair::Candidates;
@@ -39,6 +40,8 @@
     pub registered: &'a Registered,
     /// Who leads the group, if that is known here.
     pub lead: Option<Lead>,
+    /// The data centres that get no new work.
+    pub evacuations: &'a Evacuations,
 }
 
 /// The state; `T` tells where an answer goes.
@@ -134,6 +137,7 @@
         let beats = s.watch.router.is_none() && waited >= GATHER;
         newer
             || s.is_behind(f.version)
+            || f.evacuations.revision > s.watch.evacuations
             || waited >= WATCH_SPAN
             || self.registry.has_changes(s.since)
             || (beats && self.registry.has_beats(s.since))
@@ -159,6 +163,8 @@
             wall: f.wall.0,
             areas: (!known).then(|| self.directory.areas().to_vec()),
             lead: f.lead.clone(),
+            evacuations: (f.evacuations.revision > s.watch.evacuations)
+                .then(|| f.evacuations.clone()),
         }
     }
 }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -3,7 +3,7 @@
 //! Inputs are handled one after the other; [`Machine::finish`] then stores, syncs, sends and
 //! applies what they brought, so that everything that came together shares one sync.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cypressfork_core::budget::{Ask as BudgetAsk, Shortage};
@@ -85,6 +85,8 @@
     pub(crate) outputs: Vec<Output<T>>,
     /// The entries that a caller waits for.
     proposed: BTreeMap<Index, Proposed<T>>,
+    /// The data centres that orders may be about; none: any.
+    data_centres: BTreeSet<String>,
     seed: u64,
     snapshot: SnapshotMeta,
     kept: Kept,
@@ -117,6 +119,7 @@
             leader_tasks: LeaderTasks::default(),
             outputs: Vec::new(),
             proposed: BTreeMap::new(),
+            data_centres: BTreeSet::new(),
             seed,
             snapshot,
             kept,
@@ -311,6 +314,11 @@
         {
             self.signs.note_told(at.now, holder, seq);
         }
+        if let Command::Evacuate { data_centre, .. } = &c
+            && !self.knows(data_centre)
+        {
+            return self.reply(from, Err(Code::DataCentreUnknown));
+        }
         let mut bytes = Vec::with_capacity(STAMP + command.len());
         bytes.extend_from_slice(&at.wall.0.to_be_bytes());
         bytes.extend_from_slice(&command);
@@ -320,6 +328,17 @@
         }
     }
 
+    /// Whether there is such a data centre; any name will do where the settings list none.
+    fn knows(&self, data_centre: &str) -> bool {
+        let all = &self.data_centres;
+        !data_centre.is_empty() && (all.is_empty() || all.contains(data_centre))
+    }
+
+    /// Takes the names of the data centres that orders may be about.
+    pub fn set_data_centres(&mut self, names: impl IntoIterator<Item = String>) {
+        self.data_centres = names.into_iter().collect();
+    }
+
     fn wait_for(&mut self, at: Moment, index: Index, to: T) {
         let term = self.raft.term();
         self.proposed.insert(index, Proposed { term, at: at.now, to });
@@ -398,6 +417,15 @@
         if let Answer::Applied(Ok(version)) = &answer {
             emit!(Event::ConfigApplied, version = version);
         }
+        if let Command::Evacuate { data_centre, evacuate } = &c {
+            let revision = self.state.evacuations().revision;
+            emit!(
+                Event::DataCentreEvacuated,
+                data_centre = data_centre,
+                evacuate = evacuate,
+                revision = revision,
+            );
+        }
         if let Answer::Applied(Err(r)) = &answer {
             emit!(Event::ConfigRefused, code = r.code.number(), place = r.place, why = r.why);
         }
--- a/crates/control/src/native.rs
+++ b/crates/control/src/native.rs
@@ -17,6 +17,9 @@
 /// When to come back to a control process that has no quorum.
 const AGAIN_AFTER: Millis = Millis::seconds(1);
 
+/// What the paths of orders about data centres begin with.
+const EVACUATIONS: &str = "/v1/evacuations/";
+
 /// The project's own words.
 pub struct Native;
 
@@ -53,6 +56,10 @@
             (&Method::PUT, "/v1/document", _) => Ok(Call::Publish(text()?)),
             (&Method::GET, "/v1/document", _) => Ok(Call::Current),
             (&Method::GET, "/v1/entry", _) => Ok(Call::Entry(field(r.query, "data_centre"))),
+            (&Method::PUT, path, _) if path.starts_with(EVACUATIONS) => order(r, EVACUATIONS, true),
+            (&Method::DELETE, path, _) if path.starts_with(EVACUATIONS) => {
+                order(r, EVACUATIONS, false)
+            }
             (&Method::PUT, _, Some(id)) if !id.is_empty() => beat(id, r.body),
             (&Method::DELETE, _, Some(id)) if !id.is_empty() => Ok(Call::Leave(id.to_owned())),
             _ => {
@@ -74,6 +81,19 @@
     }
 }
 
+/// An order about the data centre that the path names after `prefix`.
+pub fn order(r: &Incoming, prefix: &str, evacuate: bool) -> Result<Call, Answer> {
+    let name = r.path.strip_prefix(prefix).unwrap_or_default();
+    if name.is_empty() {
+        let why = "the path names no data centre".to_owned();
+        return Err(Answer::Refused(Code::DataCentreUnknown, why));
+    }
+    if !r.body.is_empty() {
+        return Err(Answer::Refused(Code::BodyUnexpected, format!("{} bytes", r.body.len())));
+    }
+    Ok(Call::Evacuate(name.to_owned(), evacuate))
+}
+
 fn bad(why: String) -> Answer {
     Answer::Refused(Code::BodyNotJson, why)
 }
--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -190,6 +190,7 @@
             safe: whole && spare > 0,
             nodes,
             routers: self.state.routers().iter().map(|r| self.router(at, r)).collect(),
+            evacuated: self.state.evacuations().data_centres.iter().cloned().collect(),
         }
     }
 
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -115,9 +115,12 @@
     let node = disk.node();
     let clock = Clock::start();
     let at = Moment { now: clock.now(), wall: wall() };
-    let machine =
+    let mut machine =
         Machine::start(at, &s.base.region, s.machine, disk, (node, found), rand::random())
             .map_err(disk_failed)?;
+    if let Some(f) = &s.fleet {
+        machine.set_data_centres(f.data_centres.iter().cloned());
+    }
     let listener = listen(s.listen).await?;
     emit!(Event::Started, listen = s.listen, node = format_args!("{node:016x}"));
     let reserve = open_reserve(&s).map_err(disk_failed)?;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -10,6 +10,7 @@
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::fleet::clocks::Clocks;
 use cypressfork_core::fleet::contacts::{Contacts, Place};
+use cypressfork_core::fleet::evacuation;
 use cypressfork_core::fleet::neighbours::NOT_WANTED;
 use cypressfork_core::fleet::registry::Standing;
 use cypressfork_core::fleet::watch::{Announce, Feed, Seen, Watch};
@@ -348,7 +349,9 @@
         let controls = self.machine.members().addresses.values().cloned().collect();
         let registered = self.machine.state().routers();
         let lead = self.machine.lead();
-        let followed = Followed { version, source, controls, wall: wall(), registered, lead };
+        let evacuations = self.machine.state().evacuations();
+        let followed =
+            Followed { version, source, controls, wall: wall(), registered, lead, evacuations };
         let answers = f.view.answers(now, &followed);
         for (to, seen) in answers {
             self.reply(to, Ok(body::pack(&seen)));
@@ -500,6 +503,7 @@
             fetch: None,
             areas: NOT_WANTED,
             control: Some(self.own.clone()),
+            evacuations: evacuation::NOT_WANTED,
         })
     }
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -65,6 +65,9 @@
     /// Voters that the group should have.
     #[serde(default = "voters_default")]
     pub voters: u64,
+    /// The data centres that may be evacuated; any, if none is given.
+    #[serde(default)]
+    pub data_centres: Vec<String>,
 }
 
 fn entry_keep_default() -> u64 {
@@ -92,6 +95,8 @@
     pub found: bool,
     /// Voters that the group should have.
     pub voters: usize,
+    /// The data centres that may be evacuated; none: any.
+    pub data_centres: Vec<String>,
 }
 
 impl FleetFile {
@@ -107,6 +112,7 @@
             replica_heartbeat: Millis(beat.ceil() as u64),
             found: self.found.unwrap_or(false),
             voters: range("fleet.voters", self.voters, 1, 9)? as usize,
+            data_centres: self.data_centres,
         })
     }
 }
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -108,6 +108,8 @@
     BudgetBelowSpent = 2010, 0, "invalid", "the budget would be smaller than what is spent already";
     OperationReused = 2011, 0, "conflict", "the operation id was used for another change";
     DocumentBad = 2012, 400, "invalid", "the document cannot be in force";
+    DataCentreUnknown = 2013, 404, "invalid", "no data centre has this name";
+    BodyUnexpected = 2014, 400, "invalid", "this call takes no body";
     LeaseUnknown = 2101, 0, "conflict", "the lease is not known to the ledger";
     HolderStale = 2102, 0, "conflict", "the holder's registration has been replaced";
     ReserveNone = 2103, 0, "invalid", "this process keeps no reserve";
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -114,6 +114,13 @@
         /// What each budget that it names holds in all.
         budgets: Vec<(String, Tokens)>,
     },
+    /// Keeps new work from the replicas of a data centre, or lets it in again.
+    Evacuate {
+        /// Which.
+        data_centre: String,
+        /// Whether work is kept from it.
+        evacuate: bool,
+    },
     /// A holder is dead: its successor has registered.
     // Logs of earlier releases hold it under this name.
     #[serde(rename = "Bury")]
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod demand;
 pub mod document;
 pub mod entry;
+pub mod evacuation;
 pub mod fetch;
 pub mod format;
 pub mod homes;
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -4,10 +4,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::contacts::Lead;
+use super::evacuation::Evacuations;
 use super::neighbours::Area;
 use super::registry::Record;
 use super::transfer::{Part, Want};
-use crate::unit::Version;
+use crate::unit::{Index, Version};
 
 /// How far a watcher has followed one control process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +51,9 @@
     /// Where the asker listens for the others, if it is a control process.
     #[serde(default)]
     pub control: Option<String>,
+    /// Revision of the evacuations that the asker knows.
+    #[serde(default)]
+    pub evacuations: Index,
 }
 
 /// The answer.
@@ -77,6 +81,9 @@
     /// Who leads the group, as far as this process knows.
     #[serde(default)]
     pub lead: Option<Lead>,
+    /// The data centres that get no new work, if the asker knows an older revision.
+    #[serde(default)]
+    pub evacuations: Option<Evacuations>,
 }
 
 /// A control process that belongs to no group says that it is there.
--- a/crates/core/src/query.rs
+++ b/crates/core/src/query.rs
@@ -128,6 +128,9 @@
     pub nodes: Vec<NodeStatus>,
     /// The routers.
     pub routers: Vec<RouterStatus>,
+    /// The data centres that get no new work.
+    #[serde(default)]
+    pub evacuated: Vec<String>,
 }
 
 /// One budget.
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -1,6 +1,6 @@
 //! Choice of an upstream among the replicas of a service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use rand::Rng;
@@ -67,6 +67,8 @@
     outstanding: u64,
     /// Other routers that send to the same replicas.
     peers: u64,
+    /// Data centres whose replicas get no new work.
+    closed: BTreeSet<String>,
 }
 
 impl Pool {
@@ -77,6 +79,7 @@
             let old = self.replicas.remove(&u.address).filter(|r| r.upstream == *u);
             let mut r = old.unwrap_or_else(|| Replica::new(u));
             r.slots = slots.max(1);
+            r.closed = self.closed.contains(&u.vm.data_centre);
             next.insert(u.address, r);
         }
         for gone in self.replicas.keys() {
@@ -99,6 +102,14 @@
         }
     }
 
+    /// Notes the data centres whose replicas get no new work. What runs there goes on.
+    pub fn set_closed(&mut self, data_centres: &BTreeSet<String>) {
+        self.closed = data_centres.clone();
+        for r in self.replicas.values_mut() {
+            r.closed = data_centres.contains(&r.upstream.vm.data_centre);
+        }
+    }
+
     /// Replicas that get new work at `now`.
     pub fn usable(&self, now: Time) -> usize {
         self.replicas.values().filter(|r| !r.is_out(now)).count()
@@ -146,7 +157,7 @@
         tried: &[SocketAddr],
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
-        let open = |r: &Replica| !r.leaving && !tried.contains(&r.upstream.address);
+        let open = |r: &Replica| r.is_open() && !tried.contains(&r.upstream.address);
         let usable =
             |a: &SocketAddr| self.replicas.get(a).is_some_and(|r| open(r) && r.out_until <= now);
         let mut sample = Vec::with_capacity(SAMPLE * 2);
@@ -173,10 +184,11 @@
     }
 
     /// The replica to which every router sends a prompt's shared prefix first, whatever it knows:
-    /// the one with the highest hash of the prefix and its address.
+    /// the one with the highest hash of the prefix and its address, of those that take new work.
     fn home(&self, t: &Trail) -> Option<SocketAddr> {
         let (hash, _) = t.shared()?;
-        self.addresses.iter().copied().max_by_key(|a| rendezvous(hash, *a))
+        let open = |a: &SocketAddr| self.replicas.get(a).is_some_and(Replica::is_open);
+        self.addresses.iter().copied().filter(open).max_by_key(|a| rendezvous(hash, *a))
     }
 
     /// A candidate, and what it costs to choose it.
--- a/crates/core/src/route/replica.rs
+++ b/crates/core/src/route/replica.rs
@@ -34,6 +34,8 @@
     pub(super) failures: u32,
     pub(super) out_until: Time,
     pub(super) leaving: bool,
+    /// Its data centre gets no new work.
+    pub(super) closed: bool,
     /// How `outstanding` changed lately, to tell own requests in a late report from others'.
     history: VecDeque<(Time, u32)>,
     reported: Time,
@@ -52,6 +54,7 @@
             failures: 0,
             out_until: Time(0),
             leaving: false,
+            closed: false,
             history: VecDeque::new(),
             reported: Time(0),
             others: 0,
@@ -105,8 +108,13 @@
         }
     }
 
+    /// Whether it may get new work, as far as others say.
+    pub(super) fn is_open(&self) -> bool {
+        !self.leaving && !self.closed
+    }
+
     /// Whether it gets no new work at `now`.
     pub fn is_out(&self, now: Time) -> bool {
-        self.leaving || self.out_until > now
+        !self.is_open() || self.out_until > now
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -11,6 +11,7 @@
 use crate::code::Code;
 use crate::command::{Answer, Command};
 use crate::config::{Change, Config, Object, ObjectName};
+use crate::fleet::evacuation::Evacuations;
 use crate::member::{Reserves, Router, Routers};
 use crate::query::{BudgetStatus, LeaseStatus};
 use crate::unit::{HolderId, LeaseId, Millis, Time, Tokens, Version};
@@ -36,6 +37,8 @@
     /// how long the successor had been running by then.
     #[serde(default)]
     dead: BTreeMap<HolderId, Millis>,
+    #[serde(default)]
+    evacuations: Evacuations,
 }
 
 /// The document in force, and the budgets that it names.
@@ -136,6 +139,10 @@
                 }
                 Answer::Done
             }
+            Command::Evacuate { data_centre, evacuate } => {
+                self.evacuations.order(pos.index, data_centre, *evacuate);
+                Answer::Done
+            }
             Command::Publish { version, source, budgets } => {
                 self.publish(*version, source, budgets);
                 Answer::Published(self.published.version)
@@ -259,6 +266,11 @@
         (self.published.version, &self.published.source)
     }
 
+    /// The data centres that get no new work.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     fn release(&mut self, lease: LeaseId) -> Answer {
         match self.ledger.release(lease) {
             Some(tokens) => Answer::Released(tokens),
--- /dev/null
+++ b/crates/core/tests/evacuation.rs
@@ -0,0 +1,90 @@
+//! Evacuated data centres: what orders in any order come to, and where requests go meanwhile.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use cypressfork_core::command::{Answer, Command};
+use cypressfork_core::config::{Upstream, Vm};
+use cypressfork_core::fleet::evacuation::Evacuations;
+use cypressfork_core::route::{Pool, Trail, Work};
+use cypressfork_core::state::State;
+use cypressfork_core::unit::{LeaseId, Time};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+fn names(all: &[&str]) -> BTreeSet<String> {
+    all.iter().map(|n| (*n).to_owned()).collect()
+}
+
+#[rstest]
+#[case::none(&[], 0, &[])]
+#[case::one(&[("a", true)], 1, &["a"])]
+#[case::the_same_again(&[("a", true), ("a", true)], 1, &["a"])]
+#[case::two(&[("a", true), ("b", true)], 2, &["a", "b"])]
+#[case::withdrawn(&[("a", true), ("b", true), ("a", false)], 3, &["b"])]
+#[case::withdrawn_twice(&[("a", true), ("a", false), ("a", false)], 2, &[])]
+#[case::never_ordered(&[("a", false)], 0, &[])]
+fn orders_in_the_log(
+    #[case] orders: &[(&str, bool)],
+    #[case] revision: u64,
+    #[case] left: &[&str],
+) {
+    let mut state = State::default();
+    for (i, (name, evacuate)) in orders.iter().enumerate() {
+        let c = Command::Evacuate { data_centre: (*name).to_owned(), evacuate: *evacuate };
+        let at = LeaseId { term: 1, index: i as u64 + 1 };
+        assert_eq!(state.apply(Time(0), at, &c), Answer::Done, "the same answer each time");
+    }
+    let expected = Evacuations { revision, data_centres: names(left) };
+    assert_eq!(*state.evacuations(), expected);
+}
+
+/// A gateway hears of them from several control processes, some of which lag.
+#[test]
+fn a_follower_keeps_the_newest_word() {
+    let old = Evacuations { revision: 4, data_centres: names(&["a"]) };
+    let new = Evacuations { revision: 9, data_centres: names(&[]) };
+    let mut held = Evacuations::default();
+    assert!(held.take(&old) && held.take(&new));
+    assert!(!held.take(&old) && !held.take(&new));
+    assert_eq!(held, new);
+}
+
+fn upstream(n: u8, data_centre: &str) -> Upstream {
+    let vm = Vm { name: format!("r-{n}"), data_centre: data_centre.to_owned() };
+    let address = SocketAddr::from(([10, 0, 0, n], 80));
+    Upstream { vm, address, checks_orders: false }
+}
+
+/// Where 400 requests go whose prompts begin with one of 40 shared parts.
+fn data_centres_used(pool: &mut Pool) -> BTreeSet<String> {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut used = BTreeSet::new();
+    for n in 0..400_u64 {
+        let trail = Trail::of_parts([(n % 40, 13_000), (1_000 + n, 3_000)]);
+        let work = Work { trail, aim: None };
+        let Some(c) = pool.choose(Time(n * 10), "a", &work, &[], &mut rng) else { continue };
+        used.insert(pool.get(c.address).unwrap().upstream.vm.data_centre.clone());
+        pool.done(Time(n * 10 + 5), &c, false);
+    }
+    used
+}
+
+#[test]
+fn an_evacuated_data_centre_gets_no_new_work_until_it_is_taken_back() {
+    let all: Vec<_> = (0..9).map(|n| upstream(n, ["a", "b", "c"][usize::from(n) % 3])).collect();
+    let mut pool = Pool::default();
+    pool.set(&all, 8);
+    assert_eq!(data_centres_used(&mut pool), names(&["a", "b", "c"]));
+    pool.set_closed(&names(&["b"]));
+    assert_eq!(data_centres_used(&mut pool), names(&["a", "c"]));
+    // One that registers meanwhile is in it too.
+    let more: Vec<_> = all.iter().cloned().chain([upstream(9, "b")]).collect();
+    pool.set(&more, 8);
+    assert_eq!(data_centres_used(&mut pool), names(&["a", "c"]));
+    pool.set_closed(&names(&["a", "b", "c"]));
+    assert_eq!(data_centres_used(&mut pool), names(&[]));
+    pool.set_closed(&names(&[]));
+    assert_eq!(data_centres_used(&mut pool), names(&["a", "b", "c"]));
+}
--- a/crates/cypressfork/tests/fleet.rs
+++ b/crates/cypressfork/tests/fleet.rs
@@ -340,6 +340,53 @@
     assert_eq!(f.ask("/board/x").unwrap().0, 503);
 }
 
+/// An evacuation is in force at the gateway, outlasts a restart of all processes, and is withdrawn.
+#[test]
+fn an_evacuated_data_centre_gets_no_new_work_whatever_restarts() {
+    let mut f = Fleet::serving();
+    let order = |f: &Fleet, verb: &str| {
+        until("an order", || {
+            let answer = f.call(0, verb, "/v1/evacuations/tamar-a", "");
+            matches!(answer, Some((200, _)))
+        });
+    };
+    order(&f, "PUT");
+    until("no new work", || f.ask("/board/x").unwrap().0 == 503);
+    order(&f, "PUT");
+    f.controls[0].process.as_mut().unwrap().kill();
+    f.gateway.as_mut().unwrap().kill();
+    f.start_control(0, false);
+    f.start_gateway();
+    f.replica.into_iter().for_each(|r| {
+        until("its word", || {
+            let beat = json!({ "service": "board", "address": r.to_string(),
+                "data_centre": "tamar-a", "sequence": 2 });
+            let answer = f.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string());
+            matches!(answer, Some((200, _)))
+        });
+    });
+    until("the document", || f.version(0) == Some(3));
+    let evacuated = || sample(f.operators, "cypressfork_evacuated_data_centres");
+    until("the gateway", || evacuated() == Some(1.0));
+    for _ in 0..20 {
+        assert_eq!(f.ask("/board/x").unwrap().0, 503);
+    }
+    order(&f, "DELETE");
+    until("an answer", || f.ask("/board/x").unwrap().0 == 200);
+}
+
+#[test]
+fn an_order_about_no_data_centre_is_a_numbered_error() {
+    let f = Fleet::serving();
+    let refused = |path: &str, body: &str| {
+        let (status, v) = f.call(0, "PUT", path, body).unwrap();
+        (status, v["error"]["code"].as_str().unwrap().to_owned())
+    };
+    assert_eq!(refused("/v1/evacuations/", ""), (404, "CF2013".to_owned()));
+    assert_eq!(refused("/v1/evacuations/tamar-a", "{}"), (400, "CF2014".to_owned()));
+    assert_eq!(f.ask("/board/x").unwrap().0, 200);
+}
+
 #[test]
 fn a_request_that_comes_before_the_first_document_waits_for_it() {
     let mut f = Fleet::serving();
--- a/crates/cypressfork/tests/support/control.rs
+++ b/crates/cypressfork/tests/support/control.rs
@@ -10,6 +10,7 @@
 
 use cypressfork_control::fleet_view::{FleetView, Followed};
 use cypressfork_core::code::Code;
+use cypressfork_core::fleet::evacuation::Evacuations;
 use cypressfork_core::member::Routers;
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::link::{self, Credentials, Writer};
@@ -89,7 +90,16 @@
         let (version, source) = inside.document.lock().unwrap().clone();
         let registered = Routers::default();
         let (controls, wall) = (Vec::new(), Time(0));
-        let f = Followed { version, source: &source, controls, wall, registered: &registered };
+        let evacuations = Evacuations::default();
+        let f = Followed {
+            version,
+            source: &source,
+            controls,
+            wall,
+            registered: &registered,
+            lead: None,
+            evacuations: &evacuations,
+        };
         for (to, seen) in view.answers(clock.now(), &f) {
             let bytes = body::pack(&seen);
             let kept_back = bytes.len() >= LARGE && *inside.withholds.lock().unwrap();
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -74,6 +74,7 @@
     DocumentAsked = 324, Info, "a newer document is asked for";
     DocumentGivenUp = 325, Info, "a control process has not sent a document in time";
     FolderSetAside = 326, Warn, "an old copy of a data folder is set aside: the next start is a new replica";
+    DataCentreEvacuated = 327, Info, "an order about new work in a data centre is carried out";
     RouterRegistered = 401, Info, "this router is registered";
     RouterReady = 402, Info, "this router serves callers";
     ControlLost = 403, Warn, "the control group is out of reach";
@@ -98,6 +99,7 @@
     StreamLate = 424, Info, "a stream was answered later than its route aims at";
     NeighboursSeen = 425, Info, "the list of this data centre's gateways has changed";
     HomeLost = 426, Info, "a gateway that keeps a budget's tokens did not answer";
+    EvacuationsSeen = 427, Info, "the data centres that get no new work have changed";
 }
 
 /// Logs an event with fields.
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -67,7 +67,16 @@
         let version = gw.documents.version_at(to);
         let fetch = gw.documents.want(to);
         let areas = gw.share.homes.digest_for(to);
-        Some(Watch { router: Some(router), feed, version, fetch, areas, control: None })
+        let evacuations = gw.evacuations.borrow().revision;
+        Some(Watch {
+            router: Some(router),
+            feed,
+            version,
+            fetch,
+            areas,
+            control: None,
+            evacuations,
+        })
     }
 
     fn seen(&self, from: SocketAddr, seen: Seen) {
@@ -78,6 +87,10 @@
             // A document is committed: there was a leader to register with.
             gw.group.wake();
         }
+        // Before a first document lets callers in.
+        if let Some(told) = &seen.evacuations {
+            gw.take_evacuations(told);
+        }
         documents::take::<D>(gw, from, seen.version, seen.part);
         gw.share.meet(gw.settings.link, &seen.peers);
         if let Some(areas) = &seen.areas {
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -8,6 +8,7 @@
 
 use cypressfork_core::budget::report_every;
 use cypressfork_core::config::{Upstream, Vm};
+use cypressfork_core::fleet::evacuation::Evacuations;
 use cypressfork_core::fleet::registry::{Record, Standing};
 use cypressfork_core::fleet::retry::Window;
 use cypressfork_core::fleet::routes::Routes;
@@ -22,7 +23,7 @@
 use cypressfork_node::metric;
 use cypressfork_node::time::Clock;
 use cypressfork_node::urge::Urge;
-use metrics::{counter, histogram};
+use metrics::{counter, gauge, histogram};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
@@ -54,6 +55,8 @@
     pub connections: Connections,
     /// How far each control process is followed.
     pub feeds: RefCell<BTreeMap<SocketAddr, Feed>>,
+    /// The data centres whose replicas get no new work.
+    pub evacuations: RefCell<Evacuations>,
     /// Other gateways that lend tokens.
     pub share: Share,
     /// The control processes that are followed, and the wish to ask one of them at once.
@@ -84,6 +87,7 @@
             documents: Documents::default(),
             connections: Connections::default(),
             feeds: RefCell::default(),
+            evacuations: RefCell::default(),
             share: Share::default(),
             following: RefCell::default(),
             routers: Cell::new(0),
@@ -190,6 +194,22 @@
         self.refresh_pool(&service, of_service);
     }
 
+    /// Takes what is said of evacuated data centres, unless it knows as new a word.
+    pub fn take_evacuations(&self, told: &Evacuations) {
+        if !self.evacuations.borrow_mut().take(told) {
+            return;
+        }
+        for pool in self.pools.borrow_mut().values_mut() {
+            pool.set_closed(&told.data_centres);
+        }
+        gauge!(metric::EVACUATED).set(told.data_centres.len() as f64);
+        emit!(
+            Event::EvacuationsSeen,
+            revision = told.revision,
+            data_centres = format_args!("{:?}", told.data_centres),
+        );
+    }
+
     fn refresh_pool<'a>(&self, service: &str, records: impl Iterator<Item = &'a Record>) {
         let usable = |r: &&Record| r.standing <= Standing::Silent;
         // Where two have the same address, the one that speaks is there.
@@ -205,6 +225,7 @@
         let upstreams: Vec<_> = by_address.iter().map(|(a, r)| upstream(*a, r)).collect();
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(service.to_owned()).or_default();
+        pool.set_closed(&self.evacuations.borrow().data_centres);
         pool.set(&upstreams, slots);
         for (_, r) in by_address {
             pool.set_leaving(&r.registration.id, r.standing == Standing::Silent);
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -55,6 +55,7 @@
         fetch,
         areas: 7,
         control: None,
+        evacuations: 0,
     }
 }
 
