News of a replica change a gateway's pool in place; homes are found on a ring

Change: core::fleet::replicas says what one record changes at one address; Pool::put and Pool::remove; core::route::ring (multi-probe consistent hashing, one point a replica, the same home at every gateway); what a replica lost is noted by time; more than 8 news share a log line. Of two replicas said to be at one address the newer is taken, and one whose address answered for another is not taken for alive again (late heartbeats after a cut).

--- a/crates/core/examples/embed.rs
+++ b/crates/core/examples/embed.rs
@@ -63,7 +63,7 @@
         checks_orders: true,
     };
     let mut pool = Pool::default();
-    pool.set(&[upstream(1), upstream(2)], 8);
+    pool.set(Time(0), &[upstream(1), upstream(2)], 8);
     let mut rng = SmallRng::seed_from_u64(1);
     let choice =
         pool.choose(Time(0), "tamar-a", &Work::default(), &[], &mut rng).expect("two are there");
--- a/crates/core/examples/routing.rs
+++ b/crates/core/examples/routing.rs
@@ -199,7 +199,7 @@
             checks_orders: true,
         };
         let mut pool = Pool::default();
-        pool.set(&(0..ENGINES).map(upstream).collect::<Vec<_>>(), SLOTS as u32);
+        pool.set(Time(0), &(0..ENGINES).map(upstream).collect::<Vec<_>>(), SLOTS as u32);
         let rng = SmallRng::seed_from_u64(n);
         Router { pool, turn: n as usize, outstanding: vec![0; ENGINES], last: BTreeMap::new(), rng }
     }
--- a/crates/core/examples/slopes.rs
+++ b/crates/core/examples/slopes.rs
@@ -94,7 +94,7 @@
         Upstream { vm, address: SocketAddr::from(([a, b, c, d], 80)), checks_orders: true }
     };
     let mut p = Pool::default();
-    p.set(&(0..replicas).map(upstream).collect::<Vec<_>>(), 8);
+    p.set(Time(0), &(0..replicas).map(upstream).collect::<Vec<_>>(), 8);
     p
 }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 pub mod patience;
 pub mod registry;
 pub mod repair;
+pub mod replicas;
 pub mod retry;
 pub mod routes;
 pub mod share;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -8,10 +8,11 @@
 mod prefix;
 mod replica;
 mod retry;
+mod ring;
 mod vms;
 
 pub use limiter::{Entered, Limiter, Ticket, Waiter};
-pub use pool::{Choice, Pool, Work};
+pub use pool::{Choice, Condition, Pool, Work};
 pub use prefix::{Prefixes, Trail};
 pub use replica::Replica;
 pub use retry::Retries;
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -1,6 +1,6 @@
 //! Choice of an upstream among the replicas of a service.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use rand::Rng;
@@ -10,8 +10,8 @@
 use super::lateness::Aim;
 use super::prefix::{Prefixes, Trail};
 use super::replica::Replica;
+use super::ring::Ring;
 use crate::config::Upstream;
-use crate::hash::rendezvous;
 use crate::unit::{Millis, Time};
 
 /// How many candidates are compared. Sampling keeps many routers with the same view from all
@@ -55,12 +55,25 @@
     ticket: u64,
 }
 
+/// What a replica, or the control group, says of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Condition {
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// It gets no new work.
+    pub leaving: bool,
+}
+
 /// The replicas of one service, as one router sees them.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     replicas: BTreeMap<SocketAddr, Replica>,
     /// The same addresses, to draw from.
     addresses: Vec<SocketAddr>,
+    /// Where each of them stands in that list.
+    places: HashMap<SocketAddr, usize>,
+    /// Those that take new work, to find homes.
+    ring: Ring,
     prefixes: Prefixes,
     tickets: u64,
     /// Requests of this router that run at all replicas.
@@ -73,21 +86,47 @@
 
 impl Pool {
     /// Takes a changed list of replicas; what is known of those that stay is kept.
-    pub fn set(&mut self, upstreams: &[Upstream], slots: u32) {
-        let mut next = BTreeMap::new();
+    pub fn set(&mut self, now: Time, upstreams: &[Upstream], slots: u32) {
+        let next: BTreeSet<_> = upstreams.iter().map(|u| u.address).collect();
+        let gone: Vec<_> = self.addresses.iter().copied().filter(|a| !next.contains(a)).collect();
+        for address in gone {
+            self.remove(now, address);
+        }
         for u in upstreams {
-            let old = self.replicas.remove(&u.address).filter(|r| r.upstream == *u);
-            let mut r = old.unwrap_or_else(|| Replica::new(u));
-            r.slots = slots.max(1);
-            r.closed = self.closed.contains(&u.vm.data_centre);
-            next.insert(u.address, r);
+            let leaving = self.replicas.get(&u.address).is_some_and(|r| r.leaving);
+            self.put(now, u, &Condition { slots, leaving });
         }
-        for gone in self.replicas.keys() {
-            self.prefixes.forget(*gone);
+    }
+
+    /// Adds a replica, or takes what has changed of it. Its work does not grow with the replicas
+    /// there are. Another one at the same address begins anew.
+    pub fn put(&mut self, now: Time, u: &Upstream, condition: &Condition) {
+        if self.replicas.get(&u.address).is_some_and(|r| r.upstream != *u) {
+            self.remove(now, u.address);
+        }
+        if !self.replicas.contains_key(&u.address) {
+            self.places.insert(u.address, self.addresses.len());
+            self.addresses.push(u.address);
+            self.replicas.insert(u.address, Replica::new(u));
+        }
+        let Some(r) = self.replicas.get_mut(&u.address) else { return };
+        r.slots = condition.slots.max(1);
+        r.leaving = condition.leaving;
+        r.closed = self.closed.contains(&u.vm.data_centre);
+        self.ring.set(u.address, r.is_open());
+    }
+
+    /// Takes a replica away that is gone for good.
+    pub fn remove(&mut self, now: Time, address: SocketAddr) {
+        let Some(r) = self.replicas.remove(&address) else { return };
+        self.outstanding -= u64::from(r.outstanding).min(self.outstanding);
+        self.ring.set(address, false);
+        self.prefixes.forget(now, address);
+        let Some(place) = self.places.remove(&address) else { return };
+        self.addresses.swap_remove(place);
+        if let Some(moved) = self.addresses.get(place) {
+            self.places.insert(*moved, place);
         }
-        self.addresses = next.keys().copied().collect();
-        self.replicas = next;
-        self.outstanding = self.replicas.values().map(|r| u64::from(r.outstanding)).sum();
     }
 
     /// Notes how many other routers send to the same replicas.
@@ -99,6 +138,7 @@
     pub fn set_leaving(&mut self, vm: &str, leaving: bool) {
         for r in self.replicas.values_mut().filter(|r| r.upstream.vm.name == vm) {
             r.leaving = leaving;
+            self.ring.set(r.upstream.address, r.is_open());
         }
     }
 
@@ -107,6 +147,7 @@
         self.closed = data_centres.clone();
         for r in self.replicas.values_mut() {
             r.closed = data_centres.contains(&r.upstream.vm.data_centre);
+            self.ring.set(r.upstream.address, r.is_open());
         }
     }
 
@@ -133,8 +174,9 @@
         tried: &[SocketAddr],
         rng: &mut impl Rng,
     ) -> Option<Choice> {
-        let sample = self.sample(now, work, tried, rng);
-        let rated = sample.into_iter().map(|a| self.rate(now, data_centre, work, a));
+        let home = self.home(&work.trail);
+        let sample = self.sample(now, work, tried, home, rng);
+        let rated = sample.into_iter().map(|a| self.rate(now, data_centre, work, a, home));
         let (mut best, _) = rated.min_by_key(|(_, cost)| *cost)?;
         self.tickets += 1;
         best.ticket = self.tickets;
@@ -155,6 +197,7 @@
         now: Time,
         work: &Work,
         tried: &[SocketAddr],
+        home: Option<SocketAddr>,
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
         let open = |r: &Replica| r.is_open() && !tried.contains(&r.upstream.address);
@@ -178,17 +221,15 @@
         let warm = self.prefixes.holders(&work.trail).filter(usable);
         let warm: Vec<_> = warm.filter(|a| !sample.contains(a)).collect();
         sample.extend(warm);
-        let home = self.home(&work.trail).filter(usable);
-        sample.extend(home.filter(|a| !sample.contains(a)).into_iter().collect::<Vec<_>>());
+        if let Some(home) = home.filter(|a| usable(a) && !sample.contains(a)) {
+            sample.push(home);
+        }
         sample
     }
 
-    /// The replica to which every router sends a prompt's shared prefix first, whatever it knows:
-    /// the one with the highest hash of the prefix and its address, of those that take new work.
+    /// The replica to which every router sends a prompt's shared prefix first, whatever it knows.
     fn home(&self, t: &Trail) -> Option<SocketAddr> {
-        let (hash, _) = t.shared()?;
-        let open = |a: &SocketAddr| self.replicas.get(a).is_some_and(Replica::is_open);
-        self.addresses.iter().copied().filter(open).max_by_key(|a| rendezvous(hash, *a))
+        self.ring.home(t.shared()?.0)
     }
 
     /// A candidate, and what it costs to choose it.
@@ -198,9 +239,11 @@
         data_centre: &str,
         work: &Work,
         address: SocketAddr,
+        home: Option<SocketAddr>,
     ) -> (Choice, u64) {
         let known = self.prefixes.cover(now, address, &work.trail);
-        let cover = known.max(self.cover_at_home(address, &work.trail));
+        let is_home = home == Some(address);
+        let cover = if is_home { known.max(self.cover_at_home(&work.trail)) } else { known };
         let fresh = work.trail.size() - cover;
         let Some(r) = self.replicas.get(&address) else {
             return (Choice { address, fresh, expected_us: u64::MAX, ticket: 0 }, u64::MAX);
@@ -225,12 +268,11 @@
         (self.outstanding * self.peers).div_ceil(replicas)
     }
 
-    /// What of a prompt that this router never sent a replica has from others, if it is the one
-    /// that all routers send it to first.
-    fn cover_at_home(&self, address: SocketAddr, t: &Trail) -> u64 {
+    /// What of a prompt that this router never sent its home has from others, as all routers send it
+    /// there first.
+    fn cover_at_home(&self, t: &Trail) -> u64 {
         let unknown = t.shared().filter(|(hash, _)| !self.prefixes.is_known(*hash));
-        let here = unknown.filter(|_| self.home(t) == Some(address));
-        here.map_or(0, |(_, size)| size)
+        unknown.map_or(0, |(_, size)| size)
     }
 
     /// Takes a replica's report of its load, made at `at`. One that is older than the last is
@@ -272,7 +314,7 @@
         let span = Millis((EJECT.0 << doublings).min(EJECT_MOST.0));
         r.out_until = now.after(span);
         // It may well have restarted, with an empty cache.
-        self.prefixes.forget(c.address);
+        self.prefixes.forget(now, c.address);
         true
     }
 
--- a/crates/core/src/route/prefix.rs
+++ b/crates/core/src/route/prefix.rs
@@ -76,6 +76,8 @@
     order: VecDeque<u64>,
     /// Since when a replica's events have a gap.
     gaps: HashMap<SocketAddr, Time>,
+    /// When a replica was last known to have lost all.
+    emptied: HashMap<SocketAddr, Time>,
 }
 
 impl Prefixes {
@@ -111,30 +113,38 @@
         self.gaps.insert(replica, now);
     }
 
-    /// Forgets all of a replica: it has restarted.
-    pub fn forget(&mut self, replica: SocketAddr) {
-        for holders in self.known.values_mut() {
-            holders.retain(|k| k.replica != replica);
-        }
+    /// Notes that a replica has lost all: it has restarted, or is gone.
+    pub fn forget(&mut self, now: Time, replica: SocketAddr) {
+        self.emptied.insert(replica, now);
+    }
+
+    /// Whether what a replica was sent may be there still.
+    fn may_hold(&self, k: &Known) -> bool {
+        self.emptied.get(&k.replica).is_none_or(|emptied| k.at > *emptied)
+    }
+
+    /// The replicas that were sent this step of a trail.
+    fn sent_to(&self, hash: u64) -> impl Iterator<Item = &Known> {
+        self.known.get(&hash).into_iter().flatten().filter(|k| self.may_hold(k))
     }
 
     /// Whether any replica is remembered to have been sent this step of a trail.
     pub fn is_known(&self, hash: u64) -> bool {
-        self.known.get(&hash).is_some_and(|holders| !holders.is_empty())
+        self.sent_to(hash).next().is_some()
     }
 
     /// The replicas that were sent the longest remembered prefix of a prompt.
     pub fn holders(&self, t: &Trail) -> impl Iterator<Item = SocketAddr> {
-        let held = |(hash, _): &(u64, u64)| self.known.get(hash).filter(|h| !h.is_empty());
+        let held = |(hash, _): &(u64, u64)| self.is_known(*hash).then_some(*hash);
         let longest = t.steps.iter().rev().find_map(held);
-        longest.into_iter().flatten().map(|k| k.replica)
+        longest.into_iter().flat_map(|hash| self.sent_to(hash)).map(|k| k.replica)
     }
 
     /// How much of a prompt a replica is expected to have, in the trail's sizes: the longest
     /// remembered prefix, discounted by its age, and by half if it is older than a gap.
     pub fn cover(&self, now: Time, replica: SocketAddr, t: &Trail) -> u64 {
         let held = |(hash, size): &(u64, u64)| {
-            let known = self.known.get(hash)?.iter().find(|k| k.replica == replica)?;
+            let known = self.sent_to(*hash).find(|k| k.replica == replica)?;
             Some((known.at, *size))
         };
         let Some((at, size)) = t.steps.iter().rev().find_map(held) else { return 0 };
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -75,13 +75,13 @@
 fn an_evacuated_data_centre_gets_no_new_work_until_it_is_taken_back() {
     let all: Vec<_> = (0..9).map(|n| upstream(n, ["a", "b", "c"][usize::from(n) % 3])).collect();
     let mut pool = Pool::default();
-    pool.set(&all, 8);
+    pool.set(Time(0), &all, 8);
     assert_eq!(data_centres_used(&mut pool), names(&["a", "b", "c"]));
     pool.set_closed(&names(&["b"]));
     assert_eq!(data_centres_used(&mut pool), names(&["a", "c"]));
     // One that registers meanwhile is in it too.
     let more: Vec<_> = all.iter().cloned().chain([upstream(9, "b")]).collect();
-    pool.set(&more, 8);
+    pool.set(Time(0), &more, 8);
     assert_eq!(data_centres_used(&mut pool), names(&["a", "c"]));
     pool.set_closed(&names(&["a", "b", "c"]));
     assert_eq!(data_centres_used(&mut pool), names(&[]));
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -31,7 +31,7 @@
 fn pool(n: u16) -> Pool {
     let all: Vec<_> = (0..n).map(upstream).collect();
     let mut p = Pool::default();
-    p.set(&all, 8);
+    p.set(Time(0), &all, 8);
     p
 }
 
@@ -201,7 +201,7 @@
     assert_eq!(known.cover(Time(10), at, &work.trail), whole * 300_000 / 300_010 / 2);
     known.sent(Time(20), at, &work.trail);
     assert_eq!(known.cover(Time(20), at, &work.trail), whole, "sent again after the gap");
-    known.forget(at);
+    known.forget(Time(20), at);
     assert_eq!(known.cover(Time(20), at, &work.trail), 0);
 }
 
@@ -324,7 +324,7 @@
 fn a_changed_list_keeps_what_is_known_of_those_that_stay() {
     let (mut p, mut r) = (pool(2), rng());
     p.report(address(0), Time(1), 90, 90);
-    p.set(&[upstream(0), upstream(1), upstream(2)], 8);
+    p.set(Time(0), &[upstream(0), upstream(1), upstream(2)], 8);
     for _ in 0..10 {
         assert_ne!(choose(&mut p, 2, &Work::default(), &mut r), Some(address(0)));
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -100,6 +100,8 @@
     NeighboursSeen = 425, Info, "the list of this data centre's gateways has changed";
     HomeLost = 426, Info, "a gateway that keeps a budget's tokens did not answer";
     EvacuationsSeen = 427, Info, "the data centres that get no new work have changed";
+    ReplicasChanged = 428, Info, "several replicas have registered, changed, fallen silent or left";
+    ReplicaReplaced = 429, Info, "another replica answers at a replica's address";
 }
 
 /// Logs an event with fields.
--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -133,6 +133,7 @@
         let view = self.view.borrow();
         let mut pools = self.pools.borrow_mut();
         let mut queues = self.queues.borrow_mut();
+        let now = self.clock.now();
         pools.retain(|name, _| view.services().any(|(n, _)| n == name));
         queues.retain(|name, _| view.services().any(|(n, _)| n == name));
         for (name, s) in view.services() {
@@ -141,7 +142,7 @@
                 Service::Plain(_) => (PLAIN_SLOTS, PLAIN_QUEUE),
             };
             let pool = pools.entry(name.to_owned()).or_default();
-            pool.set(s.upstreams(), slots);
+            pool.set(now, s.upstreams(), slots);
             let limit = slots.saturating_mul(s.upstreams().len() as u32);
             let fresh = || Rc::new(Queue::new(self.clock, limit, room));
             queues.entry(name.to_owned()).or_insert_with(fresh).set(limit, room);
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -178,6 +178,9 @@
     ) -> Ended {
         let said = D::head(&head);
         let (not_run, sound) = (said.not_run || said.another, said.sound);
+        if said.another {
+            self.job.gw.replica_not_there(self.replica);
+        }
         if !sound {
             return Ended::Broken("the answer is not in the form that was asked for".to_owned());
         }
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -96,9 +96,7 @@
         if let Some(areas) = &seen.areas {
             take_areas(gw, from, areas);
         }
-        for r in seen.replicas {
-            gw.take_replica(r);
-        }
+        gw.take_replicas(seen.replicas);
         let controls = || seen.controls.iter().filter_map(|a| a.parse().ok());
         gw.group.learn(controls());
         if let Some(leader) = seen.lead.as_ref().and_then(|l| l.address.parse().ok()) {
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use cypressfork_core::budget::report_every;
-use cypressfork_core::config::{Upstream, Vm};
 use cypressfork_core::fleet::evacuation::Evacuations;
 use cypressfork_core::fleet::registry::{Record, Standing};
+use cypressfork_core::fleet::replicas::{Change, Replicas};
 use cypressfork_core::fleet::retry::Window;
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::share::Placement;
@@ -39,6 +39,9 @@
 /// takes some 20 ms of the engines met so far, which is over when a peer could reckon with it.
 const TELL_TOKENS: u64 = 1_000;
 
+/// Replicas whose news are logged one by one; more that come together share a line.
+const TOLD_EACH: usize = 8;
+
 /// What all requests share.
 pub struct Gateway {
     /// The settings.
@@ -67,7 +70,7 @@
     pub stopping: Cell<bool>,
     /// Connections with a request under way.
     pub active: Cell<usize>,
-    replicas: RefCell<BTreeMap<String, Record>>,
+    replicas: RefCell<Replicas>,
     pools: RefCell<HashMap<String, Pool>>,
     retries: RefCell<HashMap<String, Window>>,
     token_store: RefCell<Option<Rc<TokenStore>>>,
@@ -171,27 +174,42 @@
         self.token_store.borrow_mut().take()
     }
 
-    /// Takes what is said of a replica.
-    pub fn take_replica(&self, r: Record) {
-        let mut all = self.replicas.borrow_mut();
-        let known = all.get(&r.registration.id);
-        if known.is_some_and(|k| !is_news(k, &r)) {
-            return;
+    /// Takes what is said of replicas.
+    pub fn take_replicas(&self, said: Vec<Record>) {
+        let now = self.now();
+        let mut news = Vec::new();
+        for r in said {
+            let (id, sequence) = (r.registration.id.clone(), r.registration.sequence);
+            let Some((standing, changes)) = self.replicas.borrow_mut().take(now, r) else {
+                continue;
+            };
+            changes.iter().for_each(|c| self.change_pool(now, c));
+            news.push(ReplicaNews { id, sequence, standing });
+        }
+        tell_replicas(&news);
+    }
+
+    /// Takes an answer that says that this replica is not at its address any more.
+    pub fn replica_not_there(&self, id: &str) {
+        let change = self.replicas.borrow_mut().not_there(id);
+        if let Some(c) = &change {
+            emit!(Event::ReplicaReplaced, replica = id, address = c.address);
+            self.change_pool(self.now(), c);
         }
-        let standing = known.map_or(r.standing, |k| {
-            if k.standing >= Standing::Draining { k.standing.max(r.standing) } else { r.standing }
+    }
+
+    fn change_pool(&self, now: Time, c: &Change) {
+        let mut pools = self.pools.borrow_mut();
+        let closed = || self.evacuations.borrow().data_centres.clone();
+        let pool = pools.entry(c.service.clone()).or_insert_with(|| {
+            let mut pool = Pool::default();
+            pool.set_closed(&closed());
+            pool
         });
-        let service = r.registration.service.clone();
-        emit!(
-            Event::ReplicaChanged,
-            replica = r.registration.id,
-            address = r.registration.address,
-            standing = format_args!("{standing:?}"),
-            sequence = r.registration.sequence,
-        );
-        all.insert(r.registration.id.clone(), Record { standing, ..r });
-        let of_service = all.values().filter(|r| r.registration.service == service);
-        self.refresh_pool(&service, of_service);
+        match &c.there {
+            Some((upstream, condition)) => pool.put(now, upstream, condition),
+            None => pool.remove(now, c.address),
+        }
     }
 
     /// Takes what is said of evacuated data centres, unless it knows as new a word.
@@ -210,28 +228,6 @@
         );
     }
 
-    fn refresh_pool<'a>(&self, service: &str, records: impl Iterator<Item = &'a Record>) {
-        let usable = |r: &&Record| r.standing <= Standing::Silent;
-        // Where two have the same address, the one that speaks is there.
-        let mut by_address: BTreeMap<SocketAddr, &Record> = BTreeMap::new();
-        for r in records.filter(usable) {
-            let Ok(address) = r.registration.address.parse() else { continue };
-            let better = by_address.get(&address).is_none_or(|o| r.standing < o.standing);
-            if better {
-                by_address.insert(address, r);
-            }
-        }
-        let slots = by_address.values().map(|r| r.registration.slots).max().unwrap_or(1);
-        let upstreams: Vec<_> = by_address.iter().map(|(a, r)| upstream(*a, r)).collect();
-        let mut pools = self.pools.borrow_mut();
-        let pool = pools.entry(service.to_owned()).or_default();
-        pool.set_closed(&self.evacuations.borrow().data_centres);
-        pool.set(&upstreams, slots);
-        for (_, r) in by_address {
-            pool.set_leaving(&r.registration.id, r.standing == Standing::Silent);
-        }
-    }
-
     /// Chooses a replica; [`Gateway::done`] must follow. Returns the choice and the replica's id.
     pub fn choose(
         &self,
@@ -302,16 +298,28 @@
     }
 }
 
-/// Whether `r` says more than is known. Draining and leaving count whatever their sequence.
-fn is_news(known: &Record, r: &Record) -> bool {
-    let newer = r.registration.sequence > known.registration.sequence;
-    let same = r.registration.sequence == known.registration.sequence;
-    let ends = r.standing >= Standing::Draining && r.standing > known.standing;
-    ends || (newer && *r != *known) || (same && r.standing > known.standing)
+/// News of one replica, for the log.
+struct ReplicaNews {
+    id: String,
+    sequence: u64,
+    standing: Standing,
 }
 
-fn upstream(address: SocketAddr, r: &Record) -> Upstream {
-    let g = &r.registration;
-    let vm = Vm { name: g.id.clone(), data_centre: g.data_centre.clone() };
-    Upstream { vm, address, checks_orders: false }
+/// Logs news of replicas: each of a few, and how many there are of more, as when a fleet starts.
+fn tell_replicas(news: &[ReplicaNews]) {
+    if news.len() <= TOLD_EACH {
+        for n in news {
+            emit!(
+                Event::ReplicaChanged,
+                replica = n.id,
+                standing = format_args!("{:?}", n.standing),
+                sequence = n.sequence,
+            );
+        }
+        return;
+    }
+    let ready = news.iter().filter(|n| n.standing == Standing::Ready).count();
+    let first = news.first().map_or("", |n| &n.id);
+    let last = news.last().map_or("", |n| &n.id);
+    emit!(Event::ReplicasChanged, changed = news.len(), ready = ready, first = first, last = last);
 }
