Control processes: a question costs what it returns, members are not searched in the log, changes are gathered

Change: the registry keeps its replicas by position; the log knows where its changes of members are; standing questions are looked at every 20 ms (parts of documents at once), and changes of replicas are gathered for 100 ms for routers; silent replicas are looked for every 100 ms.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -19,6 +19,14 @@
 /// How long heartbeats are gathered before they are passed on to another control process.
 const GATHER: Millis = Millis(300);
 
+/// How long changes of replicas are gathered before they are passed on to a router. 1,000 replicas
+/// that register within a second come in some 10 answers to each router and not in hundreds, and
+/// one that leaves may get work for this much longer, of seconds.
+const GATHER_CHANGES: Millis = Millis(100);
+
+/// How often standing questions are looked at. A part of a document is not kept waiting for it.
+const LOOK: Millis = Millis(20);
+
 /// Replicas that one answer tells of at most, some 50 kB of them: the rest follows in the next. An
 /// answer has to come over the slowest link within the time that its asker waits for it.
 const RECORDS: usize = 256;
@@ -53,6 +61,8 @@
     /// Processes that say that they belong to no group.
     pub candidates: Candidates,
     directory: Directory,
+    /// When standing questions are looked at next.
+    next_look: Time,
     boot: u64,
     heartbeat: Millis,
     standing: Vec<Standing<T>>,
@@ -82,6 +92,7 @@
             routers: Routers::default(),
             candidates: Candidates::default(),
             directory: Directory::default(),
+            next_look: Time(0),
             boot,
             heartbeat,
             standing: Vec::new(),
@@ -94,6 +105,9 @@
         if let Some(r) = &watch.router {
             self.routers.note(now, r);
         }
+        if watch.fetch.is_some() {
+            self.next_look = now;
+        }
         let since = if watch.feed.boot == self.boot { watch.feed.position } else { 0 };
         self.standing.push(Standing { watch, since, asked: now, to });
     }
@@ -116,8 +130,14 @@
         self.candidates.tick(now);
     }
 
+    /// Whether it is time to look for answers that are due.
+    pub fn is_time(&self, now: Time) -> bool {
+        now >= self.next_look
+    }
+
     /// The answers that are due.
     pub fn answers(&mut self, now: Time, f: &Followed) -> Vec<(T, Seen)> {
+        self.next_look = now.after(LOOK);
         let (due, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.standing).into_iter().partition(|s| self.is_due(now, s, f));
         self.standing = rest;
@@ -139,7 +159,7 @@
             || s.is_behind(f.version)
             || f.evacuations.revision > s.watch.evacuations
             || waited >= WATCH_SPAN
-            || self.registry.has_changes(s.since)
+            || (waited >= GATHER_CHANGES && self.registry.has_changes(s.since))
             || (beats && self.registry.has_beats(s.since))
     }
 
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -94,6 +94,9 @@
 /// How long to wait before a disk that failed is tried again.
 const DISK_AGAIN: Millis = Millis(500);
 
+/// How often it is looked whether there are control processes that are not followed yet.
+const FOLLOW_EVERY: Millis = Millis(100);
+
 /// Routers named in one entry answer at most.
 const ENTRY_MOST: usize = 64;
 
@@ -116,7 +119,8 @@
     /// How far the other control processes are followed.
     feeds: Rc<RefCell<BTreeMap<SocketAddr, Feed>>>,
     /// The control processes that are followed.
-    following: Rc<RefCell<BTreeSet<SocketAddr>>>,
+    following: BTreeSet<SocketAddr>,
+    next_follow: Time,
     contacts: Contacts,
     clocks: Clocks,
     /// When a disk that failed is tried again.
@@ -153,7 +157,8 @@
             heard_at: BTreeMap::new(),
             fleet,
             feeds: Rc::default(),
-            following: Rc::default(),
+            following: BTreeSet::new(),
+            next_follow: Time(0),
             contacts: Contacts::default(),
             clocks: Clocks::default(),
             disk_again: None,
@@ -315,19 +320,25 @@
         self.machine.repair(at, &f.view.candidates, f.voters);
         let quorum = self.machine.members().quorum();
         self.machine.write_off_dead(at, self.clocks.is_sure(at.now, quorum));
+        if at.now >= self.next_follow {
+            self.next_follow = at.now.after(FOLLOW_EVERY);
+            self.follow_all(at, tx);
+        }
+    }
+
+    /// Follows all other control processes that are known.
+    fn follow_all(&mut self, at: Moment, tx: &mpsc::Sender<Input>) {
+        let Some(f) = &self.fleet else { return };
         self.contacts.tick(at.now);
-        let known = raft_addresses(self.machine.members());
+        let members = raft_addresses(self.machine.members());
         let heard = self.contacts.addresses().filter_map(|a| a.parse().ok());
-        let all = known.into_iter().chain(f.seeds.iter().copied()).chain(heard);
+        let all = members.into_iter().chain(f.seeds.iter().copied()).chain(heard);
         let all: BTreeSet<_> = all.filter(|a| a.to_string() != self.address).collect();
         self.group.learn(all.iter().copied());
         for address in all {
-            if self.following.borrow_mut().insert(address) {
-                let peer = PeerWatch {
-                    feeds: self.feeds.clone(),
-                    tx: tx.clone(),
-                    own: self.address.clone(),
-                };
+            if self.following.insert(address) {
+                let (feeds, own) = (self.feeds.clone(), self.address.clone());
+                let peer = PeerWatch { feeds, tx: tx.clone(), own };
                 actix_rt::spawn(watch(address, self.me.clone(), peer));
             }
         }
@@ -344,7 +355,7 @@
     /// Answers the standing questions that are due.
     fn finish_fleet(&mut self) {
         let now = self.moment().now;
-        let Some(f) = &mut self.fleet else { return };
+        let Some(f) = self.fleet.as_mut().filter(|f| f.view.is_time(now)) else { return };
         let (version, source) = self.machine.state().published();
         let controls = self.machine.members().addresses.values().cloned().collect();
         let registered = self.machine.state().routers();
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -6,6 +6,8 @@
 //! until no late heartbeat of it can come.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +16,9 @@
 /// How long one that has left is remembered, against late heartbeats.
 const LEFT_KEPT: Millis = Millis::seconds(120);
 
+/// How often silent replicas are looked for.
+const TICK: Millis = Millis(100);
+
 /// Heartbeats that may be missed before a replica counts as silent.
 const MISSED: u64 = 4;
 
@@ -80,8 +85,14 @@
 /// The replicas that one process knows of, with a feed of changes.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
-    entries: BTreeMap<String, Entry>,
+    entries: BTreeMap<Arc<str>, Entry>,
     position: u64,
+    /// The replicas by the position of their last change that matters to routers: what a follower
+    /// lacks is found without looking at those that it has.
+    by_change: BTreeMap<u64, Arc<str>>,
+    /// The same by their last heartbeat.
+    by_beat: BTreeMap<u64, Arc<str>>,
+    next_tick: Time,
 }
 
 impl Registry {
@@ -93,22 +104,37 @@
     /// Takes what is said of a replica, by itself or by another process. Returns whether it
     /// changes anything for routers.
     pub fn take(&mut self, now: Time, r: Record) -> bool {
-        let known = self.entries.get(&r.registration.id);
+        let known = self.entries.get(r.registration.id.as_str());
         let Some(merged) = merge(known, &r) else { return false };
         let same = known.is_some_and(|e| matters_alike(&e.record, &merged));
-        let changed = known.map_or(0, |e| e.changed);
         let heard = match known {
             Some(e) if r.registration.sequence <= e.record.registration.sequence => e.heard,
             _ => now,
         };
-        self.position += 1;
-        let beaten = self.position;
-        let changed = if same { changed } else { self.position };
-        let entry = Entry { record: merged, heard, changed, beaten };
-        self.entries.insert(r.registration.id, entry);
+        let changed = known.map_or(0, |e| e.changed);
+        let id: Arc<str> = Arc::from(r.registration.id);
+        let entry = Entry { record: merged, heard, changed, beaten: 0 };
+        if let Some(old) = self.entries.insert(id.clone(), entry) {
+            self.by_beat.remove(&old.beaten);
+        }
+        self.move_up(&id, !same);
         !same
     }
 
+    /// Gives a replica the newest position, also among the changes if it has one.
+    fn move_up(&mut self, id: &Arc<str>, changed: bool) {
+        let Some(e) = self.entries.get_mut(id) else { return };
+        self.position += 1;
+        self.by_beat.remove(&e.beaten);
+        self.by_beat.insert(self.position, id.clone());
+        e.beaten = self.position;
+        if changed {
+            self.by_change.remove(&e.changed);
+            self.by_change.insert(self.position, id.clone());
+            e.changed = self.position;
+        }
+    }
+
     /// Notes that a replica has left. Returns whether it was known.
     pub fn leave(&mut self, now: Time, id: &str) -> bool {
         let Some(e) = self.entries.get(id) else { return false };
@@ -118,50 +144,61 @@
 
     /// Lets time pass: replicas that miss heartbeats, expected every `every`, are silent.
     pub fn tick(&mut self, now: Time, every: Millis) {
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now.after(TICK);
         let patience = every.scale(MISSED, 1);
-        let kept =
-            |e: &Entry| e.record.standing < Standing::Draining || now.since(e.heard) < LEFT_KEPT;
-        self.entries.retain(|_, e| kept(e));
-        for e in self.entries.values_mut() {
-            if e.record.standing == Standing::Ready && now.since(e.heard) >= patience {
+        let is_gone =
+            |e: &Entry| e.record.standing >= Standing::Draining && now.since(e.heard) >= LEFT_KEPT;
+        let is_silent =
+            |e: &Entry| e.record.standing == Standing::Ready && now.since(e.heard) >= patience;
+        let mut silent = Vec::new();
+        self.entries.retain(|id, e| {
+            if is_gone(e) {
+                self.by_beat.remove(&e.beaten);
+                self.by_change.remove(&e.changed);
+                return false;
+            }
+            if is_silent(e) {
                 e.record.standing = Standing::Silent;
-                self.position += 1;
-                e.changed = self.position;
-                e.beaten = self.position;
+                silent.push(id.clone());
             }
+            true
+        });
+        for id in silent {
+            self.move_up(&id, true);
         }
     }
 
     /// Whether anything has changed for routers after `since`.
     pub fn has_changes(&self, since: u64) -> bool {
-        self.entries.values().any(|e| e.changed > since)
+        self.by_change.last_key_value().is_some_and(|(newest, _)| *newest > since)
     }
 
     /// Whether anything was said after `since`, heartbeats included.
     pub fn has_beats(&self, since: u64) -> bool {
-        self.entries.values().any(|e| e.beaten > since)
+        self.by_beat.last_key_value().is_some_and(|(newest, _)| *newest > since)
     }
 
     /// What has changed for routers after `since`, the oldest change first, at most `most` records.
     pub fn changes(&self, since: u64, most: usize) -> Batch {
-        self.batch(since, most, |e| e.changed)
+        self.batch(&self.by_change, since, most)
     }
 
     /// All that was said after `since`, heartbeats included, the oldest first, at most `most`
     /// records: for other control processes.
     pub fn beats(&self, since: u64, most: usize) -> Batch {
-        self.batch(since, most, |e| e.beaten)
+        self.batch(&self.by_beat, since, most)
     }
 
-    fn batch(&self, since: u64, most: usize, at: impl Fn(&Entry) -> u64) -> Batch {
-        let mut all: Vec<_> = self.entries.values().filter(|e| at(e) > since).collect();
-        all.sort_by_key(|e| at(e));
-        let position = match all.get(most) {
-            Some(_) => at(all[most - 1]),
-            None => self.position,
-        };
-        let records = all.into_iter().take(most).map(|e| e.record.clone()).collect();
-        Batch { records, position }
+    fn batch(&self, order: &BTreeMap<u64, Arc<str>>, since: u64, most: usize) -> Batch {
+        let mut newer = order.range((Bound::Excluded(since), Bound::Unbounded));
+        let told: Vec<_> = newer.by_ref().take(most).collect();
+        let last = told.last().map_or(since, |(at, _)| **at);
+        let position = if newer.next().is_some() { last } else { self.position };
+        let records = told.into_iter().filter_map(|(_, id)| self.entries.get(id));
+        Batch { records: records.map(|e| e.record.clone()).collect(), position }
     }
 
     /// All replicas.
--- a/crates/core/src/raft/log.rs
+++ b/crates/core/src/raft/log.rs
@@ -55,12 +55,17 @@
 pub struct Log {
     base: SnapshotMeta,
     entries: VecDeque<Entry>,
+    /// Positions of the entries that change the members. The members are asked for with each message,
+    /// and a log holds thousands of entries.
+    changes: VecDeque<Index>,
 }
 
 impl Log {
     /// A log that continues a snapshot; the entries must follow it without a gap.
     pub fn new(base: SnapshotMeta, entries: Vec<Entry>) -> Log {
-        Log { base, entries: entries.into() }
+        let entries: VecDeque<_> = entries.into();
+        let changes = entries.iter().filter(|e| changes_members(e)).map(|e| e.index).collect();
+        Log { base, entries, changes }
     }
 
     /// The snapshot that it continues.
@@ -111,6 +116,9 @@
     /// Adds an entry at the end.
     pub fn push(&mut self, e: Entry) {
         debug_assert_eq!(e.index, self.last_index() + 1);
+        if changes_members(&e) {
+            self.changes.push_back(e.index);
+        }
         self.entries.push_back(e);
     }
 
@@ -118,6 +126,9 @@
     pub fn truncate(&mut self, from: Index) {
         let keep = from.saturating_sub(self.base.index + 1);
         self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        while self.changes.back().is_some_and(|i| *i >= from) {
+            self.changes.pop_back();
+        }
     }
 
     /// Drops the entries up to and including `i`, which a snapshot now covers.
@@ -128,6 +139,9 @@
         }
         let members = self.members_at(i).clone();
         self.entries.drain(..(i - self.base.index) as usize);
+        while self.changes.front().is_some_and(|c| *c <= i) {
+            self.changes.pop_front();
+        }
         self.base = SnapshotMeta { index: i, term, members };
     }
 
@@ -135,22 +149,22 @@
     pub fn reset(&mut self, base: SnapshotMeta) {
         self.base = base;
         self.entries.clear();
+        self.changes.clear();
     }
 
     /// The members as of entry `i`.
     pub fn members_at(&self, i: Index) -> &Members {
-        let upto = i.saturating_sub(self.base.index) as usize;
-        let found = self.entries.iter().take(upto).rev().find_map(|e| match &e.payload {
-            Payload::Members(m) => Some(m),
-            _ => None,
-        });
-        found.unwrap_or(&self.base.members)
+        let change = self.changes.iter().rev().find(|c| **c <= i);
+        let entry = change.and_then(|c| self.get(*c));
+        match entry.map(|e| &e.payload) {
+            Some(Payload::Members(m)) => m,
+            _ => &self.base.members,
+        }
     }
 
     /// Position of the last entry that changes the members, 0 if none after the snapshot.
     pub fn last_change(&self) -> Index {
-        let changes = |e: &&Entry| matches!(e.payload, Payload::Members(_));
-        self.entries.iter().rev().find(changes).map_or(0, |e| e.index)
+        self.changes.back().copied().unwrap_or(0)
     }
 
     /// Whether a log that ends at `last` has all that this one may have committed.
@@ -168,3 +182,7 @@
         self.entries.is_empty()
     }
 }
+
+fn changes_members(e: &Entry) -> bool {
+    matches!(e.payload, Payload::Members(_))
+}
