Heartbeats go between control processes as id and number, at second hand every third; addresses of control processes once

Cause: at 300 machines each control process carries 5.6 MB a second; a heartbeat of one of 3,000 replicas went as a whole record to 8 others, and each of these passed it on to 8 more: 72 records of some 150 bytes for each, 27 MB a second in all as worked out. Each answer to a router named the same nine addresses. Change: Registry::relay gives records of what has changed and id and number of what has not; what another process heard goes on at most every third heartbeat, so that one that reaches nobody but a neighbour does not take replicas for silent; addresses are told when they change.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -5,10 +5,10 @@
 use cypressfork_core::fleet::entry::Routers;
 use cypressfork_core::fleet::evacuation::Evacuations;
 use cypressfork_core::fleet::neighbours::{Directory, NOT_WANTED};
-use cypressfork_core::fleet::registry::{Record, Registry};
+use cypressfork_core::fleet::registry::{Beat, Record, Registry, Source};
 use cypressfork_core::fleet::repair::Candidates;
 use cypressfork_core::fleet::transfer::Packs;
-use cypressfork_core::fleet::watch::{Announce, Feed, RouterSign, Seen, Watch};
+use cypressfork_core::fleet::watch::{Announce, Feed, RouterSign, Seen, Watch, digest};
 use cypressfork_core::member::Routers as Registered;
 use cypressfork_core::unit::{Millis, Time, Version};
 use cypressfork_wire::packed;
@@ -31,6 +31,9 @@
 /// answer has to come over the slowest link within the time that its asker waits for it.
 const RECORDS: usize = 256;
 
+/// Heartbeats that one answer to another control process tells of at most, some 40 kB of them.
+const BEATS: usize = 2_048;
+
 /// Routers that a router is told of for lending tokens.
 const PEERS: usize = 32;
 
@@ -118,9 +121,12 @@
     }
 
     /// Takes what another control process has heard.
-    pub fn learn(&mut self, now: Time, replicas: Vec<Record>) {
+    pub fn learn(&mut self, now: Time, replicas: Vec<Record>, beats: &[Beat]) {
         for r in replicas {
-            self.registry.take(now, r);
+            self.registry.take(now, r, Source::Another);
+        }
+        for b in beats {
+            self.registry.beat(now, b);
         }
     }
 
@@ -165,19 +171,22 @@
 
     fn seen(&self, now: Time, s: &Standing<T>, f: &Followed) -> Seen {
         let router = s.watch.router.is_some();
-        let batch = match router {
+        let relay = match router {
             true => self.registry.changes(s.since, RECORDS),
-            false => self.registry.beats(s.since, RECORDS),
+            false => self.registry.relay(s.since, RECORDS, BEATS),
         };
         let has_homes = |r: &RouterSign| self.directory.has_homes(&r.data_centre);
         let peers = s.watch.router.as_ref().is_some_and(|r| !has_homes(r));
+        let controls = digest(&f.controls);
+        let same = s.watch.feed.boot == self.boot && s.watch.feed.controls == controls;
         let known = s.watch.areas == NOT_WANTED || s.watch.areas == self.directory.digest();
         Seen {
-            feed: Feed { boot: self.boot, position: batch.position },
-            replicas: batch.records,
+            feed: Feed { boot: self.boot, position: relay.position, controls },
+            replicas: relay.records,
+            beats: relay.beats,
             version: f.version,
             part: s.watch.fetch.and_then(|want| self.packs.part(&want)),
-            controls: f.controls.clone(),
+            controls: if same { Vec::new() } else { f.controls.clone() },
             routers: self.routers.count(now),
             peers: if peers { self.routers.links(now, PEERS) } else { Vec::new() },
             wall: f.wall.0,
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -12,7 +12,7 @@
 use cypressfork_core::fleet::contacts::{Contacts, Place};
 use cypressfork_core::fleet::evacuation;
 use cypressfork_core::fleet::neighbours::NOT_WANTED;
-use cypressfork_core::fleet::registry::Standing;
+use cypressfork_core::fleet::registry::{Source, Standing};
 use cypressfork_core::fleet::watch::{Announce, Feed, Seen, Watch};
 use cypressfork_core::raft::{Members, Message};
 use cypressfork_core::unit::{Millis, NodeId, Time};
@@ -237,7 +237,7 @@
                     self.contacts.hear_lead(at.now, lead);
                 }
                 if let Some(f) = &mut self.fleet {
-                    f.view.learn(at.now, seen.replicas);
+                    f.view.learn(at.now, seen.replicas, &seen.beats);
                 }
             }
             Input::Call(ask, to) => self.machine.call(at, ask, to),
@@ -288,7 +288,7 @@
             }
             Call::Beat(r) if r.standing < Standing::Draining || led => {
                 let id = r.registration.id.clone();
-                if f.view.registry.take(now, r) {
+                if f.view.registry.take(now, r, Source::Itself) {
                     emit!(Event::ReplicaChanged, replica = id);
                 }
                 CallAnswer::Noted
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -16,6 +16,12 @@
 /// How long one that has left is remembered, against late heartbeats.
 const LEFT_KEPT: Millis = Millis::seconds(120);
 
+/// How long after a heartbeat of the same replica one that another control process heard is passed on
+/// again, in heartbeats. Each process tells all others of what it heard itself. Some of them may be
+/// out of its reach: what they hear at second hand keeps a replica from being taken for silent, at a
+/// part of the messages.
+const SECOND_HAND: u64 = 3;
+
 /// How often silent replicas are looked for.
 const TICK: Millis = Millis(100);
 
@@ -69,15 +75,37 @@
     heard: Time,
     /// Position in the feed of the last change that matters to routers.
     changed: u64,
-    /// Position in the feed of the last heartbeat.
+    /// Position in the feed of the last heartbeat that is passed on.
     beaten: u64,
+    /// When one was passed on last.
+    passed: Time,
+}
+
+/// Who told of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The replica itself.
+    Itself,
+    /// Another control process.
+    Another,
+}
+
+/// A heartbeat that says nothing new.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The replica's id.
+    pub id: String,
+    /// The heartbeat's number.
+    pub sequence: u64,
 }
 
 /// A part of the feed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Batch {
-    /// The records.
+pub struct Part {
+    /// The replicas that are new or have changed.
     pub records: Vec<Record>,
+    /// For another control process: heartbeats of those that have not changed.
+    pub beats: Vec<Beat>,
     /// How far they bring a follower.
     pub position: u64,
 }
@@ -93,6 +121,8 @@
     /// The same by their last heartbeat.
     by_beat: BTreeMap<u64, Arc<str>>,
     next_tick: Time,
+    /// How often a replica tells of itself.
+    heartbeat: Millis,
 }
 
 impl Registry {
@@ -101,9 +131,8 @@
         self.position
     }
 
-    /// Takes what is said of a replica, by itself or by another process. Returns whether it
-    /// changes anything for routers.
-    pub fn take(&mut self, now: Time, r: Record) -> bool {
+    /// Takes what is said of a replica. Returns whether it changes anything for routers.
+    pub fn take(&mut self, now: Time, r: Record, source: Source) -> bool {
         let known = self.entries.get(r.registration.id.as_str());
         let Some(merged) = merge(known, &r) else { return false };
         let same = known.is_some_and(|e| matters_alike(&e.record, &merged));
@@ -113,14 +142,42 @@
         };
         let changed = known.map_or(0, |e| e.changed);
         let id: Arc<str> = Arc::from(r.registration.id);
-        let entry = Entry { record: merged, heard, changed, beaten: 0 };
-        if let Some(old) = self.entries.insert(id.clone(), entry) {
-            self.by_beat.remove(&old.beaten);
-        }
-        self.move_up(&id, !same);
+        let (beaten, passed) = known.map_or((0, Time(0)), |e| (e.beaten, e.passed));
+        let entry = Entry { record: merged, heard, changed, beaten, passed };
+        self.entries.insert(id.clone(), entry);
+        self.pass_on(now, &id, !same, source);
         !same
     }
 
+    /// Takes a heartbeat that another control process passes on. Returns whether it changes anything
+    /// for routers. One of a replica that is not known comes with its record, if at all.
+    pub fn beat(&mut self, now: Time, b: &Beat) -> bool {
+        let Some((id, e)) = self.entries.get_key_value(b.id.as_str()) else { return false };
+        let id = id.clone();
+        let old = b.sequence <= e.record.registration.sequence;
+        if old || e.record.standing >= Standing::Draining {
+            return false;
+        }
+        let back = e.record.standing == Standing::Silent;
+        if let Some(e) = self.entries.get_mut(&id) {
+            e.record.registration.sequence = b.sequence;
+            e.record.standing = Standing::Ready;
+            e.heard = now;
+        }
+        self.pass_on(now, &id, back, Source::Another);
+        back
+    }
+
+    /// Has the followers told of a replica, unless it is no news to them.
+    fn pass_on(&mut self, now: Time, id: &Arc<str>, changed: bool, source: Source) {
+        let Some(e) = self.entries.get_mut(id) else { return };
+        let again = now.since(e.passed) >= self.heartbeat.scale(SECOND_HAND, 1);
+        if changed || again || source == Source::Itself {
+            e.passed = now;
+            self.move_up(id, changed);
+        }
+    }
+
     /// Gives a replica the newest position, also among the changes if it has one.
     fn move_up(&mut self, id: &Arc<str>, changed: bool) {
         let Some(e) = self.entries.get_mut(id) else { return };
@@ -139,7 +196,7 @@
     pub fn leave(&mut self, now: Time, id: &str) -> bool {
         let Some(e) = self.entries.get(id) else { return false };
         let registration = e.record.registration.clone();
-        self.take(now, Record { registration, standing: Standing::Left })
+        self.take(now, Record { registration, standing: Standing::Left }, Source::Itself)
     }
 
     /// Lets time pass: replicas that miss heartbeats, expected every `every`, are silent.
@@ -148,6 +205,7 @@
             return;
         }
         self.next_tick = now.after(TICK);
+        self.heartbeat = every;
         let patience = every.scale(MISSED, 1);
         let is_gone =
             |e: &Entry| e.record.standing >= Standing::Draining && now.since(e.heard) >= LEFT_KEPT;
@@ -182,23 +240,31 @@
     }
 
     /// What has changed for routers after `since`, the oldest change first, at most `most` records.
-    pub fn changes(&self, since: u64, most: usize) -> Batch {
-        self.batch(&self.by_change, since, most)
-    }
-
-    /// All that was said after `since`, heartbeats included, the oldest first, at most `most`
-    /// records: for other control processes.
-    pub fn beats(&self, since: u64, most: usize) -> Batch {
-        self.batch(&self.by_beat, since, most)
-    }
-
-    fn batch(&self, order: &BTreeMap<u64, Arc<str>>, since: u64, most: usize) -> Batch {
-        let mut newer = order.range((Bound::Excluded(since), Bound::Unbounded));
+    pub fn changes(&self, since: u64, most: usize) -> Part {
+        let mut newer = self.by_change.range((Bound::Excluded(since), Bound::Unbounded));
         let told: Vec<_> = newer.by_ref().take(most).collect();
         let last = told.last().map_or(since, |(at, _)| **at);
         let position = if newer.next().is_some() { last } else { self.position };
         let records = told.into_iter().filter_map(|(_, id)| self.entries.get(id));
-        Batch { records: records.map(|e| e.record.clone()).collect(), position }
+        Part { records: records.map(|e| e.record.clone()).collect(), beats: Vec::new(), position }
+    }
+
+    /// What another control process that has followed up to `since` is told: at most `most` records,
+    /// and so many heartbeats.
+    pub fn relay(&self, since: u64, most: usize, most_beats: usize) -> Part {
+        let Part { records, position, .. } = self.changes(since, most);
+        let mut newer = self.by_beat.range((Bound::Excluded(since), Bound::Included(position)));
+        let told: Vec<_> = newer.by_ref().take(most_beats).collect();
+        let last = told.last().map_or(since, |(at, _)| **at);
+        let position = if newer.next().is_some() { last } else { position };
+        let known = told.into_iter().filter_map(|(_, id)| self.entries.get(id));
+        // One that has changed goes with its record.
+        let alike = known.filter(|e| e.changed <= since);
+        let beats = alike.map(|e| Beat {
+            id: e.record.registration.id.clone(),
+            sequence: e.record.registration.sequence,
+        });
+        Part { records, beats: beats.collect(), position }
     }
 
     /// All replicas.
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -6,8 +6,9 @@
 use super::contacts::Lead;
 use super::evacuation::Evacuations;
 use super::neighbours::Area;
-use super::registry::Record;
+use super::registry::{Beat, Record};
 use super::transfer::{Part, Want};
+use crate::hash::Fnv;
 use crate::unit::{Index, Version};
 
 /// How far a watcher has followed one control process.
@@ -17,6 +18,14 @@
     pub boot: u64,
     /// Position in its feed.
     pub position: u64,
+    /// Digest of the addresses of control processes that it told of last.
+    #[serde(default)]
+    pub controls: u64,
+}
+
+/// The digest of addresses of control processes, the same in every process and release.
+pub fn digest(controls: &[String]) -> u64 {
+    controls.iter().fold(Fnv::new(), |h, a| h.part(a.as_bytes())).value()
 }
 
 /// Where a router serves, and whether it takes callers.
@@ -67,7 +76,7 @@
     pub version: Version,
     /// A part of a newer document, if one was asked for.
     pub part: Option<Part>,
-    /// Addresses of the group's control processes.
+    /// Addresses of the group's control processes; empty if the asker was told of the same before.
     pub controls: Vec<String>,
     /// How many routers this process has heard of lately.
     pub routers: u32,
@@ -84,6 +93,9 @@
     /// The data centres that get no new work, if the asker knows an older revision.
     #[serde(default)]
     pub evacuations: Option<Evacuations>,
+    /// For another control process: heartbeats of replicas that have not changed.
+    #[serde(default)]
+    pub beats: Vec<Beat>,
 }
 
 /// A control process that belongs to no group says that it is there.
