Two control processes tell a gateway of replicas, in place of all

Cause: each of nine told each of 291 gateways of each of 3,000 replicas: as worked out 87 MB a control process at a start. Change: core::fleet::sources: two by rank of the router's own key, of those that answer and hear a leader; another takes the place of one that falls silent or is cut off from the group. Documents, evacuations and neighbours are still asked of all.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -5,7 +5,7 @@
 use cypressfork_core::fleet::entry::Routers;
 use cypressfork_core::fleet::evacuation::Evacuations;
 use cypressfork_core::fleet::neighbours::{Directory, NOT_WANTED};
-use cypressfork_core::fleet::registry::{Beat, Record, Registry, Source};
+use cypressfork_core::fleet::registry::{Beat, Part, Record, Registry, Source};
 use cypressfork_core::fleet::repair::Candidates;
 use cypressfork_core::fleet::transfer::Packs;
 use cypressfork_core::fleet::watch::{Announce, Feed, RouterSign, Seen, Watch, digest};
@@ -80,6 +80,11 @@
 }
 
 impl<T> Standing<T> {
+    /// There are changes of replicas for it.
+    fn is_told(&self, registry: &Registry) -> bool {
+        !self.watch.without_replicas && registry.has_changes(self.since)
+    }
+
     /// It asks for a part of a document, and has none as new as `version` in force.
     fn is_behind(&self, version: Version) -> bool {
         self.watch.fetch.is_some_and(|w| version > w.held)
@@ -165,13 +170,14 @@
             || s.is_behind(f.version)
             || f.evacuations.revision > s.watch.evacuations
             || waited >= WATCH_SPAN
-            || (waited >= GATHER_CHANGES && self.registry.has_changes(s.since))
+            || (waited >= GATHER_CHANGES && s.is_told(&self.registry))
             || (beats && self.registry.has_beats(s.since))
     }
 
     fn seen(&self, now: Time, s: &Standing<T>, f: &Followed) -> Seen {
         let router = s.watch.router.is_some();
-        let relay = match router {
+        let part = match router {
+            true if s.watch.without_replicas => Part::nothing(s.since),
             true => self.registry.changes(s.since, RECORDS),
             false => self.registry.relay(s.since, RECORDS, BEATS),
         };
@@ -181,9 +187,9 @@
         let same = s.watch.feed.boot == self.boot && s.watch.feed.controls == controls;
         let known = s.watch.areas == NOT_WANTED || s.watch.areas == self.directory.digest();
         Seen {
-            feed: Feed { boot: self.boot, position: relay.position, controls },
-            replicas: relay.records,
-            beats: relay.beats,
+            feed: Feed { boot: self.boot, position: part.position, controls },
+            replicas: part.records,
+            beats: part.beats,
             version: f.version,
             part: s.watch.fetch.and_then(|want| self.packs.part(&want)),
             controls: if same { Vec::new() } else { f.controls.clone() },
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -515,6 +515,7 @@
             areas: NOT_WANTED,
             control: Some(self.own.clone()),
             evacuations: evacuation::NOT_WANTED,
+            without_replicas: false,
         })
     }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod retry;
 pub mod routes;
 pub mod share;
+pub mod sources;
 pub mod telling;
 pub mod transfer;
 pub mod watch;
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -110,6 +110,13 @@
     pub position: u64,
 }
 
+impl Part {
+    /// No part of the feed: the follower stays where it is.
+    pub fn nothing(position: u64) -> Part {
+        Part { records: Vec::new(), beats: Vec::new(), position }
+    }
+}
+
 /// The replicas that one process knows of, with a feed of changes.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -63,6 +63,9 @@
     /// Revision of the evacuations that the asker knows.
     #[serde(default)]
     pub evacuations: Index,
+    /// Others tell the asker of replicas.
+    #[serde(default)]
+    pub without_replicas: bool,
 }
 
 /// The answer.
--- /dev/null
+++ b/crates/core/tests/sources.rs
@@ -0,0 +1,77 @@
+//! Which control processes tell a router of replicas, and who takes their place.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cypressfork_core::fleet::sources::Sources;
+use cypressfork_core::unit::Time;
+use rstest::rstest;
+
+fn control(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 80))
+}
+
+fn of(key: u64, controls: u8) -> Sources {
+    let mut s = Sources::new(key);
+    (1..=controls).for_each(|n| s.add(Time(0), control(n)));
+    s
+}
+
+fn wanted(s: &Sources) -> Vec<u8> {
+    (1..=9).filter(|n| s.wants(control(*n))).collect()
+}
+
+#[rstest]
+#[case(1, 1)]
+#[case(2, 2)]
+#[case(9, 2)]
+fn two_tell_where_there_are_two(#[case] controls: u8, #[case] sources: usize) {
+    assert_eq!(wanted(&of(7, controls)).len(), sources);
+}
+
+/// 291 routers spread over nine control processes.
+#[test]
+fn routers_spread_over_control_processes() {
+    let mut count: BTreeMap<u8, u32> = BTreeMap::new();
+    for key in 0..291 {
+        wanted(&of(key * 7_919, 9)).into_iter().for_each(|n| *count.entry(n).or_default() += 1);
+    }
+    let most = count.values().max().unwrap();
+    assert!(count.len() == 9 && *most < 90, "{count:?}");
+}
+
+#[test]
+fn a_silent_source_is_replaced_and_the_other_stays() {
+    let mut s = of(3, 9);
+    let before = wanted(&s);
+    s.lost(Time(10), control(before[0]));
+    let after = wanted(&s);
+    assert_eq!(after.len(), 2);
+    assert!(after.contains(&before[1]) && !after.contains(&before[0]));
+    // Back soon after, it is no reason to change again.
+    s.heard(Time(50), control(before[0]), true);
+    assert_eq!(wanted(&s), after);
+}
+
+/// One that is cut off from the group answers, and hears nothing new.
+#[test]
+fn a_source_without_a_leader_is_replaced_if_another_has_one() {
+    let mut s = of(3, 5);
+    let before = wanted(&s);
+    s.heard(Time(10), control(before[0]), false);
+    assert!(!wanted(&s).contains(&before[0]));
+    // During an election nobody has one: those that answer go on telling.
+    (1..=5).for_each(|n| s.heard(Time(20), control(n), false));
+    assert_eq!(wanted(&s).len(), 2);
+    s.heard(Time(30), control(before[0]), true);
+    assert!(wanted(&s).contains(&before[0]));
+}
+
+#[test]
+fn with_all_silent_some_are_asked_all_the_same() {
+    let mut s = of(3, 3);
+    (1..=3).for_each(|n| s.lost(Time(10), control(n)));
+    assert_eq!(wanted(&s).len(), 2);
+    s.heard(Time(40), control(2), true);
+    assert!(wanted(&s).contains(&2));
+}
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -39,6 +39,7 @@
             continue;
         }
         let urge = Rc::new(Urge::default());
+        gw.sources.borrow_mut().add(gw.now(), address);
         gw.following.borrow_mut().insert(address, urge.clone());
         let follower = Follower::<D> { gw: gw.clone(), urge, dialect: std::marker::PhantomData };
         actix_rt::spawn(watch(address, gw.me.clone(), follower));
@@ -76,11 +77,13 @@
             areas,
             control: None,
             evacuations,
+            without_replicas: !gw.sources.borrow().wants(to),
         })
     }
 
     fn seen(&self, from: SocketAddr, seen: Seen) {
         let gw = &self.gw;
+        gw.sources.borrow_mut().heard(gw.now(), from, seen.lead.is_some());
         gw.feeds.borrow_mut().insert(from, seen.feed);
         gw.routers.set(gw.routers.get().max(seen.routers));
         if seen.part.is_some() {
@@ -106,6 +109,7 @@
     }
 
     fn lost(&self, from: SocketAddr) {
+        self.gw.sources.borrow_mut().lost(self.gw.now(), from);
         documents::lost(&self.gw, from);
         self.gw.share.homes.lost(from);
         emit!(Event::LinkFailed, address = from);
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use cypressfork_core::fleet::retry::Window;
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::share::Placement;
+use cypressfork_core::fleet::sources::Sources;
 use cypressfork_core::fleet::watch::Feed;
 use cypressfork_core::route::{Choice, Pool, Work};
 use cypressfork_core::unit::{Millis, Time};
@@ -60,6 +61,8 @@
     pub feeds: RefCell<BTreeMap<SocketAddr, Feed>>,
     /// The data centres whose replicas get no new work.
     pub evacuations: RefCell<Evacuations>,
+    /// The control processes that tell of replicas.
+    pub sources: RefCell<Sources>,
     /// Other gateways that lend tokens.
     pub share: Share,
     /// The control processes that are followed, and the wish to ask one of them at once.
@@ -91,6 +94,7 @@
             connections: Connections::default(),
             feeds: RefCell::default(),
             evacuations: RefCell::default(),
+            sources: RefCell::new(Sources::new(rand::random())),
             share: Share::default(),
             following: RefCell::default(),
             routers: Cell::new(0),
