The leader looks at gateways' standing questions every 20 ms, and sends them no list of sites

Cause, read in the code: with each commit and each tick the leader copied all sites, hashed them, and searched the registered routers once for each of their standing questions: some 300 x 300 comparisons a hundred times a second. A list of 300 sites (17 kB) went to each of 300 gateways whenever one fell silent, and gateways use none of it. Change: NO_SITES in a gateway's question; registrations looked up in a set; looked at every 20 ms.

--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -1,10 +1,12 @@
 //! Queries: confirmed by a quorum, then answered from the state machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cypressfork_core::code::Code;
 use cypressfork_core::member::{Router, SUSPECT_AFTER};
-use cypressfork_core::query::{News, NodeStatus, Query, Reply, RouterStatus, Site, Status, digest};
+use cypressfork_core::query::{
+    NO_SITES, News, NodeStatus, Query, Reply, RouterStatus, Site, Status, digest,
+};
 use cypressfork_core::unit::{HolderId, Index, Millis, Time, Version};
 use cypressfork_wire::body;
 
@@ -14,6 +16,9 @@
 /// How long a router's standing question waits for news.
 const FOLLOW_SPAN: Millis = Millis(1_000);
 
+/// How often standing questions are looked at.
+const LOOK: Millis = Millis(20);
+
 /// A replica that has not answered for this long is shown as not heard.
 const HEARD_WITHIN: Millis = Millis(1_000);
 
@@ -26,6 +31,7 @@
     confirmed: Vec<(Index, Query, T)>,
     /// Routers' standing questions.
     standing: Vec<Standing<T>>,
+    next_look: Time,
 }
 
 struct Standing<T> {
@@ -34,6 +40,13 @@
     to: T,
 }
 
+/// The routers at one moment.
+struct FleetNow {
+    sites: Vec<Site>,
+    digest: u64,
+    registered: BTreeSet<HolderId>,
+}
+
 /// A router's standing question.
 #[derive(Clone, Copy)]
 struct Question {
@@ -49,6 +62,7 @@
             unconfirmed: BTreeMap::new(),
             confirmed: Vec::new(),
             standing: Vec::new(),
+            next_look: Time(0),
         }
     }
 }
@@ -133,16 +147,23 @@
         self.reply(to, Ok(body::pack(&reply)));
     }
 
-    /// Answers the standing questions for which there is news, or whose wait is over.
+    /// Answers the standing questions for which there is news, or whose wait is over, if it is time
+    /// to look.
     pub(crate) fn answer_followers(&mut self, at: Moment) {
-        if self.reads.standing.is_empty() {
+        if self.reads.standing.is_empty() || at.now < self.reads.next_look {
             return;
         }
-        let sites = self.sites(at);
-        let known = digest(&sites);
+        self.reads.next_look = at.now.after(LOOK);
+        let sites = self.reads.standing.iter().any(|s| s.question.sites != NO_SITES);
+        let sites = if sites { self.sites(at) } else { Vec::new() };
+        let fleet = FleetNow {
+            digest: digest(&sites),
+            sites,
+            registered: self.state.routers().iter().map(|r| r.holder).collect(),
+        };
         let standing = std::mem::take(&mut self.reads.standing);
         for s in standing {
-            let news = self.news(at, &s.question, &sites, known);
+            let news = self.news(at, &s.question, &fleet);
             if at.now >= s.until || is_news(&news, &s.question) {
                 self.signs.note(at.now, s.question.holder, s.question.version);
                 self.reply(s.to, Ok(body::pack(&Reply::News(news))));
@@ -152,13 +173,14 @@
         }
     }
 
-    fn news(&self, at: Moment, q: &Question, sites: &[Site], known: u64) -> News {
+    fn news(&self, at: Moment, q: &Question, fleet: &FleetNow) -> News {
         let recalls = self.state.ledger().recalls(at.wall, q.holder);
+        let known = q.sites == fleet.digest || q.sites == NO_SITES;
         News {
             difference: self.state.config().difference(q.version),
             recalls: recalls.map(str::to_owned).collect(),
-            sites: (q.sites != known).then(|| sites.to_vec()),
-            stranger: self.state.routers().get(q.holder).is_none(),
+            sites: (!known).then(|| fleet.sites.clone()),
+            stranger: !fleet.registered.contains(&q.holder),
         }
     }
 
--- a/crates/core/src/query.rs
+++ b/crates/core/src/query.rs
@@ -19,7 +19,7 @@
         holder: HolderId,
         /// The configuration that it has in force.
         version: Version,
-        /// Digest of the sites that it knows.
+        /// Digest of the sites that it knows; [`NO_SITES`] if it wants none.
         sites: u64,
     },
     /// The state of the group and of its routers.
@@ -55,6 +55,10 @@
     pub usable: bool,
 }
 
+/// In place of a digest: the router wants no list of sites. 300 sites are 17 kB, told to each of 300
+/// routers whenever one falls silent.
+pub const NO_SITES: u64 = u64::MAX;
+
 /// The digest by which a router tells which list of sites it knows; stable across releases.
 pub fn digest(sites: &[Site]) -> u64 {
     let add = |h: Fnv, s: &Site| {
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -8,7 +8,7 @@
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::fleet::neighbours::Area;
 use cypressfork_core::fleet::watch::{RouterSign, Seen, Watch};
-use cypressfork_core::query::{Query, Reply, digest};
+use cypressfork_core::query::{NO_SITES, Query, Reply};
 use cypressfork_core::unit::{HolderId, Time, Version};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -185,10 +185,9 @@
 /// Follows until the registration is no longer known.
 async fn follow_as(gw: &Gateway, holder: HolderId) {
     let mut reached = true;
-    let mut sites = 0;
     loop {
         // Only what is called back is asked for here; the rest comes from every control process.
-        let q = Query::Follow { holder, version: Version::MAX, sites };
+        let q = Query::Follow { holder, version: Version::MAX, sites: NO_SITES };
         let answer = gw.group.query(&q, FOLLOW_WITHIN).await;
         let now_reached = matches!(answer, Ok(Reply::News(_)));
         if now_reached != reached {
@@ -200,7 +199,6 @@
         match answer {
             Ok(Reply::News(news)) if news.stranger => return,
             Ok(Reply::News(news)) => {
-                sites = news.sites.as_deref().map_or(sites, digest);
                 news.recalls.iter().for_each(|b| token_store.recall(b));
             }
             _ => sleep(PAUSE).await,
