The soak takes two seeds away until their group goes on without them; watches of addresses that nobody names any more end

Product, found in reading the diff: watches of control processes never ended; a group client that had learned 64 addresses learned no more (the oldest goes now); heartbeats at second hand every second in place of every third (a third left one missed message before a replica was taken for silent); the address of a changed replica is in its log line again.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -119,7 +119,7 @@
     /// How far the other control processes are followed.
     feeds: Rc<RefCell<BTreeMap<SocketAddr, Feed>>>,
     /// The control processes that are followed.
-    following: BTreeSet<SocketAddr>,
+    followed: Rc<RefCell<BTreeSet<SocketAddr>>>,
     next_follow: Time,
     contacts: Contacts,
     clocks: Clocks,
@@ -157,7 +157,7 @@
             heard_at: BTreeMap::new(),
             fleet,
             feeds: Rc::default(),
-            following: BTreeSet::new(),
+            followed: Rc::default(),
             next_follow: Time(0),
             contacts: Contacts::default(),
             clocks: Clocks::default(),
@@ -335,12 +335,11 @@
         let all = members.into_iter().chain(f.seeds.iter().copied()).chain(heard);
         let all: BTreeSet<_> = all.filter(|a| a.to_string() != self.address).collect();
         self.group.learn(all.iter().copied());
-        for address in all {
-            if self.following.insert(address) {
-                let (feeds, own) = (self.feeds.clone(), self.address.clone());
-                let peer = PeerWatch { feeds, tx: tx.clone(), own };
-                actix_rt::spawn(watch(address, self.me.clone(), peer));
-            }
+        let before = self.followed.replace(all.clone());
+        for address in all.into_iter().filter(|a| !before.contains(a)) {
+            let (feeds, own) = (self.feeds.clone(), self.address.clone());
+            let peer = PeerWatch { feeds, followed: self.followed.clone(), tx: tx.clone(), own };
+            actix_rt::spawn(watch(address, self.me.clone(), peer));
         }
     }
 
@@ -499,6 +498,8 @@
 /// Follows another control process.
 struct PeerWatch {
     feeds: Rc<RefCell<BTreeMap<SocketAddr, Feed>>>,
+    /// Those that are to be followed on.
+    followed: Rc<RefCell<BTreeSet<SocketAddr>>>,
     tx: mpsc::Sender<Input>,
     /// Where this process listens for the others.
     own: String,
@@ -507,7 +508,8 @@
 impl Watcher for PeerWatch {
     fn question(&self, to: SocketAddr) -> Option<Watch> {
         let feed = self.feeds.borrow().get(&to).copied().unwrap_or_default();
-        (!self.tx.is_closed()).then_some(Watch {
+        let goes_on = !self.tx.is_closed() && self.followed.borrow().contains(&to);
+        goes_on.then(|| Watch {
             router: None,
             feed,
             version: 0,
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -20,7 +20,7 @@
 /// again, in heartbeats. Each process tells all others of what it heard itself. Some of them may be
 /// out of its reach: what they hear at second hand keeps a replica from being taken for silent, at a
 /// part of the messages.
-const SECOND_HAND: u64 = 3;
+const SECOND_HAND: u64 = 2;
 
 /// How often silent replicas are looked for.
 const TICK: Millis = Millis(100);
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -3,7 +3,7 @@
 //! Every command can be sent again without harm, so a call whose answer is lost is repeated.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,7 +49,7 @@
     me: Credentials,
     addresses: RefCell<Vec<SocketAddr>>,
     /// Addresses that other processes have told of.
-    learned: RefCell<BTreeSet<SocketAddr>>,
+    learned: RefCell<VecDeque<SocketAddr>>,
     turn: Cell<usize>,
     hint: Cell<Option<SocketAddr>>,
     ids: Cell<i64>,
@@ -94,10 +94,13 @@
     pub fn learn(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
         let mut learned = self.inner.learned.borrow_mut();
         for a in addresses {
-            if learned.len() < LEARNED {
-                learned.insert(a);
+            if !learned.contains(&a) {
+                learned.push_back(a);
             }
         }
+        while learned.len() > LEARNED {
+            learned.pop_front();
+        }
     }
 
     /// Says where the group's leader is: it is asked next, unless a link is open.
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -183,12 +183,13 @@
         let now = self.now();
         let mut news = Vec::new();
         for r in said {
-            let (id, sequence) = (r.registration.id.clone(), r.registration.sequence);
+            let g = &r.registration;
+            let (id, address, sequence) = (g.id.clone(), g.address.clone(), g.sequence);
             let Some((standing, changes)) = self.replicas.borrow_mut().take(now, r) else {
                 continue;
             };
             changes.iter().for_each(|c| self.change_pool(now, c));
-            news.push(ReplicaNews { id, sequence, standing });
+            news.push(ReplicaNews { id, address, sequence, standing });
         }
         tell_replicas(&news);
     }
@@ -307,6 +308,7 @@
 /// News of one replica, for the log.
 struct ReplicaNews {
     id: String,
+    address: String,
     sequence: u64,
     standing: Standing,
 }
@@ -318,6 +320,7 @@
             emit!(
                 Event::ReplicaChanged,
                 replica = n.id,
+                address = n.address,
                 standing = format_args!("{:?}", n.standing),
                 sequence = n.sequence,
             );
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -37,6 +37,10 @@
 /// The first port of a process; all of a run have an IP of its own, so that no other takes them.
 const FIRST_PORT: u16 = 20_000;
 
+/// Voters that a group should have: fewer than the control processes of most fleets, so that members
+/// that are away are removed.
+const VOTERS: u64 = 3;
+
 /// How often it is looked whether a process has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -237,7 +241,7 @@
 
     fn control_settings(&self, name: &str, p: &Place, found: bool) -> String {
         format!(
-            "{}listen: \"{}\"\nadvertise: \"{}\"\ndata_folder: {}\nreserve: false\nsnapshot_every: 200\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  found: {found}\n",
+            "{}listen: \"{}\"\nadvertise: \"{}\"\ndata_folder: {}\nreserve: false\nsnapshot_every: 200\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  found: {found}\n  voters: {VOTERS}\n",
             self.common(name),
             p.link,
             p.proxy,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -31,6 +31,8 @@
     KillControls,
     /// All processes are killed at the same moment and started again.
     KillAll,
+    /// The first two seeds are away for so long that their group goes on without them as members.
+    SeedsAway,
     /// A control process is killed, its disk emptied, and it is started again.
     EmptyDisk(usize),
     /// A gateway stands still.
@@ -125,12 +127,29 @@
         let size = if large { LARGE } else { small(&mut rng) };
         let n = rng.random_range(STEPS.0..=STEPS.1);
         let mut steps: Vec<_> = (0..n).map(|_| step(&mut rng, &size, millis)).collect();
+        steps.extend(seeds_away(seed, &size, millis));
         steps.sort_by_key(|s| s.at);
         keep_one_emptied_disk(&mut steps);
         Plan { seed, size, healed: millis, steps }
     }
 }
 
+/// How often the seeds of a fleet that can do without them go away, in hundredths.
+const SEEDS_AWAY: u32 = 40;
+
+/// How long they are away, in milliseconds: longer than the 2.5 s after which a silent member goes.
+const AWAY: (u64, u64) = (3_500, 5_000);
+
+/// Two seeds that go away, from a draw of its own: the other steps of a seed stay as they are.
+fn seeds_away(seed: u64, size: &Size, millis: u64) -> Option<Step> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let drawn = rng.random_range(0..100) < SEEDS_AWAY;
+    let span = rng.random_range(AWAY.0..=AWAY.1);
+    let latest = millis.checked_sub(span).filter(|l| *l > QUIET_BEFORE)?;
+    let at = rng.random_range(QUIET_BEFORE..latest);
+    (drawn && size.controls > 3).then_some(Step { at, span, fault: Fault::SeedsAway })
+}
+
 fn step(rng: &mut SmallRng, size: &Size, millis: u64) -> Step {
     let at = rng.random_range(QUIET_BEFORE..millis.max(QUIET_BEFORE + 1));
     let span = rng.random_range(SPAN.0..=SPAN.1).min(millis - at);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -259,6 +259,10 @@
             Fault::KillGateway(n) => self.kill(vec![&gateways[n].process], None).await,
             Fault::KillControl(n) => self.kill(control(n), None).await,
             Fault::EmptyDisk(n) => self.kill(control(n), Some(n)).await,
+            Fault::SeedsAway => {
+                let seeds = controls.iter().take(2).map(|c| &c.process).collect();
+                self.away(seeds, span).await;
+            }
             Fault::KillControls => {
                 self.kill(controls.iter().map(|c| &c.process).collect(), None).await;
             }
@@ -305,6 +309,14 @@
         }
     }
 
+    /// Kills processes that nothing else is done to, and starts them again after `span`.
+    async fn away(&self, all: Vec<&Process>, span: Duration) {
+        let taken: Vec<_> = all.into_iter().filter(|p| !p.busy.replace(true)).collect();
+        taken.iter().for_each(|p| p.kill());
+        sleep(span).await;
+        taken.into_iter().for_each(|p| self.start_again(p));
+    }
+
     fn start_again(&self, p: &Process) {
         if let Some(n) = self.fleet.gateways.iter().position(|g| g.process.name == p.name) {
             self.count_start(n);
