--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -3,6 +3,8 @@
 //! Inputs are handled one after the other; [`Machine::finish`] then stores, syncs, sends and
 //! applies what they brought, so that everything that came together shares one sync.
 
+mod proposals;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -17,26 +19,17 @@
     SnapshotMeta,
 };
 use cypressfork_core::state::State;
-use cypressfork_core::unit::{Index, LeaseId, Millis, Term, Time};
+use cypressfork_core::unit::{Index, LeaseId, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
-use cypressfork_node::metric;
 use cypressfork_store::Error;
-use cypressfork_wire::{Ask, Founders, MemberOrder, body, member_change};
-use metrics::histogram;
+use cypressfork_wire::{Ask, Founders, body};
 
 use crate::disk::{Kept, Storage};
 use crate::leader_tasks::LeaderTasks;
+use crate::machine::proposals::{Gathered, Proposed};
 use crate::read::Reads;
 
-/// Routers from which on their reports of spending share commits: 32 and more report each second,
-/// and each commit takes a message to and from every follower and a sync at each.
-const MANY: usize = 32;
-
-/// How long such a report waits at most for others, or for a command that is committed at once. A
-/// request that waits for a higher limit waits for this too.
-const GATHER_REPORTS: Millis = Millis(40);
-
 /// Bytes of the time stamp before a command in the log.
 const STAMP: usize = 8;
 
@@ -69,26 +62,6 @@
     pub snapshot_every: u64,
 }
 
-/// An entry that a caller waits for.
-struct Proposed<T> {
-    /// The term that it was proposed in.
-    term: Term,
-    /// When.
-    at: Time,
-    /// Where the answer goes.
-    to: T,
-}
-
-/// A command that waits for others to share its commit.
-struct Gathered<T> {
-    /// When it came.
-    at: Moment,
-    /// The command.
-    command: Vec<u8>,
-    /// Where the answer goes.
-    to: T,
-}
-
 /// One replica; `T` tells where an answer goes.
 pub struct Machine<S, T> {
     pub(crate) region: String,
@@ -182,9 +155,7 @@
     pub fn tick(&mut self, at: Moment) {
         self.raft.tick(at.now);
         self.tick_reads(at);
-        if self.reports.first().is_some_and(|r| at.now.since(r.at.now) >= GATHER_REPORTS) {
-            self.propose_reports();
-        }
+        self.tick_reports(at);
         self.tick_leader_tasks(at);
         self.answer_followers(at);
     }
@@ -330,80 +301,6 @@
         Ok(())
     }
 
-    fn propose(&mut self, at: Moment, command: Vec<u8>, from: T) {
-        let Ok(c) = body::unpack::<Command>(&command) else {
-            return self.reply(from, Err(Code::MessageBad));
-        };
-        if let Command::Tally { holder, seq, .. } = c
-            && self.raft.leads()
-        {
-            self.signs.note_told(at.now, holder, seq);
-        }
-        if let Command::Evacuate { data_centre, .. } = &c
-            && !self.knows(data_centre)
-        {
-            return self.reply(from, Err(Code::DataCentreUnknown));
-        }
-        let is_report = matches!(c, Command::Tally { .. });
-        if is_report && self.raft.leads() && self.state.routers().len() >= MANY {
-            self.reports.push(Gathered { at, command, to: from });
-            return;
-        }
-        self.propose_reports();
-        self.propose_now(at, command, from);
-    }
-
-    /// Proposes the reports that have been gathered, in the order in which they came.
-    fn propose_reports(&mut self) {
-        for r in std::mem::take(&mut self.reports) {
-            self.propose_now(r.at, r.command, r.to);
-        }
-    }
-
-    fn propose_now(&mut self, at: Moment, command: Vec<u8>, from: T) {
-        let mut bytes = Vec::with_capacity(STAMP + command.len());
-        bytes.extend_from_slice(&at.wall.0.to_be_bytes());
-        bytes.extend_from_slice(&command);
-        match self.raft.propose(at.now, Payload::Command(Arc::from(bytes))) {
-            Ok(index) => self.wait_for(at, index, from),
-            Err(code) => self.reply(from, Err(code)),
-        }
-    }
-
-    /// Whether there is such a data centre; any name will do where the settings list none.
-    fn knows(&self, data_centre: &str) -> bool {
-        let all = &self.data_centres;
-        !data_centre.is_empty() && (all.is_empty() || all.contains(data_centre))
-    }
-
-    /// Takes the names of the data centres that orders may be about.
-    pub fn set_data_centres(&mut self, names: impl IntoIterator<Item = String>) {
-        self.data_centres = names.into_iter().collect();
-    }
-
-    fn wait_for(&mut self, at: Moment, index: Index, to: T) {
-        let term = self.raft.term();
-        self.proposed.insert(index, Proposed { term, at: at.now, to });
-    }
-
-    /// Proposes a command of the leader's own, which nobody waits for.
-    pub(crate) fn propose_own(&mut self, at: Moment, c: &Command) {
-        let mut bytes = at.wall.0.to_be_bytes().to_vec();
-        bytes.extend_from_slice(&body::pack(c));
-        // A full log is no harm: the task comes up again.
-        let _ = self.raft.propose(at.now, Payload::Command(Arc::from(bytes)));
-    }
-
-    fn change_members(&mut self, at: Moment, order: &MemberOrder, from: T) {
-        let changed = member_change(order)
-            .map_err(|_| Code::MessageBad)
-            .and_then(|c| self.raft.change(at.now, &c));
-        match changed {
-            Ok(index) => self.wait_for(at, index, from),
-            Err(code) => self.reply(from, Err(code)),
-        }
-    }
-
     /// Makes this fresh replica one of a group's founders. The same order again changes nothing.
     fn found(&mut self, at: Moment, f: &Founders) -> Result<Vec<u8>, Code> {
         let members = Members::of(f.peers.iter().map(|p| (p.node as u64, p.address.clone())));
@@ -494,26 +391,6 @@
         }
     }
 
-    fn answer_proposal(&mut self, at: Moment, index: Index, term: Term, answer: Answer) {
-        let Some(p) = self.proposed.remove(&index) else { return };
-        histogram!(metric::COMMIT).record(at.now.since(p.at).0 as f64 / 1000.0);
-        let result = if p.term == term { Ok(body::pack(&answer)) } else { Err(Code::NotLeader) };
-        self.reply(p.to, result);
-    }
-
-    /// Tells everybody who waits to ask the next leader. What they sent may still be committed;
-    /// they send it again and get the same answer.
-    fn give_up_calls(&mut self) {
-        let proposed = std::mem::take(&mut self.proposed);
-        for p in proposed.into_values() {
-            self.reply(p.to, Err(Code::NotLeader));
-        }
-        for r in std::mem::take(&mut self.reports) {
-            self.reply(r.to, Err(Code::NotLeader));
-        }
-        self.fail_reads();
-    }
-
     pub(crate) fn reply(&mut self, to: T, result: Result<Vec<u8>, Code>) {
         self.outputs.push(Output::Reply(to, result));
     }
--- /dev/null
+++ b/crates/control/src/server/fleet.rs
@@ -0,0 +1,214 @@
+//! The fleet's side of a control process: calls over HTTP, standing questions, and the other control
+//! processes that are followed.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use cypressfork_core::code::Code;
+use cypressfork_core::fleet::evacuation;
+use cypressfork_core::fleet::neighbours::NOT_WANTED;
+use cypressfork_core::fleet::registry::{Source, Standing};
+use cypressfork_core::fleet::watch::{Announce, Feed, Seen, Watch};
+use cypressfork_core::raft::Members;
+use cypressfork_core::unit::Millis;
+use cypressfork_node::emit;
+use cypressfork_node::event::Event;
+use cypressfork_node::time::wall;
+use cypressfork_node::watch::{Watcher, watch};
+use cypressfork_wire::body;
+use tokio::sync::mpsc;
+
+use super::{BATCH, Fleet, Input, ReplyTo, Server};
+use crate::api::Local;
+use crate::dialect::{Answer as CallAnswer, Call};
+use crate::fleet_view::Followed;
+use crate::machine::Moment;
+
+/// How often it is looked whether there are control processes that are not followed yet.
+const FOLLOW_EVERY: Millis = Millis(100);
+
+/// Routers named in one entry answer at most.
+const ENTRY_MOST: usize = 64;
+
+impl Server {
+    pub(super) fn take_watch(&mut self, at: Moment, bytes: &[u8], to: ReplyTo) {
+        let question = body::unpack::<Watch>(bytes);
+        match (&mut self.fleet, question) {
+            (Some(f), Ok(w)) => {
+                if let Some(address) = &w.control {
+                    self.contacts.hear(at.now, address);
+                }
+                f.view.watch(at.now, w, to);
+            }
+            _ => self.reply(to, Err(Code::MessageBad)),
+        }
+    }
+
+    pub(super) fn take_announce(&mut self, at: Moment, bytes: &[u8]) -> Result<Vec<u8>, Code> {
+        let a = body::unpack::<Announce>(bytes).map_err(|_| Code::MessageBad)?;
+        let f = self.fleet.as_mut().ok_or(Code::MessageBad)?;
+        if !self.machine.raft().leads() {
+            return Err(Code::NotLeader);
+        }
+        f.view.announce(at.now, a);
+        Ok(Vec::new())
+    }
+
+    pub(super) fn take_calls(&mut self, first: Local) {
+        self.take_call(first);
+        for _ in 1..BATCH {
+            let Some(local) = self.fleet.as_mut().and_then(|f| f.calls.try_recv().ok()) else {
+                break;
+            };
+            self.take_call(local);
+        }
+    }
+
+    /// Answers a call that needs nothing but what this process knows.
+    pub(super) fn take_call(&mut self, local: Local) {
+        let now = self.moment().now;
+        let led = self.machine.raft().leader().is_some();
+        let Some(f) = &mut self.fleet else { return };
+        let answer = match local.call {
+            Call::Entry(data_centre) => {
+                let addresses = f.view.routers.addresses(now, &data_centre, ENTRY_MOST);
+                match addresses.is_empty() {
+                    true => no_entry(),
+                    false => CallAnswer::Entry(addresses, f.entry_keep),
+                }
+            }
+            Call::Beat(r) if r.standing < Standing::Draining || led => {
+                let id = r.registration.id.clone();
+                if f.view.registry.take(now, r, Source::Itself) {
+                    emit!(Event::ReplicaChanged, replica = id);
+                }
+                CallAnswer::Noted
+            }
+            Call::Leave(id) if led => {
+                if f.view.registry.leave(now, &id) {
+                    emit!(Event::ReplicaChanged, replica = id);
+                }
+                CallAnswer::Noted
+            }
+            // Cut off from the group, this process could not tell all routers.
+            _ => CallAnswer::Refused(Code::NoQuorum, "this process knows no leader".to_owned()),
+        };
+        // A caller that has gone needs no answer.
+        let _ = local.to.send(answer);
+    }
+
+    /// Lets time pass for the fleet's side, follows the other control processes, and as leader
+    /// mends the group.
+    pub(super) fn tick_fleet(&mut self, tx: &mpsc::Sender<Input>) {
+        let at = self.moment();
+        let Some(f) = &mut self.fleet else { return };
+        f.view.tick(at.now);
+        while let Ok(members) = f.told.try_recv() {
+            self.machine.take_members(at, members);
+        }
+        let place = self.machine.place();
+        f.place.send_if_modified(|p| std::mem::replace(p, place.clone()) != place);
+        self.machine.repair(at, &f.view.candidates, f.voters);
+        let quorum = self.machine.members().quorum();
+        self.machine.write_off_dead(at, self.clocks.is_sure(at.now, quorum));
+        if at.now >= self.next_follow {
+            self.next_follow = at.now.after(FOLLOW_EVERY);
+            self.follow_all(at, tx);
+        }
+    }
+
+    /// Follows all other control processes that are known.
+    pub(super) fn follow_all(&mut self, at: Moment, tx: &mpsc::Sender<Input>) {
+        let Some(f) = &self.fleet else { return };
+        self.contacts.tick(at.now);
+        let members = raft_addresses(self.machine.members());
+        let heard = self.contacts.addresses().filter_map(|a| a.parse().ok());
+        let all = members.into_iter().chain(f.seeds.iter().copied()).chain(heard);
+        let all: BTreeSet<_> = all.filter(|a| a.to_string() != self.address).collect();
+        self.group.learn(all.iter().copied());
+        let before = self.followed.replace(all.clone());
+        for address in all.into_iter().filter(|a| !before.contains(a)) {
+            let (feeds, own) = (self.feeds.clone(), self.address.clone());
+            let peer = PeerWatch { feeds, followed: self.followed.clone(), tx: tx.clone(), own };
+            actix_rt::spawn(watch(address, self.me.clone(), peer));
+        }
+    }
+
+    /// Answers the standing questions that are due.
+    pub(super) fn finish_fleet(&mut self) {
+        let now = self.moment().now;
+        let Some(f) = self.fleet.as_mut().filter(|f| f.view.is_time(now)) else { return };
+        let (version, source) = self.machine.state().published();
+        let controls = self.machine.members().addresses.values().cloned().collect();
+        let registered = self.machine.state().routers();
+        let lead = self.machine.lead();
+        let evacuations = self.machine.state().evacuations();
+        let followed =
+            Followed { version, source, controls, wall: wall(), registered, lead, evacuations };
+        let answers = f.view.answers(now, &followed);
+        for (to, seen) in answers {
+            self.reply(to, Ok(body::pack(&seen)));
+        }
+    }
+}
+
+/// The next call over HTTP; never, without a fleet.
+pub(super) async fn next_call(f: &mut Option<Fleet>) -> Option<Local> {
+    match f {
+        Some(f) => f.calls.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn no_entry() -> CallAnswer {
+    CallAnswer::Refused(Code::NotReady, "no router has been heard of yet".to_owned())
+}
+
+fn raft_addresses(m: &Members) -> Vec<SocketAddr> {
+    m.addresses.values().filter_map(|a| a.parse().ok()).collect()
+}
+
+/// Follows another control process.
+struct PeerWatch {
+    feeds: Rc<RefCell<BTreeMap<SocketAddr, Feed>>>,
+    /// Those that are to be followed on.
+    followed: Rc<RefCell<BTreeSet<SocketAddr>>>,
+    tx: mpsc::Sender<Input>,
+    /// Where this process listens for the others.
+    own: String,
+}
+
+impl Watcher for PeerWatch {
+    fn question(&self, to: SocketAddr) -> Option<Watch> {
+        let feed = self.feeds.borrow().get(&to).copied().unwrap_or_default();
+        let goes_on = !self.tx.is_closed() && self.followed.borrow().contains(&to);
+        goes_on.then(|| Watch {
+            router: None,
+            feed,
+            version: 0,
+            fetch: None,
+            areas: NOT_WANTED,
+            control: Some(self.own.clone()),
+            evacuations: evacuation::NOT_WANTED,
+            without_replicas: false,
+        })
+    }
+
+    fn seen(&self, from: SocketAddr, seen: Seen) {
+        let feed = seen.feed;
+        // What does not fit is asked for again.
+        if self.tx.try_send(Input::Seen(from, Box::new(seen))).is_ok() {
+            self.feeds.borrow_mut().insert(from, feed);
+        }
+    }
+
+    fn lost(&self, from: SocketAddr) {
+        emit!(Event::LinkClosed, peer = from);
+    }
+
+    async fn urged(&self) {
+        std::future::pending().await
+    }
+}
