Calls that wait for a leader that lost power go on at the next one as soon as anybody tells of it

Change: Group::point_to takes the term: a newer leader breaks the link to the one before, and what waits on it is sent again there (commands may be sent again). Control processes' own calls do the same. Test: a_call_that_waits_for_a_lost_leader_goes_on_at_the_next_one, red when the waiting calls are left alone.

--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -128,6 +128,12 @@
         let all = members.into_iter().chain(f.seeds.iter().copied()).chain(heard);
         let all: BTreeSet<_> = all.filter(|a| a.to_string() != self.address).collect();
         self.group.learn(all.iter().copied());
+        let lead = self.machine.lead().or_else(|| self.contacts.lead(at.now).cloned());
+        if let Some(lead) = &lead
+            && let Ok(leader) = lead.address.parse()
+        {
+            self.group.point_to(lead.term, leader);
+        }
         let before = self.followed.replace(all.clone());
         for address in all.into_iter().filter(|a| !before.contains(a)) {
             let (feeds, own) = (self.feeds.clone(), self.address.clone());
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -11,6 +11,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::query::{Query, Reply};
+use cypressfork_core::unit::Term;
 use cypressfork_wire::{Ask, Call, Frame, Return, body};
 use rand::Rng;
 use tokio::sync::{Mutex, Notify, mpsc, oneshot};
@@ -52,6 +53,8 @@
     learned: RefCell<VecDeque<SocketAddr>>,
     turn: Cell<usize>,
     hint: Cell<Option<SocketAddr>>,
+    /// The newest term of which the leader is known.
+    term: Cell<Term>,
     ids: Cell<i64>,
     live: RefCell<Option<Live>>,
     opening: Mutex<()>,
@@ -75,6 +78,7 @@
             learned: RefCell::default(),
             turn: Cell::new(0),
             hint: Cell::new(None),
+            term: Cell::new(0),
             ids: Cell::new(0),
             live: RefCell::new(None),
             opening: Mutex::new(()),
@@ -103,10 +107,22 @@
         }
     }
 
-    /// Says where the group's leader is: it is asked next, unless a link is open.
-    pub fn point_to(&self, leader: SocketAddr) {
-        if self.inner.live.borrow().is_none() {
-            self.inner.hint.set(Some(leader));
+    /// Says who leads the group in `term`. A link to another process is given up if the word is newer
+    /// than those before, and the calls that wait on it go on at the leader: one that has lost power
+    /// says nothing, and they would wait for the rest of their tries.
+    pub fn point_to(&self, term: Term, leader: SocketAddr) {
+        if term <= self.inner.term.get() {
+            return;
+        }
+        self.inner.term.set(term);
+        let mut live = self.inner.live.borrow_mut();
+        if live.as_ref().is_some_and(|l| l.address == leader) {
+            return;
+        }
+        self.inner.hint.set(Some(leader));
+        if let Some(old) = live.take() {
+            // Who waits is told by that no answer can come any more.
+            old.waiting.borrow_mut().clear();
         }
     }
 
--- a/crates/node/tests/group.rs
+++ b/crates/node/tests/group.rs
@@ -102,3 +102,49 @@
         assert!(told.len() > 1 && told.is_sorted_by(|a, b| a < b), "{told:?}");
     });
 }
+
+/// Opens links, and answers calls or keeps silent, as a process without power does.
+async fn serve(listener: TcpListener, answers: bool) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        actix_rt::spawn(async move {
+            let Link { mut reader, mut writer, .. } = link::accept(stream, &me()).await.unwrap();
+            while let Ok(Frame::Call(c)) = reader.next().await {
+                if answers {
+                    let answer = Frame::Answer(Return::new(c.id, 0, Some(Vec::new()), None));
+                    writer.send(&answer).await.unwrap();
+                }
+            }
+        });
+    }
+}
+
+/// The leader loses power: a call waits for its answer until others tell of the next leader, and not
+/// until the try is given up after 2 s. An older word of the one before changes nothing.
+#[test]
+fn a_call_that_waits_for_a_lost_leader_goes_on_at_the_next_one() {
+    actix_rt::System::new().block_on(async {
+        let (lost, next) = (
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        );
+        let (old, new) = (lost.local_addr().unwrap(), next.local_addr().unwrap());
+        actix_rt::spawn(serve(lost, false));
+        actix_rt::spawn(serve(next, true));
+        let group = Group::new(me(), vec![old]);
+        group.point_to(3, old);
+        let calling = group.clone();
+        let begun = Instant::now();
+        let call = actix_rt::spawn(async move {
+            calling.call(Ask::Command(Vec::new()), Duration::from_secs(10)).await
+        });
+        sleep(Duration::from_millis(150)).await;
+        group.point_to(4, new);
+        assert_eq!(call.await.unwrap(), Ok(Vec::new()));
+        assert!(begun.elapsed() < Duration::from_millis(900), "{:?}", begun.elapsed());
+        assert_eq!(group.address(), Some(new));
+        group.point_to(3, old);
+        group.point_to(4, old);
+        assert_eq!(group.address(), Some(new), "nobody has been elected since");
+    });
+}
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -107,8 +107,10 @@
         }
         let controls = || seen.controls.iter().filter_map(|a| a.parse().ok());
         gw.group.learn(controls());
-        if let Some(leader) = seen.lead.as_ref().and_then(|l| l.address.parse().ok()) {
-            gw.group.point_to(leader);
+        if let Some(lead) = &seen.lead
+            && let Ok(leader) = lead.address.parse()
+        {
+            gw.group.point_to(lead.term, leader);
         }
         follow_all::<D>(gw, controls());
     }
