--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -37,9 +37,9 @@
 use crate::reserve::Reserve;
 use crate::server::fleet::next_call;
 
-/// How often the machine's time passes: a fifth of a leader's heartbeat. A tick takes 60 us of a
-/// processor, half a hundredth of one at 100 ticks a second.
-const TICK: Duration = Duration::from_millis(20);
+/// How often the machine's time passes: five times between two heartbeats of a leader, and within
+/// these. A tick takes 60 us of a processor, half a hundredth of one at 100 ticks a second.
+const TICK: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(20));
 
 /// Inputs that share one sync at most.
 const BATCH: usize = 1024;
@@ -162,7 +162,8 @@
     pub async fn run(mut self, listener: TcpListener) -> Result<(), Failure> {
         let (tx, mut rx) = mpsc::channel(QUEUE);
         actix_rt::spawn(accept_all(listener, self.me.clone(), tx.clone()));
-        let mut ticks = interval(TICK);
+        let between = Duration::from_millis(self.machine.settings.raft.heartbeat.0);
+        let mut ticks = interval((between / 5).clamp(TICK.0, TICK.1));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
         let stop = stop_signal();
         tokio::pin!(stop);
