--- a/crates/control/src/told.rs
+++ b/crates/control/src/told.rs
@@ -10,7 +10,8 @@
 use cypressfork_wire::packed;
 use serde_bytes::ByteBuf;
 
-/// Records from which on they are compressed: 256 of them are some 25 kB, and 4 kB compressed.
+/// Records from which on they are compressed. 3,000 short ones are 115 kB, and 16 kB compressed in
+/// parts of 256 (`a_start_is_told_compressed`).
 const MANY: usize = 16;
 
 /// Positions that are remembered; all are forgotten when there are more.
--- a/crates/control/tests/told.rs
+++ b/crates/control/tests/told.rs
@@ -59,7 +59,8 @@
     }
 }
 
-/// 300 routers that start together are told 3,000 replicas in a twentieth of the plain bytes, made once.
+/// 300 routers that start together are told 3,000 replicas in less than a fifth of the plain bytes (4.9
+/// of 34.5 MB as measured), put together once.
 #[test]
 fn a_start_is_told_compressed() {
     let (mut registry, mut cache) = (Registry::default(), Cache::default());
