--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! replicas that register, and the messages in which control processes pass both on.
 
 pub mod admission;
+pub mod charge;
 pub mod clocks;
 pub mod contacts;
 pub mod demand;
