--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -2,7 +2,6 @@
 //! replicas that register, and the messages in which control processes pass both on.
 
 pub mod admission;
-pub mod charge;
 pub mod clocks;
 pub mod contacts;
 pub mod demand;
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -6,7 +6,6 @@
 
 use cypressfork_core::budget::{Policy, Reservation};
 use cypressfork_core::code::Code;
-use cypressfork_core::fleet::charge::Spent;
 use cypressfork_core::fleet::document::budget_name;
 use cypressfork_core::fleet::share::{Short, charges};
 use cypressfork_core::unit::{Millis, Tokens};
@@ -35,6 +34,9 @@
 const BUSY_LEAST: Millis = Millis(300);
 const BUSY_MOST: Millis = Millis::seconds(2);
 
+/// Events that a replica may have sent unseen when a stream breaks off.
+const UNSEEN: u64 = 2;
+
 /// Tokens set aside for one request. Whatever becomes of it, [`Held::settle`] ends it.
 #[derive(Default)]
 pub struct Held {
@@ -90,6 +92,19 @@
     deadline: Instant,
 }
 
+/// What became of a request's tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spent {
+    /// A replica may have run it.
+    pub ran: bool,
+    /// Events that were taken from replicas.
+    pub events: u64,
+    /// Tokens of one event at most.
+    pub stride: Tokens,
+    /// The answer ended as it should.
+    pub whole: bool,
+}
+
 /// Sets aside what a request takes at its most.
 pub async fn hold(
     gw: &Gateway,
@@ -258,9 +273,10 @@
 }
 
 impl Held {
-    /// Ends it.
+    /// Ends it. A stream that broke off is charged for events that may have been sent unseen.
     pub fn settle(self, s: Spent) {
-        let used = s.charge(self.prompt);
+        let events = if s.whole { s.events } else { s.events + UNSEEN };
+        let used = if s.ran { self.prompt + events * s.stride } else { 0 };
         let parts: Vec<Tokens> = self.parts.iter().map(Part::amount).collect();
         for (part, charge) in self.parts.into_iter().zip(charges(&parts, used)) {
             part.settle(charge);
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use cypressfork_core::code::{Code, Ran};
 use cypressfork_core::fleet::admission;
-use cypressfork_core::fleet::charge::Spent;
 use cypressfork_core::fleet::document::{Kind, Route};
 use cypressfork_core::fleet::patience;
 use cypressfork_core::fleet::routes::{Routes, draw};
@@ -24,7 +23,7 @@
 
 use super::answer::refuse;
 use super::attempt::{self, Ended};
-use super::budget::{Held, hold};
+use super::budget::{Held, Spent, hold};
 use super::client::Client;
 use super::dialect::{Dialect, Inbound, Prompt};
 use super::documents::depends_on_document;
