--- a/crates/router/src/budget_slices.rs
+++ b/crates/router/src/budget_slices.rs
@@ -8,7 +8,7 @@
 use cypressfork_core::unit::{Time, Tokens};
 use tokio::sync::Notify;
 
-use crate::token_store::Asked;
+use crate::taken::Asked;
 
 /// One budget's slice store, and those that wait for it.
 pub struct BudgetSlices {
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -15,7 +15,8 @@
 use super::share::Borrowed;
 use super::state::Gateway;
 use crate::reply::Refusal;
-use crate::token_store::{Source, Taken, TokenStore};
+use crate::taken::{Source, Taken};
+use crate::token_store::TokenStore;
 
 /// How long a request waits for more tokens before peers are asked.
 const QUICK: Duration = Duration::from_millis(60);
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -25,7 +25,8 @@
 
 use super::homes::Homes;
 use super::state::Gateway;
-use crate::token_store::{Source, Taken, TokenStore};
+use crate::taken::{Source, Taken};
+use crate::token_store::TokenStore;
 
 /// How long a lender may take to answer.
 const LEND_WITHIN: Duration = Duration::from_millis(150);
--- a/crates/router/src/hold.rs
+++ b/crates/router/src/hold.rs
@@ -5,7 +5,8 @@
 use cypressfork_core::budget::Reservation;
 use cypressfork_core::unit::Tokens;
 
-use crate::token_store::{Source, TokenStore};
+use crate::taken::Source;
+use crate::token_store::TokenStore;
 
 /// A reservation that settles itself: what was last charged is spent, the rest goes back.
 pub struct Hold {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,6 +26,7 @@
 mod serve;
 pub mod settings;
 mod sse;
+mod taken;
 mod token_store;
 mod trace;
 mod view;
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -8,7 +8,7 @@
 
 use cypressfork_core::bill::Bill;
 use cypressfork_core::budget::{
-    Ask, Bound, Decision, Policy, Report, Reservation, ReserveAnswer, ReserveCommand, Shortage,
+    Ask, Bound, Policy, Report, Reservation, ReserveAnswer, ReserveCommand, Shortage,
 };
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer, Command};
@@ -26,6 +26,7 @@
 
 use crate::budget_slices::{BudgetSlices, SlicesByBudget};
 use crate::reply::Refusal;
+use crate::taken::{Asked, Source, Taken, UNREACHABLE_AFTER, busy, is_away, refusal};
 
 /// Bills in one tally at most.
 const BATCH: usize = 512;
@@ -39,24 +40,9 @@
 /// How long a tally waits for its commit.
 const TALLY_WITHIN: Duration = Duration::from_secs(5);
 
-/// When to come back once a budget is spent.
-const SPENT_AFTER: Millis = Millis::seconds(60);
-
 /// When to come back to a budget that is short for no reason known.
 const BUSY_AFTER: Millis = Millis(700);
 
-/// When to come back while the control group is out of reach.
-const UNREACHABLE_AFTER: Millis = Millis::seconds(5);
-
-/// Who granted a slice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// The control group.
-    Group,
-    /// The data centre's reserve.
-    Reserve,
-}
-
 /// The tokens in hand under one registration.
 pub struct TokenStore {
     holder: HolderId,
@@ -77,23 +63,6 @@
     telling: Mutex<()>,
 }
 
-/// What could be had of tokens that were asked for.
-pub struct Taken {
-    /// Set aside.
-    pub part: Option<(Source, Reservation)>,
-    /// Why not all.
-    pub short: Option<Short>,
-}
-
-/// What an ask came to.
-#[derive(Clone, Copy, Debug)]
-pub enum Asked {
-    /// The group has decided it.
-    Decided(Decision),
-    /// It could not be decided.
-    Refused(Code),
-}
-
 impl TokenStore {
     /// An empty token store for a fresh registration.
     pub fn new(holder: HolderId, group: Group, reserve: Option<Group>, clock: Clock) -> TokenStore {
@@ -486,26 +455,3 @@
     let bytes = group.call(WireAsk::Reserve(body::pack(d)), within).await?;
     body::unpack(&bytes).map_err(|_| Code::MessageBad)
 }
-
-/// How long to wait after a shortage, or what to tell the caller.
-fn busy(s: Shortage) -> Result<Millis, Refusal> {
-    match s {
-        Shortage::Busy(span) => Ok(span),
-        Shortage::Away(span) => Err(Refusal::from(Code::BudgetBusy).after(span)),
-        Shortage::Spent => Err(Refusal::from(Code::BudgetSpent).after(SPENT_AFTER)),
-    }
-}
-
-/// Whether the group could not be reached.
-fn is_away(code: Code) -> bool {
-    matches!(code, Code::NoQuorum | Code::LinkBroken | Code::NotLeader | Code::QueueFull)
-}
-
-/// What a caller is told when the control group refused an ask.
-fn refusal(code: Code) -> Refusal {
-    match code {
-        Code::AccountClosed => Refusal::from(code),
-        Code::BudgetUnknown => Refusal::from(Code::BudgetNone),
-        _ => Refusal::from(Code::NotReady).after(Millis::seconds(1)),
-    }
-}
