--- /dev/null
+++ b/crates/cypressfork/tests/support/gateways.rs
@@ -0,0 +1,289 @@
+//! Control processes, gateways and a replica in the project's own words, over loopback.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::thread;
+
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use super::{Process, free_addresses, own_ip, program, until};
+
+pub const HOST: &str = "club.example";
+
+/// Headers of the account's callers.
+pub const CALLER: &str = "X-Request-Id: r-1\r\nAuthorization: Bearer club-key\r\n";
+
+/// Addresses at an IP of this test's own: nobody else takes a port there meanwhile.
+pub fn free(ip: &str, n: usize) -> Vec<SocketAddr> {
+    free_addresses(ip, n).iter().map(|a| a.parse().unwrap()).collect()
+}
+
+pub struct Control {
+    pub link: SocketAddr,
+    pub api: SocketAddr,
+    pub metrics: SocketAddr,
+    pub process: Option<Process>,
+}
+
+/// A gateway beside the fleet's first one.
+pub struct Neighbour {
+    pub front: SocketAddr,
+    pub operators: SocketAddr,
+    pub process: Process,
+}
+
+impl Neighbour {
+    pub fn is_home(&self) -> bool {
+        is_home(self.operators)
+    }
+
+    /// What it answers a request that takes so many tokens: the status and the result code.
+    pub fn spend(&self, id: usize, tokens: u64) -> Option<(u16, String)> {
+        let more = format!(
+            "X-Request-Id: r-{id}\r\nAuthorization: Bearer club-key\r\nX-Tokens: {tokens},0\r\n"
+        );
+        let (status, v) = exchange(self.front, "GET", "/board/x", &more, "")?;
+        Some((status, v["error"]["code"].as_str().unwrap_or_default().to_owned()))
+    }
+}
+
+/// Code of a refusal for the time being: tokens are not in reach, the request has not run.
+pub const COME_BACK: &str = "CF1203";
+
+impl Neighbour {
+    /// What a caller gets that comes back for as long as it is told to. While the control process
+    /// waits for its disk, a home can neither have more tokens nor learn that there are none.
+    pub fn spend_in_the_end(&self, id: usize, tokens: u64) -> (u16, String) {
+        let mut last = None;
+        until("an answer other than to come back", || {
+            last = self.spend(id, tokens);
+            last.as_ref().is_some_and(|(status, code)| (*status, code.as_str()) != (503, COME_BACK))
+        });
+        last.expect("there was one")
+    }
+}
+
+/// Whether a gateway holds slices of a budget: it has reported on some.
+pub fn is_home(operators: SocketAddr) -> bool {
+    sample(operators, "cypressfork_report_seconds_count").is_some_and(|n| n > 0.0)
+}
+
+/// Control processes and one gateway.
+pub struct Fleet {
+    pub controls: Vec<Control>,
+    pub front: SocketAddr,
+    pub link: SocketAddr,
+    pub operators: SocketAddr,
+    pub metrics: SocketAddr,
+    pub gateway: Option<Process>,
+    pub replica: Option<SocketAddr>,
+    // The last to be dropped: processes read their logs in it as they end.
+    pub dir: TempDir,
+}
+
+impl Fleet {
+    pub fn new(controls: usize) -> Fleet {
+        let free = free(&own_ip(), 4 + 3 * controls);
+        let control = |n: usize| {
+            let own = &free[4 + 3 * n..];
+            Control { link: own[0], api: own[1], metrics: own[2], process: None }
+        };
+        let controls = (0..controls).map(control).collect();
+        let (front, link, operators, metrics) = (free[0], free[1], free[2], free[3]);
+        let dir = TempDir::new().unwrap();
+        Fleet { controls, front, link, operators, metrics, gateway: None, replica: None, dir }
+    }
+
+    /// One control process, a gateway and a registered replica, with requests answered.
+    pub fn serving() -> Fleet {
+        let mut f = Fleet::new(1);
+        f.start_control(0, true);
+        f.start_gateway();
+        f.publish(3);
+        let address = replica();
+        f.beat(address, 1);
+        f.replica = Some(address);
+        until("an answer", || f.ask("/board/x").is_some_and(|a| a.0 == 200));
+        f
+    }
+
+    /// Says that the replica is there.
+    pub fn beat(&self, replica: SocketAddr, sequence: usize) {
+        let beat = json!({ "service": "board", "address": replica.to_string(),
+            "data_centre": "tamar-a", "sequence": sequence });
+        let answer = self.call(0, "PUT", "/v1/replicas/b-1", &beat.to_string());
+        assert_eq!(answer.map(|a| a.0), Some(200));
+    }
+
+    pub fn common(&self, vm: &str) -> String {
+        // Three seeds, as a platform would name them; the others have to be found.
+        let seeds: Vec<_> = self.controls.iter().take(3).map(|c| c.link.to_string()).collect();
+        format!(
+            "common:\n  cluster: test\n  region: tas-north\n  data_centre: tamar-a\n  vm: {vm}\n  open_links: true\n  control: {}\n",
+            serde_json::to_string(&seeds).unwrap()
+        )
+    }
+
+    pub fn start_control(&mut self, n: usize, found: bool) {
+        let data = self.dir.path().join(format!("data-{n}"));
+        fs::create_dir_all(&data).unwrap();
+        let c = &self.controls[n];
+        let text = format!(
+            "{}listen: \"{}\"\ndata_folder: {}\nmetrics: \"{}\"\nreserve: false\nheartbeat_ms: 20\nelection_ms: 150\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  found: {found}\n",
+            self.common(&format!("control-{n}")),
+            c.link,
+            data.display(),
+            c.metrics,
+            c.api,
+            c.api,
+        );
+        let process = self.start(&format!("control-{n}"), "control", &text);
+        self.controls[n].process = Some(process);
+    }
+
+    pub fn start_gateway(&mut self) {
+        let text = format!(
+            "{}listen: \"{}\"\nlink: \"{}\"\noperators: \"{}\"\nmetrics: \"{}\"\nreport_ms: 50\n",
+            self.common("gateway-0"),
+            self.front,
+            self.link,
+            self.operators,
+            self.metrics,
+        );
+        self.gateway = Some(self.start("gateway-0", "gateway", &text));
+    }
+
+    /// Starts `n` more gateways in the same data centre.
+    pub fn start_neighbours(&self, n: usize) -> Vec<Neighbour> {
+        let free = free(&own_ip(), 3 * n);
+        let start = |(n, own): (usize, &[SocketAddr])| {
+            let name = format!("neighbour-{n}");
+            let text = format!(
+                "{}listen: \"{}\"\nlink: \"{}\"\noperators: \"{}\"\nreport_ms: 50\n",
+                self.common(&name),
+                own[0],
+                own[1],
+                own[2],
+            );
+            let process = self.start(&name, "gateway", &text);
+            Neighbour { front: own[0], operators: own[2], process }
+        };
+        free.chunks(3).enumerate().map(start).collect()
+    }
+
+    pub fn start(&self, name: &str, kind: &str, settings: &str) -> Process {
+        let file = self.dir.path().join(format!("{name}.yaml"));
+        fs::write(&file, settings).unwrap();
+        let args = ["--settings", file.to_str().unwrap()];
+        Process::start(self.dir.path(), name, program(kind), &args)
+    }
+
+    pub fn empty_disk(&self, n: usize) {
+        fs::remove_dir_all(self.dir.path().join(format!("data-{n}"))).unwrap();
+    }
+
+    /// A call to control process `n`; none if there is no answer.
+    pub fn call(&self, n: usize, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
+        exchange(self.controls[n].api, method, path, "", body)
+    }
+
+    pub fn publish(&self, version: u64) {
+        until("a document", || {
+            let body = document(version).to_string();
+            let all = 0..self.controls.len();
+            all.into_iter()
+                .any(|n| matches!(self.call(n, "PUT", "/v1/document", &body), Some((200, _))))
+        });
+    }
+
+    /// The version that control process `n` reads, confirmed by a quorum.
+    pub fn version(&self, n: usize) -> Option<u64> {
+        let (status, v) = self.call(n, "GET", "/v1/document", "")?;
+        (status == 200).then(|| v["version"].as_u64().unwrap())
+    }
+
+    pub fn ask(&self, path: &str) -> Option<(u16, Value)> {
+        exchange(self.front, "GET", path, CALLER, "")
+    }
+}
+
+pub fn exchange(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    more: &str,
+    body: &str,
+) -> Option<(u16, Value)> {
+    let mut s = TcpStream::connect(to).ok()?;
+    s.set_read_timeout(Some(std::time::Duration::from_secs(10))).unwrap();
+    let length = body.len();
+    write!(
+        s,
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{more}Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+    )
+    .ok()?;
+    let mut text = String::new();
+    s.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, serde_json::from_str(body).unwrap_or(Value::String(body.to_owned()))))
+}
+
+pub fn document(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "board", "host": HOST, "prefix": "/board/", "kind": "safe", "timeout": 2000,
+            "objective": 100, "targets": [{ "service": "board", "weight": 1 }], "attempts": 2,
+        }],
+        "services": [{ "name": "board", "connections": 10 }],
+        "limits": { "head": 8192, "body": 65536, "head_within": 1000, "idle": 5000 },
+        "accounts": [{ "name": "club", "keys": ["club-key"], "prepaid": 1000 }],
+    })
+}
+
+/// A replica that answers with the account that it was told.
+pub fn replica() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut s in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut buf = [0; 4096];
+                while let Ok(n) = s.read(&mut buf) {
+                    let text = String::from_utf8_lossy(&buf[..n]).into_owned();
+                    let told = |name: &str| {
+                        let mut lines = text.lines().filter_map(|l| l.split_once(": "));
+                        lines.find(|(k, _)| *k == name).map_or("", |(_, v)| v).to_owned()
+                    };
+                    let body = json!({ "account": told("x-client-account") }).to_string();
+                    let head = format!(
+                        "X-Request-Id: {}\r\nContent-Length: {}",
+                        told("x-request-id"),
+                        body.len()
+                    );
+                    if n == 0 || write!(s, "HTTP/1.1 200 OK\r\n{head}\r\n\r\n{body}").is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+pub fn log(dir: &Path, name: &str) -> String {
+    fs::read_to_string(dir.join(format!("{name}.log"))).unwrap()
+}
+
+/// The value of the first sample whose name and labels begin so.
+pub fn sample(to: SocketAddr, name: &str) -> Option<f64> {
+    let (status, v) = exchange(to, "GET", "/metrics", "", "")?;
+    assert_eq!(status, 200);
+    let text = v.as_str()?.to_owned();
+    let line = text.lines().find(|l| l.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
