--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -255,6 +255,20 @@
     assert_eq!(r.addresses(Time(10_000), "tamar-a", 64), addresses);
 }
 
+/// When all clocks are heard, and the time of day then.
+const HEARD: Time = Time(50_000);
+const WALL: i64 = 1_000_000;
+
+/// What was heard of clocks with these leads, and what the own one shows that has stepped.
+fn heard(leads: &[i64], step: i64) -> (Clocks, Time) {
+    let mut w = Clocks::default();
+    for (n, lead) in leads.iter().enumerate() {
+        let from = format!("10.0.0.{n}:1").parse().unwrap();
+        w.note(HEARD, from, Time((WALL + lead) as u64));
+    }
+    (w, Time((WALL + step) as u64))
+}
+
 /// Other clocks' lead over this one's, this one's own step, and the lead of what is agreed.
 #[rstest]
 #[case::alone(&[], 0, 0)]
@@ -264,15 +278,9 @@
 #[case::two_of_five_stepped(&[2_400, -2_400, 0, 0], 0, 0)]
 #[case::an_even_number_takes_the_lower(&[0, 2_400, 2_400], 0, 0)]
 fn most_clocks_decide(#[case] others: &[i64], #[case] step: i64, #[case] agreed: i64) {
-    let (now, wall) = (Time(50_000), 1_000_000i64);
-    let mut w = Clocks::default();
-    for (n, lead) in others.iter().enumerate() {
-        let from = format!("10.0.0.{n}:1").parse().unwrap();
-        w.note(now, from, Time((wall + lead) as u64));
-    }
-    let own = Time((wall + step) as u64);
-    assert_eq!(w.agreed(now, own), Time((wall + agreed) as u64));
-    assert_eq!(w.is_sure(now, 3), others.len() >= 2);
+    let (w, own) = heard(others, step);
+    assert_eq!(w.agreed(HEARD, own), Time((WALL + agreed) as u64));
+    assert_eq!(w.is_sure(HEARD, 3), others.len() >= 2);
     assert!(!w.is_sure(Time(60_000), 3), "clocks that fell silent do not count");
 }
 
@@ -291,14 +299,8 @@
     #[case] step: i64,
     #[case] margin: Option<u64>,
 ) {
-    let (now, wall) = (Time(50_000), 1_000_000i64);
-    let mut w = Clocks::default();
-    for (n, lead) in others.iter().enumerate() {
-        let from = format!("10.0.0.{n}:1").parse().unwrap();
-        w.note(now, from, Time((wall + lead) as u64));
-    }
-    let own = Time((wall + step) as u64);
-    assert_eq!(w.margin(now, own, 3), margin.map(Millis));
+    let (w, own) = heard(others, step);
+    assert_eq!(w.margin(HEARD, own, 3), margin.map(Millis));
 }
 
 #[test]
