Gateways tell which requests were under way at a replica that has ended

Cause: a connection that ended said nothing of its replica, and a refused request nothing of its copies. One word (broken) stood for ended connections and for answers that are none. Change: sight only. Event 430, a counter, 'lost' beside 'broken' among the ends of attempts. A lost connection is followed by one look at the address; if somebody listens, that connection is kept for the next request in place of the one that was lost. A request sent on a kept connection that ended, whose replica has gone, is noted too; what becomes of it is as before. Seen: the_logs_tell_what_was_under_way_at_replicas_that_ended names the two requests and no other.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod evacuation;
 pub mod fetch;
+pub mod fingerprint;
 pub mod format;
 pub mod homes;
 pub mod neighbours;
--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs, unused_imports)]
 
 pub mod control;
+pub mod crashing;
 pub mod gateways;
 mod http;
 pub mod slow_link;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -39,7 +39,9 @@
     NotSent(String),
     /// The connection had rested, and ended without a byte of an answer.
     Stale,
-    /// Some of it may have been run.
+    /// Some of it may have been run: the connection ended.
+    Closed(String),
+    /// Some of it may have been run: what came is no answer.
     Sent(String),
 }
 
@@ -67,6 +69,16 @@
     Rest,
 }
 
+/// What is found at a server's address.
+pub enum Presence {
+    /// A server that accepts connections.
+    There(Connection),
+    /// Nobody: the machine answers that nothing listens there.
+    Nobody,
+    /// No answer, or none that tells anything of the server.
+    Unknown(String),
+}
+
 /// A connection to a server.
 pub struct Connection {
     stream: TcpStream,
@@ -87,15 +99,27 @@
 impl Connection {
     /// Opens a connection.
     pub async fn open(address: SocketAddr) -> Result<Connection, Broken> {
-        let not_sent = |e: String| Broken::NotSent(e);
-        let stream = match timeout(CONNECT_WITHIN, TcpStream::connect(address)).await {
-            Ok(Ok(s)) => s,
-            Ok(Err(e)) => return Err(not_sent(e.to_string())),
-            Err(_) => return Err(not_sent("no connection in time".to_owned())),
-        };
+        match timeout(CONNECT_WITHIN, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => Ok(Connection::new(stream)),
+            Ok(Err(e)) => Err(Broken::NotSent(e.to_string())),
+            Err(_) => Err(Broken::NotSent("no connection in time".to_owned())),
+        }
+    }
+
+    /// Looks whether anybody listens at an address.
+    pub async fn probe(address: SocketAddr) -> Presence {
+        match timeout(CONNECT_WITHIN, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => Presence::There(Connection::new(stream)),
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Presence::Nobody,
+            Ok(Err(e)) => Presence::Unknown(e.to_string()),
+            Err(_) => Presence::Unknown("no connection in time".to_owned()),
+        }
+    }
+
+    fn new(stream: TcpStream) -> Connection {
         // A failure here only makes small requests slower.
         let _ = stream.set_nodelay(true);
-        Ok(Connection {
+        Connection {
             stream,
             buf: BytesMut::new(),
             codec: Some(Codec::Heads(ClientCodec::default())),
@@ -105,7 +129,7 @@
             last: false,
             rest: REST,
             resting_since: Instant::now(),
-        })
+        }
     }
 
     /// Whether nothing has come since it was laid aside, and it has not rested too long.
@@ -139,7 +163,7 @@
 
     /// How an exchange that ended without an answer is to be taken.
     fn ended(&self, why: &str) -> Broken {
-        if self.used && !self.answered { Broken::Stale } else { sent(why) }
+        if self.used && !self.answered { Broken::Stale } else { Broken::Closed(why.to_owned()) }
     }
 
     /// Reads more bytes; false at the end of the connection.
@@ -211,7 +235,7 @@
                 if self.until_close {
                     return Ok(None);
                 }
-                return Err(sent("the connection closed before the answer was whole"));
+                return Err(self.ended("the connection closed before the answer was whole"));
             }
         }
     }
--- a/crates/node/src/digest.rs
+++ b/crates/node/src/digest.rs
@@ -1,6 +1,7 @@
 //! Digests of keys, request ids and bodies.
 
 use cypressfork_core::claim::BodyDigest;
+use cypressfork_core::fleet::fingerprint::{Fingerprint, Identity};
 use cypressfork_core::unit::RequestId;
 use sha2::{Digest, Sha256};
 
@@ -24,6 +25,15 @@
     of_parts(&[method.as_bytes(), path.as_bytes(), body])
 }
 
+/// What all copies of a request have in common.
+pub fn fingerprint(r: &Identity) -> Fingerprint {
+    let names = [r.account.unwrap_or_default(), r.method, r.host, r.path].map(str::as_bytes);
+    let [account, method, host, path] = names;
+    let all = of_parts(&[account, method, host, path, r.body]);
+    let digest = all.first_chunk().map_or(0, |b| u64::from_be_bytes(*b));
+    Fingerprint { brief: r.brief(), digest }
+}
+
 fn of_parts(parts: &[&[u8]]) -> [u8; 16] {
     let mut h = Sha256::new();
     for part in parts {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -102,6 +102,7 @@
     EvacuationsSeen = 427, Info, "the data centres that get no new work have changed";
     ReplicasChanged = 428, Info, "several replicas have registered, changed, fallen silent or left";
     ReplicaReplaced = 429, Info, "another replica answers at a replica's address";
+    ReplicaEnded = 430, Info, "a replica has ended with a request under way";
 }
 
 /// Logs an event with fields.
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use super::dialect::{Dialect, Told};
 use super::request::{Job, Progress};
 use super::stream;
+use super::witness::note_lost;
 
 /// The largest answer that is not a stream.
 const ANSWER_CAP: usize = 8 * 1024 * 1024;
@@ -44,7 +45,9 @@
     NotRun,
     /// The replica answers with a failure of its own; nothing of it was passed on.
     Failed(Box<Answer>),
-    /// The replica may have run it, and there is no whole answer.
+    /// The connection to the replica ended: it may have run it, and there is no whole answer.
+    Lost(String),
+    /// The replica may have run it, and what it sends is no whole answer.
     Broken(String),
     /// The request's time is over.
     Late,
@@ -59,6 +62,7 @@
             Ended::NotSent(_) => "not_sent",
             Ended::NotRun => "not_run",
             Ended::Failed(_) => "failed",
+            Ended::Lost(_) => "lost",
             Ended::Broken(_) => "broken",
             Ended::Late => "late",
         }
@@ -69,7 +73,8 @@
     fn from(b: Broken) -> Ended {
         match b {
             Broken::NotSent(why) => Ended::NotSent(why),
-            Broken::Stale => Ended::Broken("the kept connection was closed".to_owned()),
+            Broken::Stale => Ended::Lost("the kept connection was closed".to_owned()),
+            Broken::Closed(why) => Ended::Lost(why),
             Broken::Sent(why) => Ended::Broken(why),
         }
     }
@@ -84,18 +89,11 @@
     replica: &str,
 ) -> Ended {
     let mut exchange = Exchange { job, choice, replica, sent: Instant::now() };
-    let until = job.deadline;
-    // A caller that goes away ends the exchange, and with it the connection to the replica.
-    let done = tokio::select! {
-        done = timeout_at(until, exchange.begin::<D>(progress.events.last())) => done,
-        () = client.gone() => return Ended::Left,
-    };
-    let (connection, head) = match done {
-        Ok(Ok(begun)) => begun,
-        Ok(Err(ended)) => return ended,
-        Err(_) => return Ended::Late,
-    };
-    exchange.finish::<D>(client, progress, connection, head).await
+    let ended = exchange.run::<D>(client, progress).await;
+    if matches!(ended, Ended::Lost(_)) {
+        note_lost(job, choice.address, replica, exchange.sent);
+    }
+    ended
 }
 
 /// What an attempt consists of.
@@ -111,6 +109,21 @@
 }
 
 impl Exchange<'_> {
+    async fn run<D: Dialect>(&mut self, client: &mut Client, progress: &mut Progress) -> Ended {
+        let until = self.job.deadline;
+        // A caller that goes away ends the exchange, and with it the connection to the replica.
+        let done = tokio::select! {
+            done = timeout_at(until, self.begin::<D>(progress.events.last())) => done,
+            () = client.gone() => return Ended::Left,
+        };
+        let (connection, head) = match done {
+            Ok(Ok(begun)) => begun,
+            Ok(Err(ended)) => return ended,
+            Err(_) => return Ended::Late,
+        };
+        self.finish::<D>(client, progress, connection, head).await
+    }
+
     /// Sends the request and reads the head of its answer.
     async fn begin<D: Dialect>(
         &mut self,
@@ -122,7 +135,13 @@
         match self.send::<D>(&mut connection, last_event).await {
             Err(Broken::Stale) if self.job.is_repeatable() => {
                 // Nothing of an answer came: a new connection tells whether the replica is there.
-                connection = gw.connections.fresh(self.choice.address).await?;
+                connection = match gw.connections.fresh(self.choice.address).await {
+                    Ok(c) => c,
+                    Err(b) => {
+                        note_lost(self.job, self.choice.address, self.replica, self.sent);
+                        return Err(b.into());
+                    }
+                };
                 self.send::<D>(&mut connection, last_event).await?;
             }
             sent => sent?,
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -25,3 +25,4 @@
 mod stream;
 mod timing;
 mod upstream;
+mod witness;
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -377,7 +377,7 @@
                 let sent = client.whole(answer.status, answer.headers, answer.body).await;
                 Some(if sent.is_ok() { Outcome::Answered } else { Outcome::Left })
             }
-            Ended::Broken(why) => {
+            Ended::Lost(why) | Ended::Broken(why) => {
                 self.ran += 1;
                 self.progress.events.restart();
                 let more = self.may_repeat(client);
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -34,6 +34,7 @@
 use super::settings::Settings;
 use super::share::Share;
 use super::upstream::Connections;
+use super::witness::Witness;
 use crate::token_store::TokenStore;
 
 /// Prompts of which a replica has to read so many tokens are told to other gateways. Reading fewer
@@ -57,6 +58,8 @@
     pub documents: Documents,
     /// Connections to replicas.
     pub connections: Connections,
+    /// The replicas whose connections have ended.
+    pub witness: Witness,
     /// How far each control process is followed.
     pub feeds: RefCell<BTreeMap<SocketAddr, Feed>>,
     /// The data centres whose replicas get no new work.
@@ -92,6 +95,7 @@
             group,
             documents: Documents::default(),
             connections: Connections::default(),
+            witness: Witness::default(),
             feeds: RefCell::default(),
             evacuations: RefCell::default(),
             sources: RefCell::new(Sources::new(rand::random())),
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -14,6 +14,7 @@
 enum Piece {
     Bytes(Bytes),
     End,
+    Lost(String),
     Broken(String),
     Late,
     Left,
@@ -49,6 +50,7 @@
                 return Ended::Broken("the answer does not tell whether it is whole".to_owned());
             }
             Piece::End => return end(exchange, client, connection, &head).await,
+            Piece::Lost(why) => return Ended::Lost(why),
             Piece::Broken(why) => return Ended::Broken(why),
             Piece::Late => return Ended::Late,
             Piece::Left => return Ended::Left,
@@ -74,7 +76,8 @@
         Ok(Ok(Some(bytes))) => Piece::Bytes(bytes),
         Ok(Ok(None)) => Piece::End,
         Ok(Err(Broken::Sent(why) | Broken::NotSent(why))) => Piece::Broken(why),
-        Ok(Err(Broken::Stale)) => Piece::Broken("the connection was closed".to_owned()),
+        Ok(Err(Broken::Closed(why))) => Piece::Lost(why),
+        Ok(Err(Broken::Stale)) => Piece::Lost("the connection was closed".to_owned()),
         Err(_) => Piece::Late,
     }
 }
--- a/crates/router/src/gateway/upstream.rs
+++ b/crates/router/src/gateway/upstream.rs
@@ -54,6 +54,14 @@
         }
     }
 
+    /// Whether a connection that rests with a replica is still open. Those that are not are dropped.
+    pub fn any_open(&self, now: Instant, address: SocketAddr) -> bool {
+        let mut resting = self.resting.borrow_mut();
+        let Some(kept) = resting.get_mut(&address) else { return false };
+        kept.retain(|c| c.is_fresh(now));
+        !kept.is_empty()
+    }
+
     /// Closes those that have rested too long.
     pub fn trim(&self, now: Instant) {
         let mut resting = self.resting.borrow_mut();
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -204,7 +204,7 @@
             Ok(None) => {
                 return Outcome::Answered { whole: sound && text.is_empty(), events };
             }
-            Err(Broken::NotSent(_) | Broken::Stale | Broken::Sent(_)) => {
+            Err(Broken::NotSent(_) | Broken::Stale | Broken::Closed(_) | Broken::Sent(_)) => {
                 return Outcome::Cut { begun: true, events };
             }
         }
