--- a/crates/cypressfork/tests/crashing_requests.rs
+++ b/crates/cypressfork/tests/crashing_requests.rs
@@ -16,8 +16,10 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use rstest::rstest;
 use support::crashing::*;
 use support::gateways::*;
 use support::until;
@@ -34,12 +36,18 @@
 /// Within this time of a request's third end of a replica, every gateway goes by it.
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 
+/// Times that a request may be sent after that, in all: for a conviction that may be wrong.
+const LATER: usize = 3;
+
 /// Five copies a second of each, as was seen.
 const KILLER_EVERY: Duration = Duration::from_millis(200);
 
 /// Some fifty sound requests a second.
 const SOUND_EVERY: Duration = Duration::from_millis(20);
 
+/// Code of a refusal for what a request has done.
+const CONVICTED: &str = "CF1309";
+
 /// A fleet, its replicas and its callers.
 struct Storm {
     fleet: Fleet,
@@ -142,6 +150,10 @@
     }
 }
 
+fn pass(until: Instant) {
+    sleep(until.saturating_duration_since(Instant::now()));
+}
+
 /// The fingerprints of requests that were under way at replicas that ended, with those replicas and the
 /// ids that they came under, from the logs of all gateways.
 fn under_way(storm: &Storm) -> HashMap<String, (HashSet<String>, HashSet<String>)> {
@@ -175,3 +187,20 @@
     };
     until("both in the logs", || at_three(&storm) == 2);
 }
+#[rstest]
+#[case::replicas_come_back_under_another_id(Back::NewId)]
+#[case::replicas_come_back_under_their_id(Back::SameId)]
+fn a_request_that_ends_its_replicas_is_soon_sent_to_none(#[case] back: Back) {
+    let storm = Storm::new(back);
+    storm.send_sound();
+    storm.send_killers();
+    let known = storm.until_known();
+    let last = known.iter().map(|(_, at)| *at).max().unwrap();
+    pass(last + Duration::from_secs(4));
+    for (killer, at) in &known {
+        let later = storm.seen.arrivals(killer, *at);
+        assert!(later <= LATER, "{killer} reached replicas {later} times after all could know it");
+    }
+    let refused = storm.sound.got().of_code(CONVICTED);
+    assert_eq!(refused, 0, "sound requests are refused for what others have done");
+}
