Soak: requests that end their replicas, sent again and again beside all other faults

Half of all seeds draw one or two such requests, from a draw of their own (the other steps of a seed stay as they are); once all is calm they are sent once more.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -14,7 +14,7 @@
 use crate::document::{ACCOUNTS, probe_path};
 use crate::history::{Kind, Outcome, Request};
 use crate::http::{call, exchange, headers, rest};
-use crate::replica::{EVENTS_MOST, answer, event, events_of};
+use crate::replica::{EVENTS_MOST, POISON, answer, event, events_of};
 use crate::world::World;
 
 /// How long a caller waits for a whole answer.
@@ -38,6 +38,25 @@
 /// Tokens of a prompt.
 const PROMPT: u64 = 40;
 
+/// The result code with which a gateway refuses a request that ends its replicas.
+const QUARANTINED: &str = "\"CF1309\"";
+
+/// Time between two copies of a poison request.
+const POISON_EVERY: Duration = Duration::from_millis(200);
+
+/// Sends copies of a poison request to any gateway for `span`.
+pub async fn poison(w: Rc<World>, number: usize, span: Duration) {
+    for _ in 0..span.as_millis() / POISON_EVERY.as_millis() {
+        let gateway = w.below(w.gateways.len());
+        let id = format!("x{number}-{}", w.at());
+        let w = w.clone();
+        actix_rt::spawn(async move {
+            ask(&w, gateway, id, Kind::Poison(number), None).await;
+        });
+        sleep(POISON_EVERY).await;
+    }
+}
+
 /// Sends requests until the run is over.
 pub async fn call_forever(w: Rc<World>, caller: usize) {
     let mut c = Caller { w: &w, caller, sent: 0, kept: None };
@@ -111,7 +130,11 @@
     kind: Kind,
     kept: Option<Connection>,
 ) -> Option<Connection> {
-    let account = &ACCOUNTS[usize::from(w.happens(30))];
+    let account = match kind {
+        // All its copies are of one account.
+        Kind::Poison(_) => &ACCOUNTS[0],
+        _ => &ACCOUNTS[usize::from(w.happens(30))],
+    };
     let sent = w.at();
     let leaves = kind == Kind::Stream && w.happens(LEFT);
     let patience = if leaves { Duration::from_millis(w.below(150) as u64) } else { PATIENCE };
@@ -159,8 +182,14 @@
         Kind::Unsafe => (Method::POST, "/moves/x".to_owned()),
         Kind::Stream => (Method::POST, "/talk/x".to_owned()),
         Kind::Probe(version) => (Method::GET, probe_path(version)),
+        // One that is told by its body, and others by their paths.
+        Kind::Poison(_) if kind.service() == "talk" => (Method::POST, "/talk/x".to_owned()),
+        Kind::Poison(n) => (Method::GET, format!("/board/{POISON}{n}")),
+    };
+    let body = match kind {
+        Kind::Poison(n) if method == Method::POST => Bytes::from(format!("{POISON}{n}")),
+        _ => Bytes::from(if method == Method::POST { "a body" } else { "" }),
     };
-    let body = Bytes::from(if method == Method::POST { "a body" } else { "" });
     let cut = |events| Outcome::Cut { begun: false, events };
     match exchange(&mut c, &method, &path, head_of(id, kind, key), &body).await {
         Err(_) => (cut(Vec::new()), None),
@@ -190,6 +219,7 @@
             let whole = is_own(head, id) && body == answer(id).as_bytes();
             Outcome::Answered { whole, events: Vec::new() }
         }
+        Ok(body) if String::from_utf8_lossy(&body).contains(QUARANTINED) => Outcome::Quarantined,
         Ok(_) => Outcome::Refused(head.status.as_u16()),
     }
 }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -28,6 +28,10 @@
     pub back_ms: u64,
     /// The longest that a caller waits for an answer, in milliseconds.
     pub patience_ms: u64,
+    /// Within this time of its third end of a replica, a poison request is known, in milliseconds.
+    pub known_ms: u64,
+    /// Times that it may reach replicas after that, in all.
+    pub poisoned: usize,
 }
 
 /// A promise that was broken.
@@ -67,6 +71,8 @@
     no_gateway_goes_back,
     a_change_is_in_force_in_time,
     retries_are_within_their_budget,
+    a_poison_request_is_soon_sent_to_none,
+    sound_work_is_not_quarantined,
     service_is_back,
     no_process_ends_by_itself,
 ];
@@ -325,7 +331,7 @@
         let mut seen = BTreeSet::new();
         let of_service = h.arrivals.iter().filter(|a| a.service == service);
         let again: Vec<At> = of_service.filter(|a| !seen.insert(&a.id)).map(|a| a.at).collect();
-        let asks = |r: &&Request| service_of(r.kind) == service;
+        let asks = |r: &&Request| r.kind.service() == service;
         let sent: Vec<At> = h.requests.iter().filter(asks).map(|r| r.sent).collect();
         for end in &again {
             let from = end.saturating_sub(b.retry_window_ms);
@@ -344,12 +350,48 @@
     all
 }
 
-/// The service that a request goes to.
-pub fn service_of(kind: Kind) -> &'static str {
-    match kind {
-        Kind::Stream => "talk",
-        _ => "board",
+/// A disruption: a replica has ended under a poison request.
+pub const POISONED: &str = "poisoned replica";
+
+/// Ends of replicas under a request after which it is to be known.
+const KNOWN_BY: usize = 3;
+
+/// Copies of a request that has ended three replicas reach others in a few cases only. Those count that
+/// come when nothing but such ends was done to the fleet for a while.
+fn a_poison_request_is_soon_sent_to_none(h: &History, b: &Bounds) -> Vec<Broken> {
+    let requests = by_id(h);
+    let disturbed = |from: At, to: At| {
+        h.disruptions.iter().any(|d| d.what != POISONED && d.from <= to && d.until >= from)
+    };
+    let numbers: BTreeSet<usize> = h.ends.iter().map(|e| e.poison).collect();
+    let mut all = Vec::new();
+    for poison in numbers {
+        let mut ends = h.ends.iter().filter(|e| e.poison == poison);
+        let Some(third) = ends.nth(KNOWN_BY - 1) else { continue };
+        let is_copy = |id: &str| requests.get(id).is_some_and(|r| r.kind == Kind::Poison(poison));
+        let late = h.arrivals.iter().filter(|a| a.run && a.at > third.at + b.known_ms);
+        let late = late.filter(|a| is_copy(&a.id));
+        let late: Vec<_> =
+            late.filter(|a| !disturbed(a.at.saturating_sub(b.calm_ms), a.at)).collect();
+        if late.len() > b.poisoned {
+            let why = format!(
+                "request {poison}, known at {} ms, reached replicas {} times later",
+                third.at + b.known_ms,
+                late.len()
+            );
+            let last = late[late.len() - 1];
+            all.push(broken("poison", last.at, why, &[&last.id]));
+        }
     }
+    all
+}
+
+fn sound_work_is_not_quarantined(h: &History, _: &Bounds) -> Vec<Broken> {
+    let sound = h.requests.iter().filter(|r| !matches!(r.kind, Kind::Poison(_)));
+    let refused = sound.filter(|r| r.outcome == Outcome::Quarantined);
+    let tell =
+        |r: &Request| broken("quarantine", r.sent, format!("{} ends no replica", r.id), &[&r.id]);
+    refused.map(tell).collect()
 }
 
 fn service_is_back(h: &History, b: &Bounds) -> Vec<Broken> {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -17,6 +17,19 @@
     Stream,
     /// A request on the route of a version that was acknowledged: it shows what is in force.
     Probe(u64),
+    /// A copy of the poison request of this number, which ends every replica that runs it.
+    Poison(usize),
+}
+
+impl Kind {
+    /// The service that it is for. Poison requests of odd numbers are streams.
+    pub fn service(self) -> &'static str {
+        match self {
+            Kind::Stream => "talk",
+            Kind::Poison(n) if n % 2 == 1 => "talk",
+            _ => "board",
+        }
+    }
 }
 
 /// How a request ended for its caller.
@@ -31,6 +44,8 @@
     },
     /// Another status.
     Refused(u16),
+    /// Refused, as it is said to end the replicas that run it.
+    Quarantined,
     /// The connection ended; events that had come.
     Cut {
         /// A part of an answer had come.
@@ -137,6 +152,15 @@
     pub ended: Option<At>,
 }
 
+/// The end of a replica under a poison request.
+#[derive(Clone, Debug)]
+pub struct End {
+    /// The request's number.
+    pub poison: usize,
+    /// When.
+    pub at: At,
+}
+
 /// A replica that has said that it leaves.
 #[derive(Clone, Debug)]
 pub struct Leaving {
@@ -167,6 +191,8 @@
     pub stops: Vec<Stop>,
     /// Replicas that have said that they leave.
     pub leaving: Vec<Leaving>,
+    /// Replicas that poison requests have ended.
+    pub ends: Vec<End>,
     /// When the last fault had ended.
     pub healed: At,
     /// From when on each gateway answered again after that; none: it did not.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -86,6 +86,17 @@
     pub fault: Fault,
 }
 
+/// A request that ends every replica that runs it, and is sent again and again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Poison {
+    /// Its number; an odd one is for the service of streams.
+    pub number: usize,
+    /// When it is sent first, in milliseconds.
+    pub at: u64,
+    /// For how long, in milliseconds.
+    pub span: u64,
+}
+
 /// What a seed does.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -97,6 +108,8 @@
     pub healed: u64,
     /// The faults in the order of their times.
     pub steps: Vec<Step>,
+    /// Requests that end their replicas.
+    pub poisons: Vec<Poison>,
 }
 
 /// Faults of one run: the fewest and the most.
@@ -130,8 +143,31 @@
         steps.extend(seeds_away(seed, &size, millis));
         steps.sort_by_key(|s| s.at);
         keep_one_emptied_disk(&mut steps);
-        Plan { seed, size, healed: millis, steps }
+        Plan { seed, size, healed: millis, steps, poisons: poisons(seed, millis) }
+    }
+}
+
+/// Of a hundred seeds, those with requests that end their replicas.
+const POISONED: u32 = 50;
+
+/// The most of them in one run.
+const POISONS: usize = 2;
+
+/// How long they are sent, in milliseconds.
+const POISON_SPAN: (u64, u64) = (1_500, 4_000);
+
+/// Requests that end their replicas, from a draw of its own: the steps of a seed stay as they are.
+fn poisons(seed: u64, millis: u64) -> Vec<Poison> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x9e37_79b9_7f4a_7c15);
+    if rng.random_range(0..100) >= POISONED {
+        return Vec::new();
     }
+    let poison = |rng: &mut SmallRng, n: usize| {
+        let span = rng.random_range(POISON_SPAN.0..=POISON_SPAN.1).min(millis);
+        let at = rng.random_range(0..=millis - span);
+        Poison { number: 2 * n + rng.random_range(0..2), at, span }
+    };
+    (0..rng.random_range(1..=POISONS)).map(|n| poison(&mut rng, n)).collect()
 }
 
 /// How often the seeds of a fleet that can do without them go away, in hundredths.
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -16,7 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-use crate::history::{Arrival, Leaving};
+use crate::history::{Arrival, End, Leaving};
 use crate::http::call;
 use crate::proxy::Gate;
 use crate::world::World;
@@ -42,6 +42,12 @@
 /// The time between two events.
 const EVENT_EVERY: Duration = Duration::from_millis(10);
 
+/// What a poison request holds, in its path or body, before its number.
+pub const POISON: &str = "poison-";
+
+/// How long a replica has run a poison request when it ends.
+const ENDS_AFTER: Duration = Duration::from_millis(20);
+
 /// How long a plain request runs.
 const RUN: Duration = Duration::from_millis(8);
 
@@ -198,13 +204,18 @@
     let arrival =
         Arrival { id: id.clone(), service: r.service, replica: r.id.clone(), at, account, run };
     w.history.borrow_mut().arrivals.push(arrival);
-    read_all(req).await;
+    let path = req.path().to_owned();
+    let body = read_all(req).await;
     if !meant {
         return reject(&id, StatusCode::MISDIRECTED_REQUEST);
     }
     if !run {
         return reject(&id, StatusCode::SERVICE_UNAVAILABLE);
     }
+    if let Some(poison) = poison_of(&path).or_else(|| poison_of(&String::from_utf8_lossy(&body))) {
+        end_under(&r, &w, poison).await;
+        return reject(&id, StatusCode::SERVICE_UNAVAILABLE);
+    }
     if r.service == "talk" {
         let (tx, rx) = mpsc::channel(4);
         actix_rt::spawn(make_events(w, id.clone(), last, tx));
@@ -214,9 +225,31 @@
     respond(&id, StatusCode::OK, Body::Whole(Bytes::from(answer(&id))))
 }
 
-async fn read_all(req: Request) {
+async fn read_all(req: Request) -> Vec<u8> {
     let mut payload = req.into_parts().1;
-    while let Some(Ok(_)) = payload.next().await {}
+    let mut all = Vec::new();
+    while let Some(Ok(piece)) = payload.next().await {
+        all.extend_from_slice(&piece);
+    }
+    all
+}
+
+/// The number of a poison request.
+fn poison_of(text: &str) -> Option<usize> {
+    let (_, number) = text.split_once(POISON)?;
+    number.parse().ok()
+}
+
+/// Ends a replica that runs a poison request, once. Nothing that it answers then reaches anybody.
+async fn end_under(r: &Rc<Replica>, w: &World, poison: usize) {
+    sleep(ENDS_AFTER).await;
+    if w.ended.borrow().contains(&r.id) {
+        return;
+    }
+    w.ended.borrow_mut().push(r.id.clone());
+    let at = w.at();
+    w.history.borrow_mut().ends.push(End { poison, at });
+    r.crash();
 }
 
 async fn make_events(w: Rc<World>, id: String, last: u64, tx: mpsc::Sender<Bytes>) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,8 +14,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
 
-use crate::caller::{PATIENCE, ask, call_forever, probe_forever};
-use crate::check::{Bounds, Broken, check, stop_of};
+use crate::caller::{PATIENCE, ask, call_forever, poison, probe_forever};
+use crate::check::{Bounds, Broken, POISONED, check, stop_of};
 use crate::document::ACCOUNTS;
 use crate::error::{Error, io};
 use crate::fleet::{Fleet, Process, Programs, RETRY_EXTRA, STOP_WITHIN_S};
@@ -41,6 +41,18 @@
 /// Within this time each gateway answers again, in milliseconds.
 const BACK_MS: u64 = 12_000;
 
+/// Within this time of its third end of a replica, a request is known at every gateway, in milliseconds.
+const KNOWN_MS: u64 = 3_000;
+
+/// Times that a request may be sent to replicas after that, in all.
+const POISONED_MOST: usize = 3;
+
+/// How long a replica that a request has ended is down.
+const REPLICA_DOWN: Duration = Duration::from_millis(1_500);
+
+/// How long poison requests are sent once more, when all faults are over.
+const POISON_AGAIN: Duration = Duration::from_secs(2);
+
 /// How long reports of what was spent may be under way.
 const SETTLE: Duration = Duration::from_secs(2);
 
@@ -81,6 +93,8 @@
         stop_ms: STOP_WITHIN_S * 1_000 + 1_000,
         back_ms: BACK_MS,
         patience_ms: PATIENCE.as_millis() as u64,
+        known_ms: KNOWN_MS,
+        poisoned: POISONED_MOST,
     }
 }
 
@@ -113,6 +127,7 @@
     run.begin(&plan);
     run.disturb(&plan).await;
     run.see_it_come_back().await;
+    run.send_poisons_again(&plan).await;
     run.finish().await;
     let history = run.w.history.borrow();
     Ok(Verdict {
@@ -202,15 +217,55 @@
         for n in 0..self.fleet.gateways.len() {
             self.spawn(watch_gateway(self.w.clone(), n));
         }
+        for p in plan.poisons.iter().copied() {
+            let w = self.w.clone();
+            self.spawn(async move {
+                sleep(Duration::from_millis(p.at)).await;
+                poison(w, p.number, Duration::from_millis(p.span)).await;
+            });
+        }
         let run = self.clone();
         self.spawn(async move {
             loop {
                 sleep(LOOK_EVERY).await;
                 run.note_ends();
+                run.note_ended_replicas();
             }
         });
     }
 
+    /// Has replicas that requests have ended start again after a while, under another id and address.
+    fn note_ended_replicas(self: &Rc<Self>) {
+        for all in [&self.talk, &self.board] {
+            let ended = self.w.ended.borrow();
+            let before = all.borrow().running.len();
+            all.borrow_mut().running.retain(|r| !ended.contains(&r.id));
+            let gone = before - all.borrow().running.len();
+            let talk = std::ptr::eq(all, &self.talk);
+            for _ in 0..gone {
+                self.disrupt(POISONED.to_owned(), REPLICA_DOWN.as_millis() as u64 + START_MS);
+                let run = self.clone();
+                self.spawn(async move {
+                    sleep(REPLICA_DOWN).await;
+                    let all = if talk { &run.talk } else { &run.board };
+                    run.add_replica(all).await.expect("a replica can be started");
+                });
+            }
+        }
+    }
+
+    /// Sends poison requests once more, when the fleet has been calm for long enough to count.
+    async fn send_poisons_again(&self, plan: &Plan) {
+        if plan.poisons.is_empty() {
+            return;
+        }
+        let last = self.w.history.borrow().disruptions.iter().map(|d| d.until).max();
+        let calm = last.unwrap_or_default() + bounds().calm_ms;
+        sleep(Duration::from_millis(calm.saturating_sub(self.w.at()))).await;
+        let all = plan.poisons.iter().map(|p| poison(self.w.clone(), p.number, POISON_AGAIN));
+        futures_util::future::join_all(all).await;
+    }
+
     fn note_ends(&self) {
         for p in self.fleet.processes().filter(|p| !p.busy.get()) {
             if p.has_ended() {
@@ -285,15 +340,20 @@
             Fault::CrashBoard(n) => self.crash(&self.board, n).await,
             Fault::LeaveTalk(n) => self.leave(&self.talk, n).await,
             Fault::LeaveBoard(n) => self.leave(&self.board, n).await,
-            Fault::GreyTalk(n) => self.nth(&self.talk, n).turn_grey(span).await,
+            Fault::GreyTalk(n) => {
+                if let Some(r) = self.nth(&self.talk, n) {
+                    r.turn_grey(span).await;
+                }
+            }
             Fault::FullBoard(n) => self.fill(n, span).await,
             Fault::StopGateway(_) | Fault::Grow(_) | Fault::Storm(_) | Fault::Race => {}
         }
     }
 
-    fn nth(&self, all: &RefCell<Replicas>, n: usize) -> Rc<Replica> {
+    /// One of the replicas that run, if any does.
+    fn nth(&self, all: &RefCell<Replicas>, n: usize) -> Option<Rc<Replica>> {
         let all = all.borrow();
-        all.running[n % all.running.len()].clone()
+        all.running.get(n % all.running.len().max(1)).cloned()
     }
 
     /// Kills processes that nothing else is done to, empties a disk, and starts them again.
@@ -378,24 +438,26 @@
     }
 
     async fn crash(&self, all: &RefCell<Replicas>, n: usize) {
-        let gone = self.take(all, n);
+        let Some(gone) = self.take(all, n) else { return };
         gone.crash();
         self.add_replica(all).await.expect("a replica can be started");
     }
 
     async fn leave(&self, all: &RefCell<Replicas>, n: usize) {
         self.add_replica(all).await.expect("a replica can be started");
-        self.take(all, n).leave(self.w.clone()).await;
+        if let Some(gone) = self.take(all, n) {
+            gone.leave(self.w.clone()).await;
+        }
     }
 
-    fn take(&self, all: &RefCell<Replicas>, n: usize) -> Rc<Replica> {
+    fn take(&self, all: &RefCell<Replicas>, n: usize) -> Option<Rc<Replica>> {
         let mut all = all.borrow_mut();
-        let n = n % all.running.len();
-        all.running.remove(n)
+        let n = n % all.running.len().max(1);
+        (n < all.running.len()).then(|| all.running.remove(n))
     }
 
     async fn fill(&self, n: usize, span: Duration) {
-        let full = self.nth(&self.board, n);
+        let Some(full) = self.nth(&self.board, n) else { return };
         full.set_full(true);
         sleep(span).await;
         full.set_full(false);
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -28,6 +28,8 @@
     pub acked: Cell<u64>,
     /// The highest version that was sent.
     pub sent: Cell<u64>,
+    /// Replicas that have ended and are to start again.
+    pub ended: RefCell<Vec<String>>,
     rng: RefCell<SmallRng>,
 }
 
@@ -50,6 +52,7 @@
             over: Cell::new(false),
             acked: Cell::new(0),
             sent: Cell::new(0),
+            ended: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         }
     }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -4,7 +4,7 @@
 
 use cypressfork_soak::check::{Broken, check, stop_of};
 use cypressfork_soak::history::{
-    Arrival, Change, Disruption, Held, History, Kind, Leaving, Outcome, Read, Request, Stop,
+    Arrival, Change, Disruption, End, Held, History, Kind, Leaving, Outcome, Read, Request, Stop,
 };
 use cypressfork_soak::plan::{Fault, Plan};
 use cypressfork_soak::run::bounds;
@@ -119,6 +119,8 @@
 #[case::retries("retries", |h: &mut History| {
     (0..12).for_each(|n| h.arrivals.push(arrival("s", "talk", 10_020 + n)));
 })]
+#[case::sent_on("poison", |h: &mut History| poisoned(h, 4))]
+#[case::sound_work("quarantine", |h: &mut History| h.requests[2].outcome = Outcome::Quarantined)]
 #[case::not_back("service back", |h: &mut History| h.back[0] = None)]
 #[case::back_late("service back", |h: &mut History| h.back[0] = Some(40_000))]
 #[case::ended("ends by itself", |h: &mut History| h.ended.push("gateway-0".into()))]
@@ -128,7 +130,21 @@
     assert_eq!(found(&h), [promise]);
 }
 
+/// A request that ends three replicas and reaches others `later` times, when all could know it.
+fn poisoned(h: &mut History, later: u64) {
+    let kind = Kind::Poison(0);
+    h.requests.push(request("x", kind, Outcome::Quarantined));
+    h.ends.extend((0..3).map(|n| End { poison: 0, at: 11_000 + 100 * n }));
+    let at = |n| 20_000 + 100 * n;
+    h.arrivals.extend((0..later).map(|n| arrival("x", "board", at(n))));
+}
+
 #[rstest]
+#[case::a_few_more(|h: &mut History| poisoned(h, 3))]
+#[case::sent_on_in_a_cut(|h: &mut History| {
+    poisoned(h, 4);
+    h.disruptions.push(Disruption { what: "CutGateway".into(), from: 17_000, until: 19_000 });
+})]
 #[case::cut_while_others_are_disturbed(|h: &mut History| {
     h.requests[1].outcome = Outcome::Cut { begun: false, events: Vec::new() };
     h.disruptions.push(Disruption { what: "Reset".into(), from: 9_900, until: 10_000 });
