Replicas may start again under their id: lives ordered by born, within one by number

Cause: a start was known by its id alone; heartbeats numbered anew were old news, draining and leaving for good. Change: 'born' in heartbeats (optional in the product's own words; whole numbers only), in records and relayed heartbeats. A later life replaces all that was known at once, at control processes and gateways, with what routers learned and the connections that rest; an earlier one never wins. Words without it go by their number as before.

--- a/crates/control/src/native.rs
+++ b/crates/control/src/native.rs
@@ -43,6 +43,8 @@
     #[serde(default)]
     draining: bool,
     sequence: u64,
+    #[serde(default)]
+    born: u64,
 }
 
 fn one() -> u32 {
@@ -109,6 +111,7 @@
         slots: b.slots,
         cold: Millis(b.cold_ms),
         sequence: b.sequence,
+        born: b.born,
     };
     Ok(Call::Beat(Record { registration, standing }))
 }
--- a/crates/control/tests/feed_cache.rs
+++ b/crates/control/tests/feed_cache.rs
@@ -16,6 +16,7 @@
         slots: 4,
         cold: Millis(0),
         sequence,
+        born: 0,
     };
     let standing = if sequence > 1 { Standing::Draining } else { Standing::Ready };
     Record { registration, standing }
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -2,9 +2,11 @@
 //! way of another control process.
 //!
 //! Nothing of it is durable: a control process that starts learns it anew from heartbeats and
-//! from the others. An id is never used again, so what is known of one that has left is kept
-//! until no late heartbeat of it can come.
+//! from the others. A replica may start again under the id that it had: its lives are ordered by
+//! when they began, and within one life by the numbers of its heartbeats. What is known of one that
+//! has left is kept until no late heartbeat of it can come.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::ops::Bound;
 use std::sync::Arc;
@@ -31,7 +33,7 @@
 /// What a replica says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
-    /// Its id; another start has another.
+    /// Its id; another start may have the same.
     pub id: String,
     /// The service that it belongs to.
     pub service: String,
@@ -43,8 +45,23 @@
     pub slots: u32,
     /// How much longer it stays slow after its start.
     pub cold: Millis,
-    /// Rises with every heartbeat.
+    /// Rises with every heartbeat, from each start on.
     pub sequence: u64,
+    /// When it started, in milliseconds since 1970 by its own clock; 0 if it does not say.
+    #[serde(default)]
+    pub born: u64,
+}
+
+impl Registration {
+    /// Whether this is of a later life of the replica than `known`, or of an earlier one. Words that
+    /// do not tell their life are of the one that is known.
+    pub fn life(&self, known: &Registration) -> Ordering {
+        order_of_lives(self.born, known.born)
+    }
+}
+
+fn order_of_lives(one: u64, other: u64) -> Ordering {
+    if one == 0 || other == 0 { Ordering::Equal } else { one.cmp(&other) }
 }
 
 /// How a replica stands.
@@ -97,6 +114,9 @@
     pub id: String,
     /// The heartbeat's number.
     pub sequence: u64,
+    /// When that life of it began; 0 if it does not say.
+    #[serde(default)]
+    pub born: u64,
 }
 
 /// A part of the feed.
@@ -137,7 +157,7 @@
         let Some(merged) = merge(known, &r) else { return false };
         let same = known.is_some_and(|e| matters_alike(&e.record, &merged));
         let heard = match known {
-            Some(e) if r.registration.sequence <= e.record.registration.sequence => e.heard,
+            Some(e) if !is_newer(&r.registration, &e.record.registration) => e.heard,
             _ => now,
         };
         let changed = known.map_or(0, |e| e.changed);
@@ -154,8 +174,10 @@
     pub fn beat(&mut self, now: Time, b: &Beat) -> bool {
         let Some((id, e)) = self.entries.get_key_value(b.id.as_str()) else { return false };
         let id = id.clone();
-        let old = b.sequence <= e.record.registration.sequence;
-        if old || e.record.standing >= Standing::Draining {
+        let known = &e.record.registration;
+        let same_life = order_of_lives(b.born, known.born) == Ordering::Equal;
+        let old = b.sequence <= known.sequence;
+        if !same_life || old || e.record.standing >= Standing::Draining {
             return false;
         }
         let back = e.record.standing == Standing::Silent;
@@ -268,6 +290,7 @@
         let beats = alike.map(|e| Beat {
             id: e.record.registration.id.clone(),
             sequence: e.record.registration.sequence,
+            born: e.record.registration.born,
         });
         Batch { records, beats: beats.collect(), position }
     }
@@ -280,25 +303,39 @@
 
 /// What is known after `r`; `None` if it is old news.
 ///
-/// Draining and leaving are for good, whatever comes later in whatever order.
+/// Draining and leaving are for good in one life, whatever comes later in whatever order. A later life
+/// is another replica.
 fn merge(known: Option<&Entry>, r: &Record) -> Option<Record> {
     let Some(e) = known else { return Some(r.clone()) };
     let old = &e.record;
-    let newer = r.registration.sequence > old.registration.sequence;
-    let last = if newer { &r.registration } else { &old.registration };
+    match r.registration.life(&old.registration) {
+        Ordering::Greater => return Some(r.clone()),
+        Ordering::Less => return None,
+        Ordering::Equal => {}
+    }
+    let newer = is_newer(&r.registration, &old.registration);
+    let mut last = if newer { r.registration.clone() } else { old.registration.clone() };
+    last.born = r.registration.born.max(old.registration.born);
     let standing = match (old.standing, r.standing) {
         (a, b) if a >= Standing::Draining || b >= Standing::Draining => a.max(b),
         (_, b) if newer => b,
         (a, _) => a,
     };
-    let merged = Record { registration: last.clone(), standing };
+    let merged = Record { registration: last, standing };
     (merged != *old).then_some(merged)
 }
 
+/// Whether `r` was said later than what is known.
+fn is_newer(r: &Registration, known: &Registration) -> bool {
+    let later = r.life(known).then(r.sequence.cmp(&known.sequence));
+    later == Ordering::Greater
+}
+
 /// Whether routers need not be told of the difference.
 fn matters_alike(a: &Record, b: &Record) -> bool {
     let (x, y) = (&a.registration, &b.registration);
     a.standing == b.standing
+        && x.born == y.born
         && x.service == y.service
         && x.address == y.address
         && x.slots == y.slots
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -2,6 +2,7 @@
 //! order. A record changes what depends on it and nothing else: a start with 1,000 replicas costs a
 //! router 1,000 such changes, not 1,000 lists of them all.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -28,8 +29,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     record: Record,
-    /// Rises with each replica that was first heard of.
-    born: u64,
+    /// Rises with each replica, or life of one, that was first heard of.
+    order: u64,
     /// Another replica has answered at its address.
     replaced: bool,
 }
@@ -39,12 +40,14 @@
 pub struct Replicas {
     by_id: BTreeMap<String, Known>,
     by_address: HashMap<SocketAddr, Vec<String>>,
-    left: VecDeque<(Time, String)>,
-    born: u64,
+    /// Those that have left: when, and which life.
+    left: VecDeque<(Time, String, u64)>,
+    order: u64,
 }
 
 impl Replicas {
-    /// Takes what is said of a replica. Returns how it stands and what changes, if it is news.
+    /// Takes what is said of a replica. Returns how it stands and what changes, if it is news. A later
+    /// life of one that is known leaves nothing of the former: its address is emptied first.
     pub fn take(&mut self, now: Time, r: Record) -> Option<(Standing, Vec<Change>)> {
         self.forget_left(now);
         let id = r.registration.id.clone();
@@ -52,15 +55,23 @@
         if known.is_some_and(|k| !is_news(&k.record, &r)) {
             return None;
         }
-        let standing = known.map_or(r.standing, |k| after(k.record.standing, r.standing));
+        let mut changes = Vec::new();
+        let of_life = known.filter(|k| !is_later_life(&k.record, &r));
+        if known.is_some() && of_life.is_none() {
+            changes.extend(self.vacate(&id));
+        }
+        let standing = of_life.map_or(r.standing, |k| after(k.record.standing, r.standing));
         let before = known.map(|k| place(&k.record));
-        let (born, replaced) = known.map_or((self.born, false), |k| (k.born, k.replaced));
-        self.born += u64::from(known.is_none());
-        let record = Record { standing, ..r };
+        let (order, replaced) = of_life.map_or((self.order, false), |k| (k.order, k.replaced));
+        self.order += u64::from(of_life.is_none());
+        let mut record = Record { standing, ..r };
+        let born = of_life.map_or(0, |k| k.record.registration.born);
+        let born = born.max(record.registration.born);
+        record.registration.born = born;
         let here = place(&record);
-        self.by_id.insert(id.clone(), Known { record, born, replaced });
+        self.by_id.insert(id.clone(), Known { record, order, replaced });
         if standing >= Standing::Draining {
-            self.left.push_back((now, id.clone()));
+            self.left.push_back((now, id.clone(), born));
         }
         let moved = before.filter(|b| *b != here);
         if let Some((_, Some(address))) = &moved {
@@ -70,7 +81,16 @@
             self.arrive(address, id);
         }
         let places = moved.into_iter().chain([here]);
-        Some((standing, places.filter_map(|(s, a)| self.change(s, a?)).collect()))
+        changes.extend(places.filter_map(|(s, a)| self.change(s, a?)));
+        Some((standing, changes))
+    }
+
+    /// What has its address forgotten by those who send there, if it is the one that is there.
+    fn vacate(&self, id: &str) -> Option<Change> {
+        let (service, address) = place(&self.by_id.get(id)?.record);
+        let there = self.change(service, address?)?;
+        let is_there = there.there.as_ref().is_some_and(|(u, _)| u.vm.name == id);
+        is_there.then_some(Change { there: None, ..there })
     }
 
     /// Takes an answer from `address` that says that this replica is not there: of two that are said
@@ -98,8 +118,13 @@
     }
 
     fn forget_left(&mut self, now: Time) {
-        while self.left.front().is_some_and(|(at, _)| now.since(*at) >= LEFT_KEPT) {
-            let Some((_, id)) = self.left.pop_front() else { return };
+        while self.left.front().is_some_and(|(at, ..)| now.since(*at) >= LEFT_KEPT) {
+            let Some((_, id, born)) = self.left.pop_front() else { return };
+            let is_it = |k: &Known| k.record.registration.born == born;
+            if !self.by_id.get(&id).is_some_and(is_it) {
+                // It has started again.
+                continue;
+            }
             let Some(known) = self.by_id.remove(&id) else { continue };
             if let (_, Some(address)) = place(&known.record) {
                 self.leave(address, &id);
@@ -115,25 +140,34 @@
         let usable = known.filter(|k| {
             k.record.standing <= Standing::Silent && k.record.registration.service == service
         });
-        let best = usable.min_by_key(|k| (k.record.standing, k.replaced, u64::MAX - k.born));
+        let best = usable.min_by_key(|k| (k.record.standing, k.replaced, u64::MAX - k.order));
         let there = best.map(|k| (upstream(address, &k.record), condition(&k.record)));
         Some(Change { service, address, there })
     }
 }
 
-/// Draining and leaving are for good.
+/// Draining and leaving are for good in one life.
 fn after(known: Standing, said: Standing) -> Standing {
     if known >= Standing::Draining { known.max(said) } else { said }
 }
 
 /// Whether `r` says more than is known. Draining and leaving count whatever their sequence.
 fn is_news(known: &Record, r: &Record) -> bool {
+    match r.registration.life(&known.registration) {
+        Ordering::Greater => return true,
+        Ordering::Less => return false,
+        Ordering::Equal => {}
+    }
     let newer = r.registration.sequence > known.registration.sequence;
     let same = r.registration.sequence == known.registration.sequence;
     let ends = r.standing >= Standing::Draining && r.standing > known.standing;
     ends || (newer && *r != *known) || (same && r.standing > known.standing)
 }
 
+fn is_later_life(known: &Record, r: &Record) -> bool {
+    r.registration.life(&known.registration) == Ordering::Greater
+}
+
 fn place(r: &Record) -> (String, Option<SocketAddr>) {
     (r.registration.service.clone(), r.registration.address.parse().ok())
 }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -16,6 +16,7 @@
         slots: 4,
         cold: Millis(0),
         sequence,
+        born: 0,
     };
     Record { registration, standing }
 }
@@ -45,7 +46,7 @@
     let since = r.position();
     assert!(!r.take(Time(900), record("i-1", 2, Standing::Ready), Source::Itself));
     assert_eq!(r.changes(since, MOST).records.len(), 0);
-    let beats = vec![Beat { id: "i-1".to_owned(), sequence: 2 }];
+    let beats = vec![Beat { id: "i-1".to_owned(), sequence: 2, born: 0 }];
     assert_eq!(r.relay(since, MOST, MOST).beats, beats, "other control processes do");
     r.tick(Time(4_800), Millis(1_000));
     assert_eq!(r.changes(since, MOST).records.len(), 0, "it spoke 3.9 s ago");
@@ -96,7 +97,7 @@
     let mut r = Registry::default();
     r.take(Time(0), record("i-1", 5, standing), Source::Another);
     let since = r.position();
-    let beat = |id: &str| Beat { id: id.to_owned(), sequence };
+    let beat = |id: &str| Beat { id: id.to_owned(), sequence, born: 0 };
     assert_eq!(r.beat(Time(9), &beat("i-1")), changes);
     assert!(!r.beat(Time(9), &beat("i-2")), "nobody knows it");
     assert_eq!(r.iter().next().unwrap().standing, after);
--- a/crates/core/tests/replicas.rs
+++ b/crates/core/tests/replicas.rs
@@ -23,6 +23,7 @@
         slots: 8,
         cold: Millis(0),
         sequence,
+        born: 0,
     };
     Record { registration, standing }
 }
--- a/crates/core/tests/transfer.rs
+++ b/crates/core/tests/transfer.rs
@@ -206,6 +206,7 @@
             slots: 4,
             cold: Millis(0),
             sequence: 1,
+            born: 0,
         };
         registry.take(Time(n), Record { registration, standing: Standing::Ready }, Source::Another);
     }
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -221,7 +221,10 @@
         });
         match &c.there {
             Some((upstream, condition)) => pool.put(now, upstream, condition),
-            None => pool.remove(now, c.address),
+            None => {
+                pool.remove(now, c.address);
+                self.connections.forget(c.address);
+            }
         }
     }
 
--- a/crates/router/src/gateway/upstream.rs
+++ b/crates/router/src/gateway/upstream.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Closes those with a replica that is not there any more.
+    pub fn forget(&self, address: SocketAddr) {
+        self.resting.borrow_mut().remove(&address);
+    }
+
     /// Whether a connection that rests with a replica is still open. Those that are not are dropped.
     pub fn any_open(&self, now: Instant, address: SocketAddr) -> bool {
         let mut resting = self.resting.borrow_mut();
