A request that a gateway answered whole lately gets no strike there

Ruled out: waiting for all reports of an end (one replica more for each poison request, and a report may take an election to arrive).

--- a/crates/core/src/fleet/fingerprint.rs
+++ b/crates/core/src/fleet/fingerprint.rs
@@ -10,7 +10,7 @@
 
 /// The parts of a request in which all its copies agree. Ids, deadlines and other headers differ
 /// from copy to copy.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 pub struct Identity<'a> {
     /// The client account. Another account's request is never the same: nobody can have another's
     /// requests refused.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod retry;
 pub mod routes;
 pub mod share;
+pub mod sound;
 pub mod sources;
 pub mod telling;
 pub mod transfer;
--- a/crates/router/src/gateway/quarantine.rs
+++ b/crates/router/src/gateway/quarantine.rs
@@ -6,12 +6,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashSet};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 use std::time::Duration;
 
 use cypressfork_core::command::Command;
 use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::fleet::quarantine::{EndedReplica, Quarantine, Told, UnderWay};
+use cypressfork_core::fleet::sound::Sound;
 use cypressfork_core::unit::{Index, Millis};
 use cypressfork_node::digest::fingerprint;
 use cypressfork_node::event::Event;
@@ -49,6 +51,9 @@
 #[derive(Default)]
 pub struct Quarantines {
     told: RefCell<Told>,
+    /// Requests that this gateway answered whole lately.
+    sound: RefCell<Sound>,
+    hasher: RandomState,
     /// Briefs of all that `told` names, for a first look at each request.
     briefs: RefCell<HashSet<u64>>,
     /// By the ends of replicas that this gateway saw.
@@ -108,12 +113,13 @@
         self.reporting.get().is_some_and(|since| since.elapsed() >= ALONE_AFTER)
     }
 
-    /// Notes that a request was answered whole, if that matters to anybody.
+    /// Notes that a request was answered whole, and tells the group if that matters to anybody.
     pub fn answered(&self, job: &Job) {
+        let identity = identity(job);
+        self.sound.borrow_mut().note(self.hasher.hash_one(identity));
         if self.briefs.borrow().is_empty() {
             return;
         }
-        let identity = identity(job);
         if !self.briefs.borrow().contains(&identity.brief()) {
             return;
         }
@@ -126,6 +132,11 @@
         }
     }
 
+    /// Whether this gateway answered a copy of a request whole lately.
+    pub fn is_sound(&self, job: &Job) -> bool {
+        self.sound.borrow().has(self.hasher.hash_one(identity(job)))
+    }
+
     /// Notes that a replica has ended with these requests under way.
     pub fn ended(&self, gw: &Gateway, replica: &str, victims: Vec<Victim>) {
         let under_way = |v: Victim| UnderWay {
@@ -133,7 +144,11 @@
             account: v.account.unwrap_or_default(),
             age: v.age,
         };
-        let under_way: Vec<_> = victims.into_iter().map(under_way).collect();
+        let suspects = victims.into_iter().filter(|v| !v.sound);
+        let under_way: Vec<_> = suspects.map(under_way).collect();
+        if under_way.is_empty() {
+            return;
+        }
         let own = EndedReplica {
             replica: replica.to_owned(),
             ago: Millis(0),
--- a/crates/router/src/gateway/witness.rs
+++ b/crates/router/src/gateway/witness.rs
@@ -36,6 +36,8 @@
     pub account: Option<String>,
     /// How long before that it had been sent.
     pub age: Millis,
+    /// A copy of it was answered whole here lately: it has not ended the replica.
+    pub sound: bool,
 }
 
 /// The replicas whose connections ended, until it is known whether they have ended themselves.
@@ -62,6 +64,7 @@
         fingerprint: fingerprint(&identity(job)),
         account: job.account.clone(),
         age: Millis(sent.elapsed().as_millis() as u64),
+        sound: job.gw.quarantines.is_sound(job),
     };
     let key = (address, replica.to_owned());
     let mut open = job.gw.witness.open.borrow_mut();
@@ -104,6 +107,7 @@
         replica = replica,
         address = address,
         age_ms = v.age.0,
+        sound = v.sound,
         shown = "nobody listens at its address",
     );
 }
