Heartbeats of other writers name no replica, and what a replica said holds

Cause: a heartbeat of the right types was taken whatever it said: under the id of a replica that serves, another service, an address that is none, or a cold span of 500 million years took it out of service. Change: the services that a document names are committed with it; a heartbeat of another one is acknowledged, counted and logged (CFE329) and changes nothing; an address without a port or more than an hour of cold is refused (CF2015). Refused calls are counted by code.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -9,10 +9,11 @@
 use cypressfork_core::command::{Answer as Committed, Command};
 use cypressfork_core::query::{Query, Reply};
 use cypressfork_http::Body;
-use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
+use cypressfork_node::{emit, metric};
 use futures_util::StreamExt;
+use metrics::counter;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
@@ -65,6 +66,7 @@
         None => Answer::Refused(Code::BodyCut, "the body did not arrive whole".to_owned()),
     };
     if let Answer::Refused(code, why) = &answer {
+        counter!(metric::CALLS_REFUSED, "code" => code.number().to_string()).increment(1);
         emit!(Event::CallRefused, code = code.number(), path = uri.path(), why = why);
     }
     D::write(answer)
@@ -101,8 +103,9 @@
         Err(e) => return Answer::Refused(e.code, e.why),
     };
     let budgets = document.budgets().collect();
+    let services = document.services.iter().map(|s| s.name.clone()).collect();
     let version = document.version;
-    let command = Command::Publish { version, source, budgets };
+    let command = Command::Publish { version, source, budgets, services };
     match api.group.command(&command, PUBLISH_WITHIN).await {
         Ok(Committed::Published(held)) => {
             emit!(Event::DocumentPublished, version = version, held = held);
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -9,15 +9,16 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::evacuation;
 use cypressfork_core::fleet::neighbours::NOT_WANTED;
-use cypressfork_core::fleet::registry::{Source, Standing};
+use cypressfork_core::fleet::registry::{Registration, Source, Standing};
 use cypressfork_core::fleet::watch::{Announce, Feed, Seen, Watch};
 use cypressfork_core::raft::Members;
 use cypressfork_core::unit::Millis;
-use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::time::wall;
 use cypressfork_node::watch::{Watcher, watch};
+use cypressfork_node::{emit, metric};
 use cypressfork_wire::body;
+use metrics::counter;
 use tokio::sync::mpsc;
 
 use super::{BATCH, Fleet, Input, ReplyTo, Server};
@@ -79,6 +80,17 @@
                     false => CallAnswer::Entry(addresses, f.entry_keep),
                 }
             }
+            Call::Beat(r) if r.registration.check().is_err() => {
+                let why = r.registration.check().err().unwrap_or_default();
+                CallAnswer::Refused(Code::RegistrationBad, why)
+            }
+            // Acknowledged, as its sender may be in the right before long: a document may name it.
+            Call::Beat(r) if !self.machine.state().names_service(&r.registration.service) => {
+                counter!(metric::UNNAMED).increment(1);
+                let Registration { id, service, .. } = &r.registration;
+                emit!(Event::ServiceUnnamed, replica = id, service = service);
+                CallAnswer::Noted
+            }
             Call::Beat(r) if r.standing < Standing::Draining || led => {
                 let id = r.registration.id.clone();
                 if f.view.registry.take(now, r, Source::Itself) {
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -111,6 +111,7 @@
     DocumentBad = 2012, 400, "invalid", "the document cannot be in force";
     DataCentreUnknown = 2013, 404, "invalid", "no data centre has this name";
     BodyUnexpected = 2014, 400, "invalid", "this call takes no body";
+    RegistrationBad = 2015, 400, "invalid", "what a replica says of itself cannot be true";
     LeaseUnknown = 2101, 0, "conflict", "the lease is not known to the ledger";
     HolderStale = 2102, 0, "conflict", "the holder's registration has been replaced";
     ReserveNone = 2103, 0, "invalid", "this process keeps no reserve";
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -115,6 +115,9 @@
         source: String,
         /// What each budget that it names holds in all.
         budgets: Vec<(String, Tokens)>,
+        /// The services that it names.
+        #[serde(default)]
+        services: Vec<String>,
     },
     /// Keeps new work from the replicas of a data centre, or lets it in again.
     Evacuate {
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -8,6 +8,7 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -52,7 +53,21 @@
     pub born: u64,
 }
 
+/// The longest that a replica may say that it stays slow: no start takes that long.
+const COLD_MOST: Millis = Millis::seconds(3_600);
+
 impl Registration {
+    /// Whether it can be what a replica says of itself; why not, if it cannot.
+    pub fn check(&self) -> Result<(), String> {
+        if self.address.parse::<SocketAddr>().is_err() {
+            return Err(format!("'{}' is no address with a port", self.address));
+        }
+        if self.cold > COLD_MOST {
+            return Err(format!("it cannot stay slow for {} ms", self.cold.0));
+        }
+        Ok(())
+    }
+
     /// Whether this is of a later life of the replica than `known`, or of an earlier one. Words that
     /// do not tell their life are of the one that is known.
     pub fn life(&self, known: &Registration) -> Ordering {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,6 +1,6 @@
 //! A control group's state machine: the same commands in the same order give the same state.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -54,6 +54,8 @@
     version: Version,
     source: Arc<str>,
     budgets: BTreeMap<String, Tokens>,
+    #[serde(default)]
+    services: BTreeSet<String>,
 }
 
 /// The answers to the latest operations on budgets.
@@ -166,8 +168,11 @@
                 self.quarantine_changes = self.quarantine.end_terms(now, pos.index);
                 Answer::Done
             }
-            Command::Publish { version, source, budgets } => {
-                self.publish(*version, source, budgets);
+            Command::Publish { version, source, budgets, services } => {
+                if *version > self.published.version {
+                    self.publish(*version, source, budgets);
+                    self.published.services = services.iter().cloned().collect();
+                }
                 Answer::Published(self.published.version)
             }
         }
@@ -267,12 +272,8 @@
         Answer::Funded(funded)
     }
 
-    /// Puts a document in force if its version is higher than the present one's. Budgets that it
-    /// no longer names hold nothing more; what they spent stays on record.
+    /// Puts a document in force. Budgets that it no longer names hold nothing more; what they spent stays on record.
     fn publish(&mut self, version: Version, source: &str, budgets: &[(String, Tokens)]) {
-        if version <= self.published.version {
-            return;
-        }
         let budgets: BTreeMap<String, Tokens> = budgets.iter().cloned().collect();
         let old = std::mem::take(&mut self.published.budgets);
         for name in old.keys().filter(|n| !budgets.contains_key(*n)) {
@@ -281,7 +282,8 @@
         for (name, tokens) in &budgets {
             self.ledger.fund(name, *tokens, Policy::for_prepaid(*tokens));
         }
-        self.published = Published { version, source: Arc::from(source), budgets };
+        let services = BTreeSet::new();
+        self.published = Published { version, source: Arc::from(source), budgets, services };
     }
 
     /// The version of the document in force, 0 if there is none, and the document as submitted.
@@ -289,6 +291,11 @@
         (self.published.version, &self.published.source)
     }
 
+    /// Whether the document in force names a service, or none is in force.
+    pub fn names_service(&self, service: &str) -> bool {
+        self.published.services.is_empty() || self.published.services.contains(service)
+    }
+
     /// The data centres that get no new work.
     pub fn evacuations(&self) -> &Evacuations {
         &self.evacuations
--- a/crates/core/tests/bound.rs
+++ b/crates/core/tests/bound.rs
@@ -205,7 +205,7 @@
         state.apply(Time(index * 10), LeaseId { term: 1, index }, c)
     };
     let budgets = vec![(BUDGET.to_owned(), TOTAL)];
-    apply(&Command::Publish { version: 1, source: "{}".into(), budgets });
+    apply(&Command::Publish { version: 1, source: "{}".into(), budgets, services: Vec::new() });
     let register = |nonce, age| Command::Register {
         vm: "entry-1".into(),
         data_centre: "tamar-a".into(),
--- /dev/null
+++ b/crates/cypressfork/tests/foreign_heartbeats.rs
@@ -0,0 +1,81 @@
+//! Heartbeats of another writer under the id of a replica that serves: they name no replica to use, and
+//! what the replica itself said holds.
+
+#![allow(missing_docs)]
+
+mod support;
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use cypressfork_control::dialect::{Answer, Call, Dialect, Incoming};
+use cypressfork_control::native::Native;
+use proptest::prelude::*;
+use rstest::rstest;
+use serde_json::{Value, json};
+use support::gateways::*;
+
+/// A heartbeat that the replica itself might send, with `change` made to it.
+fn changed(f: &Fleet, change: fn(&mut Value)) -> String {
+    let mut beat = json!({ "service": "board", "address": f.replica.unwrap().to_string(),
+        "data_centre": "tamar-a", "slots": 4, "cold_ms": 0, "sequence": 9 });
+    change(&mut beat);
+    beat.to_string()
+}
+
+#[rstest]
+#[case::a_service_that_is_not_named(200, |b: &mut Value| b["service"] = json!("elsewhere"))]
+#[case::an_address_that_is_none(400, |b: &mut Value| b["address"] = json!("here"))]
+#[case::an_address_without_a_port(400, |b: &mut Value| b["address"] = json!("10.0.0.1"))]
+#[case::cold_for_ever(400, |b: &mut Value| b["cold_ms"] = json!(u64::MAX))]
+#[case::no_service(400, |b: &mut Value| { b.as_object_mut().unwrap().remove("service"); })]
+#[case::no_number(400, |b: &mut Value| { b.as_object_mut().unwrap().remove("sequence"); })]
+#[case::a_number_of_another_type(400, |b: &mut Value| b["sequence"] = json!("9"))]
+#[case::a_number_out_of_range(400, |b: &mut Value| b["slots"] = json!(-1))]
+#[case::a_state_of_another_type(400, |b: &mut Value| b["draining"] = json!("yes"))]
+#[case::no_object(400, |b: &mut Value| *b = json!([1, 2]))]
+#[case::not_json(400, |b: &mut Value| *b = Value::Null)]
+fn what_a_replica_said_holds(#[case] status: u16, #[case] change: fn(&mut Value)) {
+    let f = Fleet::serving();
+    let answer = f.call(0, "PUT", "/v1/replicas/b-1", &changed(&f, change)).unwrap();
+    assert_eq!(answer.0, status, "{}", answer.1);
+    if status != 200 {
+        assert!(answer.1["error"]["code"].as_str().unwrap().starts_with("CF"), "{}", answer.1);
+    }
+    for _ in 0..10 {
+        sleep(Duration::from_millis(50));
+        assert_eq!(f.ask("/board/x").unwrap().0, 200);
+    }
+}
+
+fn call(body: &[u8]) -> Result<Call, Answer> {
+    let (method, path) = (&actix_http::Method::PUT, "/v1/replicas/b-1");
+    Native::call(&Incoming { method, path, query: "", body })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(35), ..ProptestConfig::default() })]
+
+    /// Whatever arrives, it is a heartbeat or a numbered refusal.
+    #[test]
+    fn any_bytes_are_read_or_refused(body in proptest::collection::vec(any::<u8>(), 0..300)) {
+        if let Err(answer) = call(&body) {
+            prop_assert!(matches!(answer, Answer::Refused(..)));
+        }
+    }
+
+    /// A heartbeat with one byte changed is read as another or refused.
+    #[test]
+    fn a_changed_byte_is_read_or_refused(at in 0usize..120, byte in any::<u8>()) {
+        let mut body = json!({ "service": "board", "address": "10.0.0.1:80", "data_centre": "a",
+            "slots": 4, "sequence": 9, "born": 1_700_000_000_000u64 }).to_string().into_bytes();
+        let at = at % body.len();
+        body[at] = byte;
+        match call(&body) {
+            Ok(Call::Beat(r)) => prop_assert_eq!(r.registration.id, "b-1"),
+            Ok(other) => prop_assert!(false, "{other:?}"),
+            Err(answer) => prop_assert!(matches!(answer, Answer::Refused(..))),
+        }
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -76,6 +76,7 @@
     FolderSetAside = 326, Warn, "an old copy of a data folder is set aside: the next start is a new replica";
     DataCentreEvacuated = 327, Info, "an order about new work in a data centre is carried out";
     QuarantineChanged = 328, Info, "a request is sent to no replica from now on, or may be again";
+    ServiceUnnamed = 329, Info, "a replica of a service that no document names is left out";
     RouterRegistered = 401, Info, "this router is registered";
     RouterReady = 402, Info, "this router serves callers";
     ControlLost = 403, Warn, "the control group is out of reach";
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -45,6 +45,8 @@
     EVACUATED = "cypressfork_evacuated_data_centres", "gauge", "", "data centres that get no new work by an operator's order";
     LOST_CONNECTIONS = "cypressfork_lost_connections_total", "counter", "replica", "connections to replicas that ended with a request under way, by whether the replica lives";
     QUARANTINED = "cypressfork_quarantined_requests", "gauge", "", "requests that are sent to no replica, as they end those that run them";
+    CALLS_REFUSED = "cypressfork_calls_refused_total", "counter", "code", "calls of operators, replicas and callers that a control process refused, by result code";
+    UNNAMED = "cypressfork_unnamed_services_total", "counter", "", "heartbeats of services that no document names";
     LEADS = "cypressfork_group_leads", "gauge", "", "1 while this replica of the control group leads";
     TERM = "cypressfork_group_term", "gauge", "", "the control group's term";
     COMMITTED = "cypressfork_group_committed", "gauge", "", "position of the last committed entry";
