--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -42,6 +42,7 @@
     StopForced = 105, Warn, "a second signal ends the process at once";
     Panicked = 106, Error, "a fault of this program ended a task, and its request with it";
     LinesLeftOut = 107, Warn, "log lines were left out, since nobody read them in time";
+    ClockSteady = 108, Warn, "this system has no clock that counts suspensions: the steady clock is used";
     LinkOpened = 201, Debug, "a link to a peer is open";
     LinkClosed = 202, Debug, "a link to a peer has closed";
     LinkRefused = 203, Warn, "a peer is refused";
