Benchmark of what it costs to tell requests apart; a connection that nothing was said on rests a second

A connection that a look at a replica opened is used for a second at most: the server has not told how long it keeps it.

--- a/crates/cypressfork/benches/fleet.rs
+++ b/crates/cypressfork/benches/fleet.rs
@@ -5,6 +5,8 @@
 mod support;
 
 use std::fs;
+use std::hash::{BuildHasher, RandomState};
+use std::hint::black_box;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,7 +15,9 @@
 
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::config::{Application, Change, Item, Template};
+use cypressfork_core::fleet::fingerprint::Identity;
 use cypressfork_core::unit::RequestId;
+use cypressfork_node::digest::fingerprint;
 use cypressfork_node::group::Group;
 use cypressfork_node::link::Credentials;
 use cypressfork_wire::auth::Key;
@@ -26,7 +30,7 @@
 
 fn main() {
     let only = std::env::args().skip(1).find(|a| !a.starts_with('-'));
-    let all: [(&str, fn()); 7] = [
+    let all: [(&str, fn()); 8] = [
         ("control", control_cost),
         ("latency", latency),
         ("capacity", capacity),
@@ -34,6 +38,7 @@
         ("config", config_in_force),
         ("leaderless", leaderless),
         ("log", log),
+        ("identity", identity),
     ];
     for (name, run) in all {
         if only.as_ref().is_none_or(|o| o == name) {
@@ -42,6 +47,30 @@
     }
 }
 
+/// Repetitions of one measure of a few microseconds.
+const REPEATED: u32 = 20_000;
+
+/// What it costs a request to be told from others, by the length of its body.
+fn identity() {
+    let hasher = RandomState::new();
+    for length in [0, 800, 6_000, 60_000] {
+        let body = vec![b'x'; length];
+        let (account, method) = (Some("club"), "POST");
+        let (host, path) = ("club.example", "/talk/annotate/whole");
+        let one = Identity { account, method, host, path, body: &body };
+        let each = |what: &str, f: &dyn Fn() -> u64| {
+            let begun = Instant::now();
+            let sum = (0..REPEATED).fold(0u64, |sum, _| sum.wrapping_add(black_box(f())));
+            black_box(sum);
+            let ns = begun.elapsed().as_nanos() / u128::from(REPEATED);
+            show(&format!("{what}, {length} bytes"), format!("{ns} ns"));
+        };
+        each("brief", &|| black_box(&one).brief());
+        each("hash of one that was answered", &|| hasher.hash_one(black_box(&one)));
+        each("fingerprint", &|| fingerprint(black_box(&one)).digest);
+    }
+}
+
 fn show(what: &str, figure: String) {
     println!("{what}: {figure}");
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -24,6 +24,10 @@
 /// How long a connection may rest if the server does not say.
 const REST: Duration = Duration::from_secs(5);
 
+/// How long a connection may rest on which nothing was said yet: a server may give such a one less
+/// time than others, and has not told how much.
+const UNUSED_REST: Duration = Duration::from_secs(1);
+
 /// The largest head of an answer.
 const HEAD_CAP: usize = 64 * 1024;
 
@@ -109,7 +113,10 @@
     /// Looks whether anybody listens at an address.
     pub async fn probe(address: SocketAddr) -> Presence {
         match timeout(CONNECT_WITHIN, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => Presence::There(Connection::new(stream)),
+            Ok(Ok(stream)) => {
+                let rest = UNUSED_REST;
+                Presence::There(Connection { rest, ..Connection::new(stream) })
+            }
             Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Presence::Nobody,
             Ok(Err(e)) => Presence::Unknown(e.to_string()),
             Err(_) => Presence::Unknown("no connection in time".to_owned()),
