--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine/mod.rs
@@ -17,20 +17,20 @@
 //! everywhere. A gateway that reaches no control process goes by a state of its own, of the ends that
 //! it saw itself.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod message;
+mod suspect;
+
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
+pub use message::{Change, EndedReplica, Told, UnderWay};
+use suspect::{End, Suspect, guilty};
+pub use suspect::{STRIKES, STRIKES_OF_RIVALS};
+
 use super::fingerprint::Fingerprint;
 use crate::unit::{Index, Millis, Time};
 
-/// Ends of replicas at which a request is quarantined. One more would end one more replica for each
-/// such request; one less would take the word of two coincidences.
-pub const STRIKES: usize = 3;
-
-/// Ends of replicas at which a request is quarantined at all of which others may have been to blame.
-pub const STRIKES_OF_RIVALS: usize = 5;
-
 /// Reports on one replica that lie no farther apart are of the same end. Gateways see it in one
 /// instant, and their reports take some tens of milliseconds.
 const SAME_END: Millis = Millis(300);
@@ -39,10 +39,6 @@
 /// soon as it can.
 const REPORTED_WITHIN: Millis = Millis::seconds(60);
 
-/// How much earlier than a strike a request may seem to have been sent that was sent after it: reports
-/// take different times on their way.
-const SLACK: Millis = Millis(100);
-
 /// How long strikes are remembered.
 const REMEMBERED: Millis = Millis::seconds(600);
 
@@ -75,46 +71,6 @@
 /// each.
 const TOLD_MOST: usize = 128;
 
-/// A request that was under way at a replica that has ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UnderWay {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Its client account; empty if it has none.
-    pub account: String,
-    /// How long before the end it had been sent.
-    pub age: Millis,
-}
-
-/// A gateway's report of a replica that has ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndedReplica {
-    /// The replica's id.
-    pub replica: String,
-    /// How long ago.
-    pub ago: Millis,
-    /// What the gateway had sent there.
-    pub under_way: Vec<UnderWay>,
-}
-
-/// One end of a replica under a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct End {
-    /// Its number; the same for all requests that it took.
-    number: u64,
-    at: Time,
-    sent: Time,
-}
-
-/// A request under which replicas have ended.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct Suspect {
-    account: String,
-    ends: Vec<End>,
-    /// Quarantines that it has been through, without the one under way.
-    terms: u32,
-}
-
 /// The last end of a replica, and when it was heard of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Numbered {
@@ -130,30 +86,6 @@
     over: Time,
 }
 
-impl Suspect {
-    fn last(&self) -> Time {
-        self.ends.iter().map(|e| e.at).max().unwrap_or_default()
-    }
-
-    /// The ends that count as strikes, but for those that another request explains.
-    fn strikes(&self, explained: &BTreeSet<u64>) -> Vec<u64> {
-        let mut strikes = Vec::new();
-        let mut last = None;
-        for e in self.ends.iter().filter(|e| !explained.contains(&e.number)) {
-            if last.is_none_or(|last| e.sent.after(SLACK) >= last) {
-                strikes.push(e.number);
-                last = Some(e.at);
-            }
-        }
-        strikes
-    }
-
-    /// Strikes at which it is quarantined: one that was before gets no second chance.
-    fn bound(&self) -> usize {
-        if self.terms > 0 { 1 } else { STRIKES }
-    }
-}
-
 /// A quarantined request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
@@ -169,62 +101,6 @@
     pub strikes: usize,
 }
 
-/// What changed for a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// It is quarantined.
-    Begun,
-    /// It is not any more: another request explains what ended under it.
-    Explained,
-    /// It is not any more: it was answered whole.
-    Answered,
-    /// It is not any more: its time is over.
-    Over,
-    /// It is not any more: an operator's word.
-    Lifted,
-    /// It is not any more: there are too many.
-    Dropped,
-}
-
-impl Change {
-    /// Its name in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Change::Begun => "quarantined",
-            Change::Explained => "another request explains it",
-            Change::Answered => "it was answered whole",
-            Change::Over => "its time is over",
-            Change::Lifted => "lifted by an operator",
-            Change::Dropped => "too many are quarantined",
-        }
-    }
-}
-
-/// What gateways go by.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Told {
-    /// Position of the command that changed it last.
-    pub revision: Index,
-    /// Requests that are sent to no replica.
-    pub quarantined: Vec<Fingerprint>,
-    /// Requests with several strikes: it matters to hear that one was answered whole.
-    pub suspects: Vec<Fingerprint>,
-    /// Requests with one strike. Most never come again; it matters to hear of those that are answered
-    /// whole again and again.
-    pub struck: Vec<Fingerprint>,
-}
-
-impl Told {
-    /// Takes what another process tells, if it is newer. Returns whether it is.
-    pub fn take(&mut self, told: Told) -> bool {
-        let newer = told.revision > self.revision;
-        if newer {
-            *self = told;
-        }
-        newer
-    }
-}
-
 /// What is known of all requests under which replicas have ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantine {
@@ -309,39 +185,14 @@
             s.terms = self.former.get(&u.fingerprint).map_or(0, |f| f.terms);
             self.order.push_back(u.fingerprint);
         }
-        match s.ends.iter_mut().find(|e| e.number == number) {
-            // Of two copies at one replica the newer decides.
-            Some(e) => e.sent = e.sent.max(sent),
-            None => {
-                s.ends.push(End { number, at, sent });
-                s.ends.sort_by_key(|e| e.at);
-            }
-        }
+        s.take(End { number, at, sent });
         self.revision = pos;
-        s.ends.len() >= s.bound()
+        s.may_be_enough()
     }
 
-    /// Finds the requests that explain the ends of replicas, those with the most strikes first.
+    /// Quarantines the requests that explain the ends of replicas.
     fn judge(&mut self, now: Time, pos: Index) -> Vec<(Fingerprint, Change)> {
-        let mut left: BTreeMap<_, _> = self.suspects.iter().collect();
-        let mut explained = BTreeSet::new();
-        let mut guilty = Vec::new();
-        let mut doubtful = BTreeSet::new();
-        while let Some((f, strikes)) = foremost(&left, &explained, &doubtful) {
-            let rivals = rivals(f, &strikes, &left, &explained);
-            let told_apart = rivals.is_empty() && is_alone_once(f, &strikes, &left);
-            if !told_apart && strikes.len() < STRIKES_OF_RIVALS {
-                doubtful.insert(f);
-                continue;
-            }
-            for f in rivals.into_iter().chain([f]) {
-                left.remove(&f);
-                guilty.push((f, strikes.len()));
-            }
-            explained.extend(strikes);
-            // What the others have left may tell them apart now.
-            doubtful.clear();
-        }
+        let guilty = guilty(&self.suspects);
         self.quarantine(now, pos, &guilty)
     }
 
@@ -513,38 +364,3 @@
         all.remove(&oldest);
     }
 }
-
-/// The request with the most strikes that reach its bound, and these.
-fn foremost(
-    left: &BTreeMap<&Fingerprint, &Suspect>,
-    explained: &BTreeSet<u64>,
-    doubtful: &BTreeSet<Fingerprint>,
-) -> Option<(Fingerprint, Vec<u64>)> {
-    let open = left.iter().filter(|(f, s)| s.ends.len() >= s.bound() && !doubtful.contains(f));
-    let strikes = open.map(|(f, s)| (**f, s.strikes(explained), s.bound()));
-    let enough = strikes.filter(|(_, strikes, bound)| strikes.len() >= *bound);
-    let (f, strikes, _) = enough.max_by_key(|(_, strikes, _)| strikes.len())?;
-    Some((f, strikes))
-}
-
-/// The other requests that have the same strikes, and enough of them.
-fn rivals(
-    f: Fingerprint,
-    strikes: &[u64],
-    left: &BTreeMap<&Fingerprint, &Suspect>,
-    explained: &BTreeSet<u64>,
-) -> Vec<Fingerprint> {
-    let others = left.iter().filter(|(other, s)| ***other != f && strikes.len() >= s.bound());
-    let alike = others.filter(|(_, s)| s.strikes(explained) == strikes);
-    alike.map(|(f, _)| **f).collect()
-}
-
-/// Whether a replica ended under `f` where no other request was that other ends speak against: one with
-/// several strikes, some of them without `f`. Strikes that a third one explains speak against it too.
-fn is_alone_once(f: Fingerprint, strikes: &[u64], left: &BTreeMap<&Fingerprint, &Suspect>) -> bool {
-    let others = left.iter().filter(|(other, s)| ***other != f && s.ends.len() > 1);
-    let theirs = others.map(|(_, s)| s.strikes(&BTreeSet::new()));
-    let apart = theirs.filter(|t| t.len() > 1 && t.iter().any(|end| !strikes.contains(end)));
-    let shared: BTreeSet<u64> = apart.flatten().collect();
-    strikes.iter().any(|end| !shared.contains(end))
-}
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -11,7 +11,8 @@
 
 use super::client::Client;
 use super::dialect::{Dialect, Told};
-use super::request::{Job, Progress};
+use super::job::Job;
+use super::request::Progress;
 use super::stream;
 use super::witness::note_lost;
 
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod events;
 mod follow;
 mod homes;
+mod job;
 pub mod native;
 mod quarantine;
 mod request;
--- a/crates/router/src/gateway/quarantine.rs
+++ b/crates/router/src/gateway/quarantine.rs
@@ -22,9 +22,9 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
-use super::request::Job;
+use super::job::Job;
 use super::state::Gateway;
-use super::witness::{Victim, identity};
+use super::witness::Victim;
 
 /// How long one report may take before it is put back.
 const REPORT_WITHIN: Duration = Duration::from_secs(5);
@@ -98,7 +98,7 @@
         if self.briefs.borrow().is_empty() && !alone {
             return None;
         }
-        let identity = identity(job);
+        let identity = job.identity();
         let named = self.briefs.borrow().contains(&identity.brief());
         if !named && !alone {
             return None;
@@ -115,7 +115,7 @@
 
     /// Notes that a request was answered whole, and tells the group if that matters to anybody.
     pub fn answered(&self, job: &Job) {
-        let identity = identity(job);
+        let identity = job.identity();
         self.sound.borrow_mut().note(self.hasher.hash_one(identity));
         if self.briefs.borrow().is_empty() {
             return;
@@ -134,7 +134,7 @@
 
     /// Whether this gateway answered a copy of a request whole lately.
     pub fn is_sound(&self, job: &Job) -> bool {
-        self.sound.borrow().has(self.hasher.hash_one(identity(job)))
+        self.sound.borrow().has(self.hasher.hash_one(job.identity()))
     }
 
     /// Notes that a replica has ended with these requests under way.
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::{self, HeaderMap, HeaderName};
-use actix_http::{Method, Request, Uri};
+use actix_http::Request;
+use actix_http::header::{self, HeaderName};
 use bytes::Bytes;
 use cypressfork_core::code::{Code, Ran};
 use cypressfork_core::fleet::admission;
@@ -13,7 +13,6 @@
 use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::fleet::patience;
 use cypressfork_core::fleet::routes::{Routes, draw};
-use cypressfork_core::route::Work;
 use cypressfork_core::route::lateness::Aim;
 use cypressfork_core::unit::{Millis, Tokens};
 use cypressfork_node::emit;
@@ -26,9 +25,10 @@
 use super::attempt::{self, Ended};
 use super::budget::{Held, Spent, hold};
 use super::client::Client;
-use super::dialect::{Dialect, Inbound, Prompt};
+use super::dialect::{Dialect, Inbound};
 use super::documents::depends_on_document;
 use super::events::Events;
+use super::job::Job;
 use super::state::Gateway;
 use super::timing::Timing;
 use crate::reply::Refusal;
@@ -60,65 +60,6 @@
     HeaderName::from_static("proxy-connection"),
 ];
 
-/// A request whose route and account are known.
-pub struct Job {
-    /// The gateway.
-    pub gw: Rc<Gateway>,
-    /// What its head says.
-    pub inbound: Inbound,
-    /// The method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The caller's headers that are passed on.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-    /// Whether it may be repeated.
-    pub kind: Kind,
-    /// It is a stream that may go on elsewhere.
-    pub resumable: bool,
-    /// How urgent it is.
-    pub priority: u8,
-    /// The most replicas that may run it.
-    pub attempts: u32,
-    /// The service that it goes to.
-    pub service: String,
-    /// Requests a minute that a cold replica of it bears.
-    pub cold_bound: Option<u32>,
-    /// The client account.
-    pub account: Option<String>,
-    /// Tokens of one event, at most.
-    pub stride: Tokens,
-    /// When it is in time.
-    pub aim: Aim,
-    /// When it is given up.
-    pub deadline: Instant,
-}
-
-impl Job {
-    /// Whether it may run more than once.
-    pub fn is_repeatable(&self) -> bool {
-        self.kind == Kind::Safe || self.resumable
-    }
-
-    /// The work that it asks for.
-    pub fn prompt(&self) -> Prompt {
-        self.inbound.prompt.clone().unwrap_or_default()
-    }
-
-    /// What it asks of a replica.
-    fn work(&self) -> Work {
-        let prompt = self.inbound.prompt.as_ref();
-        Work { trail: self.prompt().trail, aim: prompt.map(|_| self.aim) }
-    }
-
-    /// What is left of its time.
-    pub fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-}
-
 fn millis(m: Millis) -> Duration {
     Duration::from_millis(m.0)
 }
--- a/crates/router/src/gateway/witness.rs
+++ b/crates/router/src/gateway/witness.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cypressfork_core::fleet::fingerprint::{Fingerprint, Identity};
+use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::unit::Millis;
 use cypressfork_http::client::{Connection, Presence};
 use cypressfork_node::digest::fingerprint;
@@ -19,7 +19,7 @@
 use metrics::counter;
 use tokio::time::{Instant, sleep};
 
-use super::request::Job;
+use super::job::Job;
 use super::state::Gateway;
 
 /// How long the connections of a replica that has ended take to be noticed, all of them: they end in
@@ -46,22 +46,11 @@
     open: RefCell<HashMap<(SocketAddr, String), Vec<Victim>>>,
 }
 
-/// The parts of a request in which its copies agree.
-pub fn identity(job: &Job) -> Identity<'_> {
-    Identity {
-        account: job.account.as_deref(),
-        method: job.method.as_str(),
-        host: &job.inbound.host,
-        path: job.uri.path_and_query().map_or("", |p| p.as_str()),
-        body: &job.body,
-    }
-}
-
 /// Notes that a connection to `replica`, on which a request was sent at `sent`, has ended.
 pub fn note_lost(job: &Job, address: SocketAddr, replica: &str, sent: Instant) {
     let victim = Victim {
         id: job.inbound.id.clone(),
-        fingerprint: fingerprint(&identity(job)),
+        fingerprint: fingerprint(&job.identity()),
         account: job.account.clone(),
         age: Millis(sent.elapsed().as_millis() as u64),
         sound: job.gw.quarantines.is_sound(job),
