--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -79,6 +79,8 @@
     full: Cell<bool>,
     leaving: Cell<bool>,
     beats: Cell<u64>,
+    /// When it started, in milliseconds since 1970.
+    born: u64,
     serving: Cell<Option<AbortHandle>>,
     beating: Cell<Option<AbortHandle>>,
 }
@@ -99,6 +101,7 @@
             full: Cell::new(false),
             leaving: Cell::new(false),
             beats: Cell::new(0),
+            born: w.next_born(),
             serving: Cell::new(None),
             beating: Cell::new(None),
         });
@@ -157,7 +160,7 @@
         let body = json!({
             "service": self.service, "address": self.gate.address.to_string(),
             "data_centre": "tamar-a", "slots": 16, "draining": self.leaving.get(),
-            "sequence": self.beats.get(),
+            "sequence": self.beats.get(), "born": self.born,
         });
         let path = format!("/v1/replicas/{}", self.id);
         let body = Bytes::from(body.to_string());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -47,8 +47,14 @@
 /// Times that a request may be sent to replicas after that, in all.
 const POISONED_MOST: usize = 3;
 
-/// How long a replica that a request has ended is down.
+/// How long a replica that a request has ended is down: mostly, and as when it starts again at once.
 const REPLICA_DOWN: Duration = Duration::from_millis(1_500);
+const REPLICA_DOWN_SHORTLY: Duration = Duration::from_millis(100);
+
+/// Of a hundred replicas that have ended, those that start again under their id, and those that do so
+/// at once.
+const SAME_ID: u32 = 50;
+const SHORTLY: u32 = 30;
 
 /// How long poison requests are sent once more, when all faults are over.
 const POISON_AGAIN: Duration = Duration::from_secs(2);
@@ -182,12 +188,27 @@
         incarnation.set(incarnation.get() + 1);
     }
 
+    /// Starts another replica, under an id of its own.
     async fn add_replica(&self, all: &RefCell<Replicas>) -> Result<(), Error> {
-        let (service, id) = {
+        let id = {
             let mut all = all.borrow_mut();
             all.started += 1;
-            (all.service, format!("{}-{}", all.service, all.started))
+            format!("{}-{}", all.service, all.started)
         };
+        self.start_replica(all, id).await
+    }
+
+    /// Starts a replica again after its end: under its id, or another.
+    async fn start_replica_again(&self, all: &RefCell<Replicas>, id: String) -> Result<(), Error> {
+        if !self.w.happens(SAME_ID) {
+            return self.add_replica(all).await;
+        }
+        self.w.ended.borrow_mut().retain(|ended| *ended != id);
+        self.start_replica(all, id).await
+    }
+
+    async fn start_replica(&self, all: &RefCell<Replicas>, id: String) -> Result<(), Error> {
+        let service = all.borrow().service;
         let started = Replica::start(&self.w, service, id).await.map_err(io("start a replica"))?;
         all.borrow_mut().running.push(started);
         Ok(())
@@ -237,18 +258,19 @@
     /// Has replicas that requests have ended start again after a while, under another id and address.
     fn note_ended_replicas(self: &Rc<Self>) {
         for all in [&self.talk, &self.board] {
-            let ended = self.w.ended.borrow();
-            let before = all.borrow().running.len();
-            all.borrow_mut().running.retain(|r| !ended.contains(&r.id));
-            let gone = before - all.borrow().running.len();
+            let ended = self.w.ended.borrow().clone();
+            let is_gone = |r: &mut Rc<Replica>| ended.contains(&r.id);
+            let gone: Vec<_> = all.borrow_mut().running.extract_if(.., is_gone).collect();
             let talk = std::ptr::eq(all, &self.talk);
-            for _ in 0..gone {
+            for r in gone {
                 self.disrupt(POISONED.to_owned(), REPLICA_DOWN.as_millis() as u64 + START_MS);
-                let run = self.clone();
+                let down =
+                    if self.w.happens(SHORTLY) { REPLICA_DOWN_SHORTLY } else { REPLICA_DOWN };
+                let (run, id) = (self.clone(), r.id.clone());
                 self.spawn(async move {
-                    sleep(REPLICA_DOWN).await;
+                    sleep(down).await;
                     let all = if talk { &run.talk } else { &run.board };
-                    run.add_replica(all).await.expect("a replica can be started");
+                    run.start_replica_again(all, id).await.expect("a replica can be started");
                 });
             }
         }
@@ -440,7 +462,8 @@
     async fn crash(&self, all: &RefCell<Replicas>, n: usize) {
         let Some(gone) = self.take(all, n) else { return };
         gone.crash();
-        self.add_replica(all).await.expect("a replica can be started");
+        let again = self.start_replica_again(all, gone.id.clone()).await;
+        again.expect("a replica can be started");
     }
 
     async fn leave(&self, all: &RefCell<Replicas>, n: usize) {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 
+use cypressfork_node::time::wall;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
@@ -30,6 +31,8 @@
     pub sent: Cell<u64>,
     /// Replicas that have ended and are to start again.
     pub ended: RefCell<Vec<String>>,
+    /// When the last replica started, in milliseconds since 1970.
+    born: Cell<u64>,
     rng: RefCell<SmallRng>,
 }
 
@@ -53,6 +56,7 @@
             acked: Cell::new(0),
             sent: Cell::new(0),
             ended: RefCell::default(),
+            born: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         }
     }
@@ -62,6 +66,13 @@
         self.started.elapsed().as_millis() as At
     }
 
+    /// When a replica that starts now has started: later than any before.
+    pub fn next_born(&self) -> u64 {
+        let born = wall().0.max(self.born.get() + 1);
+        self.born.set(born);
+        born
+    }
+
     /// A number below `n`.
     pub fn below(&self, n: usize) -> usize {
         self.rng.borrow_mut().random_range(0..n)
