Crashing requests: replicas whose listening socket outlasts them, red

Cause: evidence of an end rests on one look at the replica's address. Where the socket closes 20 or 250 ms after the connections, or a supervisor holds it, that look finds somebody and no strike is noted.

--- a/crates/cypressfork/tests/crashing_requests.rs
+++ b/crates/cypressfork/tests/crashing_requests.rs
@@ -39,6 +39,19 @@
 /// How long a replica is down. Those that were seen came back after two seconds and more.
 const DOWN: Duration = Duration::from_secs(2);
 
+/// How long a process goes on listening after its connections have ended.
+const EXIT: Duration = Duration::from_millis(20);
+
+/// The same on a busy machine.
+const SLOW_EXIT: Duration = Duration::from_millis(250);
+
+/// How long a replica is down whose supervisor holds its socket: until its next life speaks, nothing
+/// shows that the former has ended.
+const SUPERVISED: Duration = Duration::from_millis(500);
+
+/// How long a replica is down that its supervisor starts again at once.
+const AT_ONCE: Duration = Duration::from_millis(10);
+
 /// Within this time of a request's third end of a replica, every gateway goes by it.
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 
@@ -54,6 +67,14 @@
 /// Code of a refusal for what a request has done.
 const QUARANTINED: &str = "CF1309";
 
+/// How replicas end and come back.
+#[derive(Clone, Copy)]
+struct Ends {
+    back: Back,
+    socket: Socket,
+    down: Duration,
+}
+
 /// A fleet, its replicas and its callers.
 struct Storm {
     fleet: Fleet,
@@ -75,6 +96,10 @@
 impl Storm {
     /// A fleet that serves, without any request yet.
     fn new(back: Back) -> Storm {
+        Storm::of(Ends { back, socket: Socket::Closes, down: DOWN })
+    }
+
+    fn of(ends: Ends) -> Storm {
         let mut fleet = Fleet::new(3);
         (0..3).for_each(|n| fleet.start_control(n, true));
         fleet.start_gateway();
@@ -93,19 +118,20 @@
             fleet,
             _neighbours: neighbours,
         };
-        storm.start_replicas(back);
+        storm.start_replicas(ends);
         storm.until_all_answer();
         storm
     }
 
-    fn start_replicas(&self, back: Back) {
+    fn start_replicas(&self, ends: Ends) {
         let controls: Vec<_> = self.fleet.controls.iter().map(|c| c.api).collect();
         for (n, address) in free(&support::own_ip(), REPLICAS).into_iter().enumerate() {
             let replica = CrashingReplica {
                 address,
                 name: format!("b-{n}"),
-                back,
-                down: DOWN,
+                back: ends.back,
+                socket: ends.socket,
+                down: ends.down,
                 controls: controls.clone(),
                 seen: self.seen.clone(),
                 over: self.replicas_over.clone(),
@@ -197,7 +223,28 @@
 #[case::replicas_come_back_under_another_id(Back::NewId)]
 #[case::replicas_come_back_under_their_id(Back::SameId)]
 fn a_request_that_ends_its_replicas_is_soon_sent_to_none(#[case] back: Back) {
-    let storm = Storm::new(back);
+    sent_to_none(&Storm::new(back));
+}
+
+/// What listens at a replica's address may outlast the replica: whoever connects there within that time
+/// is accepted, and never answered.
+#[rstest]
+#[case::its_process_takes_a_while_to_exit(Back::NewId, Socket::ClosesAfter(EXIT), DOWN)]
+#[case::and_keeps_its_id(Back::SameId, Socket::ClosesAfter(EXIT), DOWN)]
+#[case::a_slow_exit(Back::NewId, Socket::ClosesAfter(SLOW_EXIT), DOWN)]
+#[case::a_supervisor_holds_its_socket(Back::NewId, Socket::Held, SUPERVISED)]
+#[case::a_supervisor_starts_it_under_its_id(Back::SameIdBorn, Socket::Held, SUPERVISED)]
+#[case::it_starts_again_at_once(Back::NewId, Socket::Closes, AT_ONCE)]
+#[case::under_its_id(Back::SameIdBorn, Socket::Closes, AT_ONCE)]
+fn nor_if_its_replicas_sockets_outlast_them(
+    #[case] back: Back,
+    #[case] socket: Socket,
+    #[case] down: Duration,
+) {
+    sent_to_none(&Storm::of(Ends { back, socket, down }));
+}
+
+fn sent_to_none(storm: &Storm) {
     storm.send_sound();
     storm.send_killers();
     let known = storm.until_known();
--- a/crates/cypressfork/tests/support/crashing.rs
+++ b/crates/cypressfork/tests/support/crashing.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use serde_json::{Value, json};
 
@@ -57,6 +57,19 @@
     NewId,
     /// Under the id that it had, with its heartbeats numbered anew.
     SameId,
+    /// The same, and its heartbeats tell when it started.
+    SameIdBorn,
+}
+
+/// What becomes of a replica's listening socket when the replica ends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Socket {
+    /// It closes, and with it all connections.
+    Closes,
+    /// The connections end, and it closes so much later: the process takes a while to exit.
+    ClosesAfter(Duration),
+    /// A supervisor holds it, and hands it to the next life.
+    Held,
 }
 
 /// A replica that ends and starts again at its address for as long as `over` is not set.
@@ -64,6 +77,7 @@
     pub address: SocketAddr,
     pub name: String,
     pub back: Back,
+    pub socket: Socket,
     pub down: Duration,
     pub controls: Vec<SocketAddr>,
     pub seen: Arc<Seen>,
@@ -84,20 +98,22 @@
 
     fn live_forever(&self) {
         let mut lives = 0;
+        let mut held = None;
         while !self.over.load(Ordering::Relaxed) {
             lives += 1;
             let id = match self.back {
                 Back::NewId => format!("{}-{lives}", self.name),
-                Back::SameId => self.name.clone(),
+                Back::SameId | Back::SameIdBorn => self.name.clone(),
             };
             let life = Life { id, ended: AtomicBool::new(false), open: Mutex::default() };
-            self.live(&Arc::new(life));
+            let listener = held.take().unwrap_or_else(|| TcpListener::bind(self.address).unwrap());
+            held = self.live(&Arc::new(life), listener);
             sleep(self.down);
         }
     }
 
-    fn live(&self, life: &Arc<Life>) {
-        let listener = TcpListener::bind(self.address).unwrap();
+    /// Runs one life. Returns the listening socket if it outlasts it.
+    fn live(&self, life: &Arc<Life>, listener: TcpListener) -> Option<TcpListener> {
         listener.set_nonblocking(true).unwrap();
         self.beat_while(life);
         while !life.ended.load(Ordering::Relaxed) && !self.over.load(Ordering::Relaxed) {
@@ -111,22 +127,41 @@
                 Err(_) => sleep(LOOK_EVERY),
             }
         }
-        // As when a process ends: its port is closed, and with it all that was open.
-        drop(listener);
-        for s in life.open.lock().unwrap().drain(..) {
-            let _ = s.shutdown(Shutdown::Both);
+        let end_connections = || {
+            for s in life.open.lock().unwrap().drain(..) {
+                let _ = s.shutdown(Shutdown::Both);
+            }
+        };
+        match self.socket {
+            // As when a process ends: its port is closed, and with it all that was open.
+            Socket::Closes => drop(listener),
+            Socket::ClosesAfter(later) => {
+                end_connections();
+                sleep(later);
+                drop(listener);
+            }
+            Socket::Held => {
+                end_connections();
+                return Some(listener);
+            }
         }
+        end_connections();
+        None
     }
 
     fn beat_while(&self, life: &Arc<Life>) {
         let (life, controls, over) = (life.clone(), self.controls.clone(), self.over.clone());
         let address = self.address.to_string();
+        let born = match self.back {
+            Back::SameIdBorn => unix_ms(),
+            Back::NewId | Back::SameId => 0,
+        };
         thread::spawn(move || {
             let mut sequence = 0;
             while !life.ended.load(Ordering::Relaxed) && !over.load(Ordering::Relaxed) {
                 sequence += 1;
                 let beat = json!({ "service": "board", "address": address,
-                    "data_centre": "tamar-a", "slots": 16, "sequence": sequence });
+                    "data_centre": "tamar-a", "slots": 16, "sequence": sequence, "born": born });
                 let path = format!("/v1/replicas/{}", life.id);
                 let to = controls[sequence % controls.len()];
                 // The next heartbeat goes to another control process.
@@ -137,6 +172,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap();
+    now.as_millis() as u64
+}
+
 /// Reads one request: its head and body as text.
 fn request(s: &mut TcpStream) -> Option<String> {
     let mut text = String::new();
