An end of a replica is shown by several signs, not by one look at its address

Ruled out: a request by name that every other replica rejects (a busy one is late); all connections at once (a reset link does the same); a longer pause before the one look (a larger constant, still one look).

Change: core::fleet::ends keeps each loss open for 15 s; refused looks (five at most, the next one as soon as an accepted connection ends), another replica, a later life, silence close it; a planned leave or an open connection blames nobody. The end is dated by the loss. Requests answered whole meanwhile are no suspects.

Left: a held socket shows only with the next life's word; without born and with its old id, by silence alone.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod contacts;
 pub mod demand;
 pub mod document;
+pub mod ends;
 pub mod entry;
 pub mod evacuation;
 pub mod fetch;
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -35,6 +35,17 @@
     replaced: bool,
 }
 
+/// Whether a record is of a start that was not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// Of one that is known.
+    Known,
+    /// Of a replica of which nothing was known.
+    New,
+    /// Of a later life of a replica that is known.
+    LaterLife,
+}
+
 /// What is known of all of them.
 #[derive(Clone, Debug, Default)]
 pub struct Replicas {
@@ -85,6 +96,15 @@
         Some((standing, changes))
     }
 
+    /// Whether a record tells of a start that was not known.
+    pub fn start(&self, r: &Record) -> Start {
+        match self.by_id.get(&r.registration.id) {
+            None => Start::New,
+            Some(k) if is_later_life(&k.record, r) => Start::LaterLife,
+            Some(_) => Start::Known,
+        }
+    }
+
     /// What has its address forgotten by those who send there, if it is the one that is there.
     fn vacate(&self, id: &str) -> Option<Change> {
         let (service, address) = place(&self.by_id.get(id)?.record);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -146,6 +146,11 @@
         quiet && self.buf.is_empty() && now.duration_since(self.resting_since) < self.rest
     }
 
+    /// Waits until the server ends a connection on which nothing was said.
+    pub async fn ended_unused(&mut self) {
+        while matches!(self.fill().await, Ok(true)) {}
+    }
+
     /// Sends a request.
     pub async fn send(&mut self, o: Outbound<'_>) -> Result<(), Broken> {
         let mut head = RequestHead::default();
--- a/crates/router/src/gateway/quarantine.rs
+++ b/crates/router/src/gateway/quarantine.rs
@@ -14,7 +14,7 @@
 use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::fleet::quarantine::{EndedReplica, Quarantine, Told, UnderWay};
 use cypressfork_core::fleet::sound::Sound;
-use cypressfork_core::unit::{Index, Millis};
+use cypressfork_core::unit::{Index, Time};
 use cypressfork_node::digest::fingerprint;
 use cypressfork_node::event::Event;
 use cypressfork_node::{emit, metric};
@@ -43,7 +43,7 @@
 #[derive(Clone)]
 struct Waiting {
     replica: String,
-    seen: Instant,
+    since: Time,
     under_way: Vec<UnderWay>,
 }
 
@@ -132,26 +132,31 @@
         }
     }
 
+    /// What this process knows a request by among those that it answered whole.
+    pub fn hash(&self, job: &Job) -> u64 {
+        self.hasher.hash_one(job.identity())
+    }
+
     /// Whether this gateway answered a copy of a request whole lately.
-    pub fn is_sound(&self, job: &Job) -> bool {
-        self.sound.borrow().has(self.hasher.hash_one(job.identity()))
+    pub fn is_sound(&self, hash: u64) -> bool {
+        self.sound.borrow().has(hash)
     }
 
-    /// Notes that a replica has ended with these requests under way.
-    pub fn ended(&self, gw: &Gateway, replica: &str, victims: Vec<Victim>) {
+    /// Notes that a replica has ended at `since` with these requests under way.
+    pub fn ended(&self, gw: &Gateway, replica: &str, since: Time, victims: Vec<Victim>) {
         let under_way = |v: Victim| UnderWay {
             fingerprint: v.fingerprint,
             account: v.account.unwrap_or_default(),
             age: v.age,
         };
-        let suspects = victims.into_iter().filter(|v| !v.sound);
+        let suspects = victims.into_iter().filter(|v| !self.is_sound(v.hash));
         let under_way: Vec<_> = suspects.map(under_way).collect();
         if under_way.is_empty() {
             return;
         }
         let own = EndedReplica {
             replica: replica.to_owned(),
-            ago: Millis(0),
+            ago: gw.now().since(since),
             under_way: under_way.clone(),
         };
         self.own.borrow_mut().note(gw.now(), self.own_position.get(), &[own]);
@@ -161,15 +166,15 @@
             let lost = waiting.remove(0);
             emit!(Event::EndsUnreported, replica = lost.replica, requests = lost.under_way.len());
         }
-        waiting.push(Waiting { replica: replica.to_owned(), seen: Instant::now(), under_way });
+        waiting.push(Waiting { replica: replica.to_owned(), since, under_way });
         self.wake.notify_one();
     }
 }
 
-fn report(all: &[Waiting]) -> Command {
+fn report(now: Time, all: &[Waiting]) -> Command {
     let ended = |w: &Waiting| EndedReplica {
         replica: w.replica.clone(),
-        ago: Millis(w.seen.elapsed().as_millis() as u64),
+        ago: now.since(w.since),
         under_way: w.under_way.clone(),
     };
     Command::Ended(all.iter().map(ended).collect())
@@ -198,7 +203,7 @@
         if own.reporting.get().is_none() {
             own.reporting.set(Some(Instant::now()));
         }
-        match gw.group.command_anew(|| report(&waiting), REPORT_WITHIN).await {
+        match gw.group.command_anew(|| report(gw.now(), &waiting), REPORT_WITHIN).await {
             Ok(_) => own.reporting.set(None),
             Err(code) => {
                 emit!(Event::EndsUnreported, replicas = waiting.len(), why = code);
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use cypressfork_core::budget::report_every;
+use cypressfork_core::fleet::ends::Sign;
 use cypressfork_core::fleet::evacuation::Evacuations;
 use cypressfork_core::fleet::registry::{Record, Standing};
-use cypressfork_core::fleet::replicas::{Change, Replicas};
+use cypressfork_core::fleet::replicas::{Change, Replicas, Start};
 use cypressfork_core::fleet::retry::Window;
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::share::Placement;
@@ -35,7 +36,7 @@
 use super::settings::Settings;
 use super::share::Share;
 use super::upstream::Connections;
-use super::witness::Witness;
+use super::witness::{Witness, take_sign};
 use crate::token_store::TokenStore;
 
 /// Prompts of which a replica has to read so many tokens are told to other gateways. Reading fewer
@@ -193,17 +194,35 @@
         for r in said {
             let g = &r.registration;
             let (id, address, sequence) = (g.id.clone(), g.address.clone(), g.sequence);
+            let start = self.replicas.borrow().start(&r);
             let Some((standing, changes)) = self.replicas.borrow_mut().take(now, r) else {
                 continue;
             };
             changes.iter().for_each(|c| self.change_pool(now, c));
+            self.take_signs(start, standing, &id, &address);
             news.push(ReplicaNews { id, address, sequence, standing });
         }
         tell_replicas(&news);
     }
 
+    /// Takes what news of a replica say of one whose connections were lost.
+    fn take_signs(&self, start: Start, standing: Standing, id: &str, address: &str) {
+        match (start, standing) {
+            (Start::LaterLife, _) => take_sign(self, Sign::LaterLife(id)),
+            (_, Standing::Silent) => take_sign(self, Sign::Silent(id)),
+            (_, Standing::Draining | Standing::Left) => take_sign(self, Sign::Leaves(id)),
+            (Start::New, Standing::Ready) => {
+                if let Ok(address) = address.parse() {
+                    take_sign(self, Sign::Arrived(address, id));
+                }
+            }
+            (Start::Known, Standing::Ready) => {}
+        }
+    }
+
     /// Takes an answer that says that this replica is not at its address any more.
     pub fn replica_not_there(&self, id: &str) {
+        take_sign(self, Sign::NotThere(id));
         let change = self.replicas.borrow_mut().not_there(id);
         if let Some(c) = &change {
             emit!(Event::ReplicaReplaced, replica = id, address = c.address);
