A gateway whose link is full takes no connection for a moment, and busy ones are named less

Change: bytes from and to callers are held against link_mbps. At half of it, or at mean passes of 25 ms, a gateway is left out of a part of the answers (core::fleet::spill); at 80 in 100 it drops its listening socket for 500 ms, so that callers are refused a connection at once and go elsewhere; requests are refused while a pass takes over 200 ms, or lately did and nobody is heard of.

--- a/crates/core/src/fleet/entry.rs
+++ b/crates/core/src/fleet/entry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::spill::{Sign, Spill};
 use super::watch::RouterSign;
 use crate::unit::{Millis, Time};
 
@@ -14,17 +15,26 @@
 /// Routers of the caller's own data centre that are enough to name no other.
 const NEAR_ENOUGH: usize = 2;
 
+fn spill_sign(r: &RouterSign) -> Sign<'_> {
+    Sign { vm: &r.vm, data_centre: &r.data_centre, busy: r.busy }
+}
+
 /// The routers that one control process has heard of.
 #[derive(Clone, Debug, Default)]
 pub struct Routers {
     heard: BTreeMap<String, (RouterSign, Time)>,
+    spill: Spill,
+    /// Answers so far.
+    answers: u64,
+    /// Which of the routers of other data centres are named next.
+    turn: usize,
 }
 
 impl Routers {
     /// Notes a router's word. Returns whether it is new or stands otherwise than before.
     pub fn note(&mut self, now: Time, r: &RouterSign) -> bool {
         let old = self.heard.insert(r.vm.clone(), (r.clone(), now));
-        old.is_none_or(|(o, _)| o != *r)
+        old.is_none_or(|(o, _)| RouterSign { busy: r.busy, ..o } != *r)
     }
 
     /// Routers heard of lately.
@@ -48,16 +58,33 @@
     /// Addresses for a caller in `data_centre`, at most `most`, its own data centre's alone where
     /// those are enough.
     ///
+    /// Busy ones are left out of a part of the answers; where most of those are busy, some of others
+    /// are named as well.
+    ///
     /// While most routers are silent, the cut is on this side: those that were open stay named.
-    pub fn addresses(&self, now: Time, data_centre: &str, most: usize) -> Vec<String> {
+    pub fn addresses(&mut self, now: Time, data_centre: &str, most: usize) -> Vec<String> {
+        let heard = self.heard.values().filter(|(r, at)| r.open && now.since(*at) < SILENT_AFTER);
+        self.spill.decide(now, heard.map(|(r, _)| spill_sign(r)));
+        self.answers += 1;
         let known = self.heard.values().filter(|(r, at)| r.open && now.since(*at) < FORGET_AFTER);
         let known: Vec<_> = known.collect();
         let live = |at: Time| now.since(at) < SILENT_AFTER;
         let heard: Vec<_> = known.iter().copied().filter(|(_, at)| live(*at)).collect();
         let usable = if heard.len() * 2 > known.len() { heard } else { known };
         let near = |r: &RouterSign| r.data_centre == data_centre;
-        let close: Vec<_> = usable.iter().copied().filter(|(r, _)| near(r)).collect();
-        let named = if close.len() >= NEAR_ENOUGH { close } else { usable };
-        named.into_iter().take(most).map(|(r, _)| r.address.clone()).collect()
+        let spared = |r: &RouterSign| self.spill.leaves_out(&r.vm, self.answers);
+        let left: Vec<_> = usable.iter().copied().filter(|(r, _)| !spared(r)).collect();
+        let usable = if left.is_empty() { usable } else { left };
+        let (close, others): (Vec<_>, Vec<_>) = usable.iter().copied().partition(|(r, _)| near(r));
+        if close.len() < NEAR_ENOUGH {
+            return usable.into_iter().take(most).map(|(r, _)| r.address.clone()).collect();
+        }
+        let beyond = self.spill.beyond(data_centre, others.len());
+        // Each answer goes on where the one before ended, so that all of them get their part.
+        let further = others.iter().cycle().skip(self.turn % others.len().max(1)).take(beyond);
+        let named = close.iter().chain(further).take(most);
+        let named = named.map(|(r, _)| r.address.clone()).collect();
+        self.turn = self.turn.wrapping_add(beyond);
+        named
     }
 }
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -43,6 +43,9 @@
     pub link: String,
     /// It has a document in force and is not stopping.
     pub open: bool,
+    /// It has more work than it can do well: callers are better off elsewhere.
+    #[serde(default)]
+    pub busy: bool,
 }
 
 /// The standing question.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -233,6 +233,7 @@
         address: format!("{vm}:80"),
         link: format!("{vm}:81"),
         open,
+        busy: false,
     }
 }
 
--- a/crates/core/tests/homes.rs
+++ b/crates/core/tests/homes.rs
@@ -127,6 +127,7 @@
         address: String::new(),
         link: String::new(),
         open: true,
+        busy: false,
     }
 }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -108,6 +108,9 @@
     ReplicaEnded = 430, Info, "a replica has ended with a request under way";
     QuarantineSeen = 431, Info, "the requests that are sent to no replica have changed";
     EndsUnreported = 432, Warn, "the control group has not heard of replicas that ended";
+    GatewayBehind = 435, Warn, "the gateway is behind with its own work";
+    LinkFull = 436, Warn, "the gateway's link is full, and it takes no connection for a moment";
+    ListenFailed = 437, Warn, "an address cannot be listened on";
 }
 
 /// Logs an event with fields.
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -37,6 +37,9 @@
     ATTEMPTS = "cypressfork_attempts_total", "counter", "end", "requests sent to replicas, by how that ended";
     RETRIES_REFUSED = "cypressfork_retries_refused_total", "counter", "service", "retries that the fleet's budget of retries did not allow";
     TOKENS_WAIT = "cypressfork_tokens_wait_seconds", "histogram", "", "time that a request waited for its tokens";
+    DOOR_CLOSED = "cypressfork_closed_doors_total", "counter", "", "times that a gateway took no connection for a moment, as its link was full";
+    LINK_USED = "cypressfork_link_used_ratio", "gauge", "", "the part of a gateway's link that requests and answers fill";
+    PASS = "cypressfork_queue_pass_seconds", "histogram", "", "time that a gateway's work waits in its own queue, measured at each request";
     REPORT = "cypressfork_report_seconds", "histogram", "", "time until the control group had taken a report of what was spent";
     LATE = "cypressfork_late_streams_total", "counter", "cause", "streams answered later than their routes aim at, by the largest cause";
     BORROWED = "cypressfork_borrowed_tokens_total", "counter", "", "tokens that other gateways set aside for requests of this one";
--- a/crates/router/src/gateway/client.rs
+++ b/crates/router/src/gateway/client.rs
@@ -1,6 +1,8 @@
 //! A caller's connection.
 
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_codec::{Decoder, Encoder};
@@ -47,6 +49,8 @@
     begun: bool,
     /// The present answer ends with the connection.
     unframed: bool,
+    /// Bytes from and to all callers of the process.
+    served: Rc<Cell<u64>>,
 }
 
 fn millis(m: cypressfork_core::unit::Millis) -> Duration {
@@ -54,8 +58,8 @@
 }
 
 impl Client {
-    /// A connection that was accepted.
-    pub fn new(stream: TcpStream, config: &ServiceConfig) -> Client {
+    /// A connection that was accepted; what passes on it is added to `served`.
+    pub fn new(stream: TcpStream, config: &ServiceConfig, served: Rc<Cell<u64>>) -> Client {
         // A failure here only makes small pieces slower.
         let _ = stream.set_nodelay(true);
         let (reader, writer) = stream.into_split();
@@ -68,13 +72,19 @@
             closing: false,
             begun: false,
             unframed: false,
+            served,
         }
     }
 
+    fn count(&self, way: &'static str, bytes: usize) {
+        self.served.set(self.served.get() + bytes as u64);
+        counter!(metric::SERVED, "way" => way).increment(bytes as u64);
+    }
+
     async fn fill(&mut self) -> io::Result<bool> {
         self.buf.reserve(READ);
         let n = self.reader.read_buf(&mut self.buf).await?;
-        counter!(metric::SERVED, "way" => "from_callers").increment(n as u64);
+        self.count("from_callers", n);
         Ok(n > 0)
     }
 
@@ -216,7 +226,7 @@
             return Ok(());
         }
         self.begun = true;
-        counter!(metric::SERVED, "way" => "to_callers").increment(self.out.len() as u64);
+        self.count("to_callers", self.out.len());
         self.writer.write_all(&self.out).await?;
         self.out.clear();
         Ok(())
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -64,6 +64,7 @@
             address: gw.settings.listen.to_string(),
             link: gw.settings.link.to_string(),
             open: gw.is_open(),
+            busy: gw.is_busy(),
         };
         counter!(metric::QUESTIONS).increment(1);
         let feed = gw.feeds.borrow().get(&to).copied().unwrap_or_default();
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -127,6 +127,9 @@
     body: Bytes,
 ) -> Outcome {
     let arrived = Instant::now();
+    if gw.is_overloaded().await {
+        return Outcome::Refused(Refusal::from(Code::Overloaded).after(OVERLOADED_AFTER));
+    }
     let wait = patience::for_first_document(gw.now(), inbound.deadline);
     let until = Instant::now() + Duration::from_millis(wait.0);
     let Some(routes) = gw.wait_for_routes(until).await else {
--- a/crates/router/src/gateway/server.rs
+++ b/crates/router/src/gateway/server.rs
@@ -1,5 +1,6 @@
 //! Callers' connections: one request after the other.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,9 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::Limits;
 use cypressfork_core::unit::Millis;
+use cypressfork_node::event::Event;
+use cypressfork_node::{emit, metric};
+use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -21,6 +25,11 @@
 /// How long to wait when no connection can be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long no connection is taken while the link is full. A caller that is refused one at once goes
+/// elsewhere; one whose request is refused has sent it, and comes back. Those that move show within half
+/// a second whether there is room again.
+const CLOSED_FOR: Duration = Duration::from_millis(500);
+
 /// How long a body may take to arrive.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
 
@@ -38,7 +47,7 @@
 /// Accepts connections until the planned stop closes the door.
 pub async fn accept<D: Dialect>(
     gw: Rc<Gateway>,
-    listener: TcpListener,
+    mut listener: TcpListener,
     mut closed: watch::Receiver<bool>,
 ) {
     let config = ServiceConfig::default();
@@ -55,6 +64,28 @@
             // Out of descriptors, most likely: those in use come free again.
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
+        if !gw.is_full() {
+            continue;
+        }
+        drop(listener);
+        counter!(metric::DOOR_CLOSED).increment(1);
+        emit!(Event::LinkFull, used = gw.pace.borrow().link(), active = gw.active.get());
+        let reopened = tokio::select! {
+            reopened = reopen(gw.settings.listen) => reopened,
+            _ = closed.wait_for(|c| *c) => return,
+        };
+        listener = reopened;
+    }
+}
+
+/// Listens again after a while.
+async fn reopen(address: SocketAddr) -> TcpListener {
+    loop {
+        sleep(CLOSED_FOR).await;
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(e) => emit!(Event::ListenFailed, address = address, why = e),
+        }
     }
 }
 
@@ -80,7 +111,7 @@
     config: &ServiceConfig,
     mut closed: watch::Receiver<bool>,
 ) {
-    let mut client = Client::new(stream, config);
+    let mut client = Client::new(stream, config, gw.served.clone());
     loop {
         let limits = gw.documents.in_force().map_or(LIMITS, |r| *r.limits());
         let stop = async {
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -45,6 +45,9 @@
     /// Mebibytes of memory that the process may use; it bounds the requests under way at once.
     #[serde(default)]
     pub memory_mb: Quantity,
+    /// Megabits a second that the machine's link bears; where it is half full, callers are led elsewhere.
+    #[serde(default)]
+    pub link_mbps: Quantity,
     /// Seconds that a planned stop may take.
     #[serde(default)]
     pub stop_within_s: Quantity,
@@ -63,6 +66,8 @@
     pub const RETRY_WINDOW: f64 = 10.0;
     /// Mebibytes.
     pub const MEMORY: f64 = 512.0;
+    /// Megabits a second; 0: nobody knows.
+    pub const LINK: f64 = 0.0;
     /// Seconds.
     pub const STOP: f64 = 30.0;
     /// Seconds.
@@ -103,6 +108,8 @@
     pub retry: Bound,
     /// Requests under way at once.
     pub places: u64,
+    /// Bytes a second that the machine's link bears each way; 0: nobody knows.
+    pub link_capacity: u64,
     /// How long a planned stop may take.
     pub stop_within: Duration,
     /// How much of it callers that still have this address are served.
@@ -122,6 +129,7 @@
         let window =
             quantity("retry_window_s", self.retry_window_s, default::RETRY_WINDOW, 1.0..=3_600.0)?;
         let memory = quantity("memory_mb", self.memory_mb, default::MEMORY, 16.0..=1_048_576.0)?;
+        let link = quantity("link_mbps", self.link_mbps, default::LINK, 0.0..=1e9)?;
         let stop = quantity("stop_within_s", self.stop_within_s, default::STOP, 0.0..=MOST)?;
         let serve = quantity("stop_serve_s", self.stop_serve_s, default::STOP_SERVE, 0.0..=MOST)?;
         // Each is rounded to the safe side: fewer retries in a longer window, less memory, a
@@ -142,12 +150,16 @@
             report: Duration::from_millis(range("report_ms", self.report_ms, 10, 60_000)?),
             retry,
             places: admission::places((memory * MEBIBYTE).floor() as u64),
+            link_capacity: (link * BYTES_OF_MEGABIT).floor() as u64,
             stop_within: millis(stop),
             stop_serve: millis(serve.min(stop)),
         })
     }
 }
 
+/// Bytes of a megabit.
+const BYTES_OF_MEGABIT: f64 = 125_000.0;
+
 /// Bytes of a mebibyte.
 const MEBIBYTE: f64 = 1_048_576.0;
 
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use cypressfork_core::budget::report_every;
 use cypressfork_core::fleet::ends::Sign;
 use cypressfork_core::fleet::evacuation::Evacuations;
+use cypressfork_core::fleet::pace::Pace;
 use cypressfork_core::fleet::registry::{Record, Standing};
 use cypressfork_core::fleet::replicas::{Change, Replicas, Start};
 use cypressfork_core::fleet::retry::Window;
@@ -29,6 +30,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 use super::documents::Documents;
@@ -76,6 +78,10 @@
     pub following: RefCell<BTreeMap<SocketAddr, Rc<Urge>>>,
     /// Routers of the fleet, as far as is known.
     pub routers: Cell<u32>,
+    /// How far it is behind with its own work.
+    pub pace: RefCell<Pace>,
+    /// Bytes from and to callers since the start.
+    pub served: Rc<Cell<u64>>,
     /// A planned stop is under way.
     pub stopping: Cell<bool>,
     /// Connections with a request under way.
@@ -107,6 +113,8 @@
             share: Share::default(),
             following: RefCell::default(),
             routers: Cell::new(0),
+            pace: RefCell::default(),
+            served: Rc::default(),
             stopping: Cell::new(false),
             active: Cell::new(0),
             replicas: RefCell::default(),
@@ -134,6 +142,50 @@
         !self.stopping.get() && self.documents.held() > 0
     }
 
+    /// Measures a pass of the process's queue. Whether it is too far behind to take a request: also
+    /// where it hears of nobody because of that, and may not know what is in force.
+    pub async fn is_overloaded(&self) -> bool {
+        let begun = Instant::now();
+        yield_now().await;
+        let took = begun.elapsed();
+        histogram!(metric::PASS).record(took);
+        let now = self.now();
+        let mut pace = self.pace.borrow_mut();
+        pace.note(now, took.as_micros() as u64);
+        let cut_off = self.documents.is_cut_off(now);
+        let overloaded = pace.is_behind(now) || (pace.was_behind(now) && cut_off);
+        if let Some(refused) = pace.told(now, overloaded) {
+            emit!(
+                Event::GatewayBehind,
+                pass_ms = took.as_millis(),
+                mean_us = pace.mean_us(now),
+                link = pace.link(),
+                active = self.active.get(),
+                hears_of_nobody = cut_off,
+                refused = refused,
+            );
+        }
+        overloaded
+    }
+
+    /// Whether callers are better off elsewhere.
+    pub fn is_busy(&self) -> bool {
+        self.look_at_link();
+        self.pace.borrow().is_busy(self.now())
+    }
+
+    /// Whether there is no room for what further callers would send.
+    pub fn is_full(&self) -> bool {
+        self.look_at_link();
+        self.pace.borrow().is_full()
+    }
+
+    fn look_at_link(&self) {
+        let mut pace = self.pace.borrow_mut();
+        pace.note_served(self.now(), self.served.get(), self.settings.link_capacity);
+        gauge!(metric::LINK_USED).set(pace.link() as f64 / 100.0);
+    }
+
     /// The tokens in hand under the present registration.
     pub fn token_store(&self) -> Option<Rc<TokenStore>> {
         self.token_store.borrow().clone()
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -46,6 +46,7 @@
         address: text("10.0.0.1:80"),
         link: text("10.0.0.1:81"),
         open: true,
+        busy: true,
     };
     let fetch = Some(Want { held: 3, version: 4, digest: 5, offset: 6 });
     Watch {
