Two regions are one system

Entry answers, replicas and homes of tokens of the own region come first; work leaves its region only where it would be late there. allowedRegions of routes and accounts bound where a request is served; CF1310 at once where none is live. platform/ translates the field.

--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -8,6 +8,7 @@
 
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::contacts::Place;
+use cypressfork_core::fleet::regions::Regions;
 use cypressfork_core::raft::Restored;
 use cypressfork_http::operators;
 use cypressfork_node::event::Event;
@@ -68,6 +69,7 @@
 /// Opens the fleet's side: where it listens, and who looks after this process's place.
 async fn open_fleet<D: Dialect>(
     f: &FleetSettings,
+    regions: Regions,
     me: &Credentials,
     own: SocketAddr,
     seeds: &[SocketAddr],
@@ -90,8 +92,16 @@
     let keep = keep_place(me.clone(), own, place_group, founds, places, confirmed);
     actix_rt::spawn(keep);
     let view = FleetView::new(rand::random(), f.replica_heartbeat);
-    let (entry_keep, voters) = (f.entry_keep, f.voters);
-    Ok(Fleet { view, calls, place, confirmed_members, seeds: seeds.to_vec(), entry_keep, voters })
+    Ok(Fleet {
+        view,
+        calls,
+        place,
+        confirmed_members,
+        seeds: seeds.to_vec(),
+        regions,
+        entry_keep: f.entry_keep,
+        voters: f.voters,
+    })
 }
 
 /// Serves until asked to stop, over HTTP in the project's own words.
@@ -128,7 +138,10 @@
     let seeds = s.base.control;
     let group = Group::new(me.clone(), seeds.clone());
     let fleet = match &s.fleet {
-        Some(f) => Some(open_fleet::<D>(f, &me, s.advertise, &seeds, group.clone()).await?),
+        Some(f) => {
+            let regions = s.base.regions;
+            Some(open_fleet::<D>(f, regions, &me, s.advertise, &seeds, group.clone()).await?)
+        }
         None => None,
     };
     let g = group.clone();
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -12,6 +12,7 @@
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::fleet::clocks::Clocks;
 use cypressfork_core::fleet::contacts::{Contacts, Place};
+use cypressfork_core::fleet::regions::Regions;
 use cypressfork_core::fleet::watch::{Feed, Seen};
 use cypressfork_core::raft::{Members, Message};
 use cypressfork_core::unit::{Millis, NodeId, Time};
@@ -84,6 +85,8 @@
     pub confirmed_members: mpsc::Receiver<Members>,
     /// Addresses of control processes that it was told of.
     pub seeds: Vec<SocketAddr>,
+    /// The regions of data centres.
+    pub regions: Regions,
     /// How long callers may keep an entry answer.
     pub entry_keep: Millis,
     /// Voters that the group should have.
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -74,7 +74,7 @@
         let Some(f) = &mut self.fleet else { return };
         let answer = match local.call {
             Call::Entry(data_centre) => {
-                let addresses = f.view.routers.addresses(now, &data_centre, ENTRY_MOST);
+                let addresses = f.view.routers.addresses(now, &data_centre, &f.regions, ENTRY_MOST);
                 match addresses.is_empty() {
                     true => no_entry(),
                     false => CallAnswer::Entry(addresses, f.entry_keep),
--- a/crates/core/examples/routing.rs
+++ b/crates/core/examples/routing.rs
@@ -230,7 +230,7 @@
                 None => open[(r.conversation % 4) as usize % open.len()],
             },
             Rule::Pool => {
-                let work = Work { trail: r.trail.clone(), aim: None };
+                let work = Work { trail: r.trail.clone(), ..Work::default() };
                 let tried: Vec<_> = tried.iter().map(|n| address(*n)).collect();
                 let c = self.pool.choose(Time(now), "dc-0", &work, &tried, &mut self.rng).unwrap();
                 self.outstanding[c.address.port() as usize] += 1;
--- a/crates/core/examples/slopes.rs
+++ b/crates/core/examples/slopes.rs
@@ -106,7 +106,7 @@
     for n in 0..RUNS {
         let own = n.to_be_bytes();
         let trail = Trail::new(parts.iter().map(Vec::as_slice).chain([own.as_slice()]));
-        let work = Work { trail, aim: None };
+        let work = Work { trail, ..Work::default() };
         let c = p.choose(Time(u64::from(n)), "dc-1", &work, &[], &mut rng).unwrap();
         p.done(Time(u64::from(n)), &black_box(c), false);
     }
--- a/crates/core/src/fleet/document.rs
+++ b/crates/core/src/fleet/document.rs
@@ -64,6 +64,9 @@
     /// A stream may be continued at another replica.
     #[serde(default)]
     pub resumable: bool,
+    /// The regions that requests may be served in; empty: any.
+    #[serde(default)]
+    pub regions: BTreeSet<String>,
 }
 
 /// What is known of the engines of a service.
@@ -123,6 +126,9 @@
     /// All the tokens that it may get; `None`: no budget bounds it.
     #[serde(default)]
     pub prepaid: Option<Tokens>,
+    /// The regions that its requests may be served in, of those of their route; empty: any.
+    #[serde(default)]
+    pub regions: BTreeSet<String>,
 }
 
 /// A whole configuration.
--- a/crates/core/src/fleet/entry.rs
+++ b/crates/core/src/fleet/entry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::regions::Regions;
 use super::spill::{Sign, Spill};
 use super::watch::RouterSign;
 use crate::unit::{Millis, Time};
@@ -55,14 +56,20 @@
         known.take(most).map(|(r, _)| r.link.clone()).collect()
     }
 
-    /// Addresses for a caller in `data_centre`, at most `most`, its own data centre's alone where
-    /// those are enough.
+    /// Addresses for a caller in `data_centre`, at most `most`: its own data centre's alone where
+    /// those are enough, else its region's, else all.
     ///
     /// Busy ones are left out of a part of the answers; where most of those are busy, some of others
     /// are named as well.
     ///
     /// While most routers are silent, the cut is on this side: those that were open stay named.
-    pub fn addresses(&mut self, now: Time, data_centre: &str, most: usize) -> Vec<String> {
+    pub fn addresses(
+        &mut self,
+        now: Time,
+        data_centre: &str,
+        regions: &Regions,
+        most: usize,
+    ) -> Vec<String> {
         let heard = self.heard.values().filter(|(r, at)| r.open && now.since(*at) < SILENT_AFTER);
         self.spill.decide(now, heard.map(|(r, _)| spill_sign(r)));
         self.answers += 1;
@@ -71,13 +78,20 @@
         let live = |at: Time| now.since(at) < SILENT_AFTER;
         let heard: Vec<_> = known.iter().copied().filter(|(_, at)| live(*at)).collect();
         let usable = if heard.len() * 2 > known.len() { heard } else { known };
-        let near = |r: &RouterSign| r.data_centre == data_centre;
+        let own = |r: &RouterSign| r.data_centre == data_centre;
+        let near = |r: &RouterSign| regions.are_near(&r.data_centre, data_centre);
         let spared = |r: &RouterSign| self.spill.leaves_out(&r.vm, self.answers);
         let left: Vec<_> = usable.iter().copied().filter(|(r, _)| !spared(r)).collect();
         let usable = if left.is_empty() { usable } else { left };
-        let (close, others): (Vec<_>, Vec<_>) = usable.iter().copied().partition(|(r, _)| near(r));
+        let (in_region, abroad): (Vec<_>, Vec<_>) = usable.into_iter().partition(|(r, _)| near(r));
+        if in_region.len() < NEAR_ENOUGH {
+            let all = in_region.into_iter().chain(abroad);
+            return all.take(most).map(|(r, _)| r.address.clone()).collect();
+        }
+        let (close, others): (Vec<_>, Vec<_>) =
+            in_region.iter().copied().partition(|(r, _)| own(r));
         if close.len() < NEAR_ENOUGH {
-            return usable.into_iter().take(most).map(|(r, _)| r.address.clone()).collect();
+            return in_region.into_iter().take(most).map(|(r, _)| r.address.clone()).collect();
         }
         let beyond = self.spill.beyond(data_centre, others.len());
         // Each answer goes on where the one before ended, so that all of them get their part.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod patience;
 pub mod quarantine;
+pub mod regions;
 pub mod registry;
 pub mod repair;
 pub mod replicas;
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -13,12 +13,17 @@
 use super::replica::Replica;
 use super::ring::Ring;
 use crate::config::Upstream;
+use crate::fleet::regions::Regions;
 use crate::unit::{Millis, Time};
 
 /// How many candidates are compared. Sampling keeps many routers with the same view from all
 /// choosing the same replica.
 const SAMPLE: usize = 6;
 
+/// Replicas of other regions among the candidates: enough to find one that is free where those of the
+/// own region are not.
+const ABROAD: usize = 2;
+
 /// Draws that a sample is made from: some meet the same replica or one that is left out.
 const DRAWS: usize = SAMPLE * 4;
 
@@ -41,6 +46,8 @@
     pub trail: Trail,
     /// When its answer is in time; none: as soon as can be.
     pub aim: Option<Aim>,
+    /// The regions that it may be served in; empty: any.
+    pub regions: BTreeSet<String>,
 }
 
 /// A replica that was chosen for a request.
@@ -91,6 +98,8 @@
     cold_bound: Option<u32>,
     /// Requests that came lately.
     demand: Demand,
+    /// The data centre of this router, and the regions of all.
+    place: (String, Regions),
 }
 
 impl Pool {
@@ -122,6 +131,7 @@
         r.slots = condition.slots.max(1);
         r.leaving = condition.leaving;
         r.closed = self.closed.contains(&u.vm.data_centre);
+        r.abroad = !self.place.1.are_near(&self.place.0, &u.vm.data_centre);
         r.cold_until = now.after(condition.cold);
         if condition.cold > Millis(0) {
             self.cold.insert(u.address);
@@ -131,7 +141,7 @@
 
     /// Has a replica be the home of prompts if it takes new work and is not cold.
     fn set_home(&mut self, now: Time, address: SocketAddr) {
-        let warm = |r: &Replica| r.is_open() && !self.is_cold(now, r);
+        let warm = |r: &Replica| r.is_open() && !r.abroad && !self.is_cold(now, r);
         let here = self.replicas.get(&address).is_some_and(warm);
         self.ring.set(address, here);
     }
@@ -202,6 +212,11 @@
         }
     }
 
+    /// Notes where this router is, before any replica is added.
+    pub fn set_place(&mut self, data_centre: &str, regions: &Regions) {
+        self.place = (data_centre.to_owned(), regions.clone());
+    }
+
     /// Replicas that get new work at `now`.
     pub fn usable(&self, now: Time) -> usize {
         self.replicas.values().filter(|r| !r.is_out(now)).count()
@@ -230,7 +245,7 @@
         let home = self.home(&work.trail);
         let sample = self.sample(now, work, tried, home, rng);
         let rated = sample.into_iter().map(|a| self.rate(now, data_centre, work, a, home));
-        let (mut best, _) = rated.min_by_key(|(_, cost)| *cost)?;
+        let mut best = self.best(work, rated.collect())?;
         self.tickets += 1;
         best.ticket = self.tickets;
         if let Some(r) = self.replicas.get_mut(&best.address) {
@@ -242,6 +257,20 @@
         Some(best)
     }
 
+    /// The cheapest candidate: one of the own region, unless its answer would be late.
+    fn best(&self, work: &Work, rated: Vec<(Choice, u64)>) -> Option<Choice> {
+        let is_near = |c: &Choice| self.replicas.get(&c.address).is_some_and(|r| !r.abroad);
+        let near = rated.iter().filter(|(c, _)| is_near(c)).min_by_key(|(_, cost)| *cost);
+        let in_time = |c: &Choice| {
+            let aim = work.aim.map(|a| a.first.as_micros() as u64);
+            aim.is_none_or(|aim| c.expected_us <= aim)
+        };
+        if let Some((c, _)) = near.filter(|(c, _)| in_time(c)) {
+            return Some(*c);
+        }
+        rated.into_iter().min_by_key(|(_, cost)| *cost).map(|(c, _)| c)
+    }
+
     /// A few usable replicas at random, and those that have most of the prompt.
     ///
     /// Its time does not grow with the number of replicas as long as most of them are usable.
@@ -253,7 +282,11 @@
         home: Option<SocketAddr>,
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
-        let open = |r: &Replica| r.is_open() && !tried.contains(&r.upstream.address);
+        let open = |r: &Replica| {
+            r.is_open()
+                && self.place.1.allow(&work.regions, &r.upstream.vm.data_centre)
+                && !tried.contains(&r.upstream.address)
+        };
         let usable =
             |a: &SocketAddr| self.replicas.get(a).is_some_and(|r| open(r) && r.out_until <= now);
         let warm = |r: &Replica| !self.is_cold(now, r);
@@ -261,11 +294,19 @@
         let (stay, of) = self.cold_chance();
         let mut sample = Vec::with_capacity(SAMPLE * 2);
         let mut seats = SAMPLE.min(self.addresses.len());
+        let mut abroad = ABROAD;
         for _ in 0..DRAWS {
             let Some(a) = self.addresses.choose(rng).filter(|_| seats > 0) else { break };
             if sample.contains(a) || !usable(a) {
                 continue;
             }
+            if self.replicas.get(a).is_some_and(|r| r.abroad) {
+                if abroad > 0 {
+                    abroad -= 1;
+                    sample.push(*a);
+                }
+                continue;
+            }
             // A cold replica that is left out keeps its seat, or it would be met more often.
             seats -= 1;
             if usable_warm(a) || rng.random_range(0..of) < stay {
--- a/crates/core/src/route/replica.rs
+++ b/crates/core/src/route/replica.rs
@@ -9,6 +9,10 @@
 /// What a replica in another data centre costs, in microseconds.
 const FAR: u64 = 3_000;
 
+/// What a replica in another region costs, in microseconds: a round trip of some 40 ms, and half as
+/// much again as the link is shared by all.
+const ABROAD: u64 = 60_000;
+
 /// Weight of the newest sample of how running requests delay the next one, as a divisor.
 const SMOOTHING: u64 = 8;
 
@@ -38,6 +42,8 @@
     pub(super) cold_until: Time,
     /// Its data centre gets no new work.
     pub(super) closed: bool,
+    /// It lies in another region than this router.
+    pub(super) abroad: bool,
     /// How `outstanding` changed lately, to tell own requests in a late report from others'.
     history: VecDeque<(Time, u32)>,
     reported: Time,
@@ -58,6 +64,7 @@
             leaving: false,
             cold_until: Time(0),
             closed: false,
+            abroad: false,
             history: VecDeque::new(),
             reported: Time(0),
             others: 0,
@@ -97,7 +104,11 @@
     pub(super) fn expected_us(&self, now: Time, data_centre: &str, fresh: u64) -> u64 {
         let load = self.load();
         let queued = load.saturating_sub(u64::from(self.slots)) * u64::from(self.slots);
-        let far = if self.upstream.vm.data_centre == data_centre { 0 } else { FAR };
+        let far = match self.abroad {
+            true => ABROAD,
+            false if self.upstream.vm.data_centre == data_centre => 0,
+            false => FAR,
+        };
         let reading = self.backlog.left(now) + self.backlog.span(fresh);
         (load + queued) * self.share_us + reading + far
     }
--- a/crates/core/tests/cold.rs
+++ b/crates/core/tests/cold.rs
@@ -86,7 +86,7 @@
         let g = rng.random_range(0..if few { l.gateways.div_ceil(10) } else { l.gateways });
         let subject = if rng.random_range(0..l.hot) == 0 { 0 } else { rng.random_range(1..800) };
         let trail = Trail::of_parts([(subject, 13_000), (1 << 40 | ms, 3_700)]);
-        let work = Work { trail, aim: None };
+        let work = Work { trail, ..Work::default() };
         let Some(c) = pools[g].choose(now, "a", &work, &[], &mut rng) else {
             refused += 1;
             continue;
@@ -146,7 +146,8 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut served = |now: u64| -> Vec<_> {
         let to = (0..60).map(|n| {
-            let work = Work { trail: Trail::of_parts([(now + n, 9_000), (99, 1)]), aim: None };
+            let work =
+                Work { trail: Trail::of_parts([(now + n, 9_000), (99, 1)]), ..Work::default() };
             let at = Time(now + 20 * n);
             let c = pool.choose(at, "a", &work, &[], &mut rng).unwrap();
             pool.done(at, &c, false);
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -63,7 +63,7 @@
     let mut used = BTreeSet::new();
     for n in 0..400_u64 {
         let trail = Trail::of_parts([(n % 40, 13_000), (1_000 + n, 3_000)]);
-        let work = Work { trail, aim: None };
+        let work = Work { trail, ..Work::default() };
         let Some(c) = pool.choose(Time(n * 10), "a", &work, &[], &mut rng) else { continue };
         used.insert(pool.get(c.address).unwrap().upstream.vm.data_centre.clone());
         pool.done(Time(n * 10 + 5), &c, false);
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! What a fleet of gateways works from: documents, repair, retries, entry answers,
 //! clocks and loans.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::admission;
@@ -11,6 +11,7 @@
 };
 use cypressfork_core::fleet::entry::Routers;
 use cypressfork_core::fleet::patience;
+use cypressfork_core::fleet::regions::Regions;
 use cypressfork_core::fleet::repair::{Candidates, Health, next_change};
 use cypressfork_core::fleet::retry::{Bound, Window};
 use cypressfork_core::fleet::routes::Routes;
@@ -36,12 +37,14 @@
         attempts: 2,
         open: false,
         resumable: false,
+        regions: BTreeSet::new(),
     }
 }
 
 fn tenant(name: &str, keys: &[&str]) -> Tenant {
     let keys = keys.iter().map(|k| (*k).to_owned()).collect();
-    Tenant { name: name.to_owned(), keys, priority: None, prepaid: Some(1_000) }
+    let regions = BTreeSet::new();
+    Tenant { name: name.to_owned(), keys, priority: None, prepaid: Some(1_000), regions }
 }
 
 fn backend(name: &str) -> Backend {
@@ -253,7 +256,7 @@
     for (vm, data_centre, open, at) in routers {
         r.note(Time(*at), &sign(vm, data_centre, *open));
     }
-    assert_eq!(r.addresses(Time(10_000), "tamar-a", 64), addresses);
+    assert_eq!(r.addresses(Time(10_000), "tamar-a", &Regions::default(), 64), addresses);
 }
 
 /// When all clocks are heard, and the time of day then.
--- a/crates/core/tests/lives.rs
+++ b/crates/core/tests/lives.rs
@@ -7,7 +7,7 @@
 use cypressfork_core::config::{Upstream, Vm};
 use cypressfork_core::fleet::registry::{Beat, Record, Registration, Registry, Source, Standing};
 use cypressfork_core::fleet::replicas::Replicas;
-use cypressfork_core::route::{Condition, Pool, Trail, Work};
+use cypressfork_core::route::{Condition, Pool, Work};
 use cypressfork_core::unit::{Millis, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -137,7 +137,7 @@
     let vm = Vm { name: "i-2".to_owned(), data_centre: "a".to_owned() };
     let upstream = Upstream { vm, address: other, checks_orders: false };
     pool.put(Time(0), &upstream, &Condition { slots: 8, leaving: false, cold: Millis(0) });
-    let work = Work { trail: Trail::default(), aim: None };
+    let work = Work::default();
     let first = SocketAddr::from(([10, 0, 0, 1], 80));
     for _ in 0..3 {
         let c = pool.choose(Time(10), "a", &work, &[other], &mut rng).unwrap();
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -8,6 +8,7 @@
 
 use cypressfork_core::fleet::entry::Routers;
 use cypressfork_core::fleet::pace::{LONGEST, Pace};
+use cypressfork_core::fleet::regions::Regions;
 use cypressfork_core::fleet::watch::RouterSign;
 use cypressfork_core::unit::Time;
 use rstest::rstest;
@@ -67,7 +68,7 @@
                 routers.note(now, &sign(dc, n, pass));
             }
         }
-        let answer = routers.addresses(now, "a", 64);
+        let answer = routers.addresses(now, "a", &Regions::default(), 64);
         left = 100 * EACH as u64 / answer.len() as u64;
         all.push(answer);
     }
@@ -108,7 +109,7 @@
             routers.note(now, &sign("a", n, if *busy { 100 } else { 0 }));
         }
         for (n, place) in at.iter_mut().enumerate().filter(|(n, _)| *n as u64 % 2 == second % 2) {
-            let answer = routers.addresses(now, "a", 64);
+            let answer = routers.addresses(now, "a", &Regions::default(), 64);
             let own = sign("a", *place, 0).address;
             if !answer.contains(&own) {
                 let next = &answer[(n * 7 + second as usize) % answer.len()];
--- a/crates/core/tests/replicas.rs
+++ b/crates/core/tests/replicas.rs
@@ -121,7 +121,7 @@
     (0..prompts)
         .map(|n| {
             let trail = Trail::of_parts([(n, 1_000_000), (1 << 32 | n, 10)]);
-            let work = Work { trail, aim: None };
+            let work = Work { trail, ..Work::default() };
             let c = pool.choose(Time(n), "dc-0", &work, &[], &mut rng).unwrap();
             pool.done(Time(n), &c, false);
             c.address
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -165,7 +165,7 @@
 fn lesson(turns: usize) -> Work {
     let parts: Vec<String> =
         (0..turns).map(|n| format!("turn {n} {}", "x".repeat(2_000))).collect();
-    Work { trail: Trail::new(parts.iter().map(String::as_bytes)), aim: None }
+    Work { trail: Trail::new(parts.iter().map(String::as_bytes)), ..Work::default() }
 }
 
 #[test]
@@ -262,7 +262,7 @@
 fn a_long_prompt_on_its_way_counts_until_its_first_token() {
     let (mut p, mut r) = (pool(2), rng());
     let long = choice(&mut p, 0, &lesson(20), &mut r);
-    let other = Work { trail: Trail::new([&[7u8; 4_000][..]]), aim: None };
+    let other = Work { trail: Trail::new([&[7u8; 4_000][..]]), ..Work::default() };
     let next = choice(&mut p, 0, &other, &mut r);
     assert_ne!(next.address, long.address);
     p.done(Time(1), &next, false);
@@ -376,7 +376,7 @@
 /// A prompt of two parts, of which others may share the first, with the aims of a streaming route.
 fn prompt(shared: u64, own: u64, id: u64) -> Work {
     let aim = Aim { first: Duration::from_millis(800), pause: Some(Duration::from_millis(500)) };
-    Work { trail: Trail::of_parts([(1, shared), (id, own)]), aim: Some(aim) }
+    Work { trail: Trail::of_parts([(1, shared), (id, own)]), aim: Some(aim), ..Work::default() }
 }
 
 /// Another router has sent a replica a prompt: it is spared while it reads that, and not after.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings files: read in one place, checked once, typed after.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -7,6 +8,7 @@
 use std::path::{Path, PathBuf};
 
 use cypressfork_core::code::Code;
+use cypressfork_core::fleet::regions::Regions;
 use cypressfork_wire::auth::Key;
 use log::LevelFilter;
 use quick_error::quick_error;
@@ -86,6 +88,9 @@
     pub region: String,
     /// The data centre.
     pub data_centre: String,
+    /// The region of each data centre, where the cluster spans several.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// Name of this `Vm`.
     pub vm: String,
     /// File with the cluster's key.
@@ -122,6 +127,8 @@
     pub region: String,
     /// The data centre.
     pub data_centre: String,
+    /// The region of each data centre.
+    pub regions: Regions,
     /// Name of this `Vm`.
     pub vm: String,
     /// The cluster's key.
@@ -151,10 +158,14 @@
                 return Err(Error::value("common.key_file", "", want));
             }
         };
+        let named =
+            |(dc, region)| Ok((name("common.regions", dc)?, name("common.regions", region)?));
+        let regions = self.regions.into_iter().map(named).collect::<Result<_, Error>>()?;
         Ok(Base {
             cluster: name("common.cluster", self.cluster)?,
             region: name("common.region", self.region)?,
             data_centre: name("common.data_centre", self.data_centre)?,
+            regions: Regions::new(regions),
             vm: name("common.vm", self.vm)?,
             key,
             control: control.collect::<Result<_, _>>()?,
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -145,7 +145,8 @@
 /// this gateway is no longer.
 fn take_areas(gw: &Gateway, from: SocketAddr, areas: &[Area]) {
     let homes = &gw.share.homes;
-    homes.set(from, &gw.settings.base.data_centre, areas);
+    let base = &gw.settings.base;
+    homes.set(from, &base.data_centre, &base.regions, areas);
     gw.share.meet_near(gw.settings.link);
     let own = gw.settings.link;
     let is_elsewhere = |budget: &str| {
--- a/crates/router/src/gateway/homes.rs
+++ b/crates/router/src/gateway/homes.rs
@@ -8,6 +8,7 @@
 use cypressfork_core::fleet::demand::Demand;
 use cypressfork_core::fleet::homes::{order, ranked, turn};
 use cypressfork_core::fleet::neighbours::{Area, NOT_WANTED, digest};
+use cypressfork_core::fleet::regions::Regions;
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -20,8 +21,8 @@
 #[derive(Default)]
 pub struct Homes {
     near: RefCell<Vec<SocketAddr>>,
-    /// The gateways of the other data centres.
-    far: RefCell<Vec<Vec<SocketAddr>>>,
+    /// The gateways of the other data centres, and whether those lie in another region.
+    far: RefCell<Vec<(bool, Vec<SocketAddr>)>>,
     digest: Cell<u64>,
     source: Cell<Option<SocketAddr>>,
     ranked: RefCell<HashMap<String, Rc<Ranked>>>,
@@ -35,8 +36,8 @@
 struct Ranked {
     /// In the own data centre.
     near: Vec<SocketAddr>,
-    /// In each other one.
-    far: Vec<Vec<SocketAddr>>,
+    /// In each other one, and whether it lies in another region.
+    far: Vec<(bool, Vec<SocketAddr>)>,
 }
 
 impl Homes {
@@ -49,12 +50,13 @@
     }
 
     /// Takes a control process's areas into use; `own` is the data centre of this gateway.
-    pub fn set(&self, from: SocketAddr, own: &str, areas: &[Area]) {
+    pub fn set(&self, from: SocketAddr, own: &str, regions: &Regions, areas: &[Area]) {
         self.source.set(Some(from));
         self.digest.set(digest(areas));
         let (near, far): (Vec<&Area>, Vec<_>) = areas.iter().partition(|a| a.data_centre == own);
         *self.near.borrow_mut() = near.into_iter().flat_map(addresses).collect();
-        *self.far.borrow_mut() = far.into_iter().map(addresses).collect();
+        let abroad = |a: &Area| !regions.are_near(own, &a.data_centre);
+        *self.far.borrow_mut() = far.into_iter().map(|a| (abroad(a), addresses(a))).collect();
         self.ranked.borrow_mut().clear();
         let routers = self.near.borrow().len();
         emit!(Event::NeighboursSeen, from = from, routers = routers, areas = areas.len());
@@ -75,7 +77,7 @@
     /// Whether a gateway may still be asked for tokens.
     pub fn is_known(&self, gateway: &SocketAddr) -> bool {
         let far = self.far.borrow();
-        self.near.borrow().contains(gateway) || far.iter().any(|area| area.contains(gateway))
+        self.near.borrow().contains(gateway) || far.iter().any(|(_, area)| area.contains(gateway))
     }
 
     /// The homes of a budget to ask, in order; none where each gateway holds its own slices.
@@ -103,15 +105,19 @@
         self.demand.borrow().get(budget).is_some_and(|d| d.is_heavy(now))
     }
 
-    /// A home of the budget in each other data centre, for what those of the own one lack.
+    /// A home of the budget in each other data centre, for what those of the own one lack: those of the
+    /// own region first.
     pub fn elsewhere(&self, now: Time, own: SocketAddr, budget: &str) -> Vec<SocketAddr> {
         let ranked = self.ranked(budget);
-        let home =
-            |area: &Vec<SocketAddr>| order(area, own, |a| self.is_out(now, a)).first().copied();
+        let home = |(abroad, area): &(bool, Vec<SocketAddr>)| {
+            let first = order(area, own, |a| self.is_out(now, a)).first().copied();
+            first.map(|a| (*abroad, a))
+        };
         let mut homes: Vec<_> = ranked.far.iter().filter_map(home).collect();
         let turn = turn(own, homes.len());
         homes.rotate_left(turn);
-        homes
+        homes.sort_by_key(|(abroad, _)| *abroad);
+        homes.into_iter().map(|(_, a)| a).collect()
     }
 
     fn ranked(&self, budget: &str) -> Rc<Ranked> {
@@ -119,7 +125,8 @@
         if let Some(known) = all.get(budget) {
             return known.clone();
         }
-        let far = self.far.borrow().iter().map(|area| ranked(budget, area)).collect();
+        let far =
+            self.far.borrow().iter().map(|(far, area)| (*far, ranked(budget, area))).collect();
         let fresh = Rc::new(Ranked { near: ranked(budget, &self.near.borrow()), far });
         all.insert(budget.to_owned(), fresh.clone());
         fresh
--- a/crates/router/src/gateway/job.rs
+++ b/crates/router/src/gateway/job.rs
@@ -1,5 +1,6 @@
 //! A request whose route and account are known, as every step of its way needs it.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,6 +43,8 @@
     pub service: String,
     /// Requests a minute that a cold replica of it bears.
     pub cold_bound: Option<u32>,
+    /// The regions that it may be served in; empty: any.
+    pub regions: BTreeSet<String>,
     /// The client account.
     pub account: Option<String>,
     /// Tokens of one event, at most.
@@ -66,7 +69,8 @@
     /// What it asks of a replica.
     pub fn work(&self) -> Work {
         let prompt = self.inbound.prompt.as_ref();
-        Work { trail: self.prompt().trail, aim: prompt.map(|_| self.aim) }
+        let (trail, regions) = (self.prompt().trail, self.regions.clone());
+        Work { trail, aim: prompt.map(|_| self.aim), regions }
     }
 
     /// What is left of its time.
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! One request, from its head to its end.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use bytes::Bytes;
 use cypressfork_core::code::{Code, Ran};
 use cypressfork_core::fleet::admission;
-use cypressfork_core::fleet::document::{Kind, Route};
+use cypressfork_core::fleet::document::{Kind, Route, Tenant};
 use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::fleet::patience;
 use cypressfork_core::fleet::routes::{Routes, draw};
@@ -227,6 +228,7 @@
         attempts: route.attempts.max(1),
         service: backend.name.clone(),
         cold_bound: backend.cold_per_minute,
+        regions: allowed_regions(route, account)?,
         account: account.map(|a| a.name.clone()),
         stride: backend.engine.map_or(1, |e| e.stride.max(1)),
         aim: Aim { first: millis(route.objective), pause: route.gap.map(millis) },
@@ -236,6 +238,19 @@
     Ok((job, account.and_then(|a| a.prepaid)))
 }
 
+/// The regions that a request may be served in: those of its route and of its account.
+fn allowed_regions(route: &Route, account: Option<&Tenant>) -> Result<BTreeSet<String>, Code> {
+    let of_route = &route.regions;
+    let Some(of_account) = account.map(|a| &a.regions).filter(|r| !r.is_empty()) else {
+        return Ok(of_route.clone());
+    };
+    if of_route.is_empty() {
+        return Ok(of_account.clone());
+    }
+    let both: BTreeSet<_> = of_route.intersection(of_account).cloned().collect();
+    if both.is_empty() { Err(Code::NoRegion) } else { Ok(both) }
+}
+
 async fn tokens(job: &Job, prepaid: Option<Tokens>) -> Result<Option<Held>, Refusal> {
     let (Some(prompt), Some(prepaid), Some(account)) = (&job.inbound.prompt, prepaid, &job.account)
     else {
@@ -381,7 +396,11 @@
         if self.ran > 0 {
             return self.broken(client, why.to_owned());
         }
-        let code = if self.rejected > 0 { Code::RetriesSpent } else { Code::NoUpstream };
+        let code = match (self.rejected, self.job.regions.is_empty()) {
+            (0, true) => Code::NoUpstream,
+            (0, false) => Code::NoRegion,
+            _ => Code::RetriesSpent,
+        };
         Outcome::Refused(Refusal::from(code).after(FULL_AFTER).detail(why))
     }
 
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -287,6 +287,8 @@
         let closed = || self.evacuations.borrow().data_centres.clone();
         let pool = pools.entry(c.service.clone()).or_insert_with(|| {
             let mut pool = Pool::default();
+            let base = &self.settings.base;
+            pool.set_place(&base.data_centre, &base.regions);
             pool.set_closed(now, &closed());
             pool
         });
