--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod key;
 mod member;
 mod quarantine;
+mod rollout;
 mod shell;
 mod status;
 mod trace;
@@ -47,6 +48,7 @@
     member::COMMAND,
     evacuate::COMMAND,
     quarantine::COMMAND,
+    rollout::COMMAND,
     key::COMMAND,
     trace::COMMAND,
     shell::COMPLETIONS,
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -22,7 +22,7 @@
 /// How long a document may take to be committed.
 const PUBLISH_WITHIN: Duration = Duration::from_millis(3_500);
 
-/// How long an order about a data centre may take to be committed.
+/// How long an order about a data centre or a roll-out may take to be committed.
 const ORDER_WITHIN: Duration = Duration::from_millis(900);
 
 /// How long a confirmed read may take.
@@ -92,7 +92,14 @@
     match call {
         Call::Publish(source) => publish::<D>(api, source).await,
         Call::Current => current(api).await,
-        Call::Evacuate(data_centre, evacuate) => order(api, data_centre, evacuate).await,
+        Call::Evacuate(data_centre, evacuate) => {
+            order(api, Command::Evacuate { data_centre, evacuate }).await
+        }
+        Call::StartRollout(service, version, within) => {
+            order(api, Command::StartRollout { service, version, within }).await
+        }
+        Call::AbortRollout(service) => order(api, Command::AbortRollout(service)).await,
+        Call::Rollout(service) => rollout(api, service).await,
         call => local(api, call).await,
     }
 }
@@ -116,12 +123,12 @@
     }
 }
 
-/// Has an order about a data centre committed. A caller sends it again elsewhere after a second: it
+/// Has an order committed. A caller sends it again elsewhere after a second: it
 /// is not kept for longer, lest it overtake the caller's next order.
-async fn order(api: &Api, data_centre: String, evacuate: bool) -> Answer {
-    let command = Command::Evacuate { data_centre, evacuate };
+async fn order(api: &Api, command: Command) -> Answer {
     match api.group.command(&command, ORDER_WITHIN).await {
         Ok(Committed::Done) => Answer::Noted,
+        Ok(Committed::Refused(code)) => Answer::Refused(code, "the group refuses it".to_owned()),
         Ok(_) => Answer::Refused(Code::MessageBad, "the group gave another answer".to_owned()),
         Err(code) => Answer::Refused(code, "the order was not carried out".to_owned()),
     }
@@ -135,6 +142,17 @@
     }
 }
 
+async fn rollout(api: &Api, service: String) -> Answer {
+    match api.group.query(&Query::Rollouts(Some(service)), READ_WITHIN).await {
+        Ok(Reply::Rollouts(found)) => match found.into_iter().next() {
+            Some((_, r)) => Answer::Rollout(r),
+            None => Answer::Refused(Code::RolloutUnknown, "none is known".to_owned()),
+        },
+        Ok(_) => Answer::Refused(Code::MessageBad, "the group gave another answer".to_owned()),
+        Err(code) => Answer::Refused(code, "no quorum confirmed how it stands".to_owned()),
+    }
+}
+
 async fn local(api: &Api, call: Call) -> Answer {
     let (to, answer) = oneshot::channel();
     let busy = || Answer::Refused(Code::QueueFull, "too many calls wait".to_owned());
--- a/crates/control/src/dialect.rs
+++ b/crates/control/src/dialect.rs
@@ -4,6 +4,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::format::Format;
 use cypressfork_core::fleet::registry::Record;
+use cypressfork_core::fleet::rollout::Rollout;
 use cypressfork_core::unit::{Millis, Version};
 use cypressfork_http::Body;
 
@@ -32,6 +33,12 @@
     Leave(String),
     /// Keep new work from the replicas of this data centre, or let it in again.
     Evacuate(String, bool),
+    /// Move a service's requests to replicas of a version, within this time.
+    StartRollout(String, String, Millis),
+    /// Take a service's roll-out back.
+    AbortRollout(String),
+    /// How the roll-out of a service stands.
+    Rollout(String),
     /// Which routers a caller in this data centre should use.
     Entry(String),
 }
@@ -47,6 +54,8 @@
     Noted,
     /// Addresses of routers, and how long to keep them.
     Entry(Vec<String>, Millis),
+    /// A roll-out.
+    Rollout(Rollout),
     /// It is refused.
     Refused(Code, String),
 }
--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -8,6 +8,8 @@
 use cypressfork_core::fleet::quarantine::Quarantine;
 use cypressfork_core::fleet::registry::{Beat, Record, Registry, Source};
 use cypressfork_core::fleet::repair::Candidates;
+use cypressfork_core::fleet::rollout::Rollouts;
+use cypressfork_core::fleet::rollout::evidence::Reports;
 use cypressfork_core::fleet::transfer::Packs;
 use cypressfork_core::fleet::watch::{Announce, Feed, RouterSign, Seen, Watch, digest};
 use cypressfork_core::member::Routers as Registered;
@@ -58,6 +60,8 @@
     pub evacuations: &'a Evacuations,
     /// The requests that are sent to no replica.
     pub quarantine: &'a Quarantine,
+    /// The roll-outs of all services.
+    pub rollouts: &'a Rollouts,
 }
 
 /// The state; `T` tells where an answer goes.
@@ -68,6 +72,8 @@
     pub routers: Routers,
     /// Processes that say that they belong to no group.
     pub candidates: Candidates,
+    /// What routers have seen of roll-outs under way.
+    pub reports: Reports,
     directory: Directory,
     /// When standing questions are looked at next.
     next_look: Time,
@@ -112,6 +118,7 @@
             registry: Registry::default(),
             routers: Routers::default(),
             candidates: Candidates::default(),
+            reports: Reports::default(),
             directory: Directory::default(),
             next_look: Time(0),
             boot,
@@ -123,9 +130,11 @@
     }
 
     /// Takes a standing question.
-    pub fn watch(&mut self, now: Time, watch: Watch, to: T) {
+    pub fn watch(&mut self, now: Time, mut watch: Watch, to: T) {
+        let reports = std::mem::take(&mut watch.reports);
         if let Some(r) = &watch.router {
             self.routers.note(now, r);
+            reports.into_iter().for_each(|report| self.reports.take(now, &r.vm, report));
         }
         if watch.fetch.is_some() {
             self.next_look = now;
@@ -184,6 +193,7 @@
             || s.is_behind(f.version)
             || f.evacuations.revision > s.watch.evacuations
             || f.quarantine.urgent() > s.watch.quarantine
+            || f.rollouts.revision > s.watch.rollouts
             || waited >= WATCH_SPAN
             || (waited >= GATHER_CHANGES && s.is_told_of(f.quarantine))
             || (waited >= GATHER_CHANGES && s.is_told(&self.registry))
@@ -222,6 +232,7 @@
             lead: f.lead.clone(),
             evacuations: (f.evacuations.revision > s.watch.evacuations)
                 .then(|| f.evacuations.clone()),
+            rollouts: (f.rollouts.revision > s.watch.rollouts).then(|| f.rollouts.clone()),
             quarantine: s.is_told_of(f.quarantine).then(|| f.quarantine.told()),
         }
     }
--- a/crates/control/src/leader_tasks.rs
+++ b/crates/control/src/leader_tasks.rs
@@ -5,12 +5,16 @@
 use cypressfork_core::budget::{Elapsed, Told, WriteOff};
 use cypressfork_core::command::Command;
 use cypressfork_core::fleet::repair::{Candidates, Health, next_change};
+use cypressfork_core::fleet::rollout::evidence::Standing;
+use cypressfork_core::fleet::rollout::plan::plan;
+use cypressfork_core::fleet::rollout::step::{self, View};
 use cypressfork_core::member::LAPSE_AFTER;
-use cypressfork_core::unit::{HolderId, Millis, NodeId, Time};
+use cypressfork_core::unit::{HolderId, Index, Millis, NodeId, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 
 use crate::disk::Storage;
+use crate::fleet_view::FleetView;
 use crate::machine::{Machine, Moment};
 
 /// How often a leader looks after its tasks.
@@ -22,12 +26,22 @@
 /// How often a leader looks for dead holders.
 const WRITE_OFF_EVERY: Millis = Millis(100);
 
+/// How often a leader looks after roll-outs. Reports come about once a second, and at once where
+/// answers are bad.
+const ROLLOUTS_EVERY: Millis = Millis(100);
+
+/// Since when a gateway must have been heard to be in touch: twice the span of a standing question.
+const IN_TOUCH: Millis = Millis::seconds(2);
+
 /// What a leader has done since it began to lead.
 #[derive(Default)]
 pub struct LeaderTasks {
     next: Time,
     next_repair: Time,
     next_write_off: Time,
+    next_rollouts: Time,
+    /// When each roll-out under way was ordered, on this process's steady clock.
+    rollouts: BTreeMap<Index, Time>,
     lapsed: BTreeSet<HolderId>,
 }
 
@@ -97,6 +111,38 @@
         }
     }
 
+    /// As leader, takes the next steps of roll-outs; a version that turns out bad may have had
+    /// `allowed` thousandths of its service's requests.
+    pub fn step_rollouts<W>(&mut self, at: Moment, view: &mut FleetView<W>, allowed: u64) {
+        if !self.raft.leads() || at.now < self.leader_tasks.next_rollouts {
+            return;
+        }
+        self.leader_tasks.next_rollouts = at.now.after(ROLLOUTS_EVERY);
+        let under_way: Vec<_> =
+            self.state.rollouts().iter().filter(|(_, r)| !r.stage.is_over()).collect();
+        let orders: Vec<_> = under_way.iter().map(|(_, r)| r.order).collect();
+        view.reports.keep(&orders);
+        let known = &mut self.leader_tasks.rollouts;
+        known.retain(|order, _| orders.contains(order));
+        let since = Time(at.now.0.saturating_sub(IN_TOUCH.0));
+        let gateways = view.routers.heard_since(since);
+        let mut steps = Vec::new();
+        for (service, r) in under_way {
+            // A leader that did not see the order takes the span until now from the time of day.
+            let so_far = at.wall.since(r.ordered);
+            let ordered = *known.entry(r.order).or_insert(Time(at.now.0.saturating_sub(so_far.0)));
+            let standing: Standing = view.reports.standing(r.order, r.revision, since);
+            let evidence = view.reports.evidence(r.order);
+            let places = view.registry.places(service);
+            let elapsed = at.now.since(ordered);
+            let v = View { elapsed, places: &places, evidence: &evidence, standing, gateways };
+            steps.extend(step::next(service, r, &plan(r.within, allowed), &v));
+        }
+        for s in steps {
+            self.propose_own(at, &Command::StepRollout(s));
+        }
+    }
+
     /// How long ago a report of bounds was taken at the earliest; none if that is not sure yet.
     fn since_told(
         &self,
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -374,6 +374,7 @@
                 revision = revision,
             );
         }
+        self.tell_rollout(&c, &answer);
         self.tell_quarantine();
         if let Answer::Applied(Err(r)) = &answer {
             emit!(Event::ConfigRefused, code = r.code.number(), place = r.place, why = r.why);
@@ -384,6 +385,27 @@
         answer
     }
 
+    /// Logs an order or a step of a roll-out.
+    fn tell_rollout(&self, c: &Command, answer: &Answer) {
+        let service = match c {
+            Command::StartRollout { service, .. } | Command::AbortRollout(service) => service,
+            Command::StepRollout(step) => &step.service,
+            _ => return,
+        };
+        let Some(r) = self.state.rollouts().get(service) else { return };
+        emit!(
+            Event::RolloutChanged,
+            service = service,
+            version = r.version,
+            order = r.order,
+            revision = r.revision,
+            stage = r.stage.text(),
+            trial = r.trial,
+            why = r.why,
+            answer = format_args!("{answer:?}"),
+        );
+    }
+
     /// Logs which requests are quarantined from now on, and which are not any more.
     fn tell_quarantine(&mut self) {
         for (f, change) in self.state.take_quarantine_changes() {
--- a/crates/control/src/native.rs
+++ b/crates/control/src/native.rs
@@ -20,6 +20,9 @@
 /// What the paths of orders about data centres begin with.
 const EVACUATIONS: &str = "/v1/evacuations/";
 
+/// What the paths of roll-outs begin with; the service follows.
+const ROLLOUTS: &str = "/v1/rollouts/";
+
 /// The project's own words.
 pub struct Native;
 
@@ -36,6 +39,8 @@
     service: String,
     address: String,
     data_centre: String,
+    #[serde(default)]
+    version: String,
     #[serde(default = "one")]
     slots: u32,
     #[serde(default)]
@@ -62,6 +67,7 @@
             (&Method::DELETE, path, _) if path.starts_with(EVACUATIONS) => {
                 order(r, EVACUATIONS, false)
             }
+            (method, path, _) if path.starts_with(ROLLOUTS) => rollout(method, r),
             (&Method::PUT, _, Some(id)) if !id.is_empty() => beat(id, r.body),
             (&Method::DELETE, _, Some(id)) if !id.is_empty() => Ok(Call::Leave(id.to_owned())),
             _ => {
@@ -78,6 +84,7 @@
             Answer::Entry(addresses, keep) => {
                 respond(StatusCode::OK, json!({ "addresses": addresses, "keep_ms": keep.0 }))
             }
+            Answer::Rollout(r) => respond(StatusCode::OK, json!(r)),
             Answer::Refused(code, why) => refuse(code, &why),
         }
     }
@@ -96,6 +103,30 @@
     Ok(Call::Evacuate(name.to_owned(), evacuate))
 }
 
+/// An order for a roll-out; its service stands in the path.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RolloutOrder {
+    version: String,
+    within_ms: u64,
+}
+
+fn rollout(method: &Method, r: &Incoming) -> Result<Call, Answer> {
+    let service = r.path.strip_prefix(ROLLOUTS).unwrap_or_default().to_owned();
+    if service.is_empty() {
+        return Err(Answer::Refused(Code::RolloutBad, "the path names no service".to_owned()));
+    }
+    match *method {
+        Method::PUT => {
+            let o: RolloutOrder = serde_json::from_slice(r.body).map_err(|e| bad(e.to_string()))?;
+            Ok(Call::StartRollout(service, o.version, Millis(o.within_ms)))
+        }
+        Method::DELETE => Ok(Call::AbortRollout(service)),
+        Method::GET => Ok(Call::Rollout(service)),
+        _ => Err(Answer::Refused(Code::PathUnknown, format!("no call {method} {}", r.path))),
+    }
+}
+
 fn bad(why: String) -> Answer {
     Answer::Refused(Code::BodyNotJson, why)
 }
@@ -108,6 +139,7 @@
         service: b.service,
         address: b.address,
         data_centre: b.data_centre,
+        version: b.version,
         slots: b.slots,
         cold: Millis(b.cold_ms),
         sequence: b.sequence,
--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -5,6 +5,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::fleet::quarantine::Quarantined;
+use cypressfork_core::fleet::rollout::Rollout;
 use cypressfork_core::member::{Router, SUSPECT_AFTER};
 use cypressfork_core::query::{
     NO_SITES, News, NodeStatus, QuarantineStatus, Query, Reply, RouterStatus, Site, Status, digest,
@@ -173,6 +174,7 @@
             }
             Query::Members => Reply::Members(self.raft.committed_members().clone()),
             Query::Quarantined => Reply::Quarantined(self.quarantined(at)),
+            Query::Rollouts(service) => Reply::Rollouts(self.rollouts(service.as_deref())),
             Query::BackTo(version) => {
                 Reply::Items(self.state.config().version(), self.state.config().back_to(version))
             }
@@ -243,6 +245,11 @@
         self.state.quarantine().iter().map(status).collect()
     }
 
+    fn rollouts(&self, only: Option<&str>) -> Vec<(String, Rollout)> {
+        let all = self.state.rollouts().iter().filter(|(s, _)| only.is_none_or(|o| o == *s));
+        all.map(|(s, r)| (s.to_owned(), r.clone())).collect()
+    }
+
     fn status(&self, at: Moment) -> Status {
         let nodes = self.nodes(at);
         let heard = nodes.iter().filter(|n| n.voter && n.heard).count();
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -101,6 +101,7 @@
         regions,
         entry_keep: f.entry_keep,
         voters: f.voters,
+        rollout_allowed: f.rollout_allowed,
     })
 }
 
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -91,6 +91,8 @@
     pub entry_keep: Millis,
     /// Voters that the group should have.
     pub voters: usize,
+    /// Thousandths of a service's requests that a bad version may get.
+    pub rollout_allowed: u64,
 }
 
 /// How long to wait before a disk that failed is tried again.
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -126,6 +126,7 @@
         let quorum = self.machine.members().quorum();
         let margin = self.clocks.margin(at.now, wall(), quorum);
         self.machine.write_off_dead(at, margin);
+        self.machine.step_rollouts(at, &mut f.view, f.rollout_allowed);
         if at.now >= self.next_follow {
             self.next_follow = at.now.after(FOLLOW_EVERY);
             self.follow_all(at, tx);
@@ -165,6 +166,7 @@
         let lead = self.machine.lead();
         let evacuations = self.machine.state().evacuations();
         let quarantine = self.machine.state().quarantine();
+        let rollouts = self.machine.state().rollouts();
         let followed = Followed {
             version,
             source,
@@ -174,6 +176,7 @@
             lead,
             evacuations,
             quarantine,
+            rollouts,
         };
         let answers = f.view.answers(now, &followed);
         for (to, seen) in answers {
@@ -221,6 +224,8 @@
             control: Some(self.own.clone()),
             evacuations: evacuation::NOT_WANTED,
             quarantine: evacuation::NOT_WANTED,
+            rollouts: evacuation::NOT_WANTED,
+            reports: Vec::new(),
             without_replicas: false,
         })
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -68,6 +68,9 @@
     /// The data centres that may be evacuated; any, if none is given.
     #[serde(default)]
     pub data_centres: Vec<String>,
+    /// The part of a service's requests that a version on roll-out may get if it turns out bad.
+    #[serde(default)]
+    pub rollout_share: Quantity,
 }
 
 fn entry_keep_default() -> u64 {
@@ -81,6 +84,9 @@
     5
 }
 
+/// The part of a service's requests that a bad version may get where the file gives none.
+const ROLLOUT_SHARE: f64 = 0.1;
+
 /// The settings of the fleet's side, checked.
 pub struct FleetSettings {
     /// Where operators and replicas call.
@@ -97,6 +103,8 @@
     pub voters: usize,
     /// The data centres that may be evacuated; none: any.
     pub data_centres: Vec<String>,
+    /// Thousandths of a service's requests that a version on roll-out may get if it turns out bad.
+    pub rollout_allowed: u64,
 }
 
 impl FleetFile {
@@ -104,6 +112,7 @@
         let keep = range("fleet.entry_keep_ms", self.entry_keep_ms, 100, 600_000)?;
         let key = "fleet.replica_heartbeat_ms";
         let beat = quantity(key, self.replica_heartbeat_ms, REPLICA_HEARTBEAT, 10.0..=600_000.0)?;
+        let share = quantity("fleet.rollout_share", self.rollout_share, ROLLOUT_SHARE, 0.0..=1.0)?;
         Ok(FleetSettings {
             listen: address("fleet.listen", &self.listen)?,
             entry: address("fleet.entry", &self.entry)?,
@@ -113,6 +122,8 @@
             found: self.found.unwrap_or(false),
             voters: range("fleet.voters", self.voters, 1, 9)? as usize,
             data_centres: self.data_centres,
+            // Rounded down: it is a bound.
+            rollout_allowed: (share * 1_000.0) as u64,
         })
     }
 }
--- a/crates/control/tests/feed_cache.rs
+++ b/crates/control/tests/feed_cache.rs
@@ -13,6 +13,7 @@
         service: "talk".to_owned(),
         address: format!("10.0.{}.{}:80", n / 250, n % 250),
         data_centre: "a".to_owned(),
+        version: String::new(),
         slots: 4,
         cold: Millis(0),
         sequence,
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -113,6 +113,10 @@
     DataCentreUnknown = 2013, 404, "invalid", "no data centre has this name";
     BodyUnexpected = 2014, 400, "invalid", "this call takes no body";
     RegistrationBad = 2015, 400, "invalid", "what a replica says of itself cannot be true";
+    RolloutBad = 2016, 422, "invalid", "a roll-out needs a service that is known, a version, and a time of up to a day";
+    RolloutUnderWay = 2017, 409, "conflict", "another roll-out of this service is under way";
+    RolloutUnknown = 2018, 404, "invalid", "this service has had no roll-out";
+    RolloutOver = 2019, 409, "conflict", "the roll-out is completed: its old replicas may have stopped";
     LeaseUnknown = 2101, 0, "conflict", "the lease is not known to the ledger";
     HolderStale = 2102, 0, "conflict", "the holder's registration has been replaced";
     ReserveNone = 2103, 0, "invalid", "this process keeps no reserve";
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -9,6 +9,7 @@
 use crate::config::{Change, Refusal};
 use crate::fleet::fingerprint::Fingerprint;
 use crate::fleet::quarantine::EndedReplica;
+use crate::fleet::rollout::Step;
 use crate::unit::{HolderId, LeaseId, Millis, RequestId, Tokens, Version};
 
 /// A change of a group's state.
@@ -126,6 +127,19 @@
         /// Whether work is kept from it.
         evacuate: bool,
     },
+    /// Moves a service's requests to replicas of a version.
+    StartRollout {
+        /// The service.
+        service: String,
+        /// The version.
+        version: String,
+        /// By when.
+        within: Millis,
+    },
+    /// Takes a roll-out back.
+    AbortRollout(String),
+    /// A roll-out takes its next step.
+    StepRollout(Step),
     /// Replicas have ended with requests under way.
     Ended(Vec<EndedReplica>),
     /// Requests under which replicas had ended were answered whole.
--- a/crates/core/src/fleet/entry.rs
+++ b/crates/core/src/fleet/entry.rs
@@ -43,6 +43,11 @@
         self.heard.values().filter(|(_, at)| now.since(*at) < FORGET_AFTER).count() as u32
     }
 
+    /// Routers heard of since `since`.
+    pub fn heard_since(&self, since: Time) -> usize {
+        self.heard.values().filter(|(_, at)| *at >= since).count()
+    }
+
     /// Whether nothing has been heard of a router for a while, by a process that has been listening
     /// for as long.
     pub fn is_silent(&self, now: Time, vm: &str) -> bool {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 pub mod repair;
 pub mod replicas;
 pub mod retry;
+pub mod rollout;
 pub mod routes;
 pub mod share;
 pub mod sound;
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -42,6 +42,9 @@
     pub address: String,
     /// Its data centre.
     pub data_centre: String,
+    /// Version of its software; empty if it does not say.
+    #[serde(default)]
+    pub version: String,
     /// Requests that it works on at a time.
     pub slots: u32,
     /// How much longer it stays slow after its start.
@@ -184,6 +187,19 @@
         !same
     }
 
+    /// Places at the ready replicas of a service, by their version.
+    pub fn places(&self, service: &str) -> BTreeMap<String, u64> {
+        let mut all: BTreeMap<String, u64> = BTreeMap::new();
+        let ready = self.entries.values().map(|e| &e.record);
+        for r in ready.filter(|r| r.standing == Standing::Ready) {
+            let g = &r.registration;
+            if g.service == service {
+                *all.entry(g.version.clone()).or_default() += u64::from(g.slots);
+            }
+        }
+        all
+    }
+
     /// Takes a heartbeat that another control process passes on. Returns whether it changes anything
     /// for routers. One of a replica that is not known comes with its record, if at all.
     pub fn beat(&mut self, now: Time, b: &Beat) -> bool {
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -200,5 +200,6 @@
 
 fn condition(r: &Record) -> Condition {
     let g = &r.registration;
-    Condition { slots: g.slots, leaving: r.standing == Standing::Silent, cold: g.cold }
+    let leaving = r.standing == Standing::Silent;
+    Condition { version: g.version.clone(), slots: g.slots, leaving, cold: g.cold }
 }
--- /dev/null
+++ b/crates/core/src/fleet/rollout/step.rs
@@ -0,0 +1,99 @@
+//! The leader's next step of a roll-out.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::evidence::{Evidence, Standing};
+use super::plan::Plan;
+use super::verdict::{Fault, judge};
+use super::{Rollout, Stage, Step};
+use crate::unit::Millis;
+
+/// The least places that the new version needs, in hundredths of the old one's: with fewer it could
+/// not bear the service's requests.
+const PLACES_LEAST: u64 = 50;
+
+/// What the leader knows of a roll-out.
+#[derive(Clone, Debug)]
+pub struct View<'a> {
+    /// How long ago it was ordered, on the leader's steady clock.
+    pub elapsed: Millis,
+    /// Places at ready replicas, by their version.
+    pub places: &'a BTreeMap<String, u64>,
+    /// What gateways have seen.
+    pub evidence: &'a Evidence,
+    /// How far those in touch are with the last step.
+    pub standing: Standing,
+    /// Gateways that are in touch.
+    pub gateways: usize,
+}
+
+/// What is to be done next, if anything.
+pub fn next(service: &str, r: &Rollout, plan: &Plan, v: &View<'_>) -> Option<Step> {
+    let step = |stage: Stage, why: String| Step {
+        service: service.to_owned(),
+        order: r.order,
+        stage,
+        from: from(r, v),
+        trial: plan.trial,
+        why,
+    };
+    if matches!(r.stage, Stage::Trial | Stage::Moving)
+        && let Some((route, fault)) = judge(v.evidence)
+    {
+        return Some(step(Stage::RolledBack, describe(&route, &fault)));
+    }
+    let new = v.places.get(&r.version).copied().unwrap_or(0);
+    let old: u64 = v.places.iter().filter(|(n, _)| **n != r.version).map(|(_, n)| *n).sum();
+    let over = v.elapsed >= r.within;
+    match r.stage {
+        Stage::Waiting if new > 0 => {
+            Some(step(Stage::Trial, format!("{new} places of it, {old} of others")))
+        }
+        Stage::Waiting if over => {
+            Some(step(Stage::RolledBack, "no replica of it is ready".to_owned()))
+        }
+        Stage::Trial if new * 100 < old * PLACES_LEAST => over.then(|| {
+            let why = format!("{new} places cannot take over from {old}");
+            step(Stage::RolledBack, why)
+        }),
+        Stage::Trial if v.elapsed >= plan.move_at || old == 0 => {
+            let t = v.evidence.total();
+            let (n, bad) = (t.new.ended, t.new.bad);
+            Some(step(Stage::Moving, format!("{bad} of {n} bad on trial")))
+        }
+        Stage::Moving if is_moved(v) => {
+            let n = v.standing.moved;
+            Some(step(
+                Stage::Completed,
+                format!("{n} gateways have moved, nothing runs at the old"),
+            ))
+        }
+        _ => None,
+    }
+}
+
+/// Every gateway in touch sends to the new version alone, and has nothing under way at the old one.
+fn is_moved(v: &View<'_>) -> bool {
+    let s = v.standing;
+    s.at_old == 0 && s.moved == s.heard && s.heard >= v.gateways
+}
+
+/// The versions that requests move away from.
+fn from(r: &Rollout, v: &View<'_>) -> BTreeSet<String> {
+    let others = v.places.keys().filter(|n| **n != r.version).cloned();
+    r.from.iter().cloned().chain(others).collect()
+}
+
+fn describe(route: &str, f: &Fault) -> String {
+    let place = if route.is_empty() { "on all routes".to_owned() } else { format!("on {route}") };
+    match f {
+        Fault::Fails { new: (bad, n), old: (old_bad, old_n) } => {
+            format!(
+                "{place} {bad} of {n} answers were bad, {old_bad} of {old_n} of the old version"
+            )
+        }
+        Fault::Slow { deviations, answers } => {
+            format!("{place} {answers} answers were slower, by {deviations:.1} standard deviations")
+        }
+    }
+}
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -9,6 +9,8 @@
 use super::neighbours::Area;
 use super::quarantine::Told;
 use super::registry::{Beat, Record};
+use super::rollout::Rollouts;
+use super::rollout::evidence::Report;
 use super::transfer::{Part, Want};
 use crate::hash::Fnv;
 use crate::unit::{Index, Version};
@@ -74,6 +76,12 @@
     /// Revision of the quarantined requests that the asker knows.
     #[serde(default)]
     pub quarantine: Index,
+    /// Revision of the roll-outs that the asker knows.
+    #[serde(default)]
+    pub rollouts: Index,
+    /// What the router has seen of roll-outs under way.
+    #[serde(default)]
+    pub reports: Vec<Report>,
 }
 
 /// The answer.
@@ -107,6 +115,9 @@
     /// The quarantined requests, if the asker knows an older revision.
     #[serde(default)]
     pub quarantine: Option<Told>,
+    /// The roll-outs, if the asker knows an older revision.
+    #[serde(default)]
+    pub rollouts: Option<Rollouts>,
     /// For another control process: heartbeats of replicas that have not changed.
     #[serde(default)]
     pub beats: Vec<Beat>,
--- a/crates/core/src/query.rs
+++ b/crates/core/src/query.rs
@@ -6,6 +6,7 @@
 use crate::budget::Lease;
 use crate::config::{Application, Difference, Entry, Item, Template};
 use crate::fleet::fingerprint::Fingerprint;
+use crate::fleet::rollout::Rollout;
 use crate::hash::Fnv;
 use crate::raft::Members;
 use crate::unit::{HolderId, Index, LeaseId, NodeId, RequestId, Term, Tokens, Version};
@@ -43,6 +44,8 @@
     Members,
     /// The requests that are sent to no replica.
     Quarantined,
+    /// The last roll-out of each service, or of one.
+    Rollouts(Option<String>),
 }
 
 /// Where a router serves callers.
@@ -223,6 +226,8 @@
     Members(Members),
     /// To [`Query::Quarantined`].
     Quarantined(Vec<QuarantineStatus>),
+    /// To [`Query::Rollouts`], by service.
+    Rollouts(Vec<(String, Rollout)>),
 }
 
 /// A replica's identity and group, as it says itself; not confirmed by anybody.
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -14,6 +14,8 @@
 use super::ring::Ring;
 use crate::config::Upstream;
 use crate::fleet::regions::Regions;
+use crate::fleet::rollout::Rollout;
+use crate::fleet::rollout::split::{self, Side, Way};
 use crate::unit::{Millis, Time};
 
 /// How many candidates are compared. Sampling keeps many routers with the same view from all
@@ -46,6 +48,8 @@
     pub trail: Trail,
     /// When its answer is in time; none: as soon as can be.
     pub aim: Option<Aim>,
+    /// Where it may go while a roll-out is under way.
+    pub way: Way,
     /// The regions that it may be served in; empty: any.
     pub regions: BTreeSet<String>,
 }
@@ -64,8 +68,10 @@
 }
 
 /// What a replica, or the control group, says of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Condition {
+    /// Version of its software; empty if it does not say.
+    pub version: String,
     /// Requests that it runs side by side.
     pub slots: u32,
     /// It gets no new work.
@@ -98,10 +104,16 @@
     cold_bound: Option<u32>,
     /// Requests that came lately.
     demand: Demand,
+    /// The service's roll-out.
+    rollout: Option<Rollout>,
     /// The data centre of this router, and the regions of all.
     place: (String, Regions),
 }
 
+fn side_of(rollout: Option<&Rollout>, r: &Replica) -> Side {
+    rollout.map_or(Side::Any, |rollout| split::side(rollout, &r.upstream.vm.name, &r.version))
+}
+
 impl Pool {
     /// Takes a changed list of replicas; what is known of those that stay is kept.
     pub fn set(&mut self, now: Time, upstreams: &[Upstream], slots: u32) {
@@ -112,7 +124,7 @@
         }
         for u in upstreams {
             let leaving = self.replicas.get(&u.address).is_some_and(|r| r.leaving);
-            self.put(now, u, &Condition { slots, leaving, cold: Millis(0) });
+            self.put(now, u, &Condition { slots, leaving, ..Condition::default() });
         }
     }
 
@@ -129,6 +141,8 @@
         }
         let Some(r) = self.replicas.get_mut(&u.address) else { return };
         r.slots = condition.slots.max(1);
+        r.version.clone_from(&condition.version);
+        r.side = side_of(self.rollout.as_ref(), r);
         r.leaving = condition.leaving;
         r.closed = self.closed.contains(&u.vm.data_centre);
         r.abroad = !self.place.1.are_near(&self.place.0, &u.vm.data_centre);
@@ -217,6 +231,19 @@
         self.place = (data_centre.to_owned(), regions.clone());
     }
 
+    /// Takes the service's roll-out.
+    pub fn set_rollout(&mut self, r: &Rollout) {
+        self.rollout = Some(r.clone());
+        for replica in self.replicas.values_mut() {
+            replica.side = side_of(self.rollout.as_ref(), replica);
+        }
+    }
+
+    /// Whether any replica is left that a roll-out moves away from.
+    pub fn has_old(&self) -> bool {
+        self.replicas.values().any(|r| matches!(r.side, Side::Old | Side::Any) && r.is_open())
+    }
+
     /// Replicas that get new work at `now`.
     pub fn usable(&self, now: Time) -> usize {
         self.replicas.values().filter(|r| !r.is_out(now)).count()
@@ -284,6 +311,7 @@
     ) -> Vec<SocketAddr> {
         let open = |r: &Replica| {
             r.is_open()
+                && work.way.allows(r.side)
                 && self.place.1.allow(&work.regions, &r.upstream.vm.data_centre)
                 && !tried.contains(&r.upstream.address)
         };
--- a/crates/core/src/route/replica.rs
+++ b/crates/core/src/route/replica.rs
@@ -4,6 +4,7 @@
 
 use super::backlog::Backlog;
 use crate::config::Upstream;
+use crate::fleet::rollout::split::Side;
 use crate::unit::{Millis, Time};
 
 /// What a replica in another data centre costs, in microseconds.
@@ -35,6 +36,10 @@
     /// The prompts that it is to read.
     pub(super) backlog: Backlog,
     pub(super) slots: u32,
+    /// Version of its software.
+    pub(super) version: String,
+    /// The side of its service's roll-out that it is on.
+    pub side: Side,
     pub(super) failures: u32,
     pub(super) out_until: Time,
     pub(super) leaving: bool,
@@ -59,6 +64,8 @@
             outstanding: 0,
             backlog: Backlog::default(),
             slots: SLOTS_GUESS,
+            version: String::new(),
+            side: Side::default(),
             failures: 0,
             out_until: Time(0),
             leaving: false,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -14,9 +14,10 @@
 use crate::fleet::evacuation::Evacuations;
 use crate::fleet::fingerprint::Fingerprint;
 use crate::fleet::quarantine::{self, Quarantine};
+use crate::fleet::rollout::Rollouts;
 use crate::member::{Reserves, Router, Routers};
 use crate::query::{BudgetStatus, LeaseStatus};
-use crate::unit::{HolderId, LeaseId, Millis, Time, Tokens, Version};
+use crate::unit::{HolderId, Index, LeaseId, Millis, Time, Tokens, Version};
 
 /// How many operations on budgets are remembered for resends.
 const OPERATIONS_KEPT: usize = 10_000;
@@ -42,6 +43,8 @@
     #[serde(default)]
     evacuations: Evacuations,
     #[serde(default)]
+    rollouts: Rollouts,
+    #[serde(default)]
     quarantine: Quarantine,
     /// What the last command changed in it, for logs.
     #[serde(skip)]
@@ -83,6 +86,10 @@
     }
 }
 
+fn done(result: Result<(), Code>) -> Answer {
+    result.map_or_else(Answer::Refused, |()| Answer::Done)
+}
+
 impl State {
     /// Applies the command at log position `pos`, stamped with `at` by its leader. Time never
     /// goes back, whatever the stamps say.
@@ -152,6 +159,14 @@
                 self.evacuations.order(pos.index, data_centre, *evacuate);
                 Answer::Done
             }
+            Command::StartRollout { service, version, within } => {
+                self.start_rollout(now, pos.index, service, version, *within)
+            }
+            Command::AbortRollout(service) => done(self.rollouts.abort(pos.index, service)),
+            Command::StepRollout(step) => {
+                self.rollouts.advance(pos.index, step);
+                Answer::Done
+            }
             Command::Ended(ended) => {
                 self.quarantine_changes = self.quarantine.note(now, pos.index, ended);
                 Answer::Done
@@ -178,6 +193,20 @@
         }
     }
 
+    fn start_rollout(
+        &mut self,
+        now: Time,
+        pos: Index,
+        service: &str,
+        version: &str,
+        within: Millis,
+    ) -> Answer {
+        if !self.names_service(service) {
+            return Answer::Refused(Code::RolloutBad);
+        }
+        done(self.rollouts.start(now, pos, service, version, within))
+    }
+
     fn once(&mut self, op: &str, c: &Command, run: impl FnOnce(&mut State) -> Answer) -> Answer {
         if let Some(first) = self.operations.find(op, c) {
             return first;
@@ -301,6 +330,11 @@
         &self.evacuations
     }
 
+    /// The roll-outs of all services.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
     /// The requests that are sent to no replica, and those that may come to that.
     pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
--- a/crates/core/tests/cold.rs
+++ b/crates/core/tests/cold.rs
@@ -47,7 +47,7 @@
         pool.set_peers(l.gateways as u64 - 1);
         for n in 0..l.replicas {
             let cold = if n < l.cold { Millis(3_000) } else { Millis(0) };
-            pool.put(Time(0), &upstream(n), &Condition { slots: 64, leaving: false, cold });
+            pool.put(Time(0), &upstream(n), &Condition { slots: 64, cold, ..Condition::default() });
         }
         pool
     };
--- a/crates/core/tests/lives.rs
+++ b/crates/core/tests/lives.rs
@@ -22,6 +22,7 @@
         service: "talk".to_owned(),
         address: format!("10.0.0.1:{port}"),
         data_centre: "a".to_owned(),
+        version: String::new(),
         slots: 8,
         cold: Millis(0),
         sequence,
@@ -136,7 +137,7 @@
     let other = SocketAddr::from(([10, 0, 0, 2], 80));
     let vm = Vm { name: "i-2".to_owned(), data_centre: "a".to_owned() };
     let upstream = Upstream { vm, address: other, checks_orders: false };
-    pool.put(Time(0), &upstream, &Condition { slots: 8, leaving: false, cold: Millis(0) });
+    pool.put(Time(0), &upstream, &Condition { slots: 8, ..Condition::default() });
     let work = Work::default();
     let first = SocketAddr::from(([10, 0, 0, 1], 80));
     for _ in 0..3 {
--- a/crates/core/tests/regions.rs
+++ b/crates/core/tests/regions.rs
@@ -10,7 +10,7 @@
 use cypressfork_core::fleet::watch::RouterSign;
 use cypressfork_core::route::lateness::Aim;
 use cypressfork_core::route::{Condition, Pool, Trail, Work};
-use cypressfork_core::unit::{Millis, Time};
+use cypressfork_core::unit::Time;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -70,7 +70,7 @@
             let address = SocketAddr::from(([10, c as u8, 0, n], 80));
             let vm = Vm { name: format!("{dc}-{n}"), data_centre: dc.to_owned() };
             let upstream = Upstream { vm, address, checks_orders: false };
-            pool.put(Time(0), &upstream, &Condition { slots: 8, leaving: false, cold: Millis(0) });
+            pool.put(Time(0), &upstream, &Condition { slots: 8, ..Condition::default() });
             at.insert(address, dc);
         }
     }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -13,6 +13,7 @@
         service: "talk".to_owned(),
         address: "10.0.0.1:80".to_owned(),
         data_centre: "tamar-a".to_owned(),
+        version: String::new(),
         slots: 4,
         cold: Millis(0),
         sequence,
--- a/crates/core/tests/replicas.rs
+++ b/crates/core/tests/replicas.rs
@@ -20,6 +20,7 @@
         service: "talk".to_owned(),
         address: format!("10.0.0.1:{port}"),
         data_centre: "a".to_owned(),
+        version: String::new(),
         slots: 8,
         cold: Millis(0),
         sequence,
@@ -112,7 +113,8 @@
     Upstream { vm, address: SocketAddr::from(([10, b, c, d], 80)), checks_orders: false }
 }
 
-const READY: Condition = Condition { slots: 8, leaving: false, cold: Millis(0) };
+const READY: Condition =
+    Condition { version: String::new(), slots: 8, leaving: false, cold: Millis(0) };
 
 /// Where each of some prompts goes first at a router that knows nothing but the replicas: their
 /// shared part is large enough that reading it at another replica is never cheaper.
--- /dev/null
+++ b/crates/core/tests/rollout.rs
@@ -0,0 +1,283 @@
+//! Roll-outs: orders, steps, what gateways do and what speaks against a version, in tables.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cypressfork_core::code::Code;
+use cypressfork_core::fleet::rollout::evidence::{Evidence, Report, Reports, Standing};
+use cypressfork_core::fleet::rollout::plan::{Plan, plan};
+use cypressfork_core::fleet::rollout::split::{Local, Side, Way, side, way};
+use cypressfork_core::fleet::rollout::step::{View, next};
+use cypressfork_core::fleet::rollout::verdict::{Fault, judge};
+use cypressfork_core::fleet::rollout::{Rollout, Rollouts, Stage, Step};
+use cypressfork_core::unit::{Millis, Time};
+use rstest::rstest;
+
+const WITHIN: Millis = Millis::seconds(12);
+
+fn ordered() -> Rollouts {
+    let mut all = Rollouts::default();
+    all.start(Time(1_000), 7, "talk", "v2", WITHIN).unwrap();
+    all
+}
+
+fn step(order: u64, stage: Stage) -> Step {
+    Step {
+        service: "talk".to_owned(),
+        order,
+        stage,
+        from: BTreeSet::from(["v1".to_owned()]),
+        trial: 40,
+        why: "test".to_owned(),
+    }
+}
+
+fn at(stage: Stage) -> Rollout {
+    let mut all = ordered();
+    if stage > Stage::Waiting {
+        assert!(all.advance(8, &step(7, stage)));
+    }
+    all.get("talk").unwrap().clone()
+}
+
+#[rstest]
+#[case::sent_again("v2", 12_000, Ok(()))]
+#[case::another_version("v3", 12_000, Err(Code::RolloutUnderWay))]
+#[case::no_version("", 12_000, Err(Code::RolloutBad))]
+#[case::no_time("v2", 0, Err(Code::RolloutBad))]
+#[case::more_than_a_day("v2", 86_400_001, Err(Code::RolloutBad))]
+fn an_order_beside_one_under_way(
+    #[case] version: &str,
+    #[case] within: u64,
+    #[case] want: Result<(), Code>,
+) {
+    let mut all = ordered();
+    assert_eq!(all.start(Time(2_000), 9, "talk", version, Millis(within)), want);
+    assert_eq!(all, ordered(), "the one under way is as it was");
+}
+
+/// An order whose acknowledgement was lost comes again seconds later; once that cannot be any more,
+/// the same words are a new order.
+#[rstest]
+#[case::lately(Time(1_000 + 12_000 + 14_999), Stage::RolledBack)]
+#[case::long_ago(Time(1_000 + 12_000 + 15_000), Stage::Waiting)]
+fn the_same_order_after_its_end(#[case] now: Time, #[case] stage: Stage) {
+    let mut all = ordered();
+    assert!(all.advance(8, &step(7, Stage::RolledBack)));
+    all.start(now, 9, "talk", "v2", WITHIN).unwrap();
+    assert_eq!(all.get("talk").unwrap().stage, stage);
+}
+
+#[rstest]
+#[case::back_on_trial(Stage::Moving, Stage::Trial, 7, false)]
+#[case::of_an_earlier_order(Stage::Trial, Stage::Moving, 6, false)]
+#[case::after_the_end(Stage::Completed, Stage::RolledBack, 7, false)]
+#[case::onwards(Stage::Trial, Stage::Moving, 7, true)]
+#[case::back(Stage::Moving, Stage::RolledBack, 7, true)]
+fn a_step(#[case] from: Stage, #[case] to: Stage, #[case] order: u64, #[case] taken: bool) {
+    let mut all = ordered();
+    assert!(all.advance(8, &step(7, from)));
+    assert_eq!(all.advance(9, &step(order, to)), taken);
+    assert_eq!(all.get("talk").unwrap().stage, if taken { to } else { from });
+}
+
+#[rstest]
+#[case::on_trial(Stage::Trial, Ok(()), Stage::RolledBack)]
+#[case::twice(Stage::RolledBack, Ok(()), Stage::RolledBack)]
+#[case::too_late(Stage::Completed, Err(Code::RolloutOver), Stage::Completed)]
+fn an_operator_takes_it_back(
+    #[case] from: Stage,
+    #[case] want: Result<(), Code>,
+    #[case] stage: Stage,
+) {
+    let mut all = ordered();
+    assert!(all.advance(8, &step(7, from)));
+    assert_eq!(all.abort(9, "talk"), want);
+    assert_eq!(all.get("talk").unwrap().stage, stage);
+    assert_eq!(all.abort(9, "board"), Err(Code::RolloutUnknown));
+}
+
+/// Counts of answers: ended and bad of the old version, ended and bad of the new one.
+fn counted(old: (u64, u64), new: (u64, u64)) -> Evidence {
+    let mut e = Evidence::default();
+    let sides = e.of("play");
+    (sides.old.ended, sides.old.bad) = old;
+    (sides.new.ended, sides.new.bad) = new;
+    e
+}
+
+#[rstest]
+#[case::nothing((0, 0), (0, 0), false)]
+#[case::a_single_failure((1_000, 0), (1, 1), false)]
+#[case::three_of_three((1_000, 0), (3, 3), false)]
+#[case::six_in_ten_fail((1_000, 0), (8, 5), true)]
+#[case::a_fifth_fails((1_000, 2), (30, 6), true)]
+#[case::a_twentieth_fails((10_000, 20), (300, 15), true)]
+#[case::both_fail_as_often((1_000, 140), (100, 20), false)]
+#[case::a_third_where_a_seventh_is_usual((1_000, 140), (100, 34), true)]
+#[case::the_old_one_is_hardly_known((10, 0), (10, 4), false)]
+#[case::many_bad_and_somewhat_more_than_usual((2_000, 280), (180, 46), true)]
+fn failures_speak_against_a_version(
+    #[case] old: (u64, u64),
+    #[case] new: (u64, u64),
+    #[case] bad: bool,
+) {
+    let found = judge(&counted(old, new));
+    assert_eq!(found.is_some(), bad, "{found:?}");
+}
+
+/// Answers of both versions, the new one's so many hundredths of the old one's times.
+fn timed(n: u64, factor: u64) -> Evidence {
+    let mut e = Evidence::default();
+    let sides = e.of("talk");
+    for i in 0..n {
+        // From 40 to 240 ms, where 60 ms were expected.
+        let us = 40_000 + i * 7_919 % 200_000;
+        sides.old.answered(us, 60_000);
+        sides.new.answered(us * factor / 100, 60_000);
+    }
+    e
+}
+
+#[rstest]
+#[case::alike(2_000, 100, false)]
+#[case::a_little_slower(2_000, 125, false)]
+#[case::three_times_but_few_answers(15, 300, false)]
+#[case::three_times(80, 300, true)]
+#[case::twice(400, 200, true)]
+#[case::eight_times(40, 800, true)]
+fn times_speak_against_a_version(#[case] n: u64, #[case] factor: u64, #[case] bad: bool) {
+    let found = judge(&timed(n, factor));
+    assert_eq!(matches!(found, Some((_, Fault::Slow { .. }))), bad, "{found:?}");
+}
+
+/// One bad route among many good ones shows, though all together do not.
+#[test]
+fn a_version_may_be_bad_on_one_route_only() {
+    let mut e = counted((1_000, 0), (40, 12));
+    for n in 0..10 {
+        let sides = e.of(&format!("other-{n}"));
+        (sides.old.ended, sides.new.ended) = (10_000, 400);
+    }
+    assert_eq!(judge(&e).unwrap().0, "play");
+}
+
+#[rstest]
+#[case::twelve_seconds(12_000, 100)]
+#[case::a_minute(60_000, 100)]
+#[case::ten_minutes(600_000, 100)]
+#[case::little_is_allowed(60_000, 50)]
+fn a_version_that_turns_out_bad_at_the_end_had_no_more_than_is_allowed(
+    #[case] within: u64,
+    #[case] allowed: u64,
+) {
+    let Plan { trial, move_at } = plan(Millis(within), allowed);
+    let had = trial * move_at.0 / 1_000 + (within - move_at.0);
+    assert!(had * 1_000 <= within * allowed, "{had} ms of {within} ms");
+}
+
+fn view<'a>(elapsed: u64, places: &'a BTreeMap<String, u64>, e: &'a Evidence) -> View<'a> {
+    let standing = Standing { heard: 3, moved: 3, at_old: 0 };
+    View { elapsed: Millis(elapsed), places, evidence: e, standing, gateways: 3 }
+}
+
+fn places(old: u64, new: u64) -> BTreeMap<String, u64> {
+    let both = [("v1".to_owned(), old), ("v2".to_owned(), new)];
+    both.into_iter().filter(|(_, n)| *n > 0).collect()
+}
+
+#[rstest]
+#[case::no_replica_yet(Stage::Waiting, 3_000, (18, 0), None)]
+#[case::no_replica_in_time(Stage::Waiting, 12_000, (18, 0), Some(Stage::RolledBack))]
+#[case::a_replica(Stage::Waiting, 100, (18, 6), Some(Stage::Trial))]
+#[case::on_trial(Stage::Trial, 6_000, (18, 18), None)]
+#[case::its_time_is_nearly_over(Stage::Trial, 11_400, (18, 18), Some(Stage::Moving))]
+#[case::too_few_places(Stage::Trial, 11_400, (18, 6), None)]
+#[case::too_few_places_to_the_end(Stage::Trial, 12_000, (18, 6), Some(Stage::RolledBack))]
+#[case::nothing_else_is_left(Stage::Trial, 1_000, (0, 18), Some(Stage::Moving))]
+#[case::all_have_moved(Stage::Moving, 11_600, (18, 18), Some(Stage::Completed))]
+#[case::it_is_over(Stage::Completed, 20_000, (18, 18), None)]
+fn the_next_step(
+    #[case] stage: Stage,
+    #[case] elapsed: u64,
+    #[case] (old, new): (u64, u64),
+    #[case] want: Option<Stage>,
+) {
+    let (places, e) = (places(old, new), Evidence::default());
+    let found = next("talk", &at(stage), &plan(WITHIN, 100), &view(elapsed, &places, &e));
+    assert_eq!(found.map(|s| s.stage), want);
+}
+
+/// It is not completed while a gateway in touch sends to the old version or has something there:
+/// the old replicas stop at once.
+#[rstest]
+#[case::one_has_not_heard(Standing { heard: 3, moved: 2, at_old: 0 })]
+#[case::one_says_nothing(Standing { heard: 2, moved: 2, at_old: 0 })]
+#[case::a_stream_runs(Standing { heard: 3, moved: 3, at_old: 1 })]
+fn what_it_is_not_completed_before(#[case] standing: Standing) {
+    let (places, e) = (places(18, 18), Evidence::default());
+    let v = View { standing, ..view(20_000, &places, &e) };
+    assert_eq!(next("talk", &at(Stage::Moving), &plan(WITHIN, 100), &v), None);
+}
+
+#[rstest]
+#[case::on_trial(Stage::Trial)]
+#[case::while_all_moves(Stage::Moving)]
+fn a_bad_version_is_taken_back_at_once(#[case] stage: Stage) {
+    let (places, e) = (places(18, 18), counted((200, 0), (10, 6)));
+    let found = next("talk", &at(stage), &plan(WITHIN, 100), &view(500, &places, &e)).unwrap();
+    assert_eq!(found.stage, Stage::RolledBack);
+    assert_eq!(found.why, "on play 6 of 10 answers were bad, 0 of 200 of the old version");
+}
+
+#[rstest]
+#[case::before_its_trial(Stage::Waiting, Side::Any, Side::Barred, Side::Any)]
+#[case::while_all_moves(Stage::Moving, Side::Old, Side::New, Side::Old)]
+#[case::completed(Stage::Completed, Side::Old, Side::New, Side::Any)]
+#[case::rolled_back(Stage::RolledBack, Side::Any, Side::Barred, Side::Any)]
+fn sides(#[case] stage: Stage, #[case] old: Side, #[case] new: Side, #[case] later: Side) {
+    let r = at(stage);
+    assert_eq!(["v1", "v2", "v3"].map(|v| side(&r, "i-1", v)), [old, new, later]);
+}
+
+const IN_TOUCH: Local = Local { in_touch: true, stopped: false };
+const CUT_OFF: Local = Local { in_touch: false, stopped: false };
+const STOPPED: Local = Local { in_touch: true, stopped: true };
+
+#[rstest]
+#[case::on_trial(Stage::Trial, 39, IN_TOUCH, Way::Trial)]
+#[case::beside_the_trial(Stage::Trial, 40, IN_TOUCH, Way::Old)]
+#[case::cut_off(Stage::Trial, 0, CUT_OFF, Way::Old)]
+#[case::by_what_it_saw(Stage::Trial, 0, STOPPED, Way::Old)]
+#[case::all_move(Stage::Moving, 999, IN_TOUCH, Way::New)]
+#[case::cut_off_as_all_move(Stage::Moving, 0, CUT_OFF, Way::Old)]
+#[case::completed_and_cut_off(Stage::Completed, 0, CUT_OFF, Way::New)]
+#[case::rolled_back(Stage::RolledBack, 0, IN_TOUCH, Way::Any)]
+fn where_a_request_goes(
+    #[case] stage: Stage,
+    #[case] drawn: u64,
+    #[case] local: Local,
+    #[case] want: Way,
+) {
+    assert_eq!(way(&at(stage), drawn, local), want);
+}
+
+fn report(life: u64, revision: u64, ended: u64, at_old: u64) -> Report {
+    let evidence = counted((ended, 0), (0, 0));
+    Report { service: "talk".to_owned(), order: 7, revision, life, evidence, at_old }
+}
+
+/// Whatever the order in which reports come, and however often, each life of a gateway counts once.
+#[test]
+fn reports_count_once() {
+    let mut all = Reports::default();
+    for r in [report(1, 7, 10, 2), report(1, 7, 30, 1), report(1, 7, 20, 9), report(1, 7, 30, 1)] {
+        all.take(Time(1_000), "vm-1", r);
+    }
+    all.take(Time(4_000), "vm-1", report(2, 8, 5, 0));
+    all.take(Time(4_000), "vm-2", report(3, 7, 7, 3));
+    assert_eq!(all.evidence(7).total().old.ended, 30 + 5 + 7);
+    let standing = all.standing(7, 8, Time(3_000));
+    assert_eq!(standing, Standing { heard: 2, moved: 1, at_old: 3 });
+    all.keep(&[9]);
+    assert_eq!(all.evidence(7).total().old.ended, 0);
+}
--- a/crates/core/tests/transfer.rs
+++ b/crates/core/tests/transfer.rs
@@ -203,6 +203,7 @@
             service: "talk".to_owned(),
             address: format!("10.0.{}.{}:80", n / 250, n % 250),
             data_centre: "tamar-a".to_owned(),
+            version: String::new(),
             slots: 4,
             cold: Millis(0),
             sequence: 1,
--- a/crates/cypressfork/tests/support/control.rs
+++ b/crates/cypressfork/tests/support/control.rs
@@ -12,6 +12,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::evacuation::Evacuations;
 use cypressfork_core::fleet::quarantine::Quarantine;
+use cypressfork_core::fleet::rollout::Rollouts;
 use cypressfork_core::member::Routers;
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::link::{self, Credentials, Writer};
@@ -92,7 +93,7 @@
         let registered = Routers::default();
         let (controls, wall) = (Vec::new(), Time(0));
         let evacuations = Evacuations::default();
-        let quarantine = Quarantine::default();
+        let (quarantine, rollouts) = (Quarantine::default(), Rollouts::default());
         let f = Followed {
             version,
             source: &source,
@@ -102,6 +103,7 @@
             lead: None,
             evacuations: &evacuations,
             quarantine: &quarantine,
+            rollouts: &rollouts,
         };
         for (to, seen) in view.answers(clock.now(), &f) {
             let bytes = body::pack(&seen);
--- a/crates/cypressfork/tests/support/crashing.rs
+++ b/crates/cypressfork/tests/support/crashing.rs
@@ -178,7 +178,7 @@
 }
 
 /// Reads one request: its head and body as text.
-fn request(s: &mut TcpStream) -> Option<String> {
+pub fn request(s: &mut TcpStream) -> Option<String> {
     let mut text = String::new();
     let mut buf = [0; 4096];
     loop {
@@ -198,7 +198,7 @@
     }
 }
 
-fn header<'a>(text: &'a str, name: &str) -> &'a str {
+pub fn header<'a>(text: &'a str, name: &str) -> &'a str {
     let mut lines = text.lines().filter_map(|l| l.split_once(": "));
     lines.find(|(k, _)| k.eq_ignore_ascii_case(name)).map_or("", |(_, v)| v)
 }
--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod gateways;
 mod http;
 pub mod slow_link;
+pub mod versions;
 
 use std::fs::{self, File};
 use std::net::TcpListener;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -78,6 +78,7 @@
     DataCentreEvacuated = 327, Info, "an order about new work in a data centre is carried out";
     QuarantineChanged = 328, Info, "a request is sent to no replica from now on, or may be again";
     ServiceUnnamed = 329, Info, "a replica of a service that no document names is left out";
+    RolloutChanged = 330, Info, "a roll-out is ordered, takes a step or is taken back";
     RouterRegistered = 401, Info, "this router is registered";
     RouterReady = 402, Info, "this router serves callers";
     ControlLost = 403, Warn, "the control group is out of reach";
@@ -108,6 +109,8 @@
     ReplicaEnded = 430, Info, "a replica has ended with a request under way";
     QuarantineSeen = 431, Info, "the requests that are sent to no replica have changed";
     EndsUnreported = 432, Warn, "the control group has not heard of replicas that ended";
+    RolloutSeen = 433, Info, "a roll-out has come to another stage";
+    RolloutStopped = 434, Warn, "a version on roll-out gets nothing more from this gateway, by what it saw itself";
     GatewayBehind = 435, Warn, "the gateway is behind with its own work";
     LinkFull = 436, Warn, "the gateway's link is full, and it takes no connection for a moment";
     ListenFailed = 437, Warn, "an address cannot be listened on";
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt: a request sent to one replica.
 
+use std::time::Duration;
+
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -81,20 +83,21 @@
     }
 }
 
-/// Sends a request to the replica that was chosen, and passes its answer on.
+/// Sends a request to the replica that was chosen, and passes its answer on. Returns how that ended,
+/// and after which time the first byte of the answer's content came.
 pub async fn run<D: Dialect>(
     job: &Job,
     client: &mut Client,
     progress: &mut Progress,
     choice: &Choice,
     replica: &str,
-) -> Ended {
-    let mut exchange = Exchange { job, choice, replica, sent: Instant::now() };
+) -> (Ended, Option<Duration>) {
+    let mut exchange = Exchange { job, choice, replica, sent: Instant::now(), first: None };
     let ended = exchange.run::<D>(client, progress).await;
     if matches!(ended, Ended::Lost(_)) {
         note_lost(job, choice.address, replica, exchange.sent);
     }
-    ended
+    (ended, exchange.first)
 }
 
 /// What an attempt consists of.
@@ -107,6 +110,8 @@
     pub replica: &'a str,
     /// When the request was sent.
     pub sent: Instant,
+    /// How long it took until the first event, or the head of an answer that is no stream.
+    pub first: Option<Duration>,
 }
 
 impl Exchange<'_> {
@@ -122,6 +127,7 @@
             Ok(Err(ended)) => return ended,
             Err(_) => return Ended::Late,
         };
+        self.first = Some(self.sent.elapsed());
         self.finish::<D>(client, progress, connection, head).await
     }
 
@@ -190,7 +196,7 @@
     }
 
     async fn finish<D: Dialect>(
-        &self,
+        &mut self,
         client: &mut Client,
         progress: &mut Progress,
         connection: Connection,
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -83,6 +83,8 @@
             evacuations,
             without_replicas: !gw.sources.borrow().wants(to),
             quarantine,
+            rollouts: gw.trials.revision(),
+            reports: gw.trials.reports(),
         })
     }
 
@@ -102,6 +104,12 @@
         if let Some(told) = &seen.quarantine {
             gw.quarantines.take(told);
         }
+        if seen.lead.is_some() {
+            gw.trials.note_heard(gw.now());
+        }
+        if let Some(told) = &seen.rollouts {
+            gw.take_rollouts(told);
+        }
         documents::take::<D>(gw, from, seen.version, seen.part);
         gw.share.meet(gw.settings.link, &seen.peers);
         if let Some(areas) = &seen.areas {
--- a/crates/router/src/gateway/job.rs
+++ b/crates/router/src/gateway/job.rs
@@ -39,6 +39,8 @@
     pub priority: u8,
     /// The most replicas that may run it.
     pub attempts: u32,
+    /// The name of its route.
+    pub route: String,
     /// The service that it goes to.
     pub service: String,
     /// Requests a minute that a cold replica of it bears.
@@ -70,7 +72,7 @@
     pub fn work(&self) -> Work {
         let prompt = self.inbound.prompt.as_ref();
         let (trail, regions) = (self.prompt().trail, self.regions.clone());
-        Work { trail, aim: prompt.map(|_| self.aim), regions }
+        Work { trail, aim: prompt.map(|_| self.aim), regions, ..Work::default() }
     }
 
     /// What is left of its time.
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod native;
 mod quarantine;
 mod request;
+mod rollouts;
 pub mod run;
 mod server;
 pub mod settings;
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -14,6 +14,7 @@
 use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::fleet::patience;
 use cypressfork_core::fleet::routes::{Routes, draw};
+use cypressfork_core::route::Work;
 use cypressfork_core::route::lateness::Aim;
 use cypressfork_core::unit::{Millis, Tokens};
 use cypressfork_node::emit;
@@ -30,6 +31,7 @@
 use super::documents::depends_on_document;
 use super::events::Events;
 use super::job::Job;
+use super::rollouts::Attempt;
 use super::state::Gateway;
 use super::timing::Timing;
 use crate::reply::Refusal;
@@ -226,6 +228,7 @@
         resumable: route.kind == Kind::Stream && route.resumable,
         priority: account.and_then(|a| a.priority).unwrap_or(route.priority),
         attempts: route.attempts.max(1),
+        route: route.name.clone(),
         service: backend.name.clone(),
         cold_bound: backend.cold_per_minute,
         regions: allowed_regions(route, account)?,
@@ -291,15 +294,19 @@
             if let Some(f) = self.job.gw.quarantines.find(self.job) {
                 return self.stop(f, client);
             }
-            let work = self.job.work();
             let job = self.job;
-            let chosen = job.gw.choose(&job.service, job.cold_bound, &work, &self.tried);
-            let Some((choice, replica)) = chosen else {
+            let (service, id) = (&job.service, &job.inbound.id);
+            let way = job.gw.trials.way(job.gw.now(), service, id, !self.tried.is_empty());
+            let mut work = Work { way, ..job.work() };
+            let chosen = job.gw.choose(&job.service, job.cold_bound, &mut work, &self.tried);
+            let Some((choice, replica, side)) = chosen else {
                 return self.give_up("no replica is left", client);
             };
             self.tried.push(choice.address);
-            let ended =
-                attempt::run::<D>(self.job, client, &mut self.progress, &choice, &replica).await;
+            let trial = Attempt::begin(&job.gw, &job.service, side);
+            let (ended, first) =
+                attempt::run::<D>(job, client, &mut self.progress, &choice, &replica).await;
+            trial.end(&job.route, &ended, first, choice.expected_us);
             counter!(metric::ATTEMPTS, "end" => ended.name()).increment(1);
             let failed = !matches!(ended, Ended::Answered | Ended::Left | Ended::NotRun);
             self.job.gw.done(&self.job.service, &choice, failed);
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -13,6 +13,8 @@
 use cypressfork_core::fleet::registry::{Record, Standing};
 use cypressfork_core::fleet::replicas::{Change, Replicas, Start};
 use cypressfork_core::fleet::retry::Window;
+use cypressfork_core::fleet::rollout::Rollouts;
+use cypressfork_core::fleet::rollout::split::{Side, Way};
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::share::Placement;
 use cypressfork_core::fleet::sources::Sources;
@@ -35,6 +37,7 @@
 
 use super::documents::Documents;
 use super::quarantine::Quarantines;
+use super::rollouts::Trials;
 use super::settings::Settings;
 use super::share::Share;
 use super::upstream::Connections;
@@ -66,6 +69,8 @@
     pub witness: Witness,
     /// Requests that are sent to no replica.
     pub quarantines: Quarantines,
+    /// Services that move to another version.
+    pub trials: Trials,
     /// How far each control process is followed.
     pub feeds: RefCell<BTreeMap<SocketAddr, Feed>>,
     /// The data centres whose replicas get no new work.
@@ -107,6 +112,7 @@
             connections: Connections::default(),
             witness: Witness::default(),
             quarantines: Quarantines::default(),
+            trials: Trials::default(),
             feeds: RefCell::default(),
             evacuations: RefCell::default(),
             sources: RefCell::new(Sources::new(rand::random())),
@@ -209,6 +215,11 @@
         }
     }
 
+    /// Has all control processes asked at once.
+    pub fn urge_all(&self) {
+        self.following.borrow().values().for_each(|u| u.wish());
+    }
+
     /// The document in force, waiting for the first one until `until` at most.
     pub async fn wait_for_routes(&self, until: Instant) -> Option<Rc<Routes>> {
         self.wait_for(until, || self.documents.in_force()).await
@@ -290,6 +301,9 @@
             let base = &self.settings.base;
             pool.set_place(&base.data_centre, &base.regions);
             pool.set_closed(now, &closed());
+            if let Some(r) = self.trials.of(&c.service) {
+                pool.set_rollout(&r);
+            }
             pool
         });
         match &c.there {
@@ -318,28 +332,47 @@
         );
     }
 
-    /// Chooses a replica; [`Gateway::done`] must follow. Returns the choice and the replica's id.
+    /// Takes what is said of roll-outs, unless it knows as new a word.
+    pub fn take_rollouts(&self, told: &Rollouts) {
+        for (service, r) in self.trials.take(told) {
+            if let Some(pool) = self.pools.borrow_mut().get_mut(&service) {
+                pool.set_rollout(&r);
+            }
+        }
+    }
+
+    /// Chooses a replica; [`Gateway::done`] must follow. Returns the choice, the replica's id and the
+    /// side of the service's roll-out that it is on.
     pub fn choose(
         &self,
         service: &str,
         cold_bound: Option<u32>,
-        work: &Work,
+        work: &mut Work,
         tried: &[SocketAddr],
-    ) -> Option<(Choice, String)> {
+    ) -> Option<(Choice, String, Side)> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(service)?;
         pool.set_cold_bound(self.now(), cold_bound);
         let dc = &self.settings.base.data_centre;
         let mut rng = self.rng.borrow_mut();
         pool.set_peers(u64::from(self.routers.get().saturating_sub(1)));
-        let choice = pool.choose(self.now(), dc, work, tried, &mut *rng)?;
-        let id = pool.get(choice.address).map(|r| r.upstream.vm.name.clone())?;
+        let mut ways = work.way.fallbacks();
+        if work.way == Way::Old && !pool.has_old() {
+            // It has moved without this gateway's hearing of it.
+            ways = Way::Any.fallbacks();
+        }
+        let choice = ways.iter().find_map(|way| {
+            work.way = *way;
+            pool.choose(self.now(), dc, work, tried, &mut *rng)
+        })?;
+        let chosen = pool.get(choice.address)?;
+        let (id, side) = (chosen.upstream.vm.name.clone(), chosen.side);
         if choice.fresh >= TELL_TOKENS {
             let (service, trail) = (service.to_owned(), work.trail.clone());
             let (replica, fresh) = (choice.address, choice.fresh);
             self.share.tell(self, Placement { service, replica, fresh, trail });
         }
-        Some((choice, id))
+        Some((choice, id, side))
     }
 
     /// Takes another gateway's word that it has sent a prompt to a replica.
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -23,7 +23,7 @@
 /// Passes whole events on as they come. The head goes out with the first of them, so that a
 /// stream that breaks off before it may still be answered by another replica.
 pub async fn pass(
-    exchange: &Exchange<'_>,
+    exchange: &mut Exchange<'_>,
     client: &mut Client,
     progress: &mut Progress,
     mut connection: Connection,
@@ -60,8 +60,9 @@
         }
         timing.came(exchange.sent);
         if std::mem::take(&mut first) {
-            let us = exchange.sent.elapsed().as_micros() as u64;
-            job.gw.learn(&job.service, exchange.choice, us);
+            let took = exchange.sent.elapsed();
+            exchange.first = Some(took);
+            job.gw.learn(&job.service, exchange.choice, took.as_micros() as u64);
         }
         let unframed = connection.is_unframed();
         if !send(client, &head, unframed, whole, job.deadline).await {
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -70,6 +70,9 @@
     format!("answer to {id}")
 }
 
+/// How long a process goes on listening after its connections have ended.
+const EXIT: Duration = Duration::from_millis(20);
+
 /// One start of a replica.
 pub struct Replica {
     /// Its id.
@@ -127,12 +130,21 @@
         }
     }
 
-    /// Is gone at once.
-    pub fn crash(&self) {
-        self.gate.close();
+    /// Is gone at once. With every other one, what listens at its address outlasts its connections: its
+    /// process takes a while to exit.
+    pub fn crash(self: &Rc<Self>) {
         for task in [self.beating.take(), self.serving.take()].into_iter().flatten() {
             task.abort();
         }
+        if self.born.is_multiple_of(2) {
+            return self.gate.close();
+        }
+        self.gate.reset();
+        let own = self.clone();
+        actix_rt::spawn(async move {
+            sleep(EXIT).await;
+            own.gate.close();
+        });
     }
 
     /// Says that it leaves, serves on for a while, and is gone.
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -58,6 +58,8 @@
         control: None,
         evacuations: 0,
         quarantine: 0,
+        rollouts: 0,
+        reports: vec![Default::default()],
         without_replicas: false,
     }
 }
