--- a/crates/cypressfork/tests/rollout.rs
+++ b/crates/cypressfork/tests/rollout.rs
@@ -95,8 +95,8 @@
 
     fn any(&self, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
         let all = 0..self.fleet.controls.len();
-        let answers = all.filter_map(|n| self.fleet.call(n, method, path, body));
-        answers.filter(|a| a.0 < 500).next()
+        let mut answers = all.filter_map(|n| self.fleet.call(n, method, path, body));
+        answers.find(|a| a.0 < 500)
     }
 
     fn order(&self, version: &str) -> Instant {
--- a/crates/cypressfork/tests/support/versions.rs
+++ b/crates/cypressfork/tests/support/versions.rs
@@ -99,7 +99,7 @@
                 return;
             }
             let n = count.fetch_add(1, Ordering::Relaxed);
-            let bad = self.fails_each > 0 && n % self.fails_each == 0;
+            let bad = self.fails_each > 0 && n.is_multiple_of(self.fails_each);
             self.seen.arrivals.lock().unwrap().push((self.version.clone(), Instant::now(), bad));
             let mark = (self.version.clone(), n);
             self.seen.running.lock().unwrap().push(mark.clone());
