Routers hear of replicas from the nearest control processes

Change: a control process says which data centre it is in; sources are ranked by nearness among those that hear a leader. A source cut off with its data centre hears no leader and is replaced; back in touch it is taken again.

Test: core's sources, nearest chosen, replaced, taken again.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -56,6 +56,8 @@
     pub registered: &'a Registered,
     /// Who leads the group, if that is known here.
     pub lead: Option<Lead>,
+    /// The data centre of this process.
+    pub data_centre: &'a str,
     /// The data centres that get no new work.
     pub evacuations: &'a Evacuations,
     /// The requests that are sent to no replica.
@@ -230,6 +232,10 @@
             wall: f.wall.0,
             areas: (!known).then(|| self.directory.areas().to_vec()),
             lead: f.lead.clone(),
+            data_centre: match s.watch.feed.boot == self.boot {
+                true => String::new(),
+                false => f.data_centre.to_owned(),
+            },
             evacuations: (f.evacuations.revision > s.watch.evacuations)
                 .then(|| f.evacuations.clone()),
             rollouts: (f.rollouts.revision > s.watch.rollouts).then(|| f.rollouts.clone()),
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -69,7 +69,7 @@
 /// Opens the fleet's side: where it listens, and who looks after this process's place.
 async fn open_fleet<D: Dialect>(
     f: &FleetSettings,
-    regions: Regions,
+    (data_centre, regions): (String, Regions),
     me: &Credentials,
     own: SocketAddr,
     seeds: &[SocketAddr],
@@ -98,6 +98,7 @@
         place,
         confirmed_members,
         seeds: seeds.to_vec(),
+        data_centre,
         regions,
         entry_keep: f.entry_keep,
         voters: f.voters,
@@ -140,8 +141,8 @@
     let group = Group::new(me.clone(), seeds.clone());
     let fleet = match &s.fleet {
         Some(f) => {
-            let regions = s.base.regions;
-            Some(open_fleet::<D>(f, regions, &me, s.advertise, &seeds, group.clone()).await?)
+            let place = (s.base.data_centre, s.base.regions);
+            Some(open_fleet::<D>(f, place, &me, s.advertise, &seeds, group.clone()).await?)
         }
         None => None,
     };
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -85,6 +85,8 @@
     pub confirmed_members: mpsc::Receiver<Members>,
     /// Addresses of control processes that it was told of.
     pub seeds: Vec<SocketAddr>,
+    /// The data centre of this process.
+    pub data_centre: String,
     /// The regions of data centres.
     pub regions: Regions,
     /// How long callers may keep an entry answer.
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -174,6 +174,7 @@
             wall: wall(),
             registered,
             lead,
+            data_centre: &f.data_centre,
             evacuations,
             quarantine,
             rollouts,
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -109,6 +109,9 @@
     /// Who leads the group, as far as this process knows.
     #[serde(default)]
     pub lead: Option<Lead>,
+    /// The data centre of the process that answers, if the asker has heard nothing of this start.
+    #[serde(default)]
+    pub data_centre: String,
     /// The data centres that get no new work, if the asker knows an older revision.
     #[serde(default)]
     pub evacuations: Option<Evacuations>,
--- a/crates/core/tests/sources.rs
+++ b/crates/core/tests/sources.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use cypressfork_core::fleet::sources::Sources;
+use cypressfork_core::fleet::sources::{Nearness, Sources};
 use cypressfork_core::unit::Time;
 use rstest::rstest;
 
@@ -75,3 +75,26 @@
     s.heard(Time(40), control(2), true);
     assert!(wanted(&s).contains(&2));
 }
+
+/// The nearest ones tell, as long as they hear a leader.
+#[test]
+fn the_nearest_ones_are_chosen() {
+    for key in 0..50 {
+        let mut s = of(key, 9);
+        for n in 1..=9 {
+            let near = match n {
+                4 => Nearness::DataCentre,
+                5 | 6 => Nearness::Region,
+                _ => Nearness::Far,
+            };
+            s.place(Time(5), control(n), near);
+        }
+        let first = wanted(&s);
+        assert!(first.contains(&4) && (first.contains(&5) || first.contains(&6)), "{first:?}");
+        // Its data centre is cut off from the group.
+        s.heard(Time(10), control(4), false);
+        assert_eq!(wanted(&s), [5, 6]);
+        s.heard(Time(20), control(4), true);
+        assert!(wanted(&s).contains(&4), "back in touch it is the nearest again");
+    }
+}
--- a/crates/cypressfork/tests/support/control.rs
+++ b/crates/cypressfork/tests/support/control.rs
@@ -101,6 +101,7 @@
             wall,
             registered: &registered,
             lead: None,
+            data_centre: "tamar-a",
             evacuations: &evacuations,
             quarantine: &quarantine,
             rollouts: &rollouts,
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -8,6 +8,7 @@
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::fleet::neighbours::Area;
 use cypressfork_core::fleet::registry::Record;
+use cypressfork_core::fleet::sources::Nearness;
 use cypressfork_core::fleet::watch::{RouterSign, Seen, Watch};
 use cypressfork_core::query::{NO_SITES, Query, Reply};
 use cypressfork_core::unit::{HolderId, Time, Version};
@@ -91,6 +92,9 @@
     fn seen(&self, from: SocketAddr, seen: Seen) {
         let gw = &self.gw;
         gw.sources.borrow_mut().heard(gw.now(), from, seen.lead.is_some());
+        if !seen.data_centre.is_empty() {
+            gw.sources.borrow_mut().place(gw.now(), from, nearness(gw, &seen.data_centre));
+        }
         gw.feeds.borrow_mut().insert(from, seen.feed);
         gw.routers.set(gw.routers.get().max(seen.routers));
         if seen.part.is_some() {
@@ -141,6 +145,15 @@
     }
 }
 
+fn nearness(gw: &Gateway, data_centre: &str) -> Nearness {
+    let base = &gw.settings.base;
+    match base.regions.are_near(&base.data_centre, data_centre) {
+        _ if base.data_centre == data_centre => Nearness::DataCentre,
+        true => Nearness::Region,
+        false => Nearness::Far,
+    }
+}
+
 /// Takes a compressed list of replicas.
 fn take_packed(gw: &Gateway, from: SocketAddr, packed: &[u8]) {
     match packed::unpack_value::<Vec<Record>>(packed) {
