--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -31,7 +31,7 @@
 use super::documents::depends_on_document;
 use super::events::Events;
 use super::job::Job;
-use super::rollouts::Attempt;
+use super::rollouts::Observation;
 use super::state::Gateway;
 use super::timing::Timing;
 use crate::reply::Refusal;
@@ -303,10 +303,10 @@
                 return self.give_up("no replica is left", client);
             };
             self.tried.push(choice.address);
-            let trial = Attempt::begin(&job.gw, &job.service, side);
+            let observation = Observation::begin(&job.gw, &job.service, side);
             let (ended, first) =
                 attempt::run::<D>(job, client, &mut self.progress, &choice, &replica).await;
-            trial.end(&job.route, &ended, first, choice.expected_us);
+            observation.end(&job.route, &ended, first, choice.expected_us);
             counter!(metric::ATTEMPTS, "end" => ended.name()).increment(1);
             let failed = !matches!(ended, Ended::Answered | Ended::Left | Ended::NotRun);
             self.job.gw.done(&self.job.service, &choice, failed);
--- a/crates/router/src/gateway/rollouts.rs
+++ b/crates/router/src/gateway/rollouts.rs
@@ -132,16 +132,16 @@
     }
 }
 
-/// An attempt at a replica, while it is under way.
-pub struct Attempt {
+/// What an attempt at a replica says of its version, once it has ended.
+pub struct Observation {
     gw: Rc<Gateway>,
     service: String,
     side: Side,
 }
 
-impl Attempt {
+impl Observation {
     /// Notes that a request goes to a replica on this side.
-    pub fn begin(gw: &Rc<Gateway>, service: &str, side: Side) -> Attempt {
+    pub fn begin(gw: &Rc<Gateway>, service: &str, side: Side) -> Observation {
         // Before a roll-out is heard of, all there is belongs to the old version.
         if side != Side::New && side != Side::Spare {
             let mut under_way = gw.trials.under_way.borrow_mut();
@@ -151,7 +151,7 @@
                 under_way.insert(service.to_owned(), Trial { at_old: 1, ..Trial::default() });
             }
         }
-        Attempt { gw: gw.clone(), service: service.to_owned(), side }
+        Observation { gw: gw.clone(), service: service.to_owned(), side }
     }
 
     /// Notes how it ended, and how long its first byte took against what was expected.
@@ -204,7 +204,7 @@
     }
 }
 
-impl Drop for Attempt {
+impl Drop for Observation {
     fn drop(&mut self) {
         if matches!(self.side, Side::New | Side::Spare) {
             return;
