Every router hears of a leaving replica from the process that acknowledged it

With sources drawn by hash some routers met this too; with the nearest ones all of a data centre do. Ruled out: a shorter gathering (42 ms were left), an acknowledgement after the others know (nobody can leave in a cut then). Change: a control process tells such words that it heard itself to every router that follows it, source or not: once each.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -89,6 +89,8 @@
 struct Standing<T> {
     watch: Watch,
     since: u64,
+    /// The same for replicas that told this process itself that they leave.
+    leaves: u64,
     asked: Time,
     to: T,
 }
@@ -99,6 +101,12 @@
         !self.watch.without_replicas && registry.has_changes(self.since)
     }
 
+    /// Replicas have told this process that they leave. A router that hears of replicas elsewhere is told
+    /// as well: this process has acknowledged it, and may be cut off from those before they know.
+    fn is_told_of_leaves(&self, registry: &Registry) -> bool {
+        self.watch.without_replicas && registry.has_own_leaves(self.leaves)
+    }
+
     /// There is something new of quarantined requests for it. Suspects, who come and go, are told by
     /// those alone that tell of replicas.
     fn is_told_of(&self, q: &Quarantine) -> bool {
@@ -141,8 +149,12 @@
         if watch.fetch.is_some() {
             self.next_look = now;
         }
-        let since = if watch.feed.boot == self.boot { watch.feed.position } else { 0 };
-        self.standing.push(Standing { watch, since, asked: now, to });
+        let (since, leaves) = match watch.feed.boot == self.boot {
+            true => (watch.feed.position, watch.feed.leaves),
+            // Its sources tell it of those before.
+            false => (0, self.registry.position()),
+        };
+        self.standing.push(Standing { watch, since, leaves, asked: now, to });
     }
 
     /// Takes a process's word that it belongs to no group.
@@ -199,14 +211,20 @@
             || waited >= WATCH_SPAN
             || (waited >= GATHER_CHANGES && s.is_told_of(f.quarantine))
             || (waited >= GATHER_CHANGES && s.is_told(&self.registry))
+            || (waited >= GATHER_CHANGES && s.is_told_of_leaves(&self.registry))
             || (beats && self.registry.has_beats(s.since))
     }
 
     fn seen(&mut self, now: Time, s: &Standing<T>, f: &Followed) -> Seen {
         let router = s.watch.router.is_some();
         let mut beats = Vec::new();
+        let mut leaves = self.registry.position();
         let changes = match router {
-            true if s.watch.without_replicas => Changes { position: s.since, ..Changes::default() },
+            true if s.watch.without_replicas => {
+                let (records, upto) = self.registry.own_leaves(s.leaves, RECORDS);
+                leaves = upto;
+                Changes { records, position: s.since, ..Changes::default() }
+            }
             true => self.feed_cache.changes(now, &self.registry, s.since, RECORDS),
             false => {
                 let part = self.registry.relay(s.since, RECORDS, BEATS);
@@ -220,7 +238,7 @@
         let same = s.watch.feed.boot == self.boot && s.watch.feed.controls == controls;
         let known = s.watch.areas == NOT_WANTED || s.watch.areas == self.directory.digest();
         Seen {
-            feed: Feed { boot: self.boot, position: changes.position, controls },
+            feed: Feed { boot: self.boot, position: changes.position, leaves, controls },
             replicas: changes.records,
             packed: changes.packed,
             beats,
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -158,6 +158,8 @@
     by_change: BTreeMap<u64, Arc<str>>,
     /// The same by their last heartbeat.
     by_beat: BTreeMap<u64, Arc<str>>,
+    /// The replicas that told this process itself that they leave, by the position of that.
+    own_leaves: BTreeMap<u64, Arc<str>>,
     next_tick: Time,
     /// How often a replica tells of itself.
     heartbeat: Millis,
@@ -184,6 +186,10 @@
         let entry = Entry { record: merged, heard, changed, beaten, passed };
         self.entries.insert(id.clone(), entry);
         self.pass_on(now, &id, !same, source);
+        let leaves = self.entries.get(&id).is_some_and(|e| e.record.standing >= Standing::Draining);
+        if leaves && !same && source == Source::Itself {
+            self.own_leaves.insert(self.position, id);
+        }
         !same
     }
 
@@ -280,6 +286,25 @@
         for id in silent {
             self.move_up(&id, true);
         }
+        let entries = &self.entries;
+        self.own_leaves.retain(|_, id| entries.contains_key(id));
+    }
+
+    /// Whether a replica has told this process itself after `since` that it leaves.
+    pub fn has_own_leaves(&self, since: u64) -> bool {
+        self.own_leaves.last_key_value().is_some_and(|(newest, _)| *newest > since)
+    }
+
+    /// The replicas that have told this process itself after `since` that they leave, at most `most` of
+    /// them, and how far that brings a follower. Every router is told of these: whoever has acknowledged
+    /// such a word may be cut off from the other control processes in the next instant.
+    pub fn own_leaves(&self, since: u64, most: usize) -> (Vec<Record>, u64) {
+        let mut newer = self.own_leaves.range((Bound::Excluded(since), Bound::Unbounded));
+        let told: Vec<_> = newer.by_ref().take(most).collect();
+        let last = told.last().map_or(since, |(at, _)| **at);
+        let position = if newer.next().is_some() { last } else { self.position };
+        let known = told.into_iter().filter_map(|(_, id)| self.entries.get(id));
+        (known.map(|e| e.record.clone()).collect(), position)
     }
 
     /// Whether anything has changed for routers after `since`.
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -22,6 +22,9 @@
     pub boot: u64,
     /// Position in its feed.
     pub position: u64,
+    /// Position up to which it has told of replicas that told it itself that they leave.
+    #[serde(default)]
+    pub leaves: u64,
     /// Digest of the addresses of control processes that it told of last.
     #[serde(default)]
     pub controls: u64,
