--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod fingerprint;
 pub mod format;
 pub mod homes;
+pub mod limit;
 pub mod neighbours;
 pub mod pace;
 pub mod patience;
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// When the present life of a replica began; 0 if that is not known.
+    pub fn born(&self, id: &str) -> u64 {
+        self.by_id.get(id).map_or(0, |k| k.record.registration.born)
+    }
+
     /// What has its address forgotten by those who send there, if it is the one that is there.
     fn vacate(&self, id: &str) -> Option<Change> {
         let (service, address) = place(&self.by_id.get(id)?.record);
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -37,6 +37,11 @@
         Time(self.0.saturating_add(span.0))
     }
 
+    /// The time `span` before this one, the origin at the earliest.
+    pub fn before(self, span: Millis) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+
     /// How long ago `earlier` was, zero if it lies ahead.
     pub fn since(self, earlier: Time) -> Millis {
         Millis(self.0.saturating_sub(earlier.0))
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -114,6 +114,8 @@
     GatewayBehind = 435, Warn, "the gateway is behind with its own work";
     LinkFull = 436, Warn, "the gateway's link is full, and it takes no connection for a moment";
     ListenFailed = 437, Warn, "an address cannot be listened on";
+    LimitChanged = 438, Info, "a replica names another limit, or none any more";
+    LimitUnreadable = 439, Warn, "what a replica says of its limit cannot be read: the one before holds";
 }
 
 /// Logs an event with fields.
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -6,13 +6,14 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use cypressfork_core::fleet::document::Kind;
+use cypressfork_core::fleet::limit::Said;
 use cypressfork_core::route::Choice;
 use cypressfork_core::unit::Millis;
 use cypressfork_http::client::{Broken, Connection, Outbound};
 use tokio::time::{Instant, timeout_at};
 
 use super::client::Client;
-use super::dialect::{Dialect, Told};
+use super::dialect::{Dialect, Head, Told};
 use super::job::Job;
 use super::request::Progress;
 use super::stream;
@@ -172,6 +173,7 @@
         };
         D::outbound(&mut headers, &told);
         let (method, uri, body) = (&job.method, &job.uri, &job.body);
+        job.gw.limits.note_sent(self.replica);
         connection.send(Outbound { method, uri, headers, body }).await
     }
 
@@ -185,6 +187,7 @@
             let said = D::head(&head);
             if said.id == Some(self.job.inbound.id.as_str()) || (said.id.is_none() && said.not_run)
             {
+                self.take_limit(&said);
                 return Ok((connection, head));
             }
             if said.another && said.id.is_none() {
@@ -195,6 +198,17 @@
         Err(Ended::Broken("the connection brings answers to other requests".to_owned()))
     }
 
+    /// Takes what the head of this request's answer says of the replica's limit. Another replica's says
+    /// nothing of it, and one that does not name its request may be older than it looks: it names a limit,
+    /// and its silence ends none.
+    fn take_limit(&self, said: &Head) {
+        if said.another || (said.id.is_none() && said.limit == Said::Nothing) {
+            return;
+        }
+        let job = self.job;
+        job.gw.limits.heard(&job.gw, self.replica, &job.inbound.id, self.sent, said.limit);
+    }
+
     async fn finish<D: Dialect>(
         &mut self,
         client: &mut Client,
--- a/crates/router/src/gateway/dialect.rs
+++ b/crates/router/src/gateway/dialect.rs
@@ -4,6 +4,7 @@
 use actix_http::{RequestHead, ResponseHead};
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::format::Format;
+use cypressfork_core::fleet::limit::Said;
 use cypressfork_core::route::Trail;
 use cypressfork_core::unit::{Millis, Tokens};
 
@@ -63,6 +64,8 @@
     pub another: bool,
     /// The answer is in the form that was asked for.
     pub sound: bool,
+    /// What it says of the replica's limit.
+    pub limit: Said,
 }
 
 /// A way to write requests and answers on the wire.
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod homes;
 mod job;
+mod limits;
 pub mod native;
 mod quarantine;
 mod request;
--- a/crates/router/src/gateway/native.rs
+++ b/crates/router/src/gateway/native.rs
@@ -5,6 +5,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::{Document, Invalid};
 use cypressfork_core::fleet::format::{self, Format};
+use cypressfork_core::fleet::limit::{Rate, Said};
 use cypressfork_core::route::Trail;
 use cypressfork_core::unit::Millis;
 
@@ -32,6 +33,9 @@
 /// A replica's word that it did not run a request.
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 
+/// Requests a second that the replica takes from all gateways together, as a decimal number.
+const LIMIT: HeaderName = HeaderName::from_static("x-rate-limit");
+
 /// The project's own words.
 pub struct Native;
 
@@ -53,6 +57,17 @@
     n.map(Some).ok_or(Code::HeaderBad)
 }
 
+/// What the header `name` of an answer says of its replica's limit.
+pub fn limit(h: &HeaderMap, name: HeaderName) -> Said {
+    let mut all = h.get_all(name);
+    let Some(value) = all.next() else { return Said::Nothing };
+    let rate = value.to_str().ok().and_then(Rate::parse);
+    match (rate, all.next()) {
+        (Some(rate), None) => Said::Limit(rate),
+        _ => Said::Unreadable,
+    }
+}
+
 /// The work that a request asks for, from the two headers that tell it.
 pub fn prompt(tokens: Option<&str>, parts: Option<&str>) -> Result<Option<Prompt>, Code> {
     let Some(tokens) = tokens else { return Ok(None) };
@@ -123,6 +138,7 @@
             not_run: h.contains_key(NOT_RUN),
             another: head.status.as_u16() == 421,
             sound: true,
+            limit: limit(h, LIMIT),
         }
     }
 
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -36,6 +36,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::documents::Documents;
+use super::limits::Limits;
 use super::quarantine::Quarantines;
 use super::rollouts::Trials;
 use super::settings::Settings;
@@ -69,6 +70,8 @@
     pub witness: Witness,
     /// Requests that are sent to no replica.
     pub quarantines: Quarantines,
+    /// The limits that replicas name.
+    pub limits: Limits,
     /// Services that move to another version.
     pub trials: Trials,
     /// How far each control process is followed.
@@ -112,6 +115,7 @@
             connections: Connections::default(),
             witness: Witness::default(),
             quarantines: Quarantines::default(),
+            limits: Limits::default(),
             trials: Trials::default(),
             feeds: RefCell::default(),
             evacuations: RefCell::default(),
@@ -293,6 +297,11 @@
         }
     }
 
+    /// When the present life of a replica began; 0 if that is not known.
+    pub fn born(&self, replica: &str) -> u64 {
+        self.replicas.borrow().born(replica)
+    }
+
     fn change_pool(&self, now: Time, c: &Change) {
         let mut pools = self.pools.borrow_mut();
         let closed = || self.evacuations.borrow().data_centres.clone();
