--- /dev/null
+++ b/crates/cypressfork/tests/support/limited.rs
@@ -0,0 +1,127 @@
+//! Replicas that name a limit: how many requests a second they take from all gateways together.
+
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::crashing::{header, request};
+use super::gateways::exchange;
+
+/// How often a replica tells of itself.
+const BEAT_EVERY: Duration = Duration::from_millis(300);
+
+/// How long a request runs.
+const RUN: Duration = Duration::from_millis(10);
+
+/// What a request holds that is rejected as not run, and one that is answered with a failure.
+pub const REJECTED: &str = "rejected";
+pub const FAILING: &str = "failing";
+
+/// What the replicas have seen.
+#[derive(Default)]
+pub struct Seen {
+    /// The requests that reached them: when, by the replica's name.
+    pub arrivals: Mutex<HashMap<String, Vec<Instant>>>,
+}
+
+impl Seen {
+    /// When requests reached a replica after `since`.
+    pub fn since(&self, name: &str, since: Instant) -> Vec<Instant> {
+        let all = self.arrivals.lock().unwrap();
+        all.get(name).into_iter().flatten().copied().filter(|at| *at >= since).collect()
+    }
+
+    /// The most requests that reached a replica within `span`, of those after `since`.
+    pub fn most_within(&self, name: &str, since: Instant, span: Duration) -> usize {
+        let all = self.since(name, since);
+        let within = |(n, from): (usize, &Instant)| {
+            all[n..].iter().take_while(|at| at.duration_since(*from) < span).count()
+        };
+        all.iter().enumerate().map(within).max().unwrap_or(0)
+    }
+}
+
+/// A replica that runs until it is told to stop.
+#[derive(Clone)]
+pub struct LimitedReplica {
+    pub name: String,
+    /// What it says of its limit; none: nothing.
+    pub limit: Arc<Mutex<Option<String>>>,
+    pub controls: Vec<SocketAddr>,
+    pub seen: Arc<Seen>,
+    pub over: Arc<AtomicBool>,
+}
+
+impl LimitedReplica {
+    pub fn new(name: String, controls: Vec<SocketAddr>, seen: Arc<Seen>) -> LimitedReplica {
+        LimitedReplica { name, limit: Arc::default(), controls, seen, over: Arc::default() }
+    }
+
+    /// Names a limit from now on, or none any more.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        *self.limit.lock().unwrap() = limit.map(str::to_owned);
+    }
+
+    pub fn start(&self) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let beats = self.clone();
+        thread::spawn(move || beats.beat_forever(address));
+        let replica = self.clone();
+        thread::spawn(move || {
+            for s in listener.incoming().flatten() {
+                let replica = replica.clone();
+                thread::spawn(move || replica.serve(s));
+            }
+        });
+    }
+
+    fn beat_forever(&self, address: SocketAddr) {
+        for sequence in 1.. {
+            if self.over.load(Ordering::Relaxed) {
+                return;
+            }
+            let beat = json!({ "service": "board", "address": address.to_string(),
+                "data_centre": "tamar-a", "slots": 16, "sequence": sequence });
+            let path = format!("/v1/replicas/{}", self.name);
+            let to = self.controls[sequence % self.controls.len()];
+            // The next heartbeat goes to another control process.
+            let _ = exchange(to, "PUT", &path, "", &beat.to_string());
+            sleep(BEAT_EVERY);
+        }
+    }
+
+    fn serve(&self, mut s: TcpStream) {
+        while let Some(text) = request(&mut s) {
+            if self.over.load(Ordering::Relaxed) {
+                return;
+            }
+            let name = self.name.clone();
+            self.seen.arrivals.lock().unwrap().entry(name).or_default().push(Instant::now());
+            let limit = self.limit.lock().unwrap().clone();
+            sleep(RUN);
+            let id = header(&text, "x-request-id");
+            let mut head = format!("X-Request-Id: {id}\r\nContent-Length: 2");
+            if let Some(limit) = limit {
+                head.push_str(&format!("\r\nX-Rate-Limit: {limit}"));
+            }
+            let status = match &text {
+                t if t.contains(REJECTED) => {
+                    head.push_str("\r\nX-Not-Run: true");
+                    "503 Service Unavailable"
+                }
+                t if t.contains(FAILING) => "500 Internal Server Error",
+                _ => "200 OK",
+            };
+            if write!(s, "HTTP/1.1 {status}\r\n{head}\r\n\r\nok").is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod crashing;
 pub mod gateways;
 mod http;
+pub mod limited;
 pub mod slow_link;
 pub mod versions;
 
