Sight: what keeps a control process from its clock

Event 331 and cypressfork_tick_seconds tell when the one thread of a control process did not come round to its clock for 200 ms and more, for how long its longest turn took and what had come; cypressfork_inputs_total counts by kind.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod run;
 pub mod server;
 pub mod settings;
+mod turns;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -29,7 +29,7 @@
 use metrics::{counter, gauge};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch as place};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use crate::api::Local;
 use crate::disk::{Disk, disk_failed};
@@ -38,6 +38,7 @@
 use crate::machine::{Machine, Moment, Output};
 use crate::reserve::Reserve;
 use crate::server::fleet::next_call;
+use crate::turns::{Kind, Turns};
 
 /// How often the machine's time passes: five times between two heartbeats of a leader, and within
 /// these. A tick takes 60 us of a processor, half a hundredth of one at 100 ticks a second.
@@ -74,6 +75,17 @@
     Seen(SocketAddr, Box<Seen>),
 }
 
+impl Input {
+    fn kind(&self) -> Kind {
+        match self {
+            Input::Raft(..) => Kind::Log,
+            Input::Call(Ask::Watch(_), _) => Kind::Watch,
+            Input::Seen(..) => Kind::Seen,
+            Input::Call(..) | Input::ReserveAnswered(..) => Kind::Call,
+        }
+    }
+}
+
 /// The fleet's side of a control process.
 pub struct Fleet {
     /// What it knows.
@@ -128,6 +140,7 @@
     disk_again: Option<Time>,
     /// The bytes of a query for limits.
     limits_query: Vec<u8>,
+    turns: Turns,
 }
 
 /// The sending end towards another replica.
@@ -166,6 +179,7 @@
             clocks: Clocks::default(),
             disk_again: None,
             limits_query: body::pack(&Query::Limits),
+            turns: Turns::new(),
         }
     }
 
@@ -179,15 +193,23 @@
         let stop = stop_signal();
         tokio::pin!(stop);
         loop {
+            let begun;
             tokio::select! {
                 () = &mut stop => break,
-                Some(input) = rx.recv() => self.take_all(input, &mut rx),
+                Some(input) = rx.recv() => {
+                    begun = Instant::now();
+                    self.take_all(input, &mut rx);
+                }
                 Some(local) = next_call(&mut self.fleet) => {
+                    let begun = Instant::now();
                     self.take_calls(local);
+                    self.turns.note_turn(begun);
                     // Nothing of the group has changed by them: no more is due than at a tick.
                     continue;
                 }
                 _ = ticks.tick() => {
+                    begun = Instant::now();
+                    self.turns.note_tick();
                     self.mend_disk()?;
                     self.machine.tick(self.moment());
                     self.observe();
@@ -196,6 +218,7 @@
                 }
             }
             self.finish()?;
+            self.turns.note_turn(begun);
         }
         emit!(Event::Stopping);
         self.machine.hand_over();
@@ -219,6 +242,7 @@
 
     fn take(&mut self, input: Input) {
         let at = self.moment();
+        self.turns.note_input(input.kind());
         match input {
             Input::Call(Ask::Reserve(bytes), to) => match &mut self.reserve {
                 Some(r) => r.serve(at.wall, &bytes, to),
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -26,6 +26,7 @@
 use crate::dialect::{Answer as CallAnswer, Call};
 use crate::fleet_view::Followed;
 use crate::machine::Moment;
+use crate::turns::Kind;
 
 /// How often it is looked whether there are control processes that are not followed yet.
 const FOLLOW_EVERY: Millis = Millis(100);
@@ -69,6 +70,7 @@
 
     /// Answers a call that needs nothing but what this process knows.
     pub(super) fn take_call(&mut self, local: Local) {
+        self.turns.note_input(Kind::Http);
         let now = self.moment().now;
         let led = self.machine.raft().leader().is_some();
         let Some(f) = &mut self.fleet else { return };
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -79,6 +79,7 @@
     QuarantineChanged = 328, Info, "a request is sent to no replica from now on, or may be again";
     ServiceUnnamed = 329, Info, "a replica of a service that no document names is left out";
     RolloutChanged = 330, Info, "a roll-out is ordered, takes a step or is taken back";
+    HeldUp = 331, Warn, "the process did not come round to its clock for a while";
     RouterRegistered = 401, Info, "this router is registered";
     RouterReady = 402, Info, "this router serves callers";
     ControlLost = 403, Warn, "the control group is out of reach";
