--- a/crates/control/tests/support/world.rs
+++ b/crates/control/tests/support/world.rs
@@ -29,6 +29,8 @@
     pub machine: Option<Machine<Memory, u64>>,
     pub disk: Disk,
     pub frozen: bool,
+    /// Until when its one thread is busy with something else: what comes waits, its clock goes on.
+    pub busy_until: Time,
     /// Why it stopped by itself.
     pub stopped: Option<Code>,
     /// Where it listens.
@@ -162,6 +164,7 @@
             machine: None,
             disk: Disk::default(),
             frozen: false,
+            busy_until: Time(0),
             stopped: None,
             address,
             started: self.now,
@@ -216,6 +219,11 @@
         self.nodes.get_mut(&id).unwrap().frozen = frozen;
     }
 
+    /// Has a replica's thread be busy with something else for a while.
+    pub fn hold_up(&mut self, id: NodeId, ms: u64) {
+        self.nodes.get_mut(&id).unwrap().busy_until = self.now.after(Millis(ms));
+    }
+
     pub fn copy_disk(&self, id: NodeId) -> Image {
         self.nodes[&id].disk.borrow().clone()
     }
@@ -377,10 +385,15 @@
     fn turn(&mut self, id: NodeId) {
         let at = self.moment();
         let node = self.nodes.get_mut(&id).unwrap();
-        if node.frozen {
+        if node.frozen || node.busy_until > at.now {
             return;
         }
         let m = node.machine.as_mut().unwrap();
+        if node.busy_until.0 > 0 {
+            // A timer that is due and messages that wait are taken in any order.
+            node.busy_until = Time(0);
+            m.tick(at);
+        }
         for message in node.inbox.drain(..) {
             m.step(at, message);
         }
--- /dev/null
+++ b/crates/core/tests/quarantine_cost.rs
@@ -0,0 +1,64 @@
+//! What it costs to judge requests under which replicas have ended.
+//!
+//! Seen: on a day on which replicas crash under load, all nine control processes of a group stood still at
+//! the same time, first for 250 ms, in the end for 5.9 s, each with a few messages of the log; nothing was
+//! committed any more, as no leader was heard in time.
+
+use std::time::{Duration, Instant};
+
+use cypressfork_core::fleet::fingerprint::{Fingerprint, Identity};
+use cypressfork_core::fleet::quarantine::{EndedReplica, Quarantine, UnderWay};
+use cypressfork_core::unit::{Millis, Time};
+
+/// Replicas that end, over and over, and requests that each takes with it.
+const REPLICAS: u64 = 60;
+const UNDER_WAY: u64 = 40;
+
+/// Ends that are reported in all.
+const ENDS: u64 = 600;
+
+/// Requests that are there again and again, as many callers ask the same.
+const COMMON: u64 = 1_500;
+
+/// The longest that one report may take. A control process has a seventh of a core, and hears nobody
+/// meanwhile; followers miss their leader after half a second of that, 75 ms of a whole core. A fifth is left for
+/// it.
+const MOST: Duration = Duration::from_millis(15);
+
+fn request(n: u64) -> UnderWay {
+    let path = format!("/{n}");
+    let identity =
+        Identity { account: Some("club"), method: "GET", host: "h", path: &path, body: b"" };
+    let fingerprint = Fingerprint { brief: identity.brief(), digest: n };
+    UnderWay { fingerprint, account: "club".to_owned(), age: Millis(50) }
+}
+
+/// A cheap draw that is the same in every run.
+fn draw(seed: &mut u64, below: u64) -> u64 {
+    *seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+    (*seed >> 33) % below
+}
+
+#[test]
+fn a_report_is_judged_in_time_however_many_are_suspected() {
+    // The best of several plays: others may use the processor meanwhile.
+    let plays = (0..3).map(|_| {
+        let (mut seed, mut longest) = (7, Duration::ZERO);
+        let mut q = Quarantine::default();
+        for n in 0..ENDS {
+            let replica = format!("r-{}", n % REPLICAS);
+            let under_way = (0..UNDER_WAY).map(|_| request(draw(&mut seed, COMMON))).collect();
+            let ended = EndedReplica { replica, ago: Millis(0), under_way };
+            let begun = Instant::now();
+            q.note(Time(10_000 + 400 * n), n + 1, &[ended]);
+            longest = longest.max(begun.elapsed());
+            if longest > MOST * 10 {
+                // It gets no better.
+                break;
+            }
+        }
+        longest
+    });
+    let longest = plays.min().unwrap();
+    assert!(longest <= MOST, "{longest:?}");
+}
