--- a/crates/control/tests/held_up.rs
+++ b/crates/control/tests/held_up.rs
@@ -95,3 +95,20 @@
     assert_eq!((w.leader(), term(&w)), (Some(leader), after), "one leader for ten seconds");
     w.heal_and_check();
 }
+
+/// Turns of processes that are late all the time in which a leader that is gone is replaced: they find it
+/// silent, ask whether to stand, ask for votes, and hear that one leads, a turn each, and twice one more
+/// where two stand at a time.
+const TURNS: u64 = 6;
+
+#[rstest]
+fn a_group_that_is_always_late_replaces_its_leader(#[values(1, 2, 3)] seed: u64) {
+    let (ms, every) = (1_900, 2_000);
+    let mut w = World::new(VOTERS, seed);
+    w.run(1_000);
+    let old = w.leader().unwrap();
+    w.crash(old);
+    pass(&mut w, Who::All, ms, every, every * TURNS);
+    assert!(w.leader().is_some(), "a leader within {TURNS} turns");
+    w.heal_and_check();
+}
