Observability: what replicas say of rests and of leaving is read, logged and counted

Nothing is done with it yet: which replica a request goes to is decided as before.

- The head of an answer tells a rest (Retry-After of a 503, in seconds or as a date counted from the answer's own) and that its replica leaves.
- Events 441 to 443, metrics cypressfork_rests_total, cypressfork_sent_in_rest_total{try}, cypressfork_sent_to_leaving_total{try}.
- gateway::notices takes what answers say of their replicas, limits included; one of a life that is over says nothing.

--- a/crates/core/src/fleet/limit/mod.rs
+++ b/crates/core/src/fleet/limit/mod.rs
@@ -15,6 +15,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::unit::thousandths;
+
 /// A limit: thousandths of a request a second.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -24,27 +26,10 @@
 /// Thousandths of one request.
 const WHOLE: u64 = 1_000;
 
-/// Digits of a fraction that count.
-const DIGITS: usize = 3;
-
-/// The largest limit that is told apart from larger ones, in requests a second.
-const MOST: u64 = 1_000_000;
-
 impl Rate {
-    /// Reads a decimal number of requests a second: digits, and a fraction if there is one. Nothing else
-    /// is a limit: no sign, exponent or unit.
+    /// Reads a decimal number of requests a second, as [`thousandths`] does.
     pub fn parse(text: &str) -> Option<Rate> {
-        let text = text.trim();
-        let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
-        let is_number = |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_digit());
-        if !is_number(whole) || !is_number(fraction) {
-            return None;
-        }
-        // More digits than a number holds are a larger limit than any.
-        let whole = whole.parse().unwrap_or(MOST).min(MOST);
-        let digits: String = fraction.chars().chain("000".chars()).take(DIGITS).collect();
-        let thousandths: u64 = digits.parse().ok()?;
-        Some(Rate(whole * WHOLE + thousandths))
+        thousandths(text).map(Rate)
     }
 }
 
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod prefix;
 mod replica;
+pub mod rest;
 mod retry;
 mod ring;
 mod vms;
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -228,6 +228,19 @@
         }
     }
 
+    /// Takes a replica's word that it wants nothing from this router for `span`. Returns how many of this
+    /// router's requests it has then.
+    pub fn rest(&mut self, now: Time, address: SocketAddr, span: Millis) -> u32 {
+        let Some(r) = self.replicas.get_mut(&address) else { return 0 };
+        r.rest.begin(now, span);
+        r.outstanding
+    }
+
+    /// Whether a replica wants nothing from this router at `now`.
+    pub fn is_resting(&self, now: Time, address: SocketAddr) -> bool {
+        self.replicas.get(&address).is_some_and(|r| r.rest.is_on(now))
+    }
+
     /// The replicas that name a limit.
     pub fn limited(&self) -> impl Iterator<Item = String> {
         let all = self.limited.iter().filter_map(|a| self.replicas.get(a));
--- a/crates/core/src/route/replica.rs
+++ b/crates/core/src/route/replica.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use super::backlog::Backlog;
+use super::rest::Rest;
 use crate::config::Upstream;
 use crate::fleet::rollout::split::Side;
 use crate::unit::{Millis, Time};
@@ -53,6 +54,8 @@
     pub(super) limited: bool,
     /// Until when requests that are no more urgent than this get no permit for it.
     pub(super) barred: Option<(Time, u8)>,
+    /// It wants nothing from this router for a while.
+    pub(super) rest: Rest,
     /// How `outstanding` changed lately, to tell own requests in a late report from others'.
     history: VecDeque<(Time, u32)>,
     reported: Time,
@@ -78,6 +81,7 @@
             abroad: false,
             limited: false,
             barred: None,
+            rest: Rest::default(),
             history: VecDeque::new(),
             reported: Time(0),
             others: 0,
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -65,6 +65,28 @@
     }
 }
 
+/// The largest whole part of a decimal number that is told apart from larger ones.
+const DECIMAL_MOST: u64 = 1_000_000;
+
+/// Digits of a fraction that count.
+const DECIMAL_DIGITS: usize = 3;
+
+/// Reads a decimal number in thousandths: digits, and a fraction if there is one. Nothing else is a
+/// number here: no sign, exponent or unit.
+pub fn thousandths(text: &str) -> Option<u64> {
+    let text = text.trim();
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let is_number = |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_digit());
+    if !is_number(whole) || !is_number(fraction) {
+        return None;
+    }
+    // More digits than a number holds are more than any.
+    let whole = whole.parse().unwrap_or(DECIMAL_MOST).min(DECIMAL_MOST);
+    let digits: String = fraction.chars().chain("000".chars()).take(DECIMAL_DIGITS).collect();
+    let rest: u64 = digits.parse().ok()?;
+    Some(whole * 1_000 + rest)
+}
+
 /// The identity of a lease: the log position that granted it, which no other entry ever has.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -118,6 +118,9 @@
     LimitChanged = 438, Info, "a replica names another limit, or none any more";
     LimitUnreadable = 439, Warn, "what a replica says of its limit cannot be read: the one before holds";
     PermitUnanswered = 440, Info, "no gateway hands out the permits of a replica that names a limit";
+    RestBegun = 441, Info, "a replica turned a request away and wants nothing from this gateway for a while";
+    RestUnreadable = 442, Warn, "how long a replica wants nothing cannot be read: it gets requests as before";
+    LeavingHeard = 443, Info, "a replica says in an answer that it leaves";
 }
 
 /// Logs an event with fields.
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -6,15 +6,15 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use cypressfork_core::fleet::document::Kind;
-use cypressfork_core::fleet::limit::Said;
 use cypressfork_core::route::Choice;
 use cypressfork_core::unit::Millis;
 use cypressfork_http::client::{Broken, Connection, Outbound};
 use tokio::time::{Instant, timeout_at};
 
 use super::client::Client;
-use super::dialect::{Dialect, Head, Told};
+use super::dialect::{Dialect, Told};
 use super::job::Job;
+use super::notices::{Addressee, Try};
 use super::request::Progress;
 use super::state::Chosen;
 use super::stream;
@@ -92,11 +92,13 @@
     client: &mut Client,
     progress: &mut Progress,
     chosen: &Chosen,
+    which: Try,
 ) -> (Ended, Option<Duration>) {
     let (choice, replica) = (&chosen.choice, chosen.replica.as_str());
     let data_centre = chosen.data_centre.as_str();
-    let sent = Instant::now();
-    let mut exchange = Exchange { job, choice, replica, data_centre, sent, first: None };
+    let (born, sent) = (job.gw.born(replica), Instant::now());
+    let mut exchange =
+        Exchange { job, choice, replica, data_centre, which, born, sent, first: None };
     let ended = exchange.run::<D>(client, progress).await;
     if matches!(ended, Ended::Lost(_)) {
         note_lost(job, choice.address, replica, exchange.sent);
@@ -114,6 +116,10 @@
     pub replica: &'a str,
     /// Its data centre.
     pub data_centre: &'a str,
+    /// Which send of the request it is.
+    which: Try,
+    /// When the replica's life began that it had as it was chosen.
+    born: u64,
     /// When the request was sent.
     pub sent: Instant,
     /// How long it took until the first event, or the head of an answer that is no stream.
@@ -145,6 +151,7 @@
         let gw = &self.job.gw;
         let mut connection = gw.connections.get(Instant::now(), self.choice.address).await?;
         self.sent = Instant::now();
+        gw.notices.count_send(self.job, &self.addressee(), self.which);
         match self.send::<D>(&mut connection, last_event).await {
             Err(Broken::Stale) if self.job.is_repeatable() => {
                 self.permit_again().await?;
@@ -156,6 +163,7 @@
                         return Err(b.into());
                     }
                 };
+                gw.notices.count_send(self.job, &self.addressee(), Try::Again);
                 self.send::<D>(&mut connection, last_event).await?;
             }
             sent => sent?,
@@ -163,6 +171,11 @@
         self.own_head::<D>(connection).await
     }
 
+    fn addressee(&self) -> Addressee<'_> {
+        let (replica, address) = (self.replica, self.choice.address);
+        Addressee { replica, address, born: self.born, sent: self.sent }
+    }
+
     /// The replica may have got the first send: the second counts against its limit as well.
     async fn permit_again(&self) -> Result<(), Ended> {
         let (gw, priority) = (&self.job.gw, self.job.priority);
@@ -199,7 +212,7 @@
             let said = D::head(&head);
             if said.id == Some(self.job.inbound.id.as_str()) || (said.id.is_none() && said.not_run)
             {
-                self.take_limit(&said);
+                self.job.gw.notices.heard(self.job, &self.addressee(), &said);
                 return Ok((connection, head));
             }
             if said.another && said.id.is_none() {
@@ -210,17 +223,6 @@
         Err(Ended::Broken("the connection brings answers to other requests".to_owned()))
     }
 
-    /// Takes what the head of this request's answer says of the replica's limit. Another replica's says
-    /// nothing of it, and one that does not name its request may be older than it looks: it names a limit,
-    /// and its silence ends none.
-    fn take_limit(&self, said: &Head) {
-        if said.another || (said.id.is_none() && said.limit == Said::Nothing) {
-            return;
-        }
-        let job = self.job;
-        job.gw.limits.heard(&job.gw, self.replica, &job.inbound.id, self.sent, said.limit);
-    }
-
     async fn finish<D: Dialect>(
         &mut self,
         client: &mut Client,
--- a/crates/router/src/gateway/dialect.rs
+++ b/crates/router/src/gateway/dialect.rs
@@ -5,7 +5,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::format::Format;
 use cypressfork_core::fleet::limit::Said;
-use cypressfork_core::route::Trail;
+use cypressfork_core::route::{Trail, rest};
 use cypressfork_core::unit::{Millis, Tokens};
 
 use crate::reply::Refusal;
@@ -66,6 +66,10 @@
     pub sound: bool,
     /// What it says of the replica's limit.
     pub limit: Said,
+    /// What it says of a rest.
+    pub rest: rest::Said,
+    /// The replica says that it leaves.
+    pub leaving: bool,
 }
 
 /// A way to write requests and answers on the wire.
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod job;
 mod limits;
 pub mod native;
+mod notices;
 mod quarantine;
 mod request;
 mod rollouts;
--- a/crates/router/src/gateway/native.rs
+++ b/crates/router/src/gateway/native.rs
@@ -1,12 +1,14 @@
 //! The project's own words: the headers of `docs/CALLERS.md`, and documents as JSON.
 
-use actix_http::header::{AUTHORIZATION, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
-use actix_http::{RequestHead, ResponseHead};
+use actix_http::header::{
+    AUTHORIZATION, DATE, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
+};
+use actix_http::{RequestHead, ResponseHead, StatusCode};
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::{Document, Invalid};
 use cypressfork_core::fleet::format::{self, Format};
 use cypressfork_core::fleet::limit::{Rate, Said};
-use cypressfork_core::route::Trail;
+use cypressfork_core::route::{Trail, rest};
 use cypressfork_core::unit::Millis;
 
 use super::dialect::{Dialect, Head, Inbound, Prompt, Told};
@@ -36,6 +38,9 @@
 /// Requests a second that the replica takes from all gateways together, as a decimal number.
 const LIMIT: HeaderName = HeaderName::from_static("x-rate-limit");
 
+/// The replica's word that it leaves.
+const LEAVING: HeaderName = HeaderName::from_static("x-leaving");
+
 /// The project's own words.
 pub struct Native;
 
@@ -68,6 +73,34 @@
     }
 }
 
+/// What an answer says of a rest: only a replica that turns a request away with 503 asks for one. It names
+/// seconds, or a date, which counts from the date of the answer.
+pub fn rest(head: &ResponseHead) -> rest::Said {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return rest::Said::Nothing;
+    }
+    let h = &head.headers;
+    let read = |v: &HeaderValue| match v.to_str() {
+        Ok(s) => until_date(h, s).unwrap_or_else(|| rest::Said::parse(s)),
+        Err(_) => rest::Said::Unreadable,
+    };
+    let all = h.get_all(RETRY_AFTER).map(read);
+    all.fold(rest::Said::Nothing, rest::Said::or_longer)
+}
+
+/// The span between the date of an answer and a later date.
+fn until_date(h: &HeaderMap, text: &str) -> Option<rest::Said> {
+    let end = httpdate::parse_http_date(text).ok()?;
+    let sent = httpdate::parse_http_date(self::text(h, DATE)?).ok()?;
+    let span = end.duration_since(sent).unwrap_or_default();
+    Some(rest::Said::Rest(Millis(span.as_millis() as u64)))
+}
+
+/// Whether the header `name` of an answer says that its replica leaves.
+pub fn leaving(h: &HeaderMap, name: HeaderName) -> bool {
+    h.get_all(name).any(|v| v == "1")
+}
+
 /// The work that a request asks for, from the two headers that tell it.
 pub fn prompt(tokens: Option<&str>, parts: Option<&str>) -> Result<Option<Prompt>, Code> {
     let Some(tokens) = tokens else { return Ok(None) };
@@ -139,6 +172,8 @@
             another: head.status.as_u16() == 421,
             sound: true,
             limit: limit(h, LIMIT),
+            rest: rest(head),
+            leaving: leaving(h, LEAVING),
         }
     }
 
--- /dev/null
+++ b/crates/router/src/gateway/notices.rs
@@ -0,0 +1,128 @@
+//! What replicas say of themselves in the heads of their answers: the limit that they name, the rest that
+//! they ask for, and that they leave.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use cypressfork_core::fleet::limit::Said;
+use cypressfork_core::route::rest;
+use cypressfork_node::event::Event;
+use cypressfork_node::{emit, metric};
+use metrics::counter;
+use tokio::time::Instant;
+
+use super::dialect::Head;
+use super::job::Job;
+use super::state::Gateway;
+
+/// Replicas that are remembered for having said what cannot be read.
+const UNREADABLE_MOST: usize = 256;
+
+/// Which send of a request this is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Try {
+    /// The first.
+    First,
+    /// One to another replica.
+    Further,
+    /// The same again, on a new connection.
+    Again,
+}
+
+impl Try {
+    /// Its name in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Try::First => "first",
+            Try::Further => "further",
+            Try::Again => "again",
+        }
+    }
+}
+
+/// The replica that a request was sent to, in the life that it had then.
+pub struct Addressee<'a> {
+    /// Its id.
+    pub replica: &'a str,
+    /// Its address.
+    pub address: SocketAddr,
+    /// When that life began; 0 if it does not say.
+    pub born: u64,
+    /// When the request was sent.
+    pub sent: Instant,
+}
+
+/// What is remembered of what replicas said.
+#[derive(Default)]
+pub struct Notices {
+    /// Replicas that said that they leave, with the life in which they did.
+    leaving: RefCell<BTreeMap<String, u64>>,
+    /// Replicas whose word on a rest could not be read, and has been logged.
+    unreadable: RefCell<BTreeSet<String>>,
+}
+
+impl Notices {
+    /// Takes what the head of an answer to this request says. An answer of another replica says nothing
+    /// of this one, nor does one of a life that is over.
+    pub fn heard(&self, job: &Job, to: &Addressee, said: &Head) {
+        let gw = &job.gw;
+        if said.another || gw.born(to.replica) != to.born {
+            return;
+        }
+        self.hear_rest(job, to, said.rest);
+        // One that does not name its request may be older than it looks: it names a limit, and its
+        // silence ends none.
+        if said.id.is_some() || said.limit != Said::Nothing {
+            gw.limits.heard(gw, to.replica, &job.inbound.id, to.sent, said.limit);
+        }
+        if said.leaving
+            && self.leaving.borrow_mut().insert(to.replica.to_owned(), to.born).is_none()
+        {
+            emit!(Event::LeavingHeard, replica = to.replica, id = job.inbound.id);
+        }
+    }
+
+    fn hear_rest(&self, job: &Job, to: &Addressee, said: rest::Said) {
+        match said {
+            rest::Said::Nothing => {}
+            rest::Said::Unreadable => self.tell_unreadable(to.replica, &job.inbound.id),
+            rest::Said::Rest(span) => {
+                let under_way = job.gw.rest(&job.service, to.address, span);
+                counter!(metric::RESTS, "service" => job.service.clone()).increment(1);
+                emit!(
+                    Event::RestBegun,
+                    replica = to.replica,
+                    span_ms = span.0,
+                    under_way = under_way,
+                    id = job.inbound.id,
+                );
+            }
+        }
+    }
+
+    fn tell_unreadable(&self, replica: &str, id: &str) {
+        let mut told = self.unreadable.borrow_mut();
+        if told.len() >= UNREADABLE_MOST {
+            told.clear();
+        }
+        if told.insert(replica.to_owned()) {
+            emit!(Event::RestUnreadable, replica = replica, id = id);
+        }
+    }
+
+    /// Counts a send to a replica that wants none.
+    pub fn count_send(&self, job: &Job, to: &Addressee, which: Try) {
+        if job.gw.is_resting(&job.service, to.address) {
+            counter!(metric::SENT_IN_REST, "try" => which.name()).increment(1);
+        }
+        if self.leaving.borrow().get(to.replica) == Some(&to.born) {
+            counter!(metric::SENT_TO_LEAVING, "try" => which.name()).increment(1);
+        }
+    }
+
+    /// Forgets replicas that are not there any more.
+    pub fn trim(&self, gw: &Gateway) {
+        self.leaving.borrow_mut().retain(|replica, born| gw.is_there(replica, *born));
+    }
+}
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -31,6 +31,7 @@
 use super::documents::depends_on_document;
 use super::events::Events;
 use super::job::Job;
+use super::notices::Try;
 use super::rollouts::Observation;
 use super::state::{Chosen, Gateway};
 use super::timing::Timing;
@@ -318,7 +319,9 @@
             self.tried.push(choice.address);
             let observation = Observation::begin(&job.gw, &job.service, side);
             let chosen = Chosen { choice, replica, data_centre, side };
-            let (ended, first) = attempt::run::<D>(job, client, &mut self.progress, &chosen).await;
+            let which = if self.tried.len() == 1 { Try::First } else { Try::Further };
+            let (ended, first) =
+                attempt::run::<D>(job, client, &mut self.progress, &chosen, which).await;
             let Chosen { choice, replica, .. } = chosen;
             observation.end(&job.route, &ended, first, choice.expected_us);
             counter!(metric::ATTEMPTS, "end" => ended.name()).increment(1);
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -95,6 +95,7 @@
         sleep(TRIM_EVERY).await;
         gw.connections.trim(Instant::now());
         gw.limits.trim(&gw);
+        gw.notices.trim(&gw);
     }
 }
 
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -37,6 +37,7 @@
 
 use super::documents::Documents;
 use super::limits::Limits;
+use super::notices::Notices;
 use super::quarantine::Quarantines;
 use super::rollouts::Trials;
 use super::settings::Settings;
@@ -84,6 +85,8 @@
     pub quarantines: Quarantines,
     /// The limits that replicas name.
     pub limits: Limits,
+    /// What replicas said in their answers.
+    pub notices: Notices,
     /// Services that move to another version.
     pub trials: Trials,
     /// How far each control process is followed.
@@ -128,6 +131,7 @@
             witness: Witness::default(),
             quarantines: Quarantines::default(),
             limits: Limits::default(),
+            notices: Notices::default(),
             trials: Trials::default(),
             feeds: RefCell::default(),
             evacuations: RefCell::default(),
@@ -440,6 +444,18 @@
         }
     }
 
+    /// Takes a replica's word that it wants nothing from this gateway for `span`. Returns how many of its
+    /// requests the replica has then.
+    pub fn rest(&self, service: &str, address: SocketAddr, span: Millis) -> u32 {
+        let mut pools = self.pools.borrow_mut();
+        pools.get_mut(service).map_or(0, |p| p.rest(self.now(), address, span))
+    }
+
+    /// Whether a replica wants nothing from this gateway now.
+    pub fn is_resting(&self, service: &str, address: SocketAddr) -> bool {
+        self.pools.borrow().get(service).is_some_and(|p| p.is_resting(self.now(), address))
+    }
+
     /// The replicas of a service that name a limit.
     pub fn limited_of(&self, service: &str) -> Vec<String> {
         let pools = self.pools.borrow();
