--- a/crates/cypressfork/tests/support/limited.rs
+++ b/crates/cypressfork/tests/support/limited.rs
@@ -47,6 +47,36 @@
     }
 }
 
+/// Listens, and serves each connection in a thread of its own.
+pub fn listen(serve: impl Fn(TcpStream) + Clone + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for s in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(s));
+        }
+    });
+    address
+}
+
+/// Tells control processes in turn that a replica is ready, until it is over.
+pub fn beat(name: String, address: SocketAddr, controls: Vec<SocketAddr>, over: Arc<AtomicBool>) {
+    thread::spawn(move || {
+        for sequence in 1.. {
+            if over.load(Ordering::Relaxed) {
+                return;
+            }
+            let beat = json!({ "service": "board", "address": address.to_string(),
+                "data_centre": "tamar-a", "slots": 16, "sequence": sequence });
+            let to = controls[sequence % controls.len()];
+            // The next heartbeat goes to another control process.
+            let _ = exchange(to, "PUT", &format!("/v1/replicas/{name}"), "", &beat.to_string());
+            sleep(BEAT_EVERY);
+        }
+    });
+}
+
 /// A replica that runs until it is told to stop.
 #[derive(Clone)]
 pub struct LimitedReplica {
@@ -69,32 +99,9 @@
     }
 
     pub fn start(&self) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let beats = self.clone();
-        thread::spawn(move || beats.beat_forever(address));
         let replica = self.clone();
-        thread::spawn(move || {
-            for s in listener.incoming().flatten() {
-                let replica = replica.clone();
-                thread::spawn(move || replica.serve(s));
-            }
-        });
-    }
-
-    fn beat_forever(&self, address: SocketAddr) {
-        for sequence in 1.. {
-            if self.over.load(Ordering::Relaxed) {
-                return;
-            }
-            let beat = json!({ "service": "board", "address": address.to_string(),
-                "data_centre": "tamar-a", "slots": 16, "sequence": sequence });
-            let path = format!("/v1/replicas/{}", self.name);
-            let to = self.controls[sequence % self.controls.len()];
-            // The next heartbeat goes to another control process.
-            let _ = exchange(to, "PUT", &path, "", &beat.to_string());
-            sleep(BEAT_EVERY);
-        }
+        let address = listen(move |s| replica.serve(s));
+        beat(self.name.clone(), address, self.controls.clone(), self.over.clone());
     }
 
     fn serve(&self, mut s: TcpStream) {
--- /dev/null
+++ b/crates/cypressfork/tests/support/resting.rs
@@ -0,0 +1,177 @@
+//! Replicas that turn requests away and ask for rest, and replicas that say in their answers that they leave.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use super::crashing::{header, request};
+use super::limited::{beat, listen};
+
+/// From so long after a rest was asked for it counts, by the users' pages.
+const COUNTS_AFTER: Duration = Duration::from_millis(500);
+
+/// How a replica turns requests away.
+#[derive(Clone, Debug)]
+pub struct Refusing {
+    /// The `Retry-After` headers of its 503.
+    pub after: Vec<String>,
+    /// It says besides that it has not run the request.
+    pub not_run: bool,
+}
+
+impl Refusing {
+    /// With the word that the request was not run.
+    pub fn after(text: &str) -> Refusing {
+        Refusing { after: vec![text.to_owned()], not_run: true }
+    }
+}
+
+/// One request at a replica.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    pub gateway: usize,
+    /// When it was turned away, if it was.
+    pub refused: Option<Instant>,
+}
+
+/// What a replica has seen, and what it says.
+pub struct Shared {
+    pub arrivals: Mutex<Vec<Arrival>>,
+    /// All requests are turned away.
+    pub refusing: Mutex<Option<Refusing>>,
+    /// Beyond so many at a time they are turned away.
+    pub places: AtomicUsize,
+    /// So it turns away those.
+    pub beyond: Refusing,
+    running: AtomicUsize,
+    /// How long a request runs.
+    pub work: Duration,
+    /// It says in each answer that it leaves.
+    pub leaving: AtomicBool,
+    /// It closes each connection after an answer without saying so.
+    pub closes: AtomicBool,
+}
+
+/// A replica that runs until it is told to stop.
+#[derive(Clone)]
+pub struct RestingReplica {
+    pub name: String,
+    pub shared: Arc<Shared>,
+    pub over: Arc<AtomicBool>,
+    /// How many gateways there are: requests are sent to them in turn, by their numbers.
+    gateways: usize,
+}
+
+impl RestingReplica {
+    pub fn start(
+        name: String,
+        controls: Vec<SocketAddr>,
+        gateways: usize,
+        work: Duration,
+    ) -> RestingReplica {
+        let shared = Shared {
+            arrivals: Mutex::default(),
+            refusing: Mutex::default(),
+            places: AtomicUsize::new(usize::MAX),
+            beyond: Refusing::after("3"),
+            running: AtomicUsize::new(0),
+            work,
+            leaving: AtomicBool::new(false),
+            closes: AtomicBool::new(false),
+        };
+        let over = Arc::<AtomicBool>::default();
+        let replica =
+            RestingReplica { name, shared: Arc::new(shared), over: over.clone(), gateways };
+        let own = replica.clone();
+        let address = listen(move |s| own.serve(s));
+        beat(replica.name.clone(), address, controls, over);
+        replica
+    }
+
+    /// Turns away all requests from now on, or none any more.
+    pub fn refuse(&self, how: Option<Refusing>) {
+        *self.shared.refusing.lock().unwrap() = how;
+    }
+
+    fn serve(&self, mut s: TcpStream) {
+        let shared = &self.shared;
+        while let Some(text) = request(&mut s) {
+            if self.over.load(Ordering::Relaxed) {
+                return;
+            }
+            let id = header(&text, "x-request-id").to_owned();
+            let gateway = gateway_of(&id, self.gateways);
+            let at = Instant::now();
+            let n = {
+                let mut all = shared.arrivals.lock().unwrap();
+                all.push(Arrival { at, gateway, refused: None });
+                all.len() - 1
+            };
+            let before = shared.running.fetch_add(1, Ordering::Relaxed);
+            let all = shared.refusing.lock().unwrap().clone();
+            let full = before >= shared.places.load(Ordering::Relaxed);
+            let refusing = all.or_else(|| full.then(|| shared.beyond.clone()));
+            if refusing.is_none() {
+                sleep(shared.work);
+            }
+            shared.running.fetch_sub(1, Ordering::Relaxed);
+            let mut head = format!("X-Request-Id: {id}\r\nContent-Length: 2");
+            if shared.leaving.load(Ordering::Relaxed) {
+                head.push_str("\r\nX-Leaving: 1");
+            }
+            let status = match &refusing {
+                None => "200 OK",
+                Some(r) => {
+                    shared.arrivals.lock().unwrap()[n].refused = Some(Instant::now());
+                    r.after.iter().for_each(|v| head.push_str(&format!("\r\nRetry-After: {v}")));
+                    if r.not_run {
+                        head.push_str("\r\nX-Not-Run: true");
+                    }
+                    "503 Service Unavailable"
+                }
+            };
+            let sent = write!(s, "HTTP/1.1 {status}\r\n{head}\r\n\r\nok");
+            if sent.is_err() || shared.closes.load(Ordering::Relaxed) {
+                return;
+            }
+        }
+    }
+
+    /// The most requests of one gateway in a rest of `span`, from when it counts.
+    pub fn most_in_a_rest(&self, span: Duration) -> usize {
+        let all = self.shared.arrivals.lock().unwrap();
+        let in_rest = |gateway: usize, from: Instant| {
+            let counts = |a: &&Arrival| {
+                a.gateway == gateway && a.at > from + COUNTS_AFTER && a.at < from + span
+            };
+            all.iter().filter(counts).count()
+        };
+        all.iter().filter_map(|a| Some(in_rest(a.gateway, a.refused?))).max().unwrap_or(0)
+    }
+
+    /// Requests that came after `since`, by gateway.
+    pub fn since(&self, since: Instant) -> BTreeMap<usize, usize> {
+        let mut by_gateway = BTreeMap::new();
+        for a in self.shared.arrivals.lock().unwrap().iter().filter(|a| a.at > since) {
+            *by_gateway.entry(a.gateway).or_default() += 1;
+        }
+        by_gateway
+    }
+
+    /// Requests that came, and those that were turned away.
+    pub fn counts(&self) -> (usize, usize) {
+        let all = self.shared.arrivals.lock().unwrap();
+        (all.len(), all.iter().filter(|a| a.refused.is_some()).count())
+    }
+}
+
+/// The gateway that a caller sent a request to, from the number at the end of its id.
+fn gateway_of(id: &str, gateways: usize) -> usize {
+    let number = id.rsplit('-').next().and_then(|n| n.parse::<usize>().ok());
+    number.unwrap_or(0) % gateways
+}
