Rests that replicas ask for are kept

What replicas saw: 5 and 3 requests of one gateway in a rest of 3 s (two are allowed). Now: core::route::rest keeps a replica out of every choice and is asked again right before each send; after it one request goes first, more as they are let in; what nobody takes is refused at once (CF1312) with a time to come back. Why it works: the check stands right before the bytes go out, so neither homes, last resorts nor resends pass it by.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -95,6 +95,7 @@
     Quarantined = 1309, 503, "server_error", "this request has ended the upstreams that ran it, and is sent to none for now";
     NoRegion = 1310, 503, "server_error", "no upstream is in reach in a region that may serve this request";
     LimitReached = 1311, 503, "rate_limit_error", "the upstreams that could run it take no more requests for now";
+    UpstreamsResting = 1312, 503, "rate_limit_error", "the upstreams that could run it have asked for rest";
     ClaimUnreachable = 1401, 503, "server_error", "the request is marked not repeatable and the control group is not in reach to claim it";
     ClaimRunning = 1402, 409, "conflict_error", "a request with this id is running";
     ClaimUnknown = 1403, 409, "conflict_error", "a request with this id was started and its outcome is not known; it ran at most once";
--- a/crates/core/src/fleet/limit/permits.rs
+++ b/crates/core/src/fleet/limit/permits.rs
@@ -12,6 +12,7 @@
 
 use super::Rate;
 use super::homes::Rank;
+use crate::route::pressure::Pressure;
 use crate::unit::{Millis, Time};
 
 /// How long a permit is good, from the moment at which it was asked for.
@@ -36,12 +37,6 @@
 /// The longest and the shortest time after which a router asks again that got none.
 const AGAIN: (Millis, Millis) = (Millis(50), Millis::seconds(4));
 
-/// How long after a more urgent request was refused a less urgent one gets no permit.
-const PRESSED: Millis = Millis(500);
-
-/// One permit in so many goes to whoever asks: less urgent requests are never shut out for good.
-const FOR_ANYBODY: u64 = 4;
-
 /// Millionths of a permit. A limit in thousandths a second is as many of them a millisecond.
 const ONE: u64 = 1_000_000;
 
@@ -78,10 +73,7 @@
     at: Time,
     /// When the next router that got none is to ask again.
     turn: Time,
-    /// Answers with permits so far.
-    granted: u64,
-    /// When requests of each priority were last refused.
-    refused: BTreeMap<u8, Time>,
+    pressure: Pressure,
 }
 
 /// The permits that one router hands out.
@@ -98,8 +90,7 @@
             Rank::First => full,
             Rank::Second => full.div_ceil(SECOND),
         };
-        let fresh =
-            || Bucket { level: 0, at: now, turn: now, granted: 0, refused: BTreeMap::new() };
+        let fresh = || Bucket { level: 0, at: now, turn: now, pressure: Pressure::default() };
         let b = self.buckets.entry(ask.replica.clone()).or_insert_with(fresh);
         b.fill(now, rate);
         let permits = b.take(now, ask);
@@ -130,25 +121,21 @@
     }
 
     fn take(&mut self, now: Time, ask: &Ask) -> u32 {
-        let for_anybody = self.granted % FOR_ANYBODY == FOR_ANYBODY - 1;
-        if !for_anybody && self.is_pressed(now, ask.priority) {
+        if !self.pressure.allows(now, ask.priority) {
             return 0;
         }
         let there = (self.level / ONE).min(u64::from(BATCH)) as u32;
         let permits = there.min(ask.wanted.max(1));
         self.level -= u64::from(permits) * ONE;
-        self.granted += u64::from(permits > 0);
+        if permits > 0 {
+            self.pressure.took();
+        }
         permits
     }
 
-    /// Whether a more urgent request has been refused lately.
-    fn is_pressed(&self, now: Time, priority: u8) -> bool {
-        self.refused.range(..priority).any(|(_, at)| now.since(*at) < PRESSED)
-    }
-
     /// Notes that an ask got none. Those that got none are to ask one after the other, as permits come in.
     fn refuse(&mut self, now: Time, priority: u8, rate: u64) -> Millis {
-        self.refused.insert(priority, now);
+        self.pressure.refuse(now, priority);
         let each = Millis(ONE.div_ceil(rate.max(1)));
         let latest = now.after(AGAIN.1);
         self.turn = self.turn.max(now).after(each).min(latest);
--- a/crates/core/src/route/cold.rs
+++ b/crates/core/src/route/cold.rs
@@ -49,7 +49,7 @@
 
     /// Requests a second: those of the last one, or more if that is what the last two slices come to,
     /// so that a burst is not taken for few requests while it begins.
-    fn per_second(&self) -> u64 {
+    pub(super) fn per_second(&self) -> u64 {
         let last = self.counts[(self.slice % SLICES as u64) as usize];
         let before = self.counts[((self.slice + SLICES as u64 - 1) % SLICES as u64) as usize];
         let all: u64 = self.counts.iter().sum();
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -7,13 +7,16 @@
 mod limiter;
 mod pool;
 mod prefix;
+pub mod pressure;
 mod replica;
 pub mod rest;
 mod retry;
 mod ring;
+pub mod turns;
 mod vms;
 
 pub use limiter::{Entered, Limiter, Ticket, Waiter};
+pub use pool::held_back::{Bound, HeldBack};
 pub use pool::{Choice, Condition, Pool, Work};
 pub use prefix::{Prefixes, Trail};
 pub use replica::Replica;
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -1,5 +1,7 @@
 //! Choice of an upstream among the replicas of a service.
 
+pub mod held_back;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
@@ -10,6 +12,7 @@
 use super::cost::{Outlook, cost};
 use super::lateness::Aim;
 use super::prefix::{Prefixes, Trail};
+use super::pressure::Pressure;
 use super::replica::Replica;
 use super::ring::Ring;
 use crate::config::Upstream;
@@ -106,6 +109,12 @@
     cold: BTreeSet<SocketAddr>,
     /// Replicas that name a limit.
     limited: BTreeSet<SocketAddr>,
+    /// Replicas that have asked for rest, until that binds this router no longer.
+    paced: BTreeSet<SocketAddr>,
+    /// What was refused for want of replicas that may be sent to.
+    pressure: Pressure,
+    /// Requests that replicas have let in lately.
+    let_in: Demand,
     /// Requests a minute that a cold replica bears.
     cold_bound: Option<u32>,
     /// Requests that came lately.
@@ -197,6 +206,7 @@
         self.ring.set(address, false);
         self.cold.remove(&address);
         self.limited.remove(&address);
+        self.paced.remove(&address);
         self.prefixes.forget(now, address);
         let Some(place) = self.places.remove(&address) else { return };
         self.addresses.swap_remove(place);
@@ -205,55 +215,6 @@
         }
     }
 
-    /// Notes whether a replica names a limit: then it is no prompt's home, so that all routers find the
-    /// same replica in its place.
-    pub fn set_limited(&mut self, now: Time, address: SocketAddr, limited: bool) {
-        let Some(r) = self.replicas.get_mut(&address).filter(|r| r.limited != limited) else {
-            return;
-        };
-        r.limited = limited;
-        r.barred = None;
-        match limited {
-            true => self.limited.insert(address),
-            false => self.limited.remove(&address),
-        };
-        self.set_home(now, address);
-    }
-
-    /// Notes that a replica that names a limit gets no request for `span`, but for those more urgent than
-    /// `priority`.
-    pub fn bar(&mut self, now: Time, address: SocketAddr, span: Millis, priority: u8) {
-        if let Some(r) = self.replicas.get_mut(&address) {
-            r.barred = Some((now.after(span), priority));
-        }
-    }
-
-    /// Takes a replica's word that it wants nothing from this router for `span`. Returns how many of this
-    /// router's requests it has then.
-    pub fn rest(&mut self, now: Time, address: SocketAddr, span: Millis) -> u32 {
-        let Some(r) = self.replicas.get_mut(&address) else { return 0 };
-        r.rest.begin(now, span);
-        r.outstanding
-    }
-
-    /// Whether a replica wants nothing from this router at `now`.
-    pub fn is_resting(&self, now: Time, address: SocketAddr) -> bool {
-        self.replicas.get(&address).is_some_and(|r| r.rest.is_on(now))
-    }
-
-    /// The replicas that name a limit.
-    pub fn limited(&self) -> impl Iterator<Item = String> {
-        let all = self.limited.iter().filter_map(|a| self.replicas.get(a));
-        all.map(|r| r.upstream.vm.name.clone())
-    }
-
-    /// When a replica that its limit keeps this work away from takes some again, if there is such a one.
-    pub fn barred_for(&self, now: Time, work: &Work) -> Option<Millis> {
-        let limited = self.limited.iter().filter_map(|a| self.replicas.get(a));
-        let barred = limited.filter(|r| r.is_open() && r.is_barred(now, work.priority));
-        barred.filter_map(|r| Some(r.barred?.0.since(now))).min()
-    }
-
     /// Notes how many other routers send to the same replicas.
     pub fn set_peers(&mut self, n: u64) {
         self.peers = n;
@@ -354,6 +315,10 @@
             r.backlog.send(now, c.ticket, c.fresh);
             r.set_outstanding(now, r.outstanding + 1);
             self.outstanding += 1;
+            if r.rest.binds() {
+                r.rest.sent();
+                self.pressure.took();
+            }
         }
         self.prefixes.sent(now, c.address, &work.trail);
     }
@@ -383,13 +348,13 @@
         home: Option<SocketAddr>,
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
+        let is_held_back = |r: &Replica| {
+            r.is_barred(now, work.priority)
+                || (work.spares_limited && r.limited)
+                || !self.has_room_after_rest(now, r, work)
+        };
         let open = |r: &Replica| {
-            r.is_open()
-                && work.way.allows(r.side)
-                && self.place.1.allow(&work.regions, &r.upstream.vm.data_centre)
-                && !tried.contains(&r.upstream.address)
-                && !r.is_barred(now, work.priority)
-                && !(work.spares_limited && r.limited)
+            self.may_serve(r, work) && !tried.contains(&r.upstream.address) && !is_held_back(r)
         };
         let usable =
             |a: &SocketAddr| self.replicas.get(a).is_some_and(|r| open(r) && r.out_until <= now);
@@ -436,6 +401,13 @@
         sample
     }
 
+    /// Whether a replica may get this work at all, whatever it has at the moment.
+    fn may_serve(&self, r: &Replica, work: &Work) -> bool {
+        r.is_open()
+            && work.way.allows(r.side)
+            && self.place.1.allow(&work.regions, &r.upstream.vm.data_centre)
+    }
+
     /// The chance with which a cold replica stays in a sample.
     fn cold_chance(&self) -> (u64, u64) {
         let crowd = Crowd {
@@ -519,6 +491,7 @@
     pub fn done(&mut self, now: Time, c: &Choice, failed: bool) -> bool {
         let Some(r) = self.replicas.get_mut(&c.address) else { return false };
         r.backlog.end(c.ticket);
+        r.rest.ended(c.ticket);
         self.outstanding -= u64::from(r.outstanding.min(1));
         r.set_outstanding(now, r.outstanding.saturating_sub(1));
         r.failures = if failed { r.failures + 1 } else { 0 };
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -52,6 +52,7 @@
     PERMITS = "cypressfork_permits_total", "counter", "end", "permits that a gateway wanted for requests to replicas that name a limit, by what became of that";
     PERMITS_GIVEN = "cypressfork_permits_given_total", "counter", "", "permits that a gateway handed out, its own included";
     RESTS = "cypressfork_rests_total", "counter", "service", "times that a replica turned a request away and asked for rest";
+    RESTING = "cypressfork_resting_replicas", "gauge", "", "replicas that want nothing from this gateway for now";
     SENT_IN_REST = "cypressfork_sent_in_rest_total", "counter", "try", "requests sent to a replica during its rest: the first try of one, a further one, or the same again on a new connection";
     SENT_TO_LEAVING = "cypressfork_sent_to_leaving_total", "counter", "try", "requests sent to a replica after it had said in an answer that it leaves, by the same";
     ROLLOUT_ANSWERS = "cypressfork_rollout_answers_total", "counter", "service, version", "answers of the old and the new version of a service during a roll-out, failures among them";
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use cypressfork_core::fleet::document::Kind;
-use cypressfork_core::route::Choice;
+use cypressfork_core::route::{Choice, rest};
 use cypressfork_core::unit::Millis;
 use cypressfork_http::client::{Broken, Connection, Outbound};
 use tokio::time::{Instant, timeout_at};
@@ -46,6 +46,8 @@
     Left,
     /// The replica was not reached.
     NotSent(String),
+    /// It was not sent: the replica has gone or asked for rest since it was chosen.
+    Withheld,
     /// The replica says that it did not run it.
     NotRun,
     /// The replica answers with a failure of its own; nothing of it was passed on.
@@ -59,12 +61,18 @@
 }
 
 impl Ended {
+    /// Whether it speaks against the replica.
+    pub fn is_failure(&self) -> bool {
+        !matches!(self, Ended::Answered | Ended::Left | Ended::Withheld | Ended::NotRun)
+    }
+
     /// Its name in metrics.
     pub fn name(&self) -> &'static str {
         match self {
             Ended::Answered => "answered",
             Ended::Left => "caller_left",
             Ended::NotSent(_) => "not_sent",
+            Ended::Withheld => "withheld",
             Ended::NotRun => "not_run",
             Ended::Failed(_) => "failed",
             Ended::Lost(_) => "lost",
@@ -130,7 +138,9 @@
     async fn run<D: Dialect>(&mut self, client: &mut Client, progress: &mut Progress) -> Ended {
         let until = self.job.deadline;
         // A caller that goes away ends the exchange, and with it the connection to the replica.
+        // A head that has come is read first: it may say what holds for other requests.
         let done = tokio::select! {
+            biased;
             done = timeout_at(until, self.begin::<D>(progress.events.last())) => done,
             () = client.gone() => return Ended::Left,
         };
@@ -149,7 +159,12 @@
         last_event: Option<u64>,
     ) -> Result<(Connection, ResponseHead), Ended> {
         let gw = &self.job.gw;
+        self.check()?;
         let mut connection = gw.connections.get(Instant::now(), self.choice.address).await?;
+        if let Err(ended) = self.check() {
+            gw.connections.put(Instant::now(), self.choice.address, connection);
+            return Err(ended);
+        }
         self.sent = Instant::now();
         gw.notices.count_send(self.job, &self.addressee(), self.which);
         match self.send::<D>(&mut connection, last_event).await {
@@ -163,6 +178,7 @@
                         return Err(b.into());
                     }
                 };
+                self.check()?;
                 gw.notices.count_send(self.job, &self.addressee(), Try::Again);
                 self.send::<D>(&mut connection, last_event).await?;
             }
@@ -171,6 +187,13 @@
         self.own_head::<D>(connection).await
     }
 
+    /// Whether the replica still takes the request: time has passed since it was chosen.
+    fn check(&self) -> Result<(), Ended> {
+        let (service, address) = (&self.job.service, self.choice.address);
+        let may = self.job.gw.may_send(service, address, self.replica);
+        may.then_some(()).ok_or(Ended::Withheld)
+    }
+
     fn addressee(&self) -> Addressee<'_> {
         let (replica, address) = (self.replica, self.choice.address);
         Addressee { replica, address, born: self.born, sent: self.sent }
@@ -210,11 +233,17 @@
         for _ in 0..SKIPPED {
             let head = connection.head().await?;
             let said = D::head(&head);
-            if said.id == Some(self.job.inbound.id.as_str()) || (said.id.is_none() && said.not_run)
-            {
-                self.job.gw.notices.heard(self.job, &self.addressee(), &said);
+            let is_own = said.id == Some(self.job.inbound.id.as_str());
+            let notices = &self.job.gw.notices;
+            if is_own || (said.id.is_none() && said.not_run) {
+                notices.heard(self.job, &self.addressee(), &said);
+                if !said.not_run && !said.another && said.rest == rest::Said::Nothing {
+                    self.job.gw.let_in(&self.job.service, self.choice);
+                }
                 return Ok((connection, head));
             }
+            // Whatever request it answers, a rest is asked of this gateway.
+            notices.hear_rest(self.job, &self.addressee(), &said);
             if said.another && said.id.is_none() {
                 return Ok((connection, head));
             }
--- a/crates/router/src/gateway/limits.rs
+++ b/crates/router/src/gateway/limits.rs
@@ -11,6 +11,7 @@
 use cypressfork_core::fleet::limit::permits::{Ask, GOOD_FOR, Grant, Permits};
 use cypressfork_core::fleet::limit::{Named, Rate, Said};
 use cypressfork_core::fleet::neighbours::{Area, NOT_WANTED, digest};
+use cypressfork_core::route::turns::{Back, Turns};
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::event::Event;
 use cypressfork_node::{emit, metric};
@@ -94,7 +95,7 @@
     /// When gateways last did not answer an ask.
     out: RefCell<BTreeMap<SocketAddr, Time>>,
     /// When the next caller of each service is told to come back.
-    turns: RefCell<HashMap<String, Time>>,
+    turns: RefCell<HashMap<String, Turns>>,
     /// Replicas whose word could not be read, and has been logged.
     unreadable: RefCell<BTreeSet<String>>,
 }
@@ -198,7 +199,7 @@
         self.count();
         self.permits.borrow_mut().trim(now, PERMITS_KEPT);
         self.stock.borrow_mut().retain(|_, s| now.since(s.until) < PERMITS_KEPT);
-        self.turns.borrow_mut().retain(|_, turn| *turn > now);
+        self.turns.borrow_mut().retain(|_, turns| !turns.is_over(now));
         self.out.borrow_mut().retain(|_, at| now.since(*at) < OUT_SPAN);
     }
 
@@ -339,14 +340,8 @@
         let routers = self.homes.borrow().routers().max(1) as u64;
         let each = Millis(1_000_000 * routers / allowed.max(1));
         let mut turns = self.turns.borrow_mut();
-        let turn = turns.entry(service.to_owned()).or_insert(now);
-        *turn = (*turn).max(now.after(first)).after(each);
-        let after = turn.since(now);
-        if after > BACK_MOST {
-            *turn = now.after(BACK_MOST);
-            return Millis(rand::rng().random_range(BACK_MOST.0 / 2..=BACK_MOST.0));
-        }
-        after
+        let turns = turns.entry(service.to_owned()).or_default();
+        turns.next(now, &Back { first, each, most: BACK_MOST }, &mut rand::rng())
     }
 
     fn rate(&self, replica: &str) -> Rate {
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -67,10 +67,10 @@
     /// of this one, nor does one of a life that is over.
     pub fn heard(&self, job: &Job, to: &Addressee, said: &Head) {
         let gw = &job.gw;
-        if said.another || gw.born(to.replica) != to.born {
+        if !is_of_this_life(gw, to, said) {
             return;
         }
-        self.hear_rest(job, to, said.rest);
+        self.hear_rest(job, to, said);
         // One that does not name its request may be older than it looks: it names a limit, and its
         // silence ends none.
         if said.id.is_some() || said.limit != Said::Nothing {
@@ -83,8 +83,12 @@
         }
     }
 
-    fn hear_rest(&self, job: &Job, to: &Addressee, said: rest::Said) {
-        match said {
+    /// Takes what an answer of the replica says of a rest, whichever request it answers.
+    pub fn hear_rest(&self, job: &Job, to: &Addressee, said: &Head) {
+        if !is_of_this_life(&job.gw, to, said) {
+            return;
+        }
+        match said.rest {
             rest::Said::Nothing => {}
             rest::Said::Unreadable => self.tell_unreadable(to.replica, &job.inbound.id),
             rest::Said::Rest(span) => {
@@ -126,3 +130,7 @@
         self.leaving.borrow_mut().retain(|replica, born| gw.is_there(replica, *born));
     }
 }
+
+fn is_of_this_life(gw: &Gateway, to: &Addressee, said: &Head) -> bool {
+    !said.another && gw.born(to.replica) == to.born
+}
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -14,8 +14,8 @@
 use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::fleet::patience;
 use cypressfork_core::fleet::routes::{Routes, draw};
-use cypressfork_core::route::Work;
 use cypressfork_core::route::lateness::Aim;
+use cypressfork_core::route::{Bound, HeldBack, Work};
 use cypressfork_core::unit::{Millis, Tokens};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -275,11 +275,12 @@
     /// Replicas that may have run it.
     ran: u32,
     unreached: usize,
+    /// Times that a replica turned it away.
     rejected: usize,
-    /// When a replica that its limit keeps the request away from takes some again.
-    barred_for: Option<Millis>,
-    /// What the limit was that kept it away last.
-    limited: String,
+    /// Those of them by replicas that asked for rest.
+    rested: usize,
+    /// What keeps it away from the replicas that are left.
+    held_back: Option<HeldBack>,
 }
 
 impl<'a> Run<'a> {
@@ -293,8 +294,8 @@
             ran: 0,
             unreached: 0,
             rejected: 0,
-            barred_for: None,
-            limited: String::new(),
+            rested: 0,
+            held_back: None,
         }
     }
 
@@ -325,7 +326,7 @@
             let Chosen { choice, replica, .. } = chosen;
             observation.end(&job.route, &ended, first, choice.expected_us);
             counter!(metric::ATTEMPTS, "end" => ended.name()).increment(1);
-            let failed = !matches!(ended, Ended::Answered | Ended::Left | Ended::NotRun);
+            let failed = ended.is_failure();
             self.job.gw.done(&self.job.service, &choice, failed);
             emit!(
                 Event::AttemptEnded,
@@ -353,7 +354,7 @@
         loop {
             let picked = gw.pick(&job.service, job.cold_bound, &mut work, &self.tried);
             let Some(mut chosen) = picked else {
-                self.barred_for = gw.barred_for(&job.service, &work);
+                self.held_back = gw.held_back(&job.service, &work);
                 return None;
             };
             let (replica, dc) = (&chosen.replica, &chosen.data_centre);
@@ -362,7 +363,6 @@
                 return Some(chosen);
             };
             gw.bar(&job.service, &chosen, denied.after, job.priority);
-            self.limited = gw.limits.describe(gw.now(), replica);
             work.way = way;
             denials += 1;
             work.spares_limited = denied.unanswered || denials >= DENIALS;
@@ -385,9 +385,12 @@
                 let more = self.unreached < UNREACHED;
                 (!more).then(|| self.give_up(&why, client))
             }
+            // It is chosen anew, without the replica.
+            Ended::Withheld => None,
             Ended::NotRun => {
                 self.rejected += 1;
-                let more = self.rejected < REJECTED && self.job.gw.take_retry(&self.job.service);
+                self.rested += usize::from(self.last_is_resting());
+                let more = self.may_try_another();
                 (!more).then(|| self.give_up("replicas have no room", client))
             }
             Ended::Failed(answer) => {
@@ -415,6 +418,23 @@
         }
     }
 
+    /// Whether another replica may be tried after one has turned it away. One that asks for rest is asked by
+    /// no other request, so that costs one try in all; where most rest, others would turn it away as well.
+    fn may_try_another(&mut self) -> bool {
+        let (gw, service) = (&self.job.gw, &self.job.service);
+        if self.rested > 0 && gw.is_mostly_resting(service) {
+            self.held_back = gw.held_back(service, &self.job.work());
+            return false;
+        }
+        self.rejected - self.rested < REJECTED && gw.take_retry(service)
+    }
+
+    /// Whether the replica that it was sent to last has asked for rest.
+    fn last_is_resting(&self) -> bool {
+        let (gw, service) = (&self.job.gw, &self.job.service);
+        self.tried.last().is_some_and(|a| gw.is_resting(service, *a))
+    }
+
     /// Whether it may run once more.
     fn may_repeat(&self, client: &Client) -> bool {
         let can_go_on = !client.has_begun() || self.job.resumable;
@@ -446,12 +466,10 @@
         if self.ran > 0 {
             return self.broken(client, why.to_owned());
         }
-        if let Some(first) = self.barred_for.filter(|_| self.rejected == 0) {
-            let gw = &self.job.gw;
-            let after = gw.limits.come_back(gw, &self.job.service, first);
-            return Outcome::Refused(
-                Refusal::from(Code::LimitReached).after(after).detail(&self.limited),
-            );
+        if let Some(held_back) = &self.held_back
+            && (held_back.by == Bound::Rest || self.rejected == 0)
+        {
+            return Outcome::Refused(self.refuse_held_back(held_back));
         }
         let code = match (self.rejected, self.job.regions.is_empty()) {
             (0, true) => Code::NoUpstream,
@@ -461,6 +479,22 @@
         Outcome::Refused(Refusal::from(code).after(FULL_AFTER).detail(why))
     }
 
+    /// Replicas could run it, and take no more for now.
+    fn refuse_held_back(&self, h: &HeldBack) -> Refusal {
+        let (gw, service) = (&self.job.gw, &self.job.service);
+        let (code, after, why) = match h.by {
+            Bound::Limit => {
+                let why = gw.limits.describe(gw.now(), &h.replica);
+                (Code::LimitReached, gw.limits.come_back(gw, service, h.after), why)
+            }
+            Bound::Rest => {
+                let why = format!("replica {} takes requests again in {} ms", h.replica, h.after.0);
+                (Code::UpstreamsResting, gw.come_back(service, h.after), why)
+            }
+        };
+        Refusal::from(code).after(after).detail(why)
+    }
+
     /// Its time is over before a replica, or the next one, had it.
     fn late(&self, client: &Client) -> Outcome {
         if client.has_begun() {
--- a/crates/router/src/gateway/rollouts.rs
+++ b/crates/router/src/gateway/rollouts.rs
@@ -175,7 +175,7 @@
             }
             Ended::Failed(_) | Ended::Lost(_) | Ended::Broken(_) | Ended::Late => outcomes.failed(),
             // They say nothing of how the version answers.
-            Ended::Left | Ended::NotSent(_) | Ended::NotRun => return,
+            Ended::Left | Ended::NotSent(_) | Ended::Withheld | Ended::NotRun => return,
         }
         let version = if is_new { "new" } else { "old" };
         let labels = [("service", self.service.clone()), ("version", version.to_owned())];
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -13,7 +13,8 @@
 use cypressfork_node::process::{Failure, listen, reload_forever, stop_signal};
 use cypressfork_node::settings::load;
 use cypressfork_node::time::Clock;
-use cypressfork_node::{emit, logging};
+use cypressfork_node::{emit, logging, metric};
+use metrics::gauge;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
 use tokio::sync::watch;
@@ -30,6 +31,9 @@
 use super::state::Gateway;
 use crate::reply::json_response;
 
+/// Where operators see the rests in force.
+const RESTS_PATH: &str = "/rests";
+
 /// How often connections that have rested too long are looked for.
 const TRIM_EVERY: Duration = Duration::from_secs(1);
 
@@ -96,6 +100,7 @@
         gw.connections.trim(Instant::now());
         gw.limits.trim(&gw);
         gw.notices.trim(&gw);
+        gauge!(metric::RESTING).set(gw.resting().len() as f64);
     }
 }
 
@@ -107,14 +112,23 @@
     }
     match (req.method(), path) {
         (&Method::GET, "/healthz") => json_response(StatusCode::OK, &json!({ "alive": true })),
+        (&Method::GET, RESTS_PATH) => rests(gw),
         (&Method::GET, "/metrics") => operators::text(StatusCode::OK, metrics.render()),
         _ => json_response(
             StatusCode::NOT_FOUND,
-            &json!({ "paths": [gw.settings.ready_path, "/healthz", "/metrics"] }),
+            &json!({ "paths": [gw.settings.ready_path, "/healthz", RESTS_PATH, "/metrics"] }),
         ),
     }
 }
 
+/// The replicas that have asked this gateway for rest, and for how much longer.
+fn rests(gw: &Gateway) -> Response<Body> {
+    let all = gw.resting().into_iter();
+    let rests: Vec<_> =
+        all.map(|(replica, left)| json!({ "replica": replica, "left_ms": left.0 })).collect();
+    json_response(StatusCode::OK, &json!({ "rests": rests }))
+}
+
 fn ready(gw: &Gateway) -> Response<Body> {
     let open = gw.is_open();
     let status = if open { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -19,7 +19,8 @@
 use cypressfork_core::fleet::share::Placement;
 use cypressfork_core::fleet::sources::Sources;
 use cypressfork_core::fleet::watch::Feed;
-use cypressfork_core::route::{Choice, Pool, Work};
+use cypressfork_core::route::turns::{Back, Turns};
+use cypressfork_core::route::{Choice, HeldBack, Pool, Work};
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -50,6 +51,13 @@
 /// takes some 20 ms of the engines met so far, which is over when a peer could reckon with it.
 const TELL_TOKENS: u64 = 1_000;
 
+/// The longest after which a caller is told that a replica takes requests again, however long it rests:
+/// others may have come until then.
+const FIRST_MOST: Millis = Millis::seconds(10);
+
+/// Callers that were refused come back spread over so long at most.
+const SPREAD_MOST: Millis = Millis::seconds(3);
+
 /// Replicas whose news are logged one by one; more that come together share a line.
 const TOLD_EACH: usize = 8;
 
@@ -112,6 +120,8 @@
     replicas: RefCell<Replicas>,
     pools: RefCell<HashMap<String, Pool>>,
     retries: RefCell<HashMap<String, Window>>,
+    /// When the next caller of each service is told to come back that was refused for rests.
+    turns: RefCell<HashMap<String, Turns>>,
     token_store: RefCell<Option<Rc<TokenStore>>>,
     /// Notified when a document or a registration has come.
     learned: Notify,
@@ -146,6 +156,7 @@
             replicas: RefCell::default(),
             pools: RefCell::default(),
             retries: RefCell::default(),
+            turns: RefCell::default(),
             token_store: RefCell::default(),
             learned: Notify::new(),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -429,9 +440,21 @@
         }
     }
 
-    /// When a replica of a service that its limit keeps this work away from takes some again.
-    pub fn barred_for(&self, service: &str, work: &Work) -> Option<Millis> {
-        self.pools.borrow().get(service)?.barred_for(self.now(), work)
+    /// What keeps this work away from the replicas of a service that could do it.
+    pub fn held_back(&self, service: &str, work: &Work) -> Option<HeldBack> {
+        self.pools.borrow_mut().get_mut(service)?.held_back(self.now(), work)
+    }
+
+    /// When a caller is to come back that replicas of `service` want no request of before `first`. Callers
+    /// come back one after the other, as fast as replicas let requests in before.
+    pub fn come_back(&self, service: &str, first: Millis) -> Millis {
+        let let_in = self.pools.borrow().get(service).map_or(0, Pool::let_in_per_second);
+        let first = first.min(FIRST_MOST);
+        let each = Millis(1_000 / let_in.max(1));
+        let most = Millis(first.0 + SPREAD_MOST.0);
+        let mut turns = self.turns.borrow_mut();
+        let turns = turns.entry(service.to_owned()).or_default();
+        turns.next(self.now(), &Back { first, each, most }, &mut *self.rng.borrow_mut())
     }
 
     /// Notes whether a replica names a limit.
@@ -451,6 +474,32 @@
         pools.get_mut(service).map_or(0, |p| p.rest(self.now(), address, span))
     }
 
+    /// Notes that a replica has let a request in.
+    pub fn let_in(&self, service: &str, c: &Choice) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(service) {
+            pool.let_in(self.now(), c);
+        }
+    }
+
+    /// Whether what was chosen for this replica may still be sent there: it has neither gone nor asked for
+    /// rest since.
+    pub fn may_send(&self, service: &str, address: SocketAddr, replica: &str) -> bool {
+        let pools = self.pools.borrow();
+        pools.get(service).is_some_and(|p| p.may_send(self.now(), address, replica))
+    }
+
+    /// Replicas that want nothing from this gateway now, and for how much longer.
+    pub fn resting(&self) -> Vec<(String, Millis)> {
+        let pools = self.pools.borrow();
+        let all = pools.values().flat_map(|p| p.resting(self.now()));
+        all.map(|(replica, left)| (replica.to_owned(), left)).collect()
+    }
+
+    /// Whether half of the replicas of a service or more want nothing from this gateway now.
+    pub fn is_mostly_resting(&self, service: &str) -> bool {
+        self.pools.borrow().get(service).is_some_and(|p| p.is_mostly_resting(self.now()))
+    }
+
     /// Whether a replica wants nothing from this gateway now.
     pub fn is_resting(&self, service: &str, address: SocketAddr) -> bool {
         self.pools.borrow().get(service).is_some_and(|p| p.is_resting(self.now(), address))
