A replica that says in an answer that it leaves gets no new work

What would be seen: a replica whose answers carry the word, and whose heartbeats say that it is ready, goes on getting requests until it is gone; what it is sent then is lost. Cause: nothing read the word. Now the gateway that hears it stops at once (also what was chosen and not yet sent), closes what it kept open there, and tells its control processes until they say so themselves; these tell all others. A control process that takes such a replica for ready, as after a restart of the whole group, is told again by each gateway that knows better. The word counts for the life in which it was said. Gateways remember for an hour, not two minutes, that one leaves: its heartbeats may go on for as long as it serves. Why it works: it takes the way of the heartbeats that say the same (Standing::Draining), which is for good in one life at every process.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -173,6 +173,11 @@
         }
         let heard = std::mem::take(&mut watch.heard);
         self.hear_limits(now, &heard);
+        for l in std::mem::take(&mut watch.leaving) {
+            if self.registry.leaving(now, &l) {
+                emit!(Event::ReplicaChanged, replica = l.replica, by = "answer");
+            }
+        }
         if watch.fetch.is_some() {
             self.next_look = now;
         }
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -231,6 +231,7 @@
             reports: Vec::new(),
             heard: Vec::new(),
             few: NOT_WANTED,
+            leaving: Vec::new(),
             without_replicas: false,
         })
     }
--- a/crates/control/tests/leaves.rs
+++ b/crates/control/tests/leaves.rs
@@ -58,6 +58,7 @@
         reports: Vec::new(),
         heard: Vec::new(),
         few: 0,
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -105,6 +105,11 @@
 }
 
 impl Record {
+    /// The same replica, of which it is known that it leaves.
+    pub fn leaving(&self) -> Record {
+        Record { registration: self.registration.clone(), standing: Standing::Draining }
+    }
+
     /// Whether the replica is there, and has not started again since its life that began at `born`.
     pub fn is_there(&self, born: u64) -> bool {
         let is_later = order_of_lives(self.registration.born, born) == Ordering::Greater;
@@ -145,6 +150,15 @@
     pub born: u64,
 }
 
+/// A replica that said in an answer that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leaving {
+    /// The replica's id.
+    pub replica: String,
+    /// When that life of it began; 0 if it does not say.
+    pub born: u64,
+}
+
 /// A part of the feed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Batch {
@@ -266,6 +280,15 @@
         self.take(now, Record { registration, standing: Standing::Left }, Source::Itself)
     }
 
+    /// Takes another process's word that a replica leaves, as it said so in an answer. Returns whether that
+    /// was not known of this life of it.
+    pub fn leaving(&mut self, now: Time, l: &Leaving) -> bool {
+        let known = self.get(&l.replica);
+        let known = known.filter(|r| r.is_there(l.born) && r.standing < Standing::Draining);
+        let Some(record) = known.map(Record::leaving) else { return false };
+        self.take(now, record, Source::Another)
+    }
+
     /// Lets time pass: replicas that miss heartbeats, expected every `every`, are silent.
     pub fn tick(&mut self, now: Time, every: Millis) {
         if now < self.next_tick {
--- a/crates/core/src/fleet/replicas.rs
+++ b/crates/core/src/fleet/replicas.rs
@@ -15,6 +15,10 @@
 /// long, and tell of it no more.
 const LEFT_KEPT: Millis = Millis::seconds(120);
 
+/// How long one that leaves and goes on telling of itself is remembered. Whoever forgets it sooner takes it for
+/// ready as soon as a control process that has started again says so.
+const DRAINING_KEPT: Millis = Millis::seconds(3_600);
+
 /// What changes at one address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -53,6 +57,8 @@
     by_address: HashMap<SocketAddr, Vec<String>>,
     /// Those that have left: when, and which life.
     left: VecDeque<(Time, String, u64)>,
+    /// The same for those that leave.
+    draining: VecDeque<(Time, String, u64)>,
     order: u64,
 }
 
@@ -81,8 +87,10 @@
         record.registration.born = born;
         let here = place(&record);
         self.by_id.insert(id.clone(), Known { record, order, replaced });
-        if standing >= Standing::Draining {
-            self.left.push_back((now, id.clone(), born));
+        match standing {
+            Standing::Left => self.left.push_back((now, id.clone(), born)),
+            Standing::Draining => self.draining.push_back((now, id.clone(), born)),
+            Standing::Ready | Standing::Silent => {}
         }
         let moved = before.filter(|b| *b != here);
         if let Some((_, Some(address))) = &moved {
@@ -116,6 +124,17 @@
         Some((service, address?))
     }
 
+    /// How a replica stands.
+    pub fn standing(&self, id: &str) -> Option<Standing> {
+        self.by_id.get(id).map(|k| k.record.standing)
+    }
+
+    /// The word that a replica leaves; none if that is known.
+    pub fn leaving(&self, id: &str) -> Option<Record> {
+        let known = &self.by_id.get(id)?.record;
+        (known.standing < Standing::Draining).then(|| known.leaving())
+    }
+
     /// Whether a replica is there, in this life of it or one that is not told apart.
     pub fn is_there(&self, id: &str, born: u64) -> bool {
         self.by_id.get(id).is_some_and(|k| k.record.is_there(born))
@@ -154,17 +173,26 @@
     }
 
     fn forget_left(&mut self, now: Time) {
-        while self.left.front().is_some_and(|(at, ..)| now.since(*at) >= LEFT_KEPT) {
+        let is_due = |(at, ..): &(Time, String, u64), kept| now.since(*at) >= kept;
+        while self.left.front().is_some_and(|l| is_due(l, LEFT_KEPT)) {
             let Some((_, id, born)) = self.left.pop_front() else { return };
-            let is_it = |k: &Known| k.record.registration.born == born;
-            if !self.by_id.get(&id).is_some_and(is_it) {
-                // It has started again.
-                continue;
-            }
-            let Some(known) = self.by_id.remove(&id) else { continue };
-            if let (_, Some(address)) = place(&known.record) {
-                self.leave(address, &id);
-            }
+            self.forget(&id, born);
+        }
+        while self.draining.front().is_some_and(|l| is_due(l, DRAINING_KEPT)) {
+            let Some((_, id, born)) = self.draining.pop_front() else { return };
+            self.forget(&id, born);
+        }
+    }
+
+    /// Forgets a replica, unless it has started again.
+    fn forget(&mut self, id: &str, born: u64) {
+        let is_it = |k: &Known| k.record.registration.born == born;
+        if !self.by_id.get(id).is_some_and(is_it) {
+            return;
+        }
+        let Some(known) = self.by_id.remove(id) else { return };
+        if let (_, Some(address)) = place(&known.record) {
+            self.leave(address, id);
         }
     }
 
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -9,7 +9,7 @@
 use super::limit::known::Word;
 use super::neighbours::Area;
 use super::quarantine::Told;
-use super::registry::{Beat, Record};
+use super::registry::{Beat, Leaving, Record};
 use super::rollout::Rollouts;
 use super::rollout::evidence::Report;
 use super::transfer::{Part, Want};
@@ -95,6 +95,9 @@
     /// Digest of the routers that the asker knows of data centres with few of them.
     #[serde(default)]
     pub few: u64,
+    /// Replicas that said in answers to the router that they leave.
+    #[serde(default)]
+    pub leaving: Vec<Leaving>,
 }
 
 /// The answer.
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -1,6 +1,8 @@
 //! The replicas that register, as a control process hears of them and tells others.
 
-use cypressfork_core::fleet::registry::{Beat, Record, Registration, Registry, Source, Standing};
+use cypressfork_core::fleet::registry::{
+    Beat, Leaving, Record, Registration, Registry, Source, Standing,
+};
 use cypressfork_core::unit::{Millis, Time};
 use rstest::rstest;
 
@@ -22,6 +24,12 @@
     Record { registration, standing }
 }
 
+fn lives(id: &str, born: u64, sequence: u64) -> Record {
+    let mut r = record(id, sequence, Standing::Ready);
+    r.registration.born = born;
+    r
+}
+
 /// What is said of a replica, in this order, and how it stands then.
 #[rstest]
 #[case::ready(&[(1, Standing::Ready)], Standing::Ready)]
@@ -143,3 +151,19 @@
     r.tick(Time(200_000), Millis(1_000));
     assert_eq!(r.iter().count(), 0);
 }
+
+/// What an answer tells of a replica counts for the life in which it was said, and for good.
+#[test]
+fn a_word_that_a_replica_leaves_counts_for_its_life() {
+    let mut r = Registry::default();
+    let leaving = |born| Leaving { replica: "a".to_owned(), born };
+    assert!(!r.leaving(Time(0), &leaving(5)), "it is not known yet");
+    r.take(Time(0), lives("a", 7, 1), Source::Itself);
+    assert!(!r.leaving(Time(1), &leaving(5)), "of a former life");
+    assert!(r.leaving(Time(1), &leaving(7)));
+    assert!(!r.leaving(Time(2), &leaving(7)), "it is known");
+    r.take(Time(3), lives("a", 7, 2), Source::Itself);
+    assert_eq!(r.get("a").unwrap().standing, Standing::Draining);
+    r.take(Time(4), lives("a", 9, 1), Source::Itself);
+    assert_eq!(r.get("a").unwrap().standing, Standing::Ready);
+}
--- a/crates/core/tests/replicas.rs
+++ b/crates/core/tests/replicas.rs
@@ -179,3 +179,20 @@
     let mean = KEYS / u64::from(replicas);
     assert!(busiest * 100 <= mean * most_percent, "{busiest} of {mean}");
 }
+
+/// Guards against a replica that leaves and is taken for ready once its word is some minutes old: its
+/// heartbeats go on, and a control process that has started again says that it is ready.
+#[test]
+fn a_replica_that_leaves_is_not_ready_again_in_that_life() {
+    let mut replicas = Replicas::default();
+    replicas.take(Time(0), record("a", 80, 1, Ready));
+    let leaves = replicas.leaving("a").unwrap();
+    replicas.take(Time(1), leaves);
+    assert!(replicas.leaving("a").is_none(), "it is known");
+    for minutes in [1, 3, 30] {
+        let (standing, changes) =
+            replicas.take(Time(minutes * 60_000), record("a", 80, 1 + minutes, Ready)).unwrap();
+        assert_eq!(standing, Draining);
+        assert!(changes.iter().all(|c| c.there.is_none()));
+    }
+}
--- a/crates/cypressfork/tests/rests.rs
+++ b/crates/cypressfork/tests/rests.rs
@@ -7,18 +7,12 @@
 
 use std::collections::HashSet;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use support::crashing::{Callers, two_routes};
 use support::gateways::*;
 use support::resting::*;
-use support::until;
-
-/// Replicas of the service.
-const REPLICAS: usize = 6;
 
 /// How long a request runs.
 const RUN: Duration = Duration::from_millis(10);
@@ -38,57 +32,9 @@
 /// How long it is watched.
 const WATCHED: Duration = Duration::from_secs(7);
 
-struct World {
-    // Callers and replicas end before the processes do.
-    callers: Callers,
-    replicas: Vec<RestingReplica>,
-    neighbours: Vec<Neighbour>,
-    fleet: Fleet,
-}
-
-impl Drop for World {
-    fn drop(&mut self) {
-        self.callers.over.store(true, Ordering::Relaxed);
-        self.replicas.iter().for_each(|r| r.over.store(true, Ordering::Relaxed));
-    }
-}
-
-impl World {
-    /// A fleet of so many gateways that serves, without callers.
-    fn new(gateways: usize, work: Duration) -> World {
-        let mut fleet = Fleet::new(3);
-        (0..3).for_each(|n| fleet.start_control(n, true));
-        fleet.start_gateway();
-        let neighbours = fleet.start_neighbours(gateways - 1);
-        let first = two_routes(3).to_string();
-        until("a document", || {
-            matches!(fleet.call(0, "PUT", "/v1/document", &first), Some((200, _)))
-        });
-        let fronts: Vec<_> = neighbours.iter().map(|g| g.front).chain([fleet.front]).collect();
-        let controls: Vec<_> = fleet.controls.iter().map(|c| c.api).collect();
-        let replica = |n| RestingReplica::start(format!("b-{n}"), controls.clone(), gateways, work);
-        let replicas: Vec<_> = (0..REPLICAS).map(replica).collect();
-        for front in &fronts {
-            until("an answer", || {
-                exchange(*front, "GET", "/board/x", CALLER, "").is_some_and(|a| a.0 == 200)
-            });
-        }
-        let callers = Callers::new(Arc::new(Mutex::new(fronts)));
-        World { callers, replicas, neighbours, fleet }
-    }
-
-    /// Requests of both routes, so many a second.
-    fn send(&self, a_second: u32) {
-        self.callers.send("sound", Duration::from_secs(1) / a_second, |n| match n % 5 {
-            0 => ("POST", "/moves/x".to_owned(), format!("move {n}")),
-            _ => ("GET", format!("/board/{n}"), String::new()),
-        });
-    }
-
-    /// The most requests of one gateway that any replica got in a rest.
-    fn most_in_a_rest(&self) -> usize {
-        self.replicas.iter().map(|r| r.most_in_a_rest(REST)).max().unwrap()
-    }
+/// The most requests of one gateway that any replica got in a rest.
+fn most_in_a_rest(world: &World) -> usize {
+    world.replicas.iter().map(|r| r.most_in_a_rest(REST)).max().unwrap()
 }
 
 /// Guards against a gateway that goes on sending to a replica that has asked it for rest.
@@ -98,7 +44,7 @@
     world.send(60);
     world.replicas[0].refuse(Some(Refusing::after("3")));
     sleep(WATCHED);
-    let most = world.most_in_a_rest();
+    let most = most_in_a_rest(&world);
     assert!(most <= ALLOWED, "{most} requests of one gateway in a rest, {ALLOWED} are allowed");
 }
 
@@ -110,7 +56,7 @@
     let silent = Refusing { not_run: false, ..Refusing::after("3") };
     world.replicas[0].refuse(Some(silent));
     sleep(WATCHED);
-    let most = world.most_in_a_rest();
+    let most = most_in_a_rest(&world);
     assert!(most <= ALLOWED, "{most} requests of one gateway in a rest, {ALLOWED} are allowed");
 }
 
@@ -128,7 +74,7 @@
     assert_eq!(before.served, before.sent, "{:?}", before.kinds());
     world.neighbours[0].process.kill();
     sleep(WATCHED / 2);
-    let most = world.most_in_a_rest();
+    let most = most_in_a_rest(&world);
     assert!(most <= ALLOWED, "{most} requests of one gateway in a rest, {ALLOWED} are allowed");
     let got = world.callers.got();
     // Callers that come to the gateway that is gone have no connection.
@@ -153,7 +99,7 @@
     assert!(took < AT_ONCE, "{took:?}");
     world.replicas.iter().for_each(|r| r.refuse(None));
     sleep(WATCHED);
-    let most = world.most_in_a_rest();
+    let most = most_in_a_rest(&world);
     assert!(most <= ALLOWED, "{most} requests of one gateway in a rest, {ALLOWED} are allowed");
     let front = world.fleet.front;
     let served = || exchange(front, "GET", "/board/x", CALLER, "").is_some_and(|a| a.0 == 200);
@@ -167,7 +113,7 @@
     world.replicas.iter().for_each(|r| r.shared.places.store(3, Ordering::Relaxed));
     world.send(46);
     sleep(WATCHED);
-    let most = world.most_in_a_rest();
+    let most = most_in_a_rest(&world);
     assert!(most <= ALLOWED, "{most} requests of one gateway in a rest, {ALLOWED} are allowed");
     let (came, away) = world
         .replicas
@@ -186,7 +132,7 @@
     sleep(WATCHED / 4);
     world.replicas[0].refuse(Some(Refusing::after("3")));
     sleep(WATCHED);
-    let most = world.most_in_a_rest();
+    let most = most_in_a_rest(&world);
     assert!(most <= ALLOWED, "{most} requests of one gateway in a rest, {ALLOWED} are allowed");
 }
 
@@ -214,7 +160,7 @@
     let dates = "Sun, 06 Nov 1994 08:49:40 GMT\r\nDate: Sun, 06 Nov 1994 08:49:37 GMT";
     world.replicas[0].refuse(Some(Refusing::after(dates)));
     sleep(WATCHED);
-    let most = world.most_in_a_rest();
+    let most = most_in_a_rest(&world);
     assert!(most <= ALLOWED, "{most} requests of one gateway in a rest, {ALLOWED} are allowed");
     assert!(world.replicas[0].counts().1 > 0);
 }
--- a/crates/cypressfork/tests/support/resting.rs
+++ b/crates/cypressfork/tests/support/resting.rs
@@ -8,8 +8,10 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use super::crashing::{header, request};
+use super::crashing::{Callers, header, request, two_routes};
+use super::gateways::{CALLER, Fleet, Neighbour, exchange};
 use super::limited::{beat, listen};
+use super::until;
 
 /// From so long after a rest was asked for it counts, by the users' pages.
 const COUNTS_AFTER: Duration = Duration::from_millis(500);
@@ -175,3 +177,55 @@
     let number = id.rsplit('-').next().and_then(|n| n.parse::<usize>().ok());
     number.unwrap_or(0) % gateways
 }
+
+/// Replicas of the service.
+pub const REPLICAS: usize = 6;
+
+/// Control processes, gateways, replicas and callers.
+pub struct World {
+    // Callers and replicas end before the processes do.
+    pub callers: Callers,
+    pub replicas: Vec<RestingReplica>,
+    pub neighbours: Vec<Neighbour>,
+    pub fleet: Fleet,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.callers.over.store(true, Ordering::Relaxed);
+        self.replicas.iter().for_each(|r| r.over.store(true, Ordering::Relaxed));
+    }
+}
+
+impl World {
+    /// A fleet of so many gateways that serves, without callers.
+    pub fn new(gateways: usize, work: Duration) -> World {
+        let mut fleet = Fleet::new(3);
+        (0..3).for_each(|n| fleet.start_control(n, true));
+        fleet.start_gateway();
+        let neighbours = fleet.start_neighbours(gateways - 1);
+        let first = two_routes(3).to_string();
+        until("a document", || {
+            matches!(fleet.call(0, "PUT", "/v1/document", &first), Some((200, _)))
+        });
+        let fronts: Vec<_> = neighbours.iter().map(|g| g.front).chain([fleet.front]).collect();
+        let controls: Vec<_> = fleet.controls.iter().map(|c| c.api).collect();
+        let replica = |n| RestingReplica::start(format!("b-{n}"), controls.clone(), gateways, work);
+        let replicas: Vec<_> = (0..REPLICAS).map(replica).collect();
+        for front in &fronts {
+            until("an answer", || {
+                exchange(*front, "GET", "/board/x", CALLER, "").is_some_and(|a| a.0 == 200)
+            });
+        }
+        let callers = Callers::new(Arc::new(Mutex::new(fronts)));
+        World { callers, replicas, neighbours, fleet }
+    }
+
+    /// Requests of both routes, so many a second.
+    pub fn send(&self, a_second: u32) {
+        self.callers.send("sound", Duration::from_secs(1) / a_second, |n| match n % 5 {
+            0 => ("POST", "/moves/x".to_owned(), format!("move {n}")),
+            _ => ("GET", format!("/board/{n}"), String::new()),
+        });
+    }
+}
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -162,7 +162,7 @@
         self.check()?;
         let mut connection = gw.connections.get(Instant::now(), self.choice.address).await?;
         if let Err(ended) = self.check() {
-            gw.connections.put(Instant::now(), self.choice.address, connection);
+            gw.keep(&self.job.service, self.choice.address, self.replica, connection);
             return Err(ended);
         }
         self.sent = Instant::now();
@@ -282,7 +282,7 @@
                 if !unframed && !not_run {
                     gw.quarantines.answered(self.job);
                 }
-                gw.connections.put(Instant::now(), self.choice.address, connection);
+                gw.keep(&self.job.service, self.choice.address, self.replica, connection);
                 (body, unframed)
             }
             Ok(Err(_)) if not_run => return Ended::NotRun,
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -88,6 +88,7 @@
             rollouts: gw.trials.revision(),
             reports: gw.trials.reports(),
             heard: if without_replicas { Vec::new() } else { gw.limits.reports(gw.now()) },
+            leaving: if without_replicas { Vec::new() } else { gw.notices.to_tell() },
             few: gw.limits.few_digest(gw.share.homes.digest_for(to)),
         })
     }
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use cypressfork_core::fleet::limit::Said;
+use cypressfork_core::fleet::registry::{Leaving, Standing};
 use cypressfork_core::route::rest;
 use cypressfork_node::event::Event;
 use cypressfork_node::{emit, metric};
@@ -19,6 +20,9 @@
 /// Replicas that are remembered for having said what cannot be read.
 const UNREADABLE_MOST: usize = 256;
 
+/// Replicas that leave which one question to a control process tells of, at most.
+const LEAVING_MOST: usize = 64;
+
 /// Which send of a request this is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Try {
@@ -53,11 +57,19 @@
     pub sent: Instant,
 }
 
+/// What is known of a replica that leaves.
+struct Known {
+    /// When that life of it began; 0 if it does not say.
+    born: u64,
+    /// Control processes take it for ready, as far as they have told.
+    to_tell: bool,
+}
+
 /// What is remembered of what replicas said.
 #[derive(Default)]
 pub struct Notices {
-    /// Replicas that said that they leave, with the life in which they did.
-    leaving: RefCell<BTreeMap<String, u64>>,
+    /// Replicas that said that they leave, or are known to.
+    leaving: RefCell<BTreeMap<String, Known>>,
     /// Replicas whose word on a rest could not be read, and has been logged.
     unreadable: RefCell<BTreeSet<String>>,
 }
@@ -76,10 +88,8 @@
         if said.id.is_some() || said.limit != Said::Nothing {
             gw.limits.heard(gw, to.replica, &job.inbound.id, to.sent, said.limit);
         }
-        if said.leaving
-            && self.leaving.borrow_mut().insert(to.replica.to_owned(), to.born).is_none()
-        {
-            emit!(Event::LeavingHeard, replica = to.replica, id = job.inbound.id);
+        if said.leaving {
+            self.hear_leaving(job, to);
         }
     }
 
@@ -105,6 +115,33 @@
         }
     }
 
+    /// It leaves for good in this life, whatever its heartbeats say. Other gateways hear of it from the
+    /// control processes.
+    fn hear_leaving(&self, job: &Job, to: &Addressee) {
+        if !job.gw.replica_leaves(to.replica) {
+            return;
+        }
+        emit!(Event::LeavingHeard, replica = to.replica, id = job.inbound.id);
+        self.set_leaving(to.replica, to.born, true);
+        job.gw.urge_sources();
+    }
+
+    fn set_leaving(&self, replica: &str, born: u64, to_tell: bool) {
+        self.leaving.borrow_mut().insert(replica.to_owned(), Known { born, to_tell });
+    }
+
+    /// Takes note that a control process takes a replica that leaves for ready, or knows better.
+    pub fn told(&self, replica: &str, born: u64, said: Standing) {
+        self.set_leaving(replica, born, said < Standing::Draining);
+    }
+
+    /// What control processes are to be told, until they say so themselves.
+    pub fn to_tell(&self) -> Vec<Leaving> {
+        let all = self.leaving.borrow();
+        let to_tell = all.iter().filter(|(_, k)| k.to_tell).take(LEAVING_MOST);
+        to_tell.map(|(id, k)| Leaving { replica: id.clone(), born: k.born }).collect()
+    }
+
     fn tell_unreadable(&self, replica: &str, id: &str) {
         let mut told = self.unreadable.borrow_mut();
         if told.len() >= UNREADABLE_MOST {
@@ -120,14 +157,14 @@
         if job.gw.is_resting(&job.service, to.address) {
             counter!(metric::SENT_IN_REST, "try" => which.name()).increment(1);
         }
-        if self.leaving.borrow().get(to.replica) == Some(&to.born) {
+        if self.leaving.borrow().get(to.replica).is_some_and(|k| k.born == to.born) {
             counter!(metric::SENT_TO_LEAVING, "try" => which.name()).increment(1);
         }
     }
 
     /// Forgets replicas that are not there any more.
     pub fn trim(&self, gw: &Gateway) {
-        self.leaving.borrow_mut().retain(|replica, born| gw.is_there(replica, *born));
+        self.leaving.borrow_mut().retain(|replica, k| gw.is_there(replica, k.born));
     }
 }
 
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use cypressfork_core::route::turns::{Back, Turns};
 use cypressfork_core::route::{Choice, HeldBack, Pool, Work};
 use cypressfork_core::unit::{Millis, Time};
+use cypressfork_http::client::Connection;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::Group;
@@ -288,8 +289,27 @@
         self.token_store.borrow_mut().take()
     }
 
-    /// Takes what is said of replicas.
+    /// Takes what a control process says of replicas. It is told if it takes one for ready that leaves.
     pub fn take_replicas(&self, said: Vec<Record>) {
+        let words: Vec<_> = said.iter().map(|r| (r.registration.id.clone(), r.standing)).collect();
+        self.apply_replicas(said);
+        for (id, standing) in words {
+            let known = self.replicas.borrow().standing(&id);
+            if known == Some(Standing::Draining) {
+                self.notices.told(&id, self.born(&id), standing);
+            }
+        }
+    }
+
+    /// Takes a replica's own word that it leaves. Returns whether that was not known.
+    pub fn replica_leaves(&self, id: &str) -> bool {
+        let record = self.replicas.borrow().leaving(id);
+        let is_news = record.is_some();
+        self.apply_replicas(record.into_iter().collect());
+        is_news
+    }
+
+    fn apply_replicas(&self, said: Vec<Record>) {
         let now = self.now();
         let mut news = Vec::new();
         for r in said {
@@ -481,6 +501,15 @@
         }
     }
 
+    /// Keeps a connection to a replica for its next request, if it gets any.
+    pub fn keep(&self, service: &str, address: SocketAddr, replica: &str, c: Connection) {
+        let pools = self.pools.borrow();
+        let there = pools.get(service).and_then(|p| p.get(address));
+        if there.is_some_and(|r| r.upstream.vm.name == replica) {
+            self.connections.put(Instant::now(), address, c);
+        }
+    }
+
     /// Whether what was chosen for this replica may still be sent there: it has neither gone nor asked for
     /// rest since.
     pub fn may_send(&self, service: &str, address: SocketAddr, replica: &str) -> bool {
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -119,7 +119,7 @@
     if !unframed {
         gw.quarantines.answered(exchange.job);
     }
-    gw.connections.put(Instant::now(), exchange.choice.address, connection);
+    gw.keep(&exchange.job.service, exchange.choice.address, exchange.replica, connection);
     if begin(client, head, unframed).is_err() || client.end().is_err() {
         return Ended::Left;
     }
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -65,6 +65,7 @@
         reports: vec![Default::default()],
         heard: vec![Word { replica: text("b-1"), born: 8, rate: Some(Rate(9)), age: Millis(10) }],
         few: 11,
+        leaving: Vec::new(),
         without_replicas: false,
     }
 }
