Soak: replicas that ask for rest, and replicas that say in their answers alone that they leave

Checks: rest (two requests of a gateway from half a second on), leaving by answers; tests show that each finds its fault and what excuses a gateway.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -42,6 +42,10 @@
     pub limit_slack: f64,
     /// So long after a gateway has passed on an answer with a limit its requests count, in milliseconds.
     pub told_ms: u64,
+    /// So long after a replica has asked a gateway for rest its requests count, in milliseconds.
+    pub rest_counts_after_ms: u64,
+    /// Requests of that gateway that it may get then until the rest is over.
+    pub rest_most: usize,
 }
 
 /// A promise that was broken.
@@ -84,6 +88,8 @@
     a_poison_request_is_soon_sent_to_none,
     sound_work_is_not_quarantined,
     limits_are_kept,
+    rests_are_kept,
+    what_answers_tell_of_leaving_counts,
     service_is_back,
     no_process_ends_by_itself,
 ];
@@ -462,6 +468,59 @@
     None
 }
 
+/// A replica that has asked a gateway for rest gets next to nothing of it until the rest is over.
+fn rests_are_kept(h: &History, b: &Bounds) -> Vec<Broken> {
+    let requests = by_id(h);
+    let gateway = |id: &str| requests.get(id).map(|r| r.gateway);
+    let mut all = Vec::new();
+    for rest in &h.rests {
+        let Some(asked) = gateway(&rest.request) else { continue };
+        let counts = |a: &&Arrival| {
+            let in_rest = a.at > rest.at + b.rest_counts_after_ms && a.at < rest.until;
+            in_rest && a.replica == rest.replica && gateway(&a.id) == Some(asked)
+        };
+        let counted = h.arrivals.iter().filter(counts);
+        let counted: Vec<_> = counted
+            .filter(|a| !is_excused(h, asked, a.at, b.calm_ms))
+            .map(|a| a.id.as_str())
+            .collect();
+        if counted.len() > b.rest_most {
+            let (replica, n) = (&rest.replica, counted.len());
+            let span = rest.until - rest.at;
+            let why = format!(
+                "{replica} asked gateway-{asked} for {span} ms of rest and got {n} requests"
+            );
+            all.push(broken("rest", rest.at, why, &counted));
+        }
+    }
+    all
+}
+
+/// A replica that said in an answer that it leaves gets no new work of the gateway that passed it on.
+fn what_answers_tell_of_leaving_counts(h: &History, b: &Bounds) -> Vec<Broken> {
+    let requests = by_id(h);
+    let mut all = Vec::new();
+    for told in &h.told {
+        let Some(first) = requests.get(told.request.as_str()) else { continue };
+        if !matches!(first.outcome, Outcome::Answered { .. }) {
+            continue;
+        }
+        let late = |a: &&Arrival| {
+            let of_life = told.until.is_none_or(|until| a.at < until);
+            let Some(r) = requests.get(a.id.as_str()) else { return false };
+            let is_late = r.gateway == first.gateway && r.sent > first.ended + b.drain_ms;
+            of_life && a.replica == told.replica && is_late
+        };
+        let late = h.arrivals.iter().filter(late);
+        let mut late = late.filter(|a| !is_excused(h, first.gateway, a.at, b.calm_ms));
+        if let Some(a) = late.next() {
+            let why = format!("{} reached {}, which had said that it leaves", a.id, a.replica);
+            all.push(broken("leaving", a.at, why, &[&a.id, &a.replica]));
+        }
+    }
+    all
+}
+
 fn service_is_back(h: &History, b: &Bounds) -> Vec<Broken> {
     let late = |(n, back): (usize, &Option<At>)| {
         let in_time = back.is_some_and(|at| at <= h.healed + b.back_ms);
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -183,6 +183,30 @@
     pub until: Option<At>,
 }
 
+/// A replica turned a request away and asked for rest.
+#[derive(Clone, Debug)]
+pub struct Rested {
+    /// The replica.
+    pub replica: String,
+    /// The request that it turned away.
+    pub request: String,
+    /// When.
+    pub at: At,
+    /// When the rest ends: with that life of the replica at the latest.
+    pub until: At,
+}
+
+/// A replica says in its answers that it leaves.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// The replica.
+    pub replica: String,
+    /// The first request that it told so.
+    pub request: String,
+    /// When that life of the replica ended; none: it has not.
+    pub until: Option<At>,
+}
+
 /// All of it.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -208,6 +232,10 @@
     pub ends: Vec<End>,
     /// Replicas that name limits.
     pub limits: Vec<Limited>,
+    /// Rests that replicas asked for.
+    pub rests: Vec<Rested>,
+    /// Answers in which replicas said that they leave.
+    pub told: Vec<Told>,
     /// When the last fault had ended.
     pub healed: At,
     /// From when on each gateway answered again after that; none: it did not.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -112,6 +112,34 @@
     pub span: u64,
 }
 
+/// Replicas that turn requests away and ask for rest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resting {
+    /// The replicas are of the service of streams, or of the plain one.
+    pub talk: bool,
+    /// One of them, counted round; none: all.
+    pub replica: Option<usize>,
+    /// The rest that they ask for, in milliseconds.
+    pub rest: u64,
+    /// Of a hundred requests, those that they turn away.
+    pub share: u32,
+    /// From when on, in milliseconds.
+    pub at: u64,
+    /// For how long, in milliseconds.
+    pub span: u64,
+}
+
+/// A replica that says in its answers alone that it leaves; another starts before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuietLeave {
+    /// It is of the service of streams, or of the plain one.
+    pub talk: bool,
+    /// Which of them, counted round.
+    pub replica: usize,
+    /// When, in milliseconds.
+    pub at: u64,
+}
+
 /// What a seed does.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -127,6 +155,10 @@
     pub poisons: Vec<Poison>,
     /// Replicas that name limits.
     pub limits: Vec<Limiting>,
+    /// Replicas that ask for rest.
+    pub rests: Vec<Resting>,
+    /// Replicas that say in their answers alone that they leave.
+    pub quiet_leaves: Vec<QuietLeave>,
 }
 
 /// Faults of one run: the fewest and the most.
@@ -161,7 +193,8 @@
         steps.sort_by_key(|s| s.at);
         keep_one_emptied_disk(&mut steps);
         let (poisons, limits) = (poisons(seed, millis), limits(seed, millis));
-        Plan { seed, size, healed: millis, steps, poisons, limits }
+        let (rests, quiet_leaves) = (rests(seed, millis), quiet_leaves(seed, millis));
+        Plan { seed, size, healed: millis, steps, poisons, limits, rests, quiet_leaves }
     }
 }
 
@@ -219,6 +252,61 @@
     (0..rng.random_range(1..=LIMITS)).map(|_| limiting(&mut rng)).collect()
 }
 
+/// Of a hundred seeds, those with replicas that ask for rest.
+const RESTED: u32 = 60;
+
+/// The most times that some do in one run.
+const RESTS: usize = 3;
+
+/// For how long they turn requests away, in milliseconds.
+const REST_SPAN: (u64, u64) = (1_000, 8_000);
+
+/// The rests that they ask for, in milliseconds.
+const ASKED: [u64; 5] = [600, 1_000, 2_500, 3_000, 6_000];
+
+/// Of a hundred requests, those that they turn away.
+const TURNED_AWAY: [u32; 3] = [30, 60, 100];
+
+/// Replicas that ask for rest, from a draw of its own: the steps of a seed stay as they are.
+fn rests(seed: u64, millis: u64) -> Vec<Resting> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x2545_f491_4f6c_dd1d);
+    if rng.random_range(0..100) >= RESTED {
+        return Vec::new();
+    }
+    let resting = |rng: &mut SmallRng| {
+        let span = rng.random_range(REST_SPAN.0..=REST_SPAN.1).min(millis);
+        Resting {
+            talk: rng.random(),
+            replica: rng.random_bool(0.6).then(|| rng.random_range(0..8)),
+            rest: ASKED[rng.random_range(0..ASKED.len())],
+            share: TURNED_AWAY[rng.random_range(0..TURNED_AWAY.len())],
+            at: rng.random_range(0..=millis - span),
+            span,
+        }
+    };
+    (0..rng.random_range(1..=RESTS)).map(|_| resting(&mut rng)).collect()
+}
+
+/// Of a hundred seeds, those with replicas that say in their answers alone that they leave.
+const LEAVING: u32 = 50;
+
+/// The most of them in one run.
+const LEAVES: usize = 2;
+
+/// Replicas that say in their answers alone that they leave, from a draw of its own as well.
+fn quiet_leaves(seed: u64, millis: u64) -> Vec<QuietLeave> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x1405_7b7e_f767_814f);
+    if rng.random_range(0..100) >= LEAVING {
+        return Vec::new();
+    }
+    let leave = |rng: &mut SmallRng| QuietLeave {
+        talk: rng.random(),
+        replica: rng.random_range(0..8),
+        at: rng.random_range(0..=millis),
+    };
+    (0..rng.random_range(1..=LEAVES)).map(|_| leave(&mut rng)).collect()
+}
+
 /// How often the seeds of a fleet that can do without them go away, in hundredths.
 const SEEDS_AWAY: u32 = 40;
 
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use cypressfork_http::{Body, serve};
@@ -16,8 +16,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-use crate::history::{Arrival, End, Leaving, Limited};
+use crate::history::{Arrival, End, Leaving, Limited, Rested, Told};
 use crate::http::call;
+use crate::plan::Resting;
 use crate::proxy::Gate;
 use crate::world::World;
 
@@ -52,6 +53,7 @@
 const RUN: Duration = Duration::from_millis(8);
 
 const LIMIT: HeaderName = HeaderName::from_static("x-rate-limit");
+const LEAVING: HeaderName = HeaderName::from_static("x-leaving");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
@@ -83,6 +85,10 @@
     full: Cell<bool>,
     /// The limit that it names, by its place in the history.
     limit: Cell<Option<usize>>,
+    /// It turns requests away and asks for rest.
+    resting: Cell<Option<Resting>>,
+    /// It says in its answers that it leaves.
+    leaves_quietly: Cell<bool>,
     leaving: Cell<bool>,
     beats: Cell<u64>,
     /// When it started, in milliseconds since 1970.
@@ -98,7 +104,7 @@
         service: &'static str,
         id: String,
     ) -> io::Result<Rc<Replica>> {
-        w.end_limits_of(&id);
+        w.end_words_of(&id);
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let gate = Gate::start(listener.local_addr()?).await?;
         let replica = Rc::new(Replica {
@@ -107,6 +113,8 @@
             gate,
             full: Cell::new(false),
             limit: Cell::new(None),
+            resting: Cell::new(None),
+            leaves_quietly: Cell::new(false),
             leaving: Cell::new(false),
             beats: Cell::new(0),
             born: w.next_born(),
@@ -141,6 +149,52 @@
         w.history.borrow_mut().limits[n].until.get_or_insert(w.at());
     }
 
+    /// Turns requests away and asks for rest, for as long as is drawn.
+    pub async fn turn_away(&self, r: Resting) {
+        self.resting.set(Some(r));
+        sleep(Duration::from_millis(r.span)).await;
+        self.resting.set(None);
+    }
+
+    /// Says in its answers alone that it leaves, serves on for a while, and is gone.
+    pub async fn leave_quietly(self: Rc<Self>, w: Rc<World>) {
+        self.leaves_quietly.set(true);
+        sleep(LINGER * 2).await;
+        let path = format!("/v1/replicas/{}", self.id);
+        // It ends whether or not anybody hears of it.
+        let _ = call(w.any_api(), Method::DELETE, &path, Bytes::new(), BEAT_WITHIN).await;
+        self.crash();
+    }
+
+    /// Adds the word that it leaves to an answer.
+    fn with_leaving(&self, w: &World, request: String, mut r: Response<Body>) -> Response<Body> {
+        if self.leaves_quietly.get() {
+            let told = Told { replica: self.id.clone(), request, until: None };
+            w.history.borrow_mut().told.push(told);
+            r.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
+        }
+        r
+    }
+
+    /// Turns a request away with a rest, if it does so now.
+    fn rest(&self, w: &World, id: &str) -> Option<Response<Body>> {
+        let resting = self.resting.get().filter(|r| w.happens(r.share))?;
+        let at = w.at();
+        let rested = Rested {
+            replica: self.id.clone(),
+            request: id.to_owned(),
+            at,
+            until: at + resting.rest,
+        };
+        w.history.borrow_mut().rests.push(rested);
+        let mut r = reject(id, StatusCode::SERVICE_UNAVAILABLE);
+        let seconds = format!("{}.{:03}", resting.rest / 1_000, resting.rest % 1_000);
+        if let Ok(v) = HeaderValue::from_str(&seconds) {
+            r.headers_mut().insert(RETRY_AFTER, v);
+        }
+        Some(r)
+    }
+
     /// Adds the limit to an answer.
     fn limited(&self, w: &World, mut r: Response<Body>) -> Response<Body> {
         let Some(n) = self.limit.get() else { return r };
@@ -243,11 +297,13 @@
 }
 
 async fn answer_to(r: Rc<Replica>, w: Rc<World>, req: Request) -> Response<Body> {
+    let id = text(req.headers(), "x-request-id").to_owned();
     let answer = handle(r.clone(), w.clone(), req).await;
     // Another replica's request: its answer says nothing of this one.
     if answer.status() == StatusCode::MISDIRECTED_REQUEST {
         return answer;
     }
+    let answer = r.with_leaving(&w, id, answer);
     r.limited(&w, answer)
 }
 
@@ -257,7 +313,8 @@
     let meant = text(h, "x-replica") == r.id;
     let account = text(h, "x-client-account").to_owned();
     let last: u64 = text(h, "last-event-id").parse().unwrap_or(0);
-    let run = meant && !r.full.get();
+    let rest = if meant { r.rest(&w, &id) } else { None };
+    let run = meant && !r.full.get() && rest.is_none();
     let at = w.at();
     let arrival =
         Arrival { id: id.clone(), service: r.service, replica: r.id.clone(), at, account, run };
@@ -267,6 +324,9 @@
     if !meant {
         return reject(&id, StatusCode::MISDIRECTED_REQUEST);
     }
+    if let Some(rest) = rest {
+        return rest;
+    }
     if !run {
         return reject(&id, StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,7 +21,7 @@
 use crate::fleet::{Fleet, Process, Programs, RETRY_EXTRA, STOP_WITHIN_S};
 use crate::history::{At, Disruption, History, Kind, Outcome, Stop};
 use crate::operator::{publish, read, read_forever, send, watch_gateway};
-use crate::plan::{Fault, Limiting, Plan, Step};
+use crate::plan::{Fault, Limiting, Plan, QuietLeave, Resting, Step};
 use crate::proxy::{Cut, Side};
 use crate::replica::Replica;
 use crate::world::World;
@@ -106,6 +106,8 @@
         limit_share: 1.5,
         limit_slack: 5.0,
         told_ms: 500,
+        rest_counts_after_ms: 500,
+        rest_most: 2,
     }
 }
 
@@ -257,6 +259,20 @@
                 run.limit(l).await;
             });
         }
+        for r in plan.rests.iter().copied() {
+            let run = self.clone();
+            self.spawn(async move {
+                sleep(Duration::from_millis(r.at)).await;
+                run.turn_away(r).await;
+            });
+        }
+        for l in plan.quiet_leaves.iter().copied() {
+            let run = self.clone();
+            self.spawn(async move {
+                sleep(Duration::from_millis(l.at)).await;
+                run.leave_quietly(l).await;
+            });
+        }
         let run = self.clone();
         self.spawn(async move {
             loop {
@@ -288,18 +304,43 @@
         }
     }
 
+    fn replicas_of(&self, talk: bool) -> &RefCell<Replicas> {
+        if talk { &self.talk } else { &self.board }
+    }
+
+    /// One of the replicas of a service, or all.
+    fn some(&self, talk: bool, one: Option<usize>) -> Vec<Rc<Replica>> {
+        let all = self.replicas_of(talk);
+        match one {
+            Some(n) => self.nth(all, n).into_iter().collect(),
+            None => all.borrow().running.clone(),
+        }
+    }
+
     /// Has replicas name a limit.
     async fn limit(&self, l: Limiting) {
-        let all = if l.talk { &self.talk } else { &self.board };
         let span = Duration::from_millis(l.span);
-        let limited: Vec<_> = match l.replica {
-            Some(n) => self.nth(all, n).into_iter().collect(),
-            None => all.borrow().running.clone(),
-        };
+        let limited = self.some(l.talk, l.replica);
         let named = limited.iter().map(|r| r.name_limit(&self.w, l.thousandths, span));
         futures_util::future::join_all(named).await;
     }
 
+    /// Has replicas turn requests away and ask for rest.
+    async fn turn_away(&self, r: Resting) {
+        let resting = self.some(r.talk, r.replica);
+        let all = resting.iter().map(|one| one.turn_away(r));
+        futures_util::future::join_all(all).await;
+    }
+
+    /// Has a replica leave that says so in its answers alone.
+    async fn leave_quietly(&self, l: QuietLeave) {
+        let all = self.replicas_of(l.talk);
+        self.add_replica(all).await.expect("a replica can be started");
+        if let Some(gone) = self.take(all, l.replica) {
+            gone.leave_quietly(self.w.clone()).await;
+        }
+    }
+
     /// Sends poison requests once more, when the fleet has been calm for long enough to count.
     async fn send_poisons_again(&self, plan: &Plan) {
         if plan.poisons.is_empty() {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -73,12 +73,16 @@
         born
     }
 
-    /// Notes that what the former life of a replica named is over: another begins under its id.
-    pub fn end_limits_of(&self, replica: &str) {
+    /// Notes that what the former life of a replica said is over: another begins under its id.
+    pub fn end_words_of(&self, replica: &str) {
         let at = self.at();
         let mut h = self.history.borrow_mut();
-        let open = h.limits.iter_mut().filter(|l| l.replica == replica);
-        open.for_each(|l| l.until = Some(l.until.unwrap_or(at)));
+        let limits = h.limits.iter_mut().filter(|l| l.replica == replica);
+        limits.for_each(|l| l.until = Some(l.until.unwrap_or(at)));
+        let rests = h.rests.iter_mut().filter(|r| r.replica == replica);
+        rests.for_each(|r| r.until = r.until.min(at));
+        let told = h.told.iter_mut().filter(|t| t.replica == replica);
+        told.for_each(|t| t.until = Some(t.until.unwrap_or(at)));
     }
 
     /// A number below `n`.
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -7,6 +7,7 @@
     Arrival, Change, Disruption, End, Held, History, Kind, Leaving, Limited, Outcome, Read,
     Request, Stop,
 };
+use cypressfork_soak::history::{Rested, Told};
 use cypressfork_soak::plan::{Fault, Plan};
 use cypressfork_soak::run::bounds;
 use rstest::rstest;
@@ -209,3 +210,63 @@
     let differ = plans.windows(2).filter(|w| w[0].steps != w[1].steps).count();
     assert_eq!(differ, 199);
 }
+
+/// A request that another gateway than the one that is stopped passes to a replica.
+fn passed(h: &mut History, id: &str, gateway: usize, sent: u64) {
+    let asked = request(id, Kind::Safe, answered(&[]));
+    h.requests.push(Request { gateway, sent, ended: sent + 20, ..asked });
+    h.arrivals.push(Arrival { replica: "board-9".into(), ..arrival(id, "board", sent + 1) });
+}
+
+/// A run in which a replica asks a gateway for 3 s of rest, and gets so many requests of it in that time.
+fn rested(requests: usize) -> History {
+    let mut h = sound();
+    passed(&mut h, "first", 1, 11_000);
+    let (replica, request) = ("board-9".to_owned(), "first".to_owned());
+    h.rests.push(Rested { replica, request, at: 11_001, until: 14_001 });
+    for n in 0..requests {
+        passed(&mut h, &format!("in-rest-{n}"), 1, 12_000 + n as u64);
+    }
+    h
+}
+
+#[rstest]
+#[case::two_are_allowed(2, &[])]
+#[case::three_are_not(3, &["rest"])]
+fn requests_in_a_rest_are_found(#[case] requests: usize, #[case] promises: &[&str]) {
+    assert_eq!(found(&rested(requests)), promises);
+}
+
+#[test]
+fn requests_of_another_gateway_break_no_rest() {
+    let mut h = rested(3);
+    let others = h.requests.iter_mut().filter(|r| r.id.starts_with("in-rest"));
+    others.for_each(|r| r.gateway = 2);
+    assert!(found(&h).is_empty());
+}
+
+#[test]
+fn a_gateway_that_started_again_meanwhile_is_excused() {
+    let mut h = rested(3);
+    let what = format!("{:?}", Fault::KillGateway(1));
+    h.disruptions.push(Disruption { what, from: 11_500, until: 11_900 });
+    assert!(found(&h).is_empty());
+}
+
+/// When a request is sent to a replica that had said that it leaves, by which gateway, and whether it counts.
+#[rstest]
+#[case::late(14_000, 1, &["leaving"])]
+#[case::soon(13_000, 1, &[])]
+#[case::by_another_gateway(14_000, 2, &[])]
+fn work_for_a_replica_that_said_that_it_leaves_is_found(
+    #[case] sent: u64,
+    #[case] gateway: usize,
+    #[case] promises: &[&str],
+) {
+    let mut h = sound();
+    passed(&mut h, "first", 1, 11_000);
+    let (replica, request) = ("board-9".to_owned(), "first".to_owned());
+    h.told.push(Told { replica, request, until: None });
+    passed(&mut h, "late", gateway, sent);
+    assert_eq!(found(&h), promises);
+}
