Limits: the second router hands out all while the first is dead or stands back

Cause: the second of two routers hands out a quarter, always; a first one that starts again stands back for 4 s; a router that is asked and does not answer denies the request. In virtual time, the first killed every 2.2 s, that uses 2 of 12, 5 of 24 and 11 of 48 in all nine cases (without the looks; a third is asked for): a_limit_is_used_while_its_first_router_is_killed_again_and_again. Now the second looks at the first whenever it is asked, and hands out all while nobody listens at the first's address or the first says that it stands back; whoever asks goes on to the second in the same ask. Why it works: a look holds for a second, one that starts after it stands back for 4 s, and one that says how long it does is believed no longer than that; so both never hand out all at once, which the same test checks (the bound of 4 s holds in all cases).

--- a/crates/core/src/fleet/limit/homes.rs
+++ b/crates/core/src/fleet/limit/homes.rs
@@ -3,7 +3,8 @@
 //! Each router finds them by rendezvous hashing over the routers that it is told of: those of the
 //! replica's data centre, or all where there are too few. Nothing is agreed on. While routers have
 //! different lists, two of them may take themselves for the first, so one that has just come to be the
-//! first hands out no more than the second until all have heard.
+//! first hands out no more than the second until all have heard. Meanwhile, and while the first is dead, the second
+//! hands out all, for as long as it knows for sure that the first does not.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -21,6 +22,10 @@
 /// every router in touch has the new list, and the former first has nobody left who asks it.
 pub const SETTLED: Millis = Millis::seconds(4);
 
+/// How long a look at the first router holds: it was dead, or stood back. One that starts after the look
+/// stands back for longer.
+pub const LOOK_HOLDS: Millis = Millis::seconds(1);
+
 /// What a router is among those that hand out a replica's permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rank {
@@ -36,6 +41,17 @@
     routers: Vec<SocketAddr>,
     /// Since when this router is the first.
     first: Option<Time>,
+    /// This router is the second.
+    is_second: bool,
+    /// Until when it is sure that the first one hands out no more than the second's part.
+    stands_back: Time,
+}
+
+impl Home {
+    /// Whether this router, the second one, hands out all in the first's place.
+    fn stands_in(&self, now: Time) -> bool {
+        self.is_second && now < self.stands_back
+    }
 }
 
 /// The routers that hand out permits, as one router sees them.
@@ -58,7 +74,45 @@
         self.areas = areas;
         self.changed = now;
         let homes = std::mem::take(&mut self.homes);
-        self.before = homes.into_iter().filter_map(|(r, h)| Some((r, h.first?))).collect();
+        let since = |h: &Home| match h.first {
+            None if h.stands_in(now) => Some(now.before(SETTLED)),
+            first => first,
+        };
+        self.before = homes.into_iter().filter_map(|(r, h)| Some((r, since(&h)?))).collect();
+    }
+
+    /// Notes that the first router of a replica hands out no more than the second's part until `until`, by a
+    /// look at it that began at `now`.
+    pub fn stands_back(&mut self, now: Time, replica: &str, first: SocketAddr, until: Time) {
+        let home = self.homes.get_mut(replica).filter(|h| h.routers.first() == Some(&first));
+        if let Some(h) = home {
+            h.stands_back = until.min(now.after(LOOK_HOLDS));
+        }
+    }
+
+    /// The first router, if this one is the second and does not know that the first stands back.
+    pub fn first_to_look_at(
+        &mut self,
+        now: Time,
+        own: SocketAddr,
+        replica: &str,
+        data_centre: &str,
+    ) -> Option<SocketAddr> {
+        let h = self.home(own, replica, data_centre);
+        let known = h.stands_in(now.after(Millis(LOOK_HOLDS.0 / 2)));
+        h.routers.first().copied().filter(|_| h.is_second && !known)
+    }
+
+    /// When this router, the first one, stops standing back; none if it does not, or is not the first.
+    pub fn settles(
+        &mut self,
+        now: Time,
+        own: SocketAddr,
+        replica: &str,
+        data_centre: &str,
+    ) -> Option<Time> {
+        let since = self.home(own, replica, data_centre).first?;
+        Some(since.after(SETTLED)).filter(|until| now < *until)
     }
 
     /// How many routers there are.
@@ -80,9 +134,12 @@
         data_centre: &str,
     ) -> Option<Rank> {
         let home = self.home(own, replica, data_centre);
-        let at = home.routers.iter().position(|a| *a == own)?;
+        if home.first.is_none() && !home.is_second {
+            return None;
+        }
         let settled = home.first.is_some_and(|since| now.since(since) >= SETTLED);
-        Some(if at == 0 && settled { Rank::First } else { Rank::Second })
+        let all = settled || home.stands_in(now);
+        Some(if all { Rank::First } else { Rank::Second })
     }
 
     /// Forgets a replica.
@@ -103,7 +160,8 @@
             routers.truncate(ASKED);
             let is_first = routers.first() == Some(&own);
             let since = before.get(replica).copied().unwrap_or(changed);
-            Home { routers, first: is_first.then_some(since) }
+            let is_second = routers.get(1) == Some(&own);
+            Home { routers, first: is_first.then_some(since), is_second, stands_back: Time(0) }
         })
     }
 }
--- a/crates/core/src/fleet/limit/permits.rs
+++ b/crates/core/src/fleet/limit/permits.rs
@@ -62,6 +62,9 @@
     pub permits: u32,
     /// If none: when to ask again.
     pub after: Millis,
+    /// The router that answers stands back for now: the other one may have more.
+    #[serde(default)]
+    pub stands_back: bool,
 }
 
 /// The permits of one replica.
@@ -95,8 +98,8 @@
         b.fill(now, rate);
         let permits = b.take(now, ask);
         match permits {
-            0 => Grant { permits, after: b.refuse(now, ask.priority, rate) },
-            permits => Grant { permits, after: Millis(0) },
+            0 => Grant { after: b.refuse(now, ask.priority, rate), ..Grant::default() },
+            permits => Grant { permits, ..Grant::default() },
         }
     }
 
--- a/crates/core/src/fleet/share.rs
+++ b/crates/core/src/fleet/share.rs
@@ -73,6 +73,13 @@
     },
     /// Permits for requests to a replica that names a limit.
     Permit(Ask),
+    /// How much longer it stands back as the first router of a replica's permits.
+    Settles {
+        /// The replica.
+        replica: String,
+        /// Its data centre.
+        data_centre: String,
+    },
 }
 
 /// Why a home could not set aside all tokens that were asked for.
@@ -101,6 +108,8 @@
     Held(Tokens, Option<Short>),
     /// To [`Request::Permit`].
     Permitted(Grant),
+    /// To [`Request::Settles`]; none: it does not, or is not the first.
+    Settles(Option<Millis>),
 }
 
 /// The lenders to ask, at most `most`: those that can likely spare most first, and among equals
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -142,7 +142,7 @@
     use std::net::SocketAddr;
 
     use cypressfork_core::fleet::limit::Rate;
-    use cypressfork_core::fleet::limit::homes::{ASKED, Homes, Rank, SETTLED};
+    use cypressfork_core::fleet::limit::homes::{ASKED, Homes, LOOK_HOLDS, Rank, SETTLED};
     use cypressfork_core::fleet::limit::permits::{Ask, GOOD_FOR, Permits};
     use cypressfork_core::unit::Time;
     use rand::rngs::SmallRng;
@@ -340,6 +340,113 @@
         assert!(sent * 3 >= 24, "{sent} of 24");
     }
 
+    /// One router's process: it knows nothing when it starts.
+    struct Process {
+        homes: Homes,
+        permits: Permits,
+        /// Since when it is down, or up.
+        down: bool,
+        turned: u64,
+    }
+
+    impl Process {
+        fn new(now: u64, all: &BTreeMap<String, Vec<SocketAddr>>) -> Process {
+            let mut homes = Homes::default();
+            homes.set(Time(now), all.clone());
+            Process { homes, permits: Permits::default(), down: false, turned: now }
+        }
+    }
+
+    /// How long a router that does not answer is not asked again, in milliseconds.
+    const OUT: u64 = 1_500;
+
+    /// Guards against a limit that is hardly used while its first router is killed and starts again: down for
+    /// 700 ms, up for 1,500 ms. Routers that ask leave it out for 1,500 ms whenever it does not answer.
+    #[rstest]
+    fn a_limit_is_used_while_its_first_router_is_killed_again_and_again(
+        #[values(500, 1_000, 2_000)] thousandths: u64,
+        #[values(0, 250, 1_000)] begins: u64,
+    ) {
+        let all = routers(5);
+        let [first, second] = homes_of(&all);
+        let mut known = [Process::new(0, &all), Process::new(0, &all)];
+        let (mut out_until, mut sends) = (0, Vec::new());
+        for now in 0..24_000 {
+            let span = if known[0].down { 700 } else { 1_500 };
+            if now >= begins && now - known[0].turned >= span {
+                let down = !known[0].down;
+                known[0] = Process { down, ..Process::new(now, &all) };
+            }
+            // The second looks after the first now and then.
+            if now % 250 == 0 {
+                let until = match known[0].down {
+                    true => Some(Time(now).after(LOOK_HOLDS)),
+                    false => known[0].homes.settles(Time(now), first, REPLICA, "a"),
+                };
+                if let Some(until) = until {
+                    known[1].homes.stands_back(Time(now), REPLICA, first, until);
+                }
+            }
+            if now % 20 != 0 {
+                continue;
+            }
+            for (at, own) in [first, second].into_iter().enumerate() {
+                let p = &mut known[at];
+                if at == 0 && (p.down || now < out_until) {
+                    out_until = if p.down { now + OUT } else { out_until };
+                    continue;
+                }
+                let rank = p.homes.rank(Time(now), own, REPLICA, "a").unwrap();
+                let grant = p.permits.grant(Time(now), &ask(thousandths, 0, 1), rank);
+                sends.extend((0..grant.permits).map(|_| now));
+                let unsettled = p.homes.settles(Time(now), own, REPLICA, "a").is_some();
+                if grant.permits > 0 || !unsettled {
+                    break;
+                }
+            }
+        }
+        let (sent, possible) = (sends.len() as u64, thousandths * 24 / 1_000);
+        assert!(sent * 3 >= possible, "{sent} of {possible}");
+        let most = most(&mut sends);
+        assert!(most <= allowed(thousandths), "{most} of {}", allowed(thousandths));
+    }
+
+    /// Guards against two routers that both hand out all of a limit: the second stops before the first begins.
+    #[test]
+    fn a_second_stands_in_for_no_longer_than_the_first_stands_back() {
+        let all = routers(5);
+        let [first, second] = homes_of(&all);
+        let mut of_first = Process::new(10_000, &all).homes;
+        let mut of_second = Process::new(0, &all).homes;
+        let rank = |homes: &mut Homes, at, own| homes.rank(Time(at), own, REPLICA, "a");
+        assert_eq!(rank(&mut of_second, 10_100, second), Some(Rank::Second));
+        let until = of_first.settles(Time(10_100), first, REPLICA, "a").unwrap();
+        assert_eq!(until, Time(14_000));
+        of_second.stands_back(Time(10_100), REPLICA, first, until);
+        assert_eq!(rank(&mut of_second, 10_100, second), Some(Rank::First));
+        assert_eq!(rank(&mut of_second, 11_099, second), Some(Rank::First));
+        assert_eq!(rank(&mut of_second, 11_100, second), Some(Rank::Second), "it looks again");
+        of_second.stands_back(Time(13_900), REPLICA, first, until);
+        assert_eq!(rank(&mut of_second, 13_999, second), Some(Rank::First));
+        assert_eq!(rank(&mut of_second, 14_000, second), Some(Rank::Second));
+        assert_eq!(rank(&mut of_first, 14_000, first), Some(Rank::First));
+        assert!(of_first.settles(Time(14_000), first, REPLICA, "a").is_none());
+        assert!(of_second.settles(Time(14_000), second, REPLICA, "a").is_none());
+    }
+
+    /// Guards against a pause of 4 s when a list no longer names a first router that was seen to be gone.
+    #[test]
+    fn one_that_stands_in_goes_on_as_the_first() {
+        let mut all = routers(5);
+        let [first, second] = homes_of(&all);
+        let mut homes = Process::new(0, &all).homes;
+        homes.rank(Time(9_900), second, REPLICA, "a");
+        homes.stands_back(Time(9_900), REPLICA, first, Time(10_900));
+        all.get_mut("a").unwrap().retain(|r| *r != first);
+        homes.set(Time(10_000), all);
+        assert_eq!(homes.rank(Time(10_000), second, REPLICA, "a"), Some(Rank::First));
+    }
+
     fn homes_of(all: &BTreeMap<String, Vec<SocketAddr>>) -> [SocketAddr; 2] {
         let mut homes = Homes::default();
         homes.set(Time(0), all.clone());
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -121,6 +121,7 @@
     RestBegun = 441, Info, "a replica turned a request away and wants nothing from this gateway for a while";
     RestUnreadable = 442, Warn, "how long a replica wants nothing cannot be read: it gets requests as before";
     LeavingHeard = 443, Info, "a replica says in an answer that it leaves";
+    FirstLookedAt = 444, Info, "the gateway that hands out a replica's permits is looked at by the one that stands in for it";
 }
 
 /// Logs an event with fields.
--- a/crates/router/src/gateway/limits.rs
+++ b/crates/router/src/gateway/limits.rs
@@ -19,6 +19,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use super::stand_in::Looks;
 use super::state::Gateway;
 
 /// How long another gateway may take to answer an ask. The request waits for it: no longer than a loan's.
@@ -96,6 +97,8 @@
     out: RefCell<BTreeMap<SocketAddr, Time>>,
     /// When the next caller of each service is told to come back.
     turns: RefCell<HashMap<String, Turns>>,
+    /// Gateways that are to be looked at.
+    pub looks: Looks,
     /// Replicas whose word could not be read, and has been logged.
     unreadable: RefCell<BTreeSet<String>>,
 }
@@ -295,23 +298,32 @@
         }
     }
 
-    /// Asks the first gateway that hands out a replica's permits, or the second while that is out.
+    /// Asks the first gateway that hands out a replica's permits, and the second where that is out or stands
+    /// back and has none.
     async fn ask(&self, gw: &Gateway, ask: &Ask) -> Option<Grant> {
         let own = gw.settings.link;
-        let now = gw.now();
-        let to = {
-            let mut homes = self.homes.borrow_mut();
-            let all = homes.of(own, &ask.replica, &ask.data_centre).iter().copied();
-            all.into_iter().find(|a| !self.is_out(now, a))?
-        };
-        if to == own {
-            return Some(self.serve(gw, ask));
-        }
-        let grant = gw.share.permits(gw, to, ask, ASK_WITHIN).await;
-        if grant.is_none() {
-            self.out.borrow_mut().insert(to, gw.now());
+        let mut denied = None;
+        for to in self.homes_in_reach(gw, ask) {
+            let grant = match to == own {
+                true => Some(self.serve(gw, ask)),
+                false => gw.share.permits(gw, to, ask, ASK_WITHIN).await,
+            };
+            match grant {
+                Some(g) if g.permits == 0 && g.stands_back => denied = Some(g),
+                Some(g) => return Some(g),
+                None => {
+                    self.out.borrow_mut().insert(to, gw.now());
+                }
+            }
         }
-        grant
+        denied
+    }
+
+    fn homes_in_reach(&self, gw: &Gateway, ask: &Ask) -> Vec<SocketAddr> {
+        let now = gw.now();
+        let mut homes = self.homes.borrow_mut();
+        let all = homes.of(gw.settings.link, &ask.replica, &ask.data_centre).iter().copied();
+        all.filter(|a| !self.is_out(now, a)).collect()
     }
 
     fn is_out(&self, now: Time, gateway: &SocketAddr) -> bool {
@@ -323,13 +335,39 @@
         let (now, own) = (gw.now(), gw.settings.link);
         let rank = self.homes.borrow_mut().rank(now, own, &ask.replica, &ask.data_centre);
         // Whoever asks has another list than this one.
-        let Some(rank) = rank else { return Grant { permits: 0, after: NOBODY_AFTER } };
+        let Some(rank) = rank else {
+            return Grant { after: NOBODY_AFTER, ..Grant::default() };
+        };
+        self.look_after_first(gw, ask);
         // Of two that heard different limits the lower holds until both know.
         let known = self.known.borrow().rate(&ask.replica).unwrap_or(ask.rate);
         let ask = Ask { rate: ask.rate.min(known), ..ask.clone() };
         let grant = self.permits.borrow_mut().grant(now, &ask, rank);
         counter!(metric::PERMITS_GIVEN).increment(u64::from(grant.permits));
-        grant
+        let settles = self.homes.borrow_mut().settles(now, own, &ask.replica, &ask.data_centre);
+        Grant { stands_back: settles.is_some(), ..grant }
+    }
+
+    /// How much longer this gateway stands back as the first of a replica.
+    pub fn settles(&self, gw: &Gateway, replica: &str, data_centre: &str) -> Option<Millis> {
+        let (now, own) = (gw.now(), gw.settings.link);
+        let until = self.homes.borrow_mut().settles(now, own, replica, data_centre)?;
+        Some(until.since(now))
+    }
+
+    /// Has the first of a replica looked at, if this gateway is the second and does not know that it stands
+    /// back.
+    fn look_after_first(&self, gw: &Gateway, ask: &Ask) {
+        let (now, own) = (gw.now(), gw.settings.link);
+        let mut homes = self.homes.borrow_mut();
+        if let Some(first) = homes.first_to_look_at(now, own, &ask.replica, &ask.data_centre) {
+            self.looks.wish(first, &ask.replica, &ask.data_centre);
+        }
+    }
+
+    /// Takes what a look at the first of a replica has shown: it stands back until `until`.
+    pub fn stands_back(&self, now: Time, replica: &str, first: SocketAddr, until: Time) {
+        self.homes.borrow_mut().stands_back(now, replica, first, until);
     }
 
     /// When a caller is to come back that no replica of `service` takes before `first`. Callers come back
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -28,6 +28,7 @@
 use super::server::accept;
 use super::settings::{File, Settings};
 use super::share::{expire_forever, serve_peers};
+use super::stand_in::look_forever;
 use super::state::Gateway;
 use crate::reply::json_response;
 
@@ -77,6 +78,7 @@
     actix_rt::spawn(register_forever(gw.clone()));
     actix_rt::spawn(trim_forever(gw.clone()));
     actix_rt::spawn(report_forever(gw.clone()));
+    actix_rt::spawn(look_forever(gw.clone()));
     let g = gw.clone();
     actix_rt::spawn(reload_forever(move || settings(&file), move |s| reload::<D>(&g, s)));
     stop_signal().await;
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -196,6 +196,25 @@
         }
     }
 
+    /// Asks another gateway how much longer it stands back as the first of a replica; none if it does not
+    /// answer in time.
+    pub async fn settles(
+        &self,
+        gw: &Gateway,
+        home: SocketAddr,
+        replica: &str,
+        data_centre: &str,
+    ) -> Option<Option<Millis>> {
+        let home = self.client(&gw.me, home);
+        let (replica, data_centre) = (replica.to_owned(), data_centre.to_owned());
+        let request = Request::Settles { replica, data_centre };
+        let answer = home.call(Ask::Share(body::pack(&request)), LEND_WITHIN).await;
+        match body::unpack::<Reply>(&answer.ok()?).ok()? {
+            Reply::Settles(settles) => Some(settles),
+            _ => None,
+        }
+    }
+
     /// The peers to ask for tokens of an account: those that can likely spare most first.
     fn lenders(&self, now: Time, account: &str) -> Vec<SocketAddr> {
         let spare = self.spare.borrow();
@@ -309,6 +328,9 @@
                 Ok(Reply::Noted)
             }
             Request::Permit(ask) => Ok(Reply::Permitted(gw.limits.serve(gw, &ask))),
+            Request::Settles { replica, data_centre } => {
+                Ok(Reply::Settles(gw.limits.settles(gw, &replica, &data_centre)))
+            }
             // It may have to wait, and is served by [`Share::serve_home`].
             Request::Hold { .. } => Err(Code::MessageBad),
         }
