Budgets: streams that callers leave are charged for what engines made of them unseen

Cause: a stream that broke off was charged for the events read and two more. What an engine had made besides, while its gateway was behind or waited for a caller that took nothing, lay in sockets and was charged to nobody. Now what had come is read and counted after the caller has gone (64 kB at most; beyond that the most that the request may have is charged), and for what the engine may make until it notices, the stream's own pace counts, without the time in which nothing was read. Why it works: what is charged is above what was made as long as an engine notices within 50 ms and is not twice as fast as before; a charge is never above what was set aside.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -11,6 +11,7 @@
 mod policy;
 mod reserve;
 mod slice_store;
+mod unseen;
 
 pub use allot::Region;
 pub use bound::{Bound, Bounds, Chain, Elapsed, Told};
@@ -18,3 +19,4 @@
 pub use policy::{Policy, Rate, report_every};
 pub use reserve::{ReserveAnswer, ReserveCommand, ReserveLedger};
 pub use slice_store::{Reservation, SliceStore};
+pub use unseen::Pace;
--- a/crates/cypressfork/tests/support/limited.rs
+++ b/crates/cypressfork/tests/support/limited.rs
@@ -61,13 +61,19 @@
 }
 
 /// Tells control processes in turn that a replica is ready, until it is over.
-pub fn beat(name: String, address: SocketAddr, controls: Vec<SocketAddr>, over: Arc<AtomicBool>) {
+pub fn beat(
+    service: &'static str,
+    name: String,
+    address: SocketAddr,
+    controls: Vec<SocketAddr>,
+    over: Arc<AtomicBool>,
+) {
     thread::spawn(move || {
         for sequence in 1.. {
             if over.load(Ordering::Relaxed) {
                 return;
             }
-            let beat = json!({ "service": "board", "address": address.to_string(),
+            let beat = json!({ "service": service, "address": address.to_string(),
                 "data_centre": "tamar-a", "slots": 16, "sequence": sequence });
             let to = controls[sequence % controls.len()];
             // The next heartbeat goes to another control process.
@@ -101,7 +107,7 @@
     pub fn start(&self) {
         let replica = self.clone();
         let address = listen(move |s| replica.serve(s));
-        beat(self.name.clone(), address, self.controls.clone(), self.over.clone());
+        beat("board", self.name.clone(), address, self.controls.clone(), self.over.clone());
     }
 
     fn serve(&self, mut s: TcpStream) {
--- a/crates/cypressfork/tests/support/resting.rs
+++ b/crates/cypressfork/tests/support/resting.rs
@@ -91,7 +91,7 @@
             RestingReplica { name, shared: Arc::new(shared), over: over.clone(), gateways };
         let own = replica.clone();
         let address = listen(move |s| own.serve(s));
-        beat(replica.name.clone(), address, controls, over);
+        beat("board", replica.name.clone(), address, controls, over);
         replica
     }
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -28,6 +28,9 @@
 /// time than others, and has not told how much.
 const UNUSED_REST: Duration = Duration::from_secs(1);
 
+/// How long it is looked for bytes that have come already: the process learns of them when it next waits.
+const ARRIVED_WITHIN: Duration = Duration::from_millis(5);
+
 /// The largest head of an answer.
 const HEAD_CAP: usize = 64 * 1024;
 
@@ -252,6 +255,26 @@
         }
     }
 
+    /// Reads what has come already of the answer's body, at most `most` bytes. Returns its pieces, and whether
+    /// that was all.
+    pub async fn arrived(&mut self, most: usize) -> (Vec<Bytes>, bool) {
+        let mut pieces = Vec::new();
+        let mut bytes = 0;
+        // Ends at the first moment at which there is nothing to read.
+        let reading = async {
+            while let Ok(Some(piece)) = self.piece().await {
+                bytes += piece.len();
+                pieces.push(piece);
+                if bytes >= most {
+                    return false;
+                }
+            }
+            true
+        };
+        let all = timeout(ARRIVED_WITHIN, reading).await.unwrap_or(true);
+        (pieces, all)
+    }
+
     fn end_body(&mut self) {
         if let Some(Codec::Pieces(codec)) = self.codec.take() {
             self.codec = Some(Codec::Heads(codec.into_message_codec()));
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -35,9 +35,6 @@
 const BUSY_LEAST: Millis = Millis(300);
 const BUSY_MOST: Millis = Millis::seconds(2);
 
-/// Events that a replica may have sent unseen when a stream breaks off.
-const UNSEEN: u64 = 2;
-
 /// Tokens set aside for one request. Whatever becomes of it, [`Held::settle`] ends it.
 #[derive(Default)]
 pub struct Held {
@@ -102,8 +99,8 @@
     pub events: u64,
     /// Tokens of one event at most.
     pub stride: Tokens,
-    /// The answer ended as it should.
-    pub whole: bool,
+    /// Events that a replica may have made besides; none if the answer ended as it should.
+    pub unseen: u64,
 }
 
 /// Sets aside what a request takes at its most.
@@ -274,10 +271,12 @@
 }
 
 impl Held {
-    /// Ends it. A stream that broke off is charged for events that may have been sent unseen.
+    /// Ends it. A stream that broke off is charged for events that may have been made unseen, up to the most
+    /// that it may have.
     pub fn settle(self, s: Spent) {
-        let events = if s.whole { s.events } else { s.events + UNSEEN };
-        let used = if s.ran { self.prompt + events * s.stride } else { 0 };
+        let events = s.events.saturating_add(s.unseen);
+        let made = events.saturating_mul(s.stride);
+        let used = if s.ran { self.prompt.saturating_add(made) } else { 0 };
         let parts: Vec<Tokens> = self.parts.iter().map(Part::amount).collect();
         for (part, charge) in self.parts.into_iter().zip(charges(&parts, used)) {
             part.settle(charge);
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -301,7 +301,8 @@
 
     fn spent(&self, whole: bool) -> Spent {
         let (ran, events, stride) = (self.ran > 0, self.progress.events.passed(), self.job.stride);
-        Spent { ran, events, stride, whole }
+        let unseen = if whole { 0 } else { self.progress.timing.pace().unseen() };
+        Spent { ran, events, stride, unseen }
     }
 
     /// Sends it to one replica after the other until it is answered or given up.
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -20,8 +20,10 @@
     Left,
 }
 
-/// Passes whole events on as they come. The head goes out with the first of them, so that a
-/// stream that breaks off before it may still be answered by another replica.
+/// Bytes of a stream that are read after its caller has gone, at most: to count what its replica has made.
+const COUNTED_MOST: usize = 64 * 1024;
+
+/// Passes a stream on. What has come of one that its caller does not take is counted.
 pub async fn pass(
     exchange: &mut Exchange<'_>,
     client: &mut Client,
@@ -29,46 +31,82 @@
     mut connection: Connection,
     head: ResponseHead,
 ) -> Ended {
+    let passed = pass_events(exchange, client, progress, &mut connection, &head).await;
+    match passed {
+        Some(ended) => {
+            if matches!(ended, Ended::Left | Ended::Late) {
+                count_arrived(progress, &mut connection).await;
+            }
+            ended
+        }
+        None => end(exchange, client, connection, &head).await,
+    }
+}
+
+/// Counts events that had come and were not passed on.
+async fn count_arrived(progress: &mut Progress, connection: &mut Connection) {
+    let (pieces, all) = connection.arrived(COUNTED_MOST).await;
+    let before = progress.events.passed();
+    // A gap ends the stream all the same; what came before it counts.
+    let sound = pieces.iter().all(|piece| progress.events.feed(piece).is_ok());
+    progress.timing.left(progress.events.passed() - before, all && sound);
+}
+
+/// Passes whole events on as they come. The head goes out with the first of them, so that a
+/// stream that breaks off before it may still be answered by another replica. None: it ends as it should.
+async fn pass_events(
+    exchange: &mut Exchange<'_>,
+    client: &mut Client,
+    progress: &mut Progress,
+    connection: &mut Connection,
+    head: &ResponseHead,
+) -> Option<Ended> {
     let job = exchange.job;
     let Progress { events, timing } = progress;
     let mut first = true;
     loop {
+        let before = events.passed();
+        // What has come is read before a caller is taken to have gone: it counts.
         let piece = tokio::select! {
-            piece = next(&mut connection, job.deadline) => piece,
+            biased;
+            piece = next(connection, job.deadline) => piece,
             () = client.gone() => Piece::Left,
         };
         let whole = match piece {
             Piece::Bytes(bytes) => match events.feed(&bytes) {
                 Ok(whole) => whole,
-                Err(fault) => return Ended::Broken(format!("{fault:?}")),
+                Err(fault) => return Some(Ended::Broken(format!("{fault:?}"))),
             },
             Piece::End if !events.is_whole() => {
-                return Ended::Broken("it ends inside an event".to_owned());
+                return Some(Ended::Broken("it ends inside an event".to_owned()));
             }
             // Another replica began it in a form that tells its end, and this one does not.
             Piece::End if connection.is_unframed() && client.is_framed() => {
-                return Ended::Broken("the answer does not tell whether it is whole".to_owned());
+                let why = "the answer does not tell whether it is whole";
+                return Some(Ended::Broken(why.to_owned()));
             }
-            Piece::End => return end(exchange, client, connection, &head).await,
-            Piece::Lost(why) => return Ended::Lost(why),
-            Piece::Broken(why) => return Ended::Broken(why),
-            Piece::Late => return Ended::Late,
-            Piece::Left => return Ended::Left,
+            Piece::End => return None,
+            Piece::Lost(why) => return Some(Ended::Lost(why)),
+            Piece::Broken(why) => return Some(Ended::Broken(why)),
+            Piece::Late => return Some(Ended::Late),
+            Piece::Left => return Some(Ended::Left),
         };
         if whole.is_empty() {
             continue;
         }
-        timing.came(exchange.sent);
+        timing.came(exchange.sent, events.passed() - before);
         if std::mem::take(&mut first) {
             let took = exchange.sent.elapsed();
             exchange.first = Some(took);
             job.gw.learn(&job.service, exchange.choice, took.as_micros() as u64);
         }
         let unframed = connection.is_unframed();
-        if !send(client, &head, unframed, whole, job.deadline).await {
-            return Ended::Left;
+        let begun = Instant::now();
+        let sent = send(client, head, unframed, whole, job.deadline).await;
+        timing.passed(begun.elapsed());
+        if !sent {
+            return Some(Ended::Left);
         }
-        timing.passed();
     }
 }
 
--- a/crates/router/src/gateway/timing.rs
+++ b/crates/router/src/gateway/timing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cypressfork_core::budget::Pace;
 use cypressfork_core::route::lateness::{Aim, Spans, cause};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -15,8 +16,10 @@
     arrived: Instant,
     /// When its tokens were set aside.
     funded: Instant,
-    /// When events last came from a replica.
+    /// When events first and last came from a replica.
+    first: Option<Instant>,
     event: Option<Instant>,
+    pace: Pace,
     spans: Spans,
 }
 
@@ -25,12 +28,26 @@
     pub fn new(arrived: Instant) -> Timing {
         let funded = Instant::now();
         let spans = Spans { tokens: funded - arrived, ..Spans::default() };
-        Timing { arrived, funded, event: None, spans }
+        Timing { arrived, funded, first: None, event: None, pace: Pace::default(), spans }
+    }
+
+    /// The pace at which its events came.
+    pub fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    /// Notes what had come already when the stream broke off: so many events, and whether those were all.
+    pub fn left(&mut self, events: u64, all: bool) {
+        self.pace.came(events, self.first.map_or(Duration::ZERO, |first| first.elapsed()));
+        if !all {
+            self.pace.lose_track();
+        }
     }
 
     /// Notes that whole events came from a replica that was sent the request at `sent`.
-    pub fn came(&mut self, sent: Instant) {
+    pub fn came(&mut self, sent: Instant, events: u64) {
         let now = Instant::now();
+        self.pace.came(events, now - *self.first.get_or_insert(now));
         match self.event.replace(now) {
             Some(before) => self.spans.pause = self.spans.pause.max(now - before),
             None => {
@@ -40,8 +57,9 @@
         }
     }
 
-    /// Notes that the caller's connection has taken the events that came last.
-    pub fn passed(&mut self) {
+    /// Notes that the caller's connection has taken the events that came last, or was waited for in vain.
+    pub fn passed(&mut self, took: Duration) {
+        self.pace.held_up(took);
         if let Some(came) = self.event {
             self.spans.passing = self.spans.passing.max(came.elapsed());
         }
