Control: time without a leader is counted and logged; the soak checks that a calm group has one

Event 332 and cypressfork_group_without_leader_milliseconds_total; the soak's reads that fail are kept, and in a fleet to which nothing was done for 4 s they may not go on failing for longer than two election timeouts.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet_view;
 mod founding;
 mod leader_tasks;
+mod leaderless;
 mod links;
 pub mod machine;
 pub mod native;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -34,6 +34,7 @@
 use crate::api::Local;
 use crate::disk::{Disk, disk_failed};
 use crate::fleet_view::FleetView;
+use crate::leaderless::Leaderless;
 use crate::links::{accept_all, send_all};
 use crate::machine::{Machine, Moment, Output};
 use crate::reserve::Reserve;
@@ -134,6 +135,7 @@
     /// The control processes that are followed.
     followed: Rc<RefCell<BTreeSet<SocketAddr>>>,
     next_follow: Time,
+    leaderless: Leaderless,
     contacts: Contacts,
     clocks: Clocks,
     /// When a disk that failed is tried again.
@@ -175,6 +177,7 @@
             feeds: Rc::default(),
             followed: Rc::default(),
             next_follow: Time(0),
+            leaderless: Leaderless::default(),
             contacts: Contacts::default(),
             clocks: Clocks::default(),
             disk_again: None,
@@ -293,8 +296,10 @@
     }
 
     /// Brings the gauges up to date.
-    fn observe(&self) {
+    fn observe(&mut self) {
+        let now = self.moment().now;
         let raft = self.machine.raft();
+        self.leaderless.note(now, raft.leader().is_some());
         gauge!(metric::LEADS).set(f64::from(u8::from(raft.leads())));
         gauge!(metric::TERM).set(raft.term() as f64);
         gauge!(metric::COMMITTED).set(raft.committed() as f64);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -80,6 +80,7 @@
     ServiceUnnamed = 329, Info, "a replica of a service that no document names is left out";
     RolloutChanged = 330, Info, "a roll-out is ordered, takes a step or is taken back";
     HeldUp = 331, Warn, "the process did not come round to its clock for a while";
+    LeaderKnown = 332, Info, "a leader of the group is known again";
     RouterRegistered = 401, Info, "this router is registered";
     RouterReady = 402, Info, "this router serves callers";
     ControlLost = 403, Warn, "the control group is out of reach";
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -61,6 +61,7 @@
     UNNAMED = "cypressfork_unnamed_services_total", "counter", "", "heartbeats of services that no document names";
     LEADS = "cypressfork_group_leads", "gauge", "", "1 while this replica of the control group leads";
     TERM = "cypressfork_group_term", "gauge", "", "the control group's term";
+    WITHOUT_LEADER = "cypressfork_group_without_leader_milliseconds_total", "counter", "", "time for which this control process has known no leader of its group";
     INPUTS = "cypressfork_inputs_total", "counter", "kind", "what came to a control process: messages of the log, commands and queries, standing questions, answers of others, calls over HTTP";
     TICK = "cypressfork_tick_seconds", "histogram", "", "time between two ticks of a control process: how long it may hear nobody";
     COMMITTED = "cypressfork_group_committed", "gauge", "", "position of the last committed entry";
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -46,6 +46,8 @@
     pub rest_counts_after_ms: u64,
     /// Requests of that gateway that it may get then until the rest is over.
     pub rest_most: usize,
+    /// A group to which nothing is done has a leader within this time, in milliseconds.
+    pub led_within_ms: u64,
 }
 
 /// A promise that was broken.
@@ -90,6 +92,7 @@
     limits_are_kept,
     rests_are_kept,
     what_answers_tell_of_leaving_counts,
+    a_calm_group_has_a_leader,
     service_is_back,
     no_process_ends_by_itself,
 ];
@@ -521,6 +524,30 @@
     all
 }
 
+/// A read needs a leader. In a group to which nothing is done, reads do not fail for long.
+fn a_calm_group_has_a_leader(h: &History, b: &Bounds) -> Vec<Broken> {
+    let mut all = Vec::new();
+    let mut since: Option<At> = None;
+    let mut last_read = h.reads.iter().map(|r| r.sent).peekable();
+    for u in &h.unread {
+        let calm = is_calm(h, u.sent.saturating_sub(b.calm_ms), u.ended);
+        while last_read.next_if(|at| *at < u.sent).is_some() {
+            since = None;
+        }
+        if !calm {
+            since = None;
+            continue;
+        }
+        let from = *since.get_or_insert(u.sent);
+        if u.ended - from > b.led_within_ms {
+            let why = format!("no control process read the document for {} ms", u.ended - from);
+            all.push(broken("leader", from, why, &[]));
+            since = None;
+        }
+    }
+    all
+}
+
 fn service_is_back(h: &History, b: &Bounds) -> Vec<Broken> {
     let late = |(n, back): (usize, &Option<At>)| {
         let in_time = back.is_some_and(|at| at <= h.healed + b.back_ms);
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -128,6 +128,15 @@
     pub version: u64,
 }
 
+/// A read of the document in force that was not answered with it.
+#[derive(Clone, Debug)]
+pub struct Unread {
+    /// When it was sent.
+    pub sent: At,
+    /// When it ended.
+    pub ended: At,
+}
+
 /// The version that a gateway said it had in force.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -222,6 +231,8 @@
     pub changes: Vec<Change>,
     /// Reads of the document in force.
     pub reads: Vec<Read>,
+    /// Reads that failed.
+    pub unread: Vec<Unread>,
     /// What gateways had in force.
     pub held: Vec<Held>,
     /// Planned stops.
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::document::document;
-use crate::history::{At, Change, Held, Read};
+use crate::history::{At, Change, Held, Read, Unread};
 use crate::http::call;
 use crate::world::World;
 
@@ -61,7 +61,10 @@
 pub async fn read(w: &World) -> Option<u64> {
     let sent = w.at();
     let answer = call(w.any_api(), Method::GET, "/v1/document", Bytes::new(), CALL_WITHIN).await;
-    let (200, body) = answer? else { return None };
+    let Some((200, body)) = answer else {
+        w.history.borrow_mut().unread.push(Unread { sent, ended: w.at() });
+        return None;
+    };
     let version = serde_json::from_slice::<Value>(&body).ok()?["version"].as_u64()?;
     w.history.borrow_mut().reads.push(Read { sent, version });
     Some(version)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -47,6 +47,9 @@
 /// Times that a request may be sent to replicas after that, in all.
 const POISONED_MOST: usize = 3;
 
+/// Silence after which a follower stands for election, in milliseconds: the control processes' default.
+const ELECTION_MS: u64 = 500;
+
 /// How long a replica that a request has ended is down: mostly, and as when it starts again at once.
 const REPLICA_DOWN: Duration = Duration::from_millis(1_500);
 const REPLICA_DOWN_SHORTLY: Duration = Duration::from_millis(100);
@@ -108,6 +111,7 @@
         told_ms: 500,
         rest_counts_after_ms: 500,
         rest_most: 2,
+        led_within_ms: 2 * ELECTION_MS,
     }
 }
 
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -7,7 +7,7 @@
     Arrival, Change, Disruption, End, Held, History, Kind, Leaving, Limited, Outcome, Read,
     Request, Stop,
 };
-use cypressfork_soak::history::{Rested, Told};
+use cypressfork_soak::history::{Rested, Told, Unread};
 use cypressfork_soak::plan::{Fault, Plan};
 use cypressfork_soak::run::bounds;
 use rstest::rstest;
@@ -270,3 +270,22 @@
     passed(&mut h, "late", gateway, sent);
     assert_eq!(found(&h), promises);
 }
+
+/// Reads that fail, by when they are sent and end, and whether that is found.
+#[rstest]
+#[case::for_long(&[(20_000, 20_400), (20_600, 21_100)], &["leader"])]
+#[case::shortly(&[(20_000, 20_400), (20_600, 20_900)], &[])]
+#[case::with_one_that_succeeds_between(&[(20_000, 20_400), (21_000, 21_100)], &[])]
+#[case::beside_a_stop(&[(9_000, 9_400), (10_600, 11_100)], &[])]
+fn a_calm_group_without_a_leader_is_found(
+    #[case] unread: &[(u64, u64)],
+    #[case] promises: &[&str],
+) {
+    let mut h = sound();
+    h.reads.push(Read { sent: 20_700, version: 2 });
+    if promises == ["leader"] {
+        h.reads.pop();
+    }
+    h.unread = unread.iter().map(|(sent, ended)| Unread { sent: *sent, ended: *ended }).collect();
+    assert_eq!(found(&h), promises);
+}
