Retries: a gateway that has just started has no part of what is allowed besides

Cause: a gateway that starts again has forgotten the retries that it made, and takes its part of what is allowed besides once more; the same class as limits (a bound of the fleet kept by each alone). Shown in virtual time: 6 of 12 cases of retries_stay_within_the_budget_while_routers_start_again failed before (162 retries where 156 are allowed), 12 of 12 hold after. Now a gateway has that part once it is older than the window. What it costs: for 10 s after its start a gateway may retry a fifth of its own requests and no more.

--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -204,7 +204,7 @@
 #[case::seventy_routers(70, 204)]
 fn the_fleet_keeps_its_budget_of_retries_in_every_window(#[case] routers: u64, #[case] extra: u64) {
     let bound = Bound { hundredths: 20, extra, window: Millis(10_000) };
-    let mut windows: Vec<Window> = (0..routers).map(|_| Window::default()).collect();
+    let mut windows: Vec<Window> = (0..routers).map(|_| Window::new(Time(0))).collect();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for ms in (0..60_000).step_by(50) {
         let w = &mut windows[(ms / 50) as usize % routers as usize];
@@ -403,3 +403,33 @@
     assert!(admission::may_begin(1, admission::places(0), 9));
     assert!(!admission::may_begin(2, admission::places(0), 0));
 }
+
+/// Guards against more retries than the fleet allows while routers are killed: one that starts again has
+/// forgotten those that it made before.
+#[rstest]
+fn retries_stay_within_the_budget_while_routers_start_again(
+    #[values(1_000, 5_000, 9_900, 10_100)] killed: u64,
+    #[values(1, 4, 8)] of_eight: usize,
+) {
+    let bound = Bound { hundredths: 20, extra: 56, window: Millis(10_000) };
+    let mut windows: Vec<_> = (0..8).map(|_| Window::new(Time(0))).collect();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for now in (20_000..50_000).step_by(20) {
+        if now == 30_000 + killed / 20 * 20 {
+            windows[..of_eight].fill_with(|| Window::new(Time(now)));
+        }
+        let w = &mut windows[(now / 20 % 8) as usize];
+        w.request(Time(now), &bound);
+        requests.push(now);
+        // All of what is allowed is used at once.
+        while w.take(Time(now), &bound, 9) {
+            retries.push(now);
+        }
+    }
+    for end in &retries {
+        let in_window = |at: &&u64| **at + 10_000 > *end && **at <= *end;
+        let made = retries.iter().filter(in_window).count() as u64;
+        let earned = requests.iter().filter(in_window).count() as u64 * 20 / 100;
+        assert!(made <= earned + 56, "{made} retries up to {end}, {earned} and 56 are allowed");
+    }
+}
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -120,6 +120,8 @@
     pub active: Cell<usize>,
     replicas: RefCell<Replicas>,
     pools: RefCell<HashMap<String, Pool>>,
+    /// When the process started.
+    started: Time,
     retries: RefCell<HashMap<String, Window>>,
     /// When the next caller of each service is told to come back that was refused for rests.
     turns: RefCell<HashMap<String, Turns>>,
@@ -156,6 +158,7 @@
             active: Cell::new(0),
             replicas: RefCell::default(),
             pools: RefCell::default(),
+            started: clock.now(),
             retries: RefCell::default(),
             turns: RefCell::default(),
             token_store: RefCell::default(),
@@ -573,7 +576,8 @@
     /// Counts a request for a service.
     pub fn count_request(&self, service: &str) {
         let mut all = self.retries.borrow_mut();
-        all.entry(service.to_owned()).or_default().request(self.now(), &self.settings.retry);
+        let window = all.entry(service.to_owned()).or_insert_with(|| Window::new(self.started));
+        window.request(self.now(), &self.settings.retry);
     }
 
     /// Takes a retry out of this router's part of the fleet's budget.
@@ -584,7 +588,7 @@
             bound.extra = 0;
         }
         let mut all = self.retries.borrow_mut();
-        let window = all.entry(service.to_owned()).or_default();
+        let window = all.entry(service.to_owned()).or_insert_with(|| Window::new(self.started));
         let taken = window.take(self.now(), &bound, routers + 1);
         if !taken {
             counter!(metric::RETRIES_REFUSED, "service" => service.to_owned()).increment(1);
