Test: what judging suspects costs is measured by the processor's time, as its bound is stated

The bound is stated as a part of a core's time (75 ms of a core until a leader is missed, a fifth of it).

--- a/crates/core/tests/quarantine_cost.rs
+++ b/crates/core/tests/quarantine_cost.rs
@@ -7,11 +7,12 @@
 //! anew, several times: with the square of the suspects, at each report, in the thread that hears the leader.
 //! Proof: 159 ms and more for one report on the code before, and the test had not ended after ten minutes.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cypressfork_core::fleet::fingerprint::{Fingerprint, Identity};
 use cypressfork_core::fleet::quarantine::{EndedReplica, Quarantine, UnderWay};
 use cypressfork_core::unit::{Millis, Time};
+use nix::time::{ClockId, clock_gettime};
 
 /// Replicas that end, over and over, and requests that each takes with it.
 const REPLICAS: u64 = 60;
@@ -23,7 +24,7 @@
 /// Requests that are there again and again, as many callers ask the same.
 const COMMON: u64 = 1_500;
 
-/// The longest that one report may take. A control process has a seventh of a core, and hears nobody
+/// The most of a processor's time that one report may take. A control process has a seventh of a core, and hears nobody
 /// meanwhile; followers miss their leader after half a second of that, 75 ms of a whole core. A fifth is left for
 /// it.
 const MOST: Duration = Duration::from_millis(15);
@@ -42,9 +43,14 @@
     (*seed >> 33) % below
 }
 
+/// The processor's time that this thread has had: others may use the processor meanwhile.
+fn processor_time() -> Duration {
+    Duration::from(clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).unwrap())
+}
+
 #[test]
 fn a_report_is_judged_in_time_however_many_are_suspected() {
-    // The best of several plays: others may use the processor meanwhile.
+    // The best of several plays: what others do to the processor's caches counts as well.
     let plays = (0..3).map(|_| {
         let (mut seed, mut longest) = (7, Duration::ZERO);
         let mut q = Quarantine::default();
@@ -52,9 +58,9 @@
             let replica = format!("r-{}", n % REPLICAS);
             let under_way = (0..UNDER_WAY).map(|_| request(draw(&mut seed, COMMON))).collect();
             let ended = EndedReplica { replica, ago: Millis(0), under_way };
-            let begun = Instant::now();
+            let begun = processor_time();
             q.note(Time(10_000 + 400 * n), n + 1, &[ended]);
-            longest = longest.max(begun.elapsed());
+            longest = longest.max(processor_time() - begun);
             if longest > MOST * 10 {
                 // It gets no better.
                 break;
