Credit for retries is not spent twice when callers get another gateway

What was seen: replicas got up to 398 retries in 10 s where 303 are allowed, when gateways restarted after quiet seconds. Not only then: a gateway that ends for good, or callers that move, do the same in the model. Cause: a gateway could retry a fifth of its own requests of the last window. What the seconds before the trouble had earned was spent at its start, and the next gateway of the same callers earned and spent afresh in that window. Evidence: event 446 shows 237 retries by processes from before a stop and 110 by their successors in one window, 255 allowed. Change: a gateway's credit is a bucket that starts empty. A request adds its fraction of a retry; what is saved is bounded by half of the gateway's part of retry_extra, or one retry; the other half comes in the course of a window. Why it works: retries in any window are at most the credit saved by all at its start, which retry_extra bounds, and what is added within it. No count has to survive a restart, and no message is needed. retry_extra is now what a fleet may save up, so its default is 100 instead of 0, and CFE447 tells when it is below one for each gateway.

--- a/crates/core/src/fleet/retry.rs
+++ b/crates/core/src/fleet/retry.rs
@@ -1,9 +1,18 @@
-//! One router's share of the fleet's retry budget, over a sliding window.
+//! One router's share of the fleet's retry budget.
+//!
+//! A router cannot know which retries other routers, or its own process before a restart, have made for the
+//! callers it serves now. It therefore keeps no credit that another may have spent: requests add credit, but
+//! what is saved up to a point in time is bounded by the router's part of [`RetryLimit::extra`]. The
+//! retries of the fleet in any window are then at most the credit saved by all routers at its start, plus the
+//! credit added within it, however callers move between routers and whichever of them restart.
 
-use std::collections::VecDeque;
+use std::fmt;
 
 use crate::unit::{Millis, Time};
 
+/// The credit for one retry, in millionths of a retry.
+const RETRY: u64 = 1_000_000;
+
 /// The fleet's limit: in each window of length `window`, at most `percent` retries per 100
 /// requests, plus `extra`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,59 +25,82 @@
     pub window: Millis,
 }
 
-/// The requests and retries of one service at one router within the window.
+impl RetryLimit {
+    /// Returns the share of each of `routers` routers. Half of its part of `extra` bounds the credit that it
+    /// saves, which has to suffice for one retry; the rest is added as credit in the course of each window.
+    pub fn share(&self, routers: u64) -> RetryShare {
+        let extra = self.extra.saturating_mul(RETRY) / routers.max(1);
+        let max_saved = (extra / 2).max(extra.min(RETRY));
+        RetryShare {
+            per_request: self.percent.saturating_mul(RETRY / 100),
+            max_saved,
+            per_window: extra - max_saved,
+            window: self.window,
+        }
+    }
+}
+
+/// The credit that one router may gain and save. Credit is in millionths of a retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryShare {
+    per_request: u64,
+    max_saved: u64,
+    per_window: u64,
+    window: Millis,
+}
+
+impl RetryShare {
+    /// Returns whether the credit saved can ever suffice for a retry.
+    pub fn allows_retries(&self) -> bool {
+        self.max_saved >= RETRY
+    }
+}
+
+/// The retry credit of one service at one router.
 #[derive(Clone, Debug)]
-pub struct RetryWindow {
-    /// When this router started.
-    started: Time,
-    requests: VecDeque<Time>,
-    retries: VecDeque<Time>,
+pub struct RetryBudget {
+    credit: u64,
+    updated: Time,
 }
 
-impl RetryWindow {
-    /// Returns an empty window of a router that started at `started`.
-    pub fn new(started: Time) -> RetryWindow {
-        RetryWindow { started, requests: VecDeque::new(), retries: VecDeque::new() }
+impl RetryBudget {
+    /// Returns a budget without credit.
+    pub fn new(now: Time) -> RetryBudget {
+        RetryBudget { credit: 0, updated: now }
     }
 
-    /// Drops requests and retries that are older than the window.
-    fn trim(&mut self, now: Time, window: Millis) {
-        for q in [&mut self.requests, &mut self.retries] {
-            while q.front().is_some_and(|t| now.since(*t) >= window) {
-                q.pop_front();
-            }
-        }
+    /// Adds the credit of the time since the last update, and `gained`.
+    fn add(&mut self, now: Time, share: &RetryShare, gained: u64) {
+        let Millis(elapsed) = now.since(self.updated);
+        let timed = elapsed.saturating_mul(share.per_window) / share.window.0.max(1);
+        self.credit = self.credit.saturating_add(timed).saturating_add(gained).min(share.max_saved);
+        self.updated = self.updated.max(now);
     }
 
-    /// Returns the number of requests and of retries within the window.
-    pub fn counts(&mut self, now: Time, window: Millis) -> (usize, usize) {
-        self.trim(now, window);
-        (self.requests.len(), self.retries.len())
+    /// Adds the credit of a request.
+    pub fn record_request(&mut self, now: Time, share: &RetryShare) {
+        self.add(now, share, share.per_request);
     }
 
-    /// Records a request.
-    pub fn record_request(&mut self, now: Time, limit: &RetryLimit) {
-        self.trim(now, limit.window);
-        self.requests.push_back(now);
+    /// Returns whether the credit suffices for a retry.
+    pub fn has_retry(&mut self, now: Time, share: &RetryShare) -> bool {
+        self.add(now, share, 0);
+        self.credit >= RETRY
     }
 
-    /// Records a retry if this router's share of the budget allows it. Returns `false` if it does
-    /// not.
-    ///
-    /// The share of each of the `routers` routers is the percentage of its own requests plus an
-    /// equal part of `extra`, so the sum over all routers stays within the fleet's limit. A router
-    /// that started less than a window ago gets no part of `extra`, because it may have used that
-    /// part before the restart.
-    pub fn try_take(&mut self, now: Time, limit: &RetryLimit, routers: u64) -> bool {
-        self.trim(now, limit.window);
-        let from_requests = self.requests.len() as u64 * limit.percent / 100;
-        let is_new = now.since(self.started) < limit.window;
-        let extra = if is_new { 0 } else { limit.extra / routers.max(1) };
-        let allowed = from_requests + extra;
-        if self.retries.len() as u64 >= allowed {
-            return false;
+    /// Withdraws one retry. Returns `false` if the credit does not suffice.
+    pub fn try_take(&mut self, now: Time, share: &RetryShare) -> bool {
+        let taken = self.has_retry(now, share);
+        if taken {
+            self.credit -= RETRY;
         }
-        self.retries.push_back(now);
-        true
+        taken
+    }
+}
+
+/// Formats the credit in retries, with two decimals.
+impl fmt::Display for RetryBudget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:02}", self.credit / RETRY, self.credit % RETRY / (RETRY / 100))
     }
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -13,7 +13,7 @@
 use cypressfork_core::fleet::peer::{Loans, choose_lenders, split_charge};
 use cypressfork_core::fleet::regions::Regions;
 use cypressfork_core::fleet::repair::{Candidates, Health, next_change};
-use cypressfork_core::fleet::retry::{RetryLimit, RetryWindow};
+use cypressfork_core::fleet::retry::{RetryBudget, RetryLimit};
 use cypressfork_core::fleet::router_heartbeats::RouterHeartbeats;
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::watch::{Announce, RouterStatus};
@@ -204,14 +204,14 @@
 #[case::seventy_routers(70, 204)]
 fn the_fleet_keeps_its_budget_of_retries_in_every_window(#[case] routers: u64, #[case] extra: u64) {
     let limit = RetryLimit { percent: 20, extra, window: Millis(10_000) };
-    let mut windows: Vec<RetryWindow> = (0..routers).map(|_| RetryWindow::new(Time(0))).collect();
+    let mut windows: Vec<RetryBudget> = (0..routers).map(|_| RetryBudget::new(Time(0))).collect();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for ms in (0..60_000).step_by(50) {
         let w = &mut windows[(ms / 50) as usize % routers as usize];
-        w.record_request(Time(ms), &limit);
+        w.record_request(Time(ms), &limit.share(routers));
         requests.push(ms);
         for _ in 0..5 {
-            if w.try_take(Time(ms), &limit, routers) {
+            if w.try_take(Time(ms), &limit.share(routers)) {
                 retries.push(ms);
             }
         }
@@ -420,17 +420,17 @@
     #[values(1, 4, 8)] of_eight: usize,
 ) {
     let limit = RetryLimit { percent: 20, extra: 56, window: Millis(10_000) };
-    let mut windows: Vec<_> = (0..8).map(|_| RetryWindow::new(Time(0))).collect();
+    let mut windows: Vec<_> = (0..8).map(|_| RetryBudget::new(Time(0))).collect();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for now in (20_000..50_000).step_by(20) {
         if now == 30_000 + killed / 20 * 20 {
-            windows[..of_eight].fill_with(|| RetryWindow::new(Time(now)));
+            windows[..of_eight].fill_with(|| RetryBudget::new(Time(now)));
         }
         let w = &mut windows[(now / 20 % 8) as usize];
-        w.record_request(Time(now), &limit);
+        w.record_request(Time(now), &limit.share(9));
         requests.push(now);
         // Uses the whole allowance at once.
-        while w.try_take(Time(now), &limit, 9) {
+        while w.try_take(Time(now), &limit.share(9)) {
             retries.push(now);
         }
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -125,6 +125,7 @@
     IssuerProbed = 444, Info, "the gateway that issues a replica's permits was probed by its standby";
     BudgetWrittenOff = 445, Info, "the tokens of a dead holder in one budget: those counted as spent and those freed";
     RetrySent = 446, Info, "a request was sent to a replica again";
+    RetryBudgetTooSmall = 447, Warn, "the retry budget is too small for the number of gateways; no request is retried";
     CallerCut = 465, Warn, "a caller was cut because too many bytes are held for slow callers";
 }
 
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -110,7 +110,7 @@
             );
         }
         gw.feeds.borrow_mut().insert(from, response.feed);
-        gw.router_count.set(gw.router_count.get().max(response.routers));
+        gw.set_router_count(response.routers);
         if response.part.is_some() {
             // A document has been committed, so there is a leader to register with.
             gw.group.retry_now();
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -176,7 +176,7 @@
                 service = service,
                 replica = to.replica,
                 kind = kind.label(),
-                budget = gw.describe_retries(service),
+                left = gw.retries_left(service),
             );
         }
         if request.gw.is_backing_off(&request.service, to.address) {
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -71,7 +71,7 @@
 /// Defaults of the quantities in [`File`].
 mod default {
     pub const RETRY_RATIO: f64 = 0.2;
-    pub const RETRY_EXTRA: f64 = 0.0;
+    pub const RETRY_EXTRA: f64 = 100.0;
     pub const RETRY_WINDOW_S: f64 = 10.0;
     pub const MEMORY_MB: f64 = 512.0;
     /// 0 means unknown.
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -13,7 +13,7 @@
 use cypressfork_core::fleet::peer::Placement;
 use cypressfork_core::fleet::registry::{Record, ReplicaStatus};
 use cypressfork_core::fleet::replicas::{AddressChange, ReplicaTable, Start};
-use cypressfork_core::fleet::retry::RetryWindow;
+use cypressfork_core::fleet::retry::{RetryBudget, RetryLimit, RetryShare};
 use cypressfork_core::fleet::rollout::Rollouts;
 use cypressfork_core::fleet::rollout::split::{Side, VersionPreference};
 use cypressfork_core::fleet::routes::Routes;
@@ -123,8 +123,7 @@
     pub active_connections: Cell<usize>,
     replicas: RefCell<ReplicaTable>,
     pools: RefCell<HashMap<String, Pool>>,
-    started: Time,
-    retries: RefCell<HashMap<String, RetryWindow>>,
+    retries: RefCell<HashMap<String, RetryBudget>>,
     /// Staggers the `Retry-After` values of callers refused because of backoffs, by service.
     retry_schedules: RefCell<HashMap<String, RetrySchedule>>,
     token_store: RefCell<Option<Rc<TokenStore>>>,
@@ -168,7 +167,6 @@
             active_connections: Cell::new(0),
             replicas: RefCell::default(),
             pools: RefCell::default(),
-            started: clock.now(),
             retries: RefCell::default(),
             retry_schedules: RefCell::default(),
             token_store: RefCell::default(),
@@ -618,40 +616,58 @@
         }
     }
 
+    /// Records the number of gateways in the fleet that a control process reported. The highest one counts,
+    /// because a control process that has restarted does not know all of them yet.
+    pub fn set_router_count(&self, reported: u32) {
+        if reported <= self.router_count.get() {
+            return;
+        }
+        self.router_count.set(reported);
+        if !self.retry_share().allows_retries() {
+            let extra = self.settings.retry.extra;
+            emit!(Event::RetryBudgetTooSmall, routers = reported, retry_extra = extra);
+        }
+    }
+
+    /// Returns this gateway's share of the fleet's retry budget, which is the same for each service.
+    fn retry_share(&self) -> RetryShare {
+        match self.router_count.get() {
+            0 => RetryLimit { extra: 0, ..self.settings.retry }.share(1),
+            // This gateway may not have been counted yet.
+            routers => self.settings.retry.share(u64::from(routers) + 1),
+        }
+    }
+
+    /// Updates the retry budget of a service.
+    fn with_retries<T>(
+        &self,
+        service: &str,
+        update: impl FnOnce(&mut RetryBudget, Time, &RetryShare) -> T,
+    ) -> T {
+        let now = self.now();
+        let mut all = self.retries.borrow_mut();
+        let budget = all.entry(service.to_owned()).or_insert_with(|| RetryBudget::new(now));
+        update(budget, now, &self.retry_share())
+    }
+
     /// Counts a request for a service, by which the budget of retries grows.
     pub fn count_request(&self, service: &str) {
-        let mut all = self.retries.borrow_mut();
-        let window =
-            all.entry(service.to_owned()).or_insert_with(|| RetryWindow::new(self.started));
-        window.record_request(self.now(), &self.settings.retry);
+        self.with_retries(service, RetryBudget::record_request);
     }
 
-    /// Takes a retry out of this gateway's part of the fleet's retry budget for a service. Returns whether
+    /// Takes a retry out of this gateway's share of the fleet's retry budget for a service. Returns whether
     /// the budget allows it.
     pub fn take_retry(&self, service: &str) -> bool {
-        let routers = u64::from(self.router_count.get());
-        let mut budget = self.settings.retry;
-        if routers == 0 {
-            budget.extra = 0;
-        }
-        let mut all = self.retries.borrow_mut();
-        let window =
-            all.entry(service.to_owned()).or_insert_with(|| RetryWindow::new(self.started));
-        let taken = window.try_take(self.now(), &budget, routers + 1);
+        let taken = self.with_retries(service, RetryBudget::try_take);
         if !taken {
             counter!(metric::RETRIES_REFUSED, "service" => service.to_owned()).increment(1);
         }
         taken
     }
 
-    /// Describes the retry budget of a service for logs: the requests and retries within the window, and the
-    /// age of this process.
-    pub fn describe_retries(&self, service: &str) -> String {
-        let (now, window) = (self.now(), self.settings.retry.window);
-        let mut all = self.retries.borrow_mut();
-        let counts = all.get_mut(service).map(|w| w.counts(now, window));
-        let (requests, retries) = counts.unwrap_or_default();
-        format!("requests {requests}, retries {retries}, age {} ms", now.since(self.started).0)
+    /// Returns the number of retries that are left for a service, for logs.
+    pub fn retries_left(&self, service: &str) -> String {
+        self.with_retries(service, |budget, _, _| budget.to_string())
     }
 }
 
