Take a retry from the budget when it is sent, not when it is decided

What was seen: a request that every replica rejects takes a retry although no other replica is left to get it, so the budget is empty when one could serve (50 requests rejected by the only replica, then a second one registers: the next request that is rejected is refused with 503). And a retry that waits for a permit, a slow connection or a thawed process reaches its replica later than the budget allowed it, maybe in the next window (read, not shown by a run). Cause: the budget was asked after the attempt before, not at the send. Change: whether a retry is left decides about the next attempt; the retry is taken right before it is sent. If other requests have used it up meanwhile, the attempt ends as over_budget and the request as if it had been refused before. A replica's server error is kept until then and forwarded, also if no other replica is left: callers got CF1306 in its place. Why it works: a request that nobody received is no retry, and each send after a received one passes the same check. Result: a_retry_that_no_replica_gets_costs_no_credit fails before (request 53 gets 503) and passes now. requests_lost_on_kept_connections_are_retried_ within_the_budget passes on both: a request lost after it was written was always counted.

--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -49,6 +49,9 @@
     NotSent(String),
     /// The replica left or requested a backoff after it was picked, so nothing more was sent to it.
     Withheld,
+    /// The retry was not sent, because other requests have used up the retry budget since the replica was
+    /// picked.
+    OverBudget,
     /// The replica rejected the request without running it.
     NotRun,
     /// The replica returned a server error, which was not forwarded.
@@ -69,6 +72,7 @@
             AttemptOutcome::Answered
                 | AttemptOutcome::Left
                 | AttemptOutcome::Withheld
+                | AttemptOutcome::OverBudget
                 | AttemptOutcome::NotRun
         )
     }
@@ -80,6 +84,7 @@
             AttemptOutcome::Left => "caller_left",
             AttemptOutcome::NotSent(_) => "not_sent",
             AttemptOutcome::Withheld => "withheld",
+            AttemptOutcome::OverBudget => "over_budget",
             AttemptOutcome::NotRun => "not_run",
             AttemptOutcome::Failed(_) => "failed",
             AttemptOutcome::Lost(_) => "lost",
@@ -141,7 +146,7 @@
     pub replica: &'a str,
     /// The replica's data centre.
     pub data_centre: &'a str,
-    /// Whether it is the first attempt at the request, for metrics.
+    /// Whether this is the first send of the request.
     send_kind: SendKind,
     /// Start time of the replica's process at the time it was picked; 0 if unknown.
     born: u64,
@@ -182,7 +187,7 @@
         let gw = &self.request.gw;
         self.check_replica()?;
         let mut connection = gw.connections.get(Instant::now(), self.choice.address).await?;
-        if let Err(outcome) = self.check_replica() {
+        if let Err(outcome) = self.check_replica().and_then(|()| self.take_retry()) {
             gw.keep_connection(
                 &self.request.service,
                 self.choice.address,
@@ -226,6 +231,14 @@
         allowed.then_some(()).ok_or(AttemptOutcome::Withheld)
     }
 
+    /// Takes a retry from the fleet's budget unless this is the first send of the request. Fails if none is
+    /// left.
+    fn take_retry(&self) -> Result<(), AttemptOutcome> {
+        let allowed =
+            self.send_kind == SendKind::First || self.request.gw.take_retry(&self.request.service);
+        allowed.then_some(()).ok_or(AttemptOutcome::OverBudget)
+    }
+
     /// Returns the replica incarnation and the time of the send.
     fn send_target(&self) -> SendTarget<'_> {
         let (replica, address) = (self.replica, self.choice.address);
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -25,7 +25,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::send_refusal;
-use super::attempt::{self, AttemptOutcome};
+use super::attempt::{self, Answer, AttemptOutcome};
 use super::budget::{TokenReservation, reserve_tokens};
 use super::client::Client;
 use super::dialect::{CallerRequest, Dialect};
@@ -323,6 +323,8 @@
     backed_off: usize,
     /// Why the remaining replicas cannot be used.
     blocked: Option<Blocked>,
+    /// The last server error that a replica returned.
+    failure: Option<Box<Answer>>,
 }
 
 impl<'a> RequestAttempts<'a> {
@@ -339,6 +341,7 @@
             rejected: 0,
             backed_off: 0,
             blocked: None,
+            failure: None,
         }
     }
 
@@ -354,8 +357,19 @@
         }
     }
 
-    /// Sends the request to one replica after the other until a response is forwarded or the request fails.
+    /// Runs the request. If it fails after a replica returned a server error, forwards that.
     async fn run<D: Dialect>(&mut self, client: &mut Client) -> Outcome {
+        let outcome = self.try_replicas::<D>(client).await;
+        if !matches!(outcome, Outcome::Refused(_)) {
+            return outcome;
+        }
+        let Some(answer) = self.failure.take() else { return outcome };
+        let sent = client.send_response(answer.status, answer.headers, answer.body).await;
+        if sent.is_ok() { Outcome::Answered } else { Outcome::CallerClosed }
+    }
+
+    /// Sends the request to one replica after the other until a response is forwarded or the request fails.
+    async fn try_replicas<D: Dialect>(&mut self, client: &mut Client) -> Outcome {
         loop {
             if self.request.time_left() == Duration::ZERO {
                 return self.deadline_passed(client);
@@ -372,7 +386,7 @@
             self.tried.push(choice.address);
             let observation = AttemptObservation::start(&request.gw, &request.service, side);
             let chosen = PickedReplica { choice, replica, data_centre, side };
-            let kind = if self.tried.len() == 1 { SendKind::First } else { SendKind::Retry };
+            let kind = if self.is_sent() { SendKind::Retry } else { SendKind::First };
             let (ended, time_to_first) =
                 attempt::run::<D>(request, client, &mut self.progress, &chosen, kind).await;
             let PickedReplica { choice, replica, .. } = chosen;
@@ -455,6 +469,7 @@
             }
             // The next pick excludes this replica.
             AttemptOutcome::Withheld => None,
+            AttemptOutcome::OverBudget => Some(self.give_up("no retry is left", client)),
             AttemptOutcome::NotRun => {
                 self.rejected += 1;
                 self.backed_off += usize::from(self.last_is_backing_off());
@@ -463,11 +478,9 @@
             }
             AttemptOutcome::Failed(answer) => {
                 self.ran += 1;
-                if self.may_run_again(client) {
-                    return None;
-                }
-                let sent = client.send_response(answer.status, answer.headers, answer.body).await;
-                Some(if sent.is_ok() { Outcome::Answered } else { Outcome::CallerClosed })
+                let try_next = self.may_run_again(client);
+                self.failure = Some(answer);
+                (!try_next).then(|| self.fail(client, "the replica failed".to_owned()))
             }
             AttemptOutcome::Lost(why) | AttemptOutcome::Broken(why) => {
                 self.ran += 1;
@@ -495,7 +508,7 @@
             self.blocked = gw.blocked(service, &self.request.profile());
             return false;
         }
-        self.rejected - self.backed_off < MAX_REJECTED && gw.take_retry(service)
+        self.rejected - self.backed_off < MAX_REJECTED && gw.has_retry(service)
     }
 
     /// Returns whether the last replica tried is backing off.
@@ -504,13 +517,18 @@
         self.tried.last().is_some_and(|a| gw.is_backing_off(service, *a))
     }
 
-    /// Returns whether the request may run once more. Takes a retry from the fleet's retry budget if so.
+    /// Returns whether the request may run once more.
     fn may_run_again(&self, client: &Client) -> bool {
         let can_continue = !client.has_started() || self.request.resumable;
         self.request.is_repeatable()
             && can_continue
             && self.ran < self.request.max_attempts
-            && self.request.gw.take_retry(&self.request.service)
+            && self.request.gw.has_retry(&self.request.service)
+    }
+
+    /// Returns whether a replica may have received the request.
+    fn is_sent(&self) -> bool {
+        self.ran > 0 || self.rejected > 0
     }
 
     /// Returns the outcome of a request that a replica may have run, but that was not answered completely.
--- a/crates/router/src/gateway/rollouts.rs
+++ b/crates/router/src/gateway/rollouts.rs
@@ -211,6 +211,7 @@
             AttemptOutcome::Left
             | AttemptOutcome::NotSent(_)
             | AttemptOutcome::Withheld
+            | AttemptOutcome::OverBudget
             | AttemptOutcome::NotRun => return,
         }
         let version = if is_new { "new" } else { "old" };
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -655,14 +655,16 @@
         self.with_retries(service, RetryBudget::record_request);
     }
 
-    /// Takes a retry out of this gateway's share of the fleet's retry budget for a service. Returns whether
+    /// Returns whether this gateway's share of the fleet's retry budget for a service allows a retry.
+    pub fn has_retry(&self, service: &str) -> bool {
+        count_refused_retry(service, self.with_retries(service, RetryBudget::has_retry))
+    }
+
+    /// Takes a retry out of this gateway's share of the fleet's retry budget for a service, right before it
+    /// is sent: a retry that is sent later than it is taken could fall into another window. Returns whether
     /// the budget allows it.
     pub fn take_retry(&self, service: &str) -> bool {
-        let taken = self.with_retries(service, RetryBudget::try_take);
-        if !taken {
-            counter!(metric::RETRIES_REFUSED, "service" => service.to_owned()).increment(1);
-        }
-        taken
+        count_refused_retry(service, self.with_retries(service, RetryBudget::try_take))
     }
 
     /// Returns the number of retries that are left for a service, for logs.
@@ -671,6 +673,14 @@
     }
 }
 
+/// Counts a retry that the budget does not allow, and returns whether it is allowed.
+fn count_refused_retry(service: &str, allowed: bool) -> bool {
+    if !allowed {
+        counter!(metric::RETRIES_REFUSED, "service" => service.to_owned()).increment(1);
+    }
+    allowed
+}
+
 /// A change of one replica, for the log.
 struct ReplicaChange {
     id: String,
