A partly sent request is not sent again as if nothing had been sent

What was seen: in a test of the HTTP client only. A server reads a part of a request on a kept connection and closes it; the send fails as Stale, and the gateway sends the request again without taking a retry from the budget. Cause: Stale meant that no byte of a response arrived. Whether bytes of the request had left was not looked at. Change: Stale means that the first write on a reused connection failed, so nothing was sent; all else is Closed, which the budget counts. Result: a_partly_sent_request_is_not_reported_as_unsent fails before (Stale) and passes now; limits, rests, unanswered, crashing_requests, retries, left_streams and path pass.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -44,7 +44,7 @@
 pub enum ExchangeError {
     /// No byte of the request was sent, so the server cannot have run it.
     NotSent(String),
-    /// A reused connection ended before any byte of the response.
+    /// A reused connection was closed before any byte of the request was sent.
     Stale,
     /// The connection ended; the server may have run the request.
     Closed(String),
@@ -52,6 +52,10 @@
     Protocol(String),
 }
 
+fn closed(why: &str) -> ExchangeError {
+    ExchangeError::Closed(why.to_owned())
+}
+
 fn protocol_error(e: impl ToString) -> ExchangeError {
     ExchangeError::Protocol(e.to_string())
 }
@@ -95,8 +99,6 @@
     codec: Option<Codec>,
     /// The connection has carried an earlier exchange.
     used: bool,
-    /// Bytes arrived since the last request was sent.
-    has_received: bool,
     /// The body ends with the connection.
     until_close: bool,
     /// The server closes the connection after this response.
@@ -137,7 +139,6 @@
             buf: BytesMut::new(),
             codec: Some(Codec::Head(ClientCodec::default())),
             used: false,
-            has_received: false,
             until_close: false,
             closes_after: false,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -178,18 +179,21 @@
             codec.encode(Message::Chunk(Some(o.body.clone())), &mut out).map_err(protocol_error)?;
         }
         codec.encode(Message::Chunk(None), &mut out).map_err(protocol_error)?;
-        self.has_received = false;
-        self.stream.write_all(&out).await.map_err(|e| self.close_error(&e.to_string()))
+        self.write(&out).await
     }
 
-    /// Returns the error for a closed connection: [`ExchangeError::Stale`] if it was reused and no byte of
-    /// the response arrived, else [`ExchangeError::Closed`].
-    fn close_error(&self, why: &str) -> ExchangeError {
-        if self.used && !self.has_received {
-            ExchangeError::Stale
-        } else {
-            ExchangeError::Closed(why.to_owned())
+    /// Sends bytes. Fails with [`ExchangeError::Stale`] if the connection was reused and none was sent.
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), ExchangeError> {
+        let mut sent = 0;
+        while sent < bytes.len() {
+            match self.stream.write(&bytes[sent..]).await {
+                Ok(n) if n > 0 => sent += n,
+                _ if self.used && sent == 0 => return Err(ExchangeError::Stale),
+                Ok(_) => return Err(closed("nothing more can be sent")),
+                Err(e) => return Err(ExchangeError::Closed(e.to_string())),
+            }
         }
+        Ok(())
     }
 
     /// Reads more bytes into the buffer. Returns false at the end of the connection.
@@ -197,11 +201,8 @@
         self.buf.reserve(READ_SIZE);
         match self.stream.read_buf(&mut self.buf).await {
             Ok(0) => Ok(false),
-            Ok(_) => {
-                self.has_received = true;
-                Ok(true)
-            }
-            Err(e) => Err(self.close_error(&e.to_string())),
+            Ok(_) => Ok(true),
+            Err(e) => Err(ExchangeError::Closed(e.to_string())),
         }
     }
 
@@ -219,7 +220,7 @@
                 return Err(protocol_error("the head of the answer is too large"));
             }
             if !self.fill().await? {
-                return Err(self.close_error("the connection closed before an answer"));
+                return Err(closed("the connection closed before an answer"));
             }
         }
     }
@@ -264,7 +265,7 @@
                 if self.until_close {
                     return Ok(None);
                 }
-                return Err(self.close_error("the connection closed before the answer was whole"));
+                return Err(closed("the connection closed before the answer was whole"));
             }
         }
     }
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -201,7 +201,7 @@
         match self.send::<D>(&mut connection, last_event).await {
             Err(ExchangeError::Stale) if self.request.is_repeatable() => {
                 self.acquire_second_permit().await?;
-                // The idle connection was closed without a response. A new one shows whether the replica
+                // The idle connection was closed, and nothing was sent. A new one shows whether the replica
                 // is still running.
                 connection = match gw.connections.open(self.choice.address).await {
                     Ok(c) => c,
@@ -245,8 +245,7 @@
         SendTarget { replica, address, born: self.born, sent: self.sent }
     }
 
-    /// Acquires a second permit. The replica may have received the first send, so the second counts against
-    /// its rate limit as well.
+    /// Acquires a second permit, because the first may expire while a connection is opened.
     async fn acquire_second_permit(&self) -> Result<(), AttemptOutcome> {
         let (gw, priority) = (&self.request.gw, self.request.priority);
         let permit = gw.limits.acquire_permit(gw, self.replica, self.data_centre, priority).await;
