One retry budget for both routers

Cause: the router for language-model callers had a retry budget of its own, with the same bucket again. Change: it uses fleet::retry with a share that belongs to no fleet. It keeps its burst of twenty at the start, as before: another_engine_serves_when_one_ is_busy_or_gone fails with a budget that starts empty, since a router that was just started could not retry at all. That a restart brings twenty retries anew for each service therefore remains; no limit of a fleet is promised there.

--- a/crates/core/src/fleet/retry.rs
+++ b/crates/core/src/fleet/retry.rs
@@ -50,6 +50,17 @@
 }
 
 impl RetryShare {
+    /// Returns the share of a router that belongs to no fleet: `percent` retries per 100 requests, of which it
+    /// saves up to `max_saved`.
+    pub const fn single(percent: u64, max_saved: u64) -> RetryShare {
+        RetryShare {
+            per_request: percent * (RETRY / 100),
+            max_saved: max_saved * RETRY,
+            per_window: 0,
+            window: Millis(0),
+        }
+    }
+
     /// Returns whether the credit saved can ever suffice for a retry.
     pub fn allows_retries(&self) -> bool {
         self.max_saved >= RETRY
@@ -69,6 +80,11 @@
         RetryBudget { credit: 0, updated: now }
     }
 
+    /// Returns a budget with all the credit that the share allows to save.
+    pub fn full(now: Time, share: &RetryShare) -> RetryBudget {
+        RetryBudget { credit: share.max_saved, updated: now }
+    }
+
     /// Adds the credit of the time since the last update, and `gained`.
     fn add(&mut self, now: Time, share: &RetryShare, gained: u64) {
         let Millis(elapsed) = now.since(self.updated);
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use cypressfork_core::config::{Priority, Upstream, Vm};
+use cypressfork_core::fleet::retry::{RetryBudget, RetryShare};
 use cypressfork_core::route::lateness::LatencyObjective;
 use cypressfork_core::route::{
     Admission, Choice, Limiter, ListedState, Pool, PromptPrefixes, QueuedRequest, RequestProfile,
-    RetryBudget, VmTracker,
+    VmTracker,
 };
 use cypressfork_core::unit::{Millis, Time};
 use rand::SeedableRng;
@@ -402,15 +403,16 @@
 /// retry per five requests, and a burst of twenty.
 #[test]
 fn the_retry_budget_limits_retries_to_a_share_of_requests() {
-    let mut r = RetryBudget::default();
+    let share = RetryShare::single(20, 20);
+    let mut r = RetryBudget::full(Time(0), &share);
     let mut retries = 0;
-    for _ in 0..1_000 {
-        r.record_request();
-        retries += (0..2).filter(|_| r.try_take()).count();
+    for now in (0..1_000).map(Time) {
+        r.record_request(now, &share);
+        retries += (0..2).filter(|_| r.try_take(now, &share)).count();
     }
     assert!((200..=220).contains(&retries), "{retries} retries for 1,000 requests");
-    let quiet = (0..500).map(|_| r.record_request()).count();
-    let burst = (0..100).filter(|_| r.try_take()).count();
+    let quiet = (0..500).map(|_| r.record_request(Time(1_000), &share)).count();
+    let burst = (0..100).filter(|_| r.try_take(Time(1_000), &share)).count();
     assert_eq!((quiet, burst), (500, 20));
 }
 
--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -8,8 +8,9 @@
 
 use awc::{Client, Connector};
 use cypressfork_core::config::Service;
+use cypressfork_core::fleet::retry::{RetryBudget, RetryShare};
 use cypressfork_core::query::Site;
-use cypressfork_core::route::{Choice, ListedState, Pool, RequestProfile, RetryBudget, VmTracker};
+use cypressfork_core::route::{Choice, ListedState, Pool, RequestProfile, VmTracker};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
@@ -32,6 +33,9 @@
 /// The most calls of a plain service that one router queues.
 const MAX_QUEUED_PLAIN_CALLS: u32 = 256;
 
+/// The retries of one service: one for every five requests, of which up to twenty are saved, and twenty at the start.
+const RETRY_SHARE: RetryShare = RetryShare::single(20, 20);
+
 /// State shared by all requests.
 pub struct App {
     /// The settings.
@@ -194,12 +198,14 @@
     /// Returns whether a request may be sent after `tries` earlier tries. The first try is always
     /// allowed; each retry takes one from the service's retry budget and is refused if it is empty.
     pub fn allow_send(&self, service: &str, tries: usize) -> bool {
+        let now = self.clock.now();
         let mut all = self.retries.borrow_mut();
-        let budget = all.entry(service.to_owned()).or_default();
+        let budget =
+            all.entry(service.to_owned()).or_insert_with(|| RetryBudget::full(now, &RETRY_SHARE));
         if tries > 0 {
-            return budget.try_take();
+            return budget.try_take(now, &RETRY_SHARE);
         }
-        budget.record_request();
+        budget.record_request(now, &RETRY_SHARE);
         true
     }
 
