Soak: all replicas reject while all gateways restart, and a stricter window

The check counts the requests of the window, of the one before it or the one half a window before it, whichever has most, and at most what it counted before. Result: too_many_retries_at_a_steady_rate (21 retries for 50 requests in each 10 s, 20 allowed) is found now and was not before; 20 break no promise.";

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -403,10 +403,17 @@
             let from = end.saturating_sub(b.retry_window_ms);
             let retries =
                 retry_times.iter().filter(|at| (from..=*end).contains(*at)).count() as f64;
-            // A request counts when it is sent. Retries can follow until the caller times out, so requests
-            // from before the window count as well.
+            let sent_within =
+                |from, to| sent.iter().filter(|at| (from..=to).contains(*at)).count() as f64;
+            // Requests of the window count, or of the one before it or half a window before it, because a
+            // retry follows its request. It follows before the caller times out.
+            let earlier = [0, b.retry_window_ms / 2, b.retry_window_ms];
+            let most = earlier
+                .map(|ms| sent_within(from.saturating_sub(ms), end.saturating_sub(ms)))
+                .into_iter()
+                .fold(0.0, f64::max);
             let first = from.saturating_sub(b.caller_timeout_ms);
-            let requests = sent.iter().filter(|at| (first..=*end).contains(*at)).count() as f64;
+            let requests = most.min(sent_within(first, *end));
             let allowed = requests * b.retry_ratio + b.retry_extra as f64;
             if retries > allowed {
                 let why = format!("{service}: {retries} retries, {allowed:.1} allowed");
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -68,6 +68,17 @@
     GreyTalk(usize),
     /// Makes a `board` replica reject all requests.
     FullBoard(usize),
+    /// Makes all replicas of `talk`, or of `board`, reject a percentage of the requests.
+    Reject {
+        /// Whether the replicas belong to `talk`; otherwise to `board`.
+        talk: bool,
+        /// Percentage of requests that are rejected.
+        percent: u32,
+    },
+    /// Kills all gateways at once and restarts them.
+    KillGateways,
+    /// Stops all gateways gracefully and restarts each after it has exited.
+    StopGateways,
     /// Publishes a document with this number of additional routes.
     Grow(usize),
     /// Publishes this number of documents in quick succession.
@@ -207,6 +218,7 @@
         let n = rng.random_range(STEP_COUNT.0..=STEP_COUNT.1);
         let mut steps: Vec<_> = (0..n).map(|_| draw_step(&mut rng, &size, millis)).collect();
         steps.extend(draw_seeds_away(seed, &size, millis));
+        steps.extend(draw_rejections(seed, millis));
         steps.sort_by_key(|s| s.at);
         keep_first_emptied_disk(&mut steps);
         let (poisons, limits) = (draw_poisons(seed, millis), draw_limits(seed, millis));
@@ -383,6 +395,35 @@
     (drawn && size.controls > 3).then_some(Step { at, span, fault: Fault::SeedsAway })
 }
 
+/// Percentage of seeds in which all replicas of a service reject requests while gateways restart.
+const REJECTIONS_PERCENT: u32 = 40;
+
+/// Time for which the replicas have served all requests before they reject some, in milliseconds: gateways
+/// save retries in it.
+const SERVED_BEFORE_MS: u64 = 4_000;
+
+/// Latest start of the restarts, in milliseconds after the first rejections.
+const RESTARTS_WITHIN_MS: u64 = 1_500;
+
+/// Draws a time in which all replicas of a service reject requests, and the restarts of all gateways within it. A
+/// separate generator leaves the other steps unchanged.
+fn draw_rejections(seed: u64, millis: u64) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x2127_599b_f432_5c37);
+    let latest = millis.saturating_sub(RESTARTS_WITHIN_MS);
+    if rng.random_range(0..100) >= REJECTIONS_PERCENT || latest <= SERVED_BEFORE_MS {
+        return Vec::new();
+    }
+    let at = rng.random_range(SERVED_BEFORE_MS..latest);
+    let percent = REJECT_PERCENTS[rng.random_range(0..REJECT_PERCENTS.len())];
+    let reject = Fault::Reject { talk: rng.random(), percent };
+    let restart = if rng.random() { Fault::KillGateways } else { Fault::StopGateways };
+    let restart_at = at + rng.random_range(0..RESTARTS_WITHIN_MS);
+    vec![
+        Step { at, span: millis - at, fault: reject },
+        Step { at: restart_at, span: 0, fault: restart },
+    ]
+}
+
 fn draw_step(rng: &mut SmallRng, size: &Size, millis: u64) -> Step {
     let at = rng.random_range(QUIET_START_MS..millis.max(QUIET_START_MS + 1));
     let span = rng.random_range(STEP_SPAN_MS.0..=STEP_SPAN_MS.1).min(millis - at);
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -89,7 +89,8 @@
     pub id: String,
     service: &'static str,
     proxy: ReplicaProxy,
-    full: Cell<bool>,
+    /// Percentage of requests that it rejects without `Retry-After`.
+    rejected_percent: Cell<u32>,
     /// Index in the history of the rate limit that it announces.
     limit_index: Cell<Option<usize>>,
     /// The current period of rejecting requests with `Retry-After`, if any.
@@ -121,7 +122,7 @@
             id,
             service,
             proxy,
-            full: Cell::new(false),
+            rejected_percent: Cell::new(0),
             limit_index: Cell::new(None),
             retry_after: Cell::new(None),
             drains_by_header: Cell::new(false),
@@ -141,9 +142,15 @@
         Ok(replica)
     }
 
-    /// Sets whether the replica rejects all requests.
-    pub fn set_full(&self, full: bool) {
-        self.full.set(full);
+    /// Sets the percentage of requests that the replica rejects without `Retry-After`.
+    pub fn set_rejected_percent(&self, percent: u32) {
+        self.rejected_percent.set(percent);
+    }
+
+    /// Returns whether the replica rejects the current request.
+    fn rejects(&self, w: &World) -> bool {
+        let percent = self.rejected_percent.get();
+        percent > 0 && w.random_bool(percent)
     }
 
     /// Announces a rate limit, in thousandths of a request per second, in its responses for `span`.
@@ -338,7 +345,7 @@
     let account = header_text(h, "x-client-account").to_owned();
     let last: u64 = header_text(h, "last-event-id").parse().unwrap_or(0);
     let rejection = if addressed { r.reject_with_retry_after(&w, &id) } else { None };
-    let run = addressed && !r.full.get() && rejection.is_none();
+    let run = addressed && !r.rejects(&w) && rejection.is_none();
     let at = w.now();
     let arrival =
         Arrival { id: id.clone(), service: r.service, replica: r.id.clone(), at, account, run };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -440,6 +440,11 @@
         let (controls, gateways) = (&self.fleet.controls, &self.fleet.gateways);
         match s.fault {
             Fault::StopGateway(n) => return self.stop_gateway(n).await,
+            Fault::StopGateways => {
+                let all = (0..gateways.len()).map(|n| self.stop_gateway(n));
+                futures_util::future::join_all(all).await;
+                return;
+            }
             Fault::Grow(extra_routes) => return self.grow(extra_routes).await,
             Fault::Storm(n) => return self.storm(n).await,
             Fault::Race => return self.race().await,
@@ -457,6 +462,9 @@
             Fault::KillControls => {
                 self.kill(controls.iter().map(|c| &c.process).collect(), None).await;
             }
+            Fault::KillGateways => {
+                self.kill(gateways.iter().map(|g| &g.process).collect(), None).await;
+            }
             Fault::KillAll => self.kill(self.fleet.processes().collect(), None).await,
             Fault::PauseGateway(n) => self.pause(&gateways[n].process, span).await,
             Fault::PauseControl(n) => self.pause(&controls[n].process, span).await,
@@ -486,7 +494,12 @@
                 }
             }
             Fault::FullBoard(n) => self.reject_for(n, span).await,
-            Fault::StopGateway(_) | Fault::Grow(_) | Fault::Storm(_) | Fault::Race => {}
+            Fault::Reject { talk, percent } => self.reject_at_all(talk, percent, span).await,
+            Fault::StopGateway(_)
+            | Fault::StopGateways
+            | Fault::Grow(_)
+            | Fault::Storm(_)
+            | Fault::Race => {}
         }
     }
 
@@ -609,9 +622,17 @@
     /// Makes a `board` replica reject all requests for `span`.
     async fn reject_for(&self, n: usize, span: Duration) {
         let Some(full) = self.replica_at(&self.board, n) else { return };
-        full.set_full(true);
+        full.set_rejected_percent(100);
+        sleep(span).await;
+        full.set_rejected_percent(0);
+    }
+
+    /// Makes the replicas of a service that are running now reject a percentage of the requests for `span`.
+    async fn reject_at_all(&self, talk: bool, percent: u32, span: Duration) {
+        let replicas = self.select_replicas(talk, None);
+        replicas.iter().for_each(|r| r.set_rejected_percent(percent));
         sleep(span).await;
-        full.set_full(false);
+        replicas.iter().for_each(|r| r.set_rejected_percent(0));
     }
 
     /// Publishes a document with `extra_routes` additional routes.
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -122,6 +122,7 @@
 #[case::too_many_retries("retries", |h: &mut History| {
     (0..12).for_each(|n| h.arrivals.push(arrival("s", "talk", 10_020 + n)));
 })]
+#[case::too_many_retries_at_a_steady_rate("retries", |h: &mut History| add_retries_at_a_steady_rate(h, 21))]
 #[case::sent_after_quarantine("poison", |h: &mut History| add_poison(h, 4))]
 #[case::harmless_request_quarantined("quarantine", |h: &mut History| h.requests[2].outcome = Outcome::Quarantined)]
 #[case::over_its_limit("limit", |h: &mut History| add_limited_replica(h, 12))]
@@ -137,6 +138,27 @@
     assert_eq!(broken_promises(&h), [promise]);
 }
 
+/// Adds five requests a second for 20 s, and `retries` of them at the end of the last window.
+fn add_retries_at_a_steady_rate(h: &mut History, retries: usize) {
+    let (first_ms, interval_ms, count) = (100, 200, 100);
+    for n in 0..count {
+        let (id, sent) = (format!("r-{n}"), first_ms + n * interval_ms);
+        let template = request(&id, Kind::Safe, answered(&[]));
+        h.requests.push(Request { sent, ended: sent + 20, ..template });
+        h.arrivals.push(arrival(&id, "board", sent + 5));
+    }
+    let end = first_ms + (count - 1) * interval_ms;
+    (0..retries).for_each(|_| h.arrivals.push(arrival("r-99", "board", end)));
+}
+
+/// The allowed retries are a fifth of the requests within the window and 10.
+#[test]
+fn retries_within_the_budget_break_no_promise() {
+    let mut h = correct_history();
+    add_retries_at_a_steady_rate(&mut h, 20);
+    assert_eq!(broken_promises(&h), Vec::<&str>::new());
+}
+
 /// Adds a replica with a limit of one request per second and a gateway that learns of the limit and
 /// then sends it `sends` requests within 4 s.
 fn add_limited_replica(h: &mut History, sends: u64) {
