Known red: a leave is forgotten if the first heartbeat arrives after it

What callers see: requests reach a replica up to 2.4 s after it was told that its leave is acknowledged, and fail when it ends. Cause: Registry::mark_left ignores an unknown id. A heartbeat that was held up by a cut and arrives after the leave registers the replica as ready.

--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -167,6 +167,16 @@
     assert_eq!(r.iter().count(), 0);
 }
 
+/// Guards against a replica that gets requests after its leave was acknowledged: no heartbeat had arrived before the
+/// leave, and one that was delayed arrives after it.
+#[test]
+fn a_leave_holds_if_the_first_heartbeat_arrives_after_it() {
+    let mut r = Registry::default();
+    r.mark_left(Time(1_000), "i-1");
+    r.apply(Time(3_000), record("i-1", 3, ReplicaStatus::Ready), RecordSource::Replica);
+    assert_eq!(r.get("i-1").map(|r| r.standing), Some(ReplicaStatus::Left));
+}
+
 /// Guards against a leaving notice that ends too early or applies to another incarnation.
 #[test]
 fn a_leaving_notice_applies_to_one_incarnation() {
