Soak: rejections begin early enough to fill a window of the retry budget

Change: they begin 3 to 5 s after the start and last to the end; runs of 16 s and more then hold a whole window.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -398,9 +398,9 @@
 /// Percentage of seeds in which all replicas of a service reject requests while gateways restart.
 const REJECTIONS_PERCENT: u32 = 40;
 
-/// Time for which the replicas have served all requests before they reject some, in milliseconds: gateways
-/// save retries in it.
-const SERVED_BEFORE_MS: u64 = 4_000;
+/// When the replicas start to reject requests, in milliseconds: gateways save retries before. A run has to last for a
+/// window of the retry budget from then on to show whether these are spent twice.
+const REJECTIONS_START_MS: (u64, u64) = (3_000, 5_000);
 
 /// Latest start of the restarts, in milliseconds after the first rejections.
 const RESTARTS_WITHIN_MS: u64 = 1_500;
@@ -409,11 +409,11 @@
 /// separate generator leaves the other steps unchanged.
 fn draw_rejections(seed: u64, millis: u64) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x2127_599b_f432_5c37);
-    let latest = millis.saturating_sub(RESTARTS_WITHIN_MS);
-    if rng.random_range(0..100) >= REJECTIONS_PERCENT || latest <= SERVED_BEFORE_MS {
+    let (earliest, latest) = REJECTIONS_START_MS;
+    if rng.random_range(0..100) >= REJECTIONS_PERCENT || latest + RESTARTS_WITHIN_MS > millis {
         return Vec::new();
     }
-    let at = rng.random_range(SERVED_BEFORE_MS..latest);
+    let at = rng.random_range(earliest..=latest);
     let percent = REJECT_PERCENTS[rng.random_range(0..REJECT_PERCENTS.len())];
     let reject = Fault::Reject { talk: rng.random(), percent };
     let restart = if rng.random() { Fault::KillGateways } else { Fault::StopGateways };
