Soak: kills of all gateways disturb each of them

Cause: the check that excuses a gateway which was just disturbed goes by the names of disruptions and did not know KillGateways. Change: KillGateways counts as KillAll does.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -482,7 +482,7 @@
     let affects_gateway = |d: &Disruption| {
         d.what.contains(&name)
             || d.what == stop_description(gateway)
-            || matches!(d.what.as_str(), "KillAll" | "CutAllGateways" | "Reset")
+            || matches!(d.what.as_str(), "KillAll" | "KillGateways" | "CutAllGateways" | "Reset")
             || d.what.starts_with("Delay(")
     };
     h.disruptions
