Log and count ended requests and connections to replicas at each gateway

The record of gateways cut off from their replicas could not tell how many requests each gateway answered (an answer is logged at debug level only), nor whether connections were refused or timed out. A failed connection keeps its kind (OpenError) instead of a text.

No decision changes.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -18,6 +18,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+pub use open_error::OpenError;
+
+mod open_error;
+
 /// Timeout for connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -52,6 +56,12 @@
     Protocol(String),
 }
 
+impl From<OpenError> for ExchangeError {
+    fn from(error: OpenError) -> ExchangeError {
+        ExchangeError::NotSent(error.to_string())
+    }
+}
+
 fn closed(why: &str) -> ExchangeError {
     ExchangeError::Closed(why.to_owned())
 }
@@ -109,25 +119,21 @@
 }
 
 impl Connection {
-    /// Connects to a server. Fails with [`ExchangeError::NotSent`] after 600 ms or if the server is unreachable.
-    pub async fn open(address: SocketAddr) -> Result<Connection, ExchangeError> {
+    /// Connects to a server. Fails after 600 ms or if the server is unreachable.
+    pub async fn open(address: SocketAddr) -> Result<Connection, OpenError> {
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => Ok(Connection::new(stream)),
-            Ok(Err(e)) => Err(ExchangeError::NotSent(e.to_string())),
-            Err(_) => Err(ExchangeError::NotSent("no connection in time".to_owned())),
+            Ok(Err(e)) => Err(e.into()),
+            Err(_) => Err(OpenError::TimedOut),
         }
     }
 
     /// Connects to `address` to find out whether a server is listening there.
     pub async fn probe(address: SocketAddr) -> ProbeResult {
-        match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => {
-                let idle_timeout = UNUSED_IDLE_TIMEOUT;
-                ProbeResult::Listening(Connection { idle_timeout, ..Connection::new(stream) })
-            }
-            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
-            Ok(Err(e)) => ProbeResult::Unknown(e.to_string()),
-            Err(_) => ProbeResult::Unknown("no connection in time".to_owned()),
+        match Connection::open(address).await {
+            Ok(c) => ProbeResult::Listening(Connection { idle_timeout: UNUSED_IDLE_TIMEOUT, ..c }),
+            Err(OpenError::Refused) => ProbeResult::Refused,
+            Err(e) => ProbeResult::Unknown(e.to_string()),
         }
     }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -126,6 +126,7 @@
     BudgetWrittenOff = 445, Info, "the tokens of a dead holder in one budget: those counted as spent and those freed";
     RetrySent = 446, Info, "a request was sent to a replica again";
     RetryBudgetTooSmall = 447, Warn, "the retry budget is too small for the number of gateways; no request is retried";
+    RequestsEnded = 448, Info, "requests that ended, and connections to replicas, in the last seconds";
     CallerCut = 465, Warn, "a caller was cut because too many bytes are held for slow callers";
 }
 
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -36,6 +36,7 @@
     VERSION = "cypressfork_configuration_version", "gauge", "", "version of the configuration in force";
     ATTEMPTS = "cypressfork_attempts_total", "counter", "end", "requests sent to replicas, by outcome";
     SENDS = "cypressfork_sends_total", "counter", "service, try", "requests sent to replicas, by try: the first, a further one, or a resend on a new connection";
+    REPLICA_CONNECTIONS = "cypressfork_replica_connections_total", "counter", "end", "connections to replicas that a gateway tried to open, by outcome: opened, refused, timed_out or failed";
     RETRIES_REFUSED = "cypressfork_retries_refused_total", "counter", "service", "retries refused because the fleet's retry budget was used up";
     TOKENS_WAIT = "cypressfork_tokens_wait_seconds", "histogram", "", "time that a request waited for its token reservation";
     ACCEPT_PAUSES = "cypressfork_closed_doors_total", "counter", "", "times that a gateway paused accepting connections because its link was full";
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 use cypressfork_core::fleet::document::RouteKind;
 use cypressfork_core::route::{Choice, backoff};
 use cypressfork_core::unit::Millis;
-use cypressfork_http::client::{Connection, ExchangeError, OutboundRequest};
+use cypressfork_http::client::{Connection, ExchangeError, OpenError, OutboundRequest};
 use tokio::time::{Instant, timeout_at};
 
 use super::client::Client;
@@ -107,6 +107,12 @@
     }
 }
 
+impl From<OpenError> for AttemptOutcome {
+    fn from(error: OpenError) -> AttemptOutcome {
+        AttemptOutcome::NotSent(error.to_string())
+    }
+}
+
 /// Sends a request to the replica that was picked and forwards the response. Returns the outcome, and the
 /// time from sending to the first event or, without events, to the head of the response.
 pub async fn run<D: Dialect>(
@@ -186,7 +192,8 @@
     ) -> Result<(Connection, ResponseHead), AttemptOutcome> {
         let gw = &self.request.gw;
         self.check_replica()?;
-        let mut connection = gw.connections.get(Instant::now(), self.choice.address).await?;
+        let mut connection =
+            gw.connections.get(Instant::now(), self.choice.address, &gw.activity).await?;
         if let Err(outcome) = self.check_replica().and_then(|()| self.take_retry()) {
             gw.keep_connection(
                 &self.request.service,
@@ -203,7 +210,7 @@
                 self.acquire_second_permit().await?;
                 // The idle connection was closed, and nothing was sent. A new one shows whether the replica
                 // is still running.
-                connection = match gw.connections.open(self.choice.address).await {
+                connection = match gw.connections.open(self.choice.address, &gw.activity).await {
                     Ok(c) => c,
                     Err(error) => {
                         record_connection_loss(
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! replica if the connection breaks off. A [`dialect::Dialect`] defines headers, error bodies and the
 //! format of configuration documents.
 
+mod activity;
 mod answer;
 mod attempt;
 mod budget;
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -24,6 +24,7 @@
 use metrics::{counter, histogram};
 use tokio::time::{Instant, timeout_at};
 
+use super::activity::End;
 use super::answer::send_refusal;
 use super::attempt::{self, Answer, AttemptOutcome};
 use super::budget::{TokenReservation, reserve_tokens};
@@ -92,6 +93,17 @@
     CallerClosed,
 }
 
+impl Outcome {
+    fn end(&self) -> End {
+        match self {
+            Outcome::Answered => End::Answered,
+            Outcome::Refused(_) => End::Refused,
+            Outcome::Interrupted(_) => End::Interrupted,
+            Outcome::CallerClosed => End::Left,
+        }
+    }
+}
+
 /// Serves one request whose body was received, and sends the response to `client`.
 pub async fn serve<D: Dialect>(gw: &Rc<Gateway>, client: &mut Client, req: &Request, body: Bytes) {
     let (id, outcome) = match D::parse_request(req.head()) {
@@ -101,6 +113,7 @@
         }
         Err(code) => (String::new(), Outcome::Refused(Refusal::from(code))),
     };
+    gw.activity.record_end(outcome.end());
     finish::<D>(client, &id, outcome).await;
 }
 
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
+use super::activity;
 use super::dialect::Dialect;
 use super::drain::drain;
 use super::follow::{register_forever, watch_all};
@@ -82,6 +83,7 @@
     actix_rt::spawn(expire_loans_forever(gw.clone()));
     actix_rt::spawn(register_forever(gw.clone()));
     actix_rt::spawn(clean_up_forever(gw.clone()));
+    actix_rt::spawn(log_activity_forever(gw.clone()));
     actix_rt::spawn(report_terminations_forever(gw.clone()));
     actix_rt::spawn(probe_issuers_forever(gw.clone()));
     let g = gw.clone();
@@ -111,6 +113,13 @@
     }
 }
 
+async fn log_activity_forever(gw: Rc<Gateway>) {
+    loop {
+        sleep(activity::LOG_INTERVAL).await;
+        gw.activity.log();
+    }
+}
+
 /// Responds to a request on the operators' address.
 fn respond(gw: &Gateway, metrics: &PrometheusHandle, req: &Request) -> Response<Body> {
     let path = req.path();
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -37,6 +37,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
+use super::activity::Activity;
 use super::caller_buffers::CallerBuffers;
 use super::documents::Documents;
 use super::limits::ReplicaLimits;
@@ -87,6 +88,8 @@
     pub group: GroupClient,
     /// The document in force and the fetch of a newer one.
     pub documents: Documents,
+    /// Counts of ended requests and of connections to replicas.
+    pub activity: Activity,
     /// Connections to replicas.
     pub connections: ConnectionPool,
     /// Connections to replicas that were lost with a request in flight.
@@ -148,6 +151,7 @@
             credentials,
             group,
             documents: Documents::default(),
+            activity: Activity::default(),
             connections: ConnectionPool::default(),
             lost_connections: LostConnections::default(),
             quarantines: QuarantineState::default(),
--- a/crates/router/src/gateway/upstream.rs
+++ b/crates/router/src/gateway/upstream.rs
@@ -4,9 +4,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use cypressfork_http::client::{Connection, ExchangeError};
+use cypressfork_http::client::{Connection, OpenError};
 use tokio::time::Instant;
 
+use super::activity::Activity;
+
 /// Maximum number of idle connections kept per replica.
 const MAX_IDLE_PER_REPLICA: usize = 32;
 
@@ -22,16 +24,23 @@
         &self,
         now: Instant,
         address: SocketAddr,
-    ) -> Result<Connection, ExchangeError> {
+        activity: &Activity,
+    ) -> Result<Connection, OpenError> {
         match self.take_idle(now, address) {
             Some(c) => Ok(c),
-            None => Connection::open(address).await,
+            None => self.open(address, activity).await,
         }
     }
 
     /// Opens a new connection to a replica even if there are idle ones.
-    pub async fn open(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
-        Connection::open(address).await
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        activity: &Activity,
+    ) -> Result<Connection, OpenError> {
+        let result = Connection::open(address).await;
+        activity.record_open(&result);
+        result
     }
 
     fn take_idle(&self, now: Instant, address: SocketAddr) -> Option<Connection> {
