Relay connections to replicas through other gateways when the direct path is lost

Callers of a gateway that had lost its paths to the replicas got CF1303 or waited until their deadline, while the other gateways reached every replica.

Cause: a gateway had one way to a replica, a direct connection, and no way to find out that the way and not the replica had failed. Open connections that fell silent held requests to their deadline (CF1307): nothing noticed that the other host no longer acknowledged anything.

Now a gateway that cannot open a direct connection, or waits for one for 100 ms, asks another gateway to open it and to relay its bytes (core::route::path, core::fleet::relay, gateway::dial, gateway::relay). The gateway that has the request keeps everything else: reservation, permits, backoffs, retries, the position in a stream. Opening may race because nothing is sent on either connection. A path counts as lost once a relay reaches the replica and the direct connection has not opened; it is then tried again by one connection at a time. The same evidence casts doubt on idle connections to other replicas that have not responded since. Connections end within 2 s without acknowledgements (TCP_USER_TIMEOUT, keep-alive probes).

A relay opens connections to registered replicas that it may send to itself, by its own direct path, for at most a quarter of its active requests, and not while it is stopping or busy. A backoff that a replica requests through it holds for both gateways. Each part of the stream is authenticated, and only a regular end is passed on as one. A refused connection counts as the end of a replica only if another gateway, which reaches other replicas, is refused as well: in the partition, gateways reported ends of replicas that were running (CFE430).

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 pub mod quarantine;
 pub mod regions;
 pub mod registry;
+pub mod relay;
 pub mod repair;
 pub mod replicas;
 pub mod retry;
--- a/crates/core/src/fleet/peer.rs
+++ b/crates/core/src/fleet/peer.rs
@@ -1,4 +1,4 @@
-//! Messages between routers: token loans, prompt placements and permits.
+//! Messages between routers: token loans, prompt placements, permits and relayed connections.
 //!
 //! A router that is short of a budget's tokens and cannot get more from the control group in time may
 //! borrow parts of other routers' slices. The lender reserves the tokens as for a request of its own and
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::limit::permits::{Grant, PermitRequest};
+use super::relay::{Connect, Connected};
 use crate::route::PromptPrefixes;
 use crate::unit::{Millis, Time, Tokens};
 
@@ -79,6 +80,17 @@
         /// Data centre of the replica.
         data_centre: String,
     },
+    /// Open a connection to a replica and relay it on this link. Must be the first message on a link.
+    Connect(Connect),
+    /// Report that a replica requested a backoff from the receiver in a response that it relayed.
+    BackedOff {
+        /// Name of the service.
+        service: String,
+        /// Address of the replica.
+        replica: SocketAddr,
+        /// The backoff.
+        span: Millis,
+    },
 }
 
 /// The reason a home reserved fewer tokens than requested.
@@ -110,6 +122,8 @@
     /// Remaining time at the reduced rate, for [`PeerRequest::Settles`]; `None` if the router is
     /// not the primary issuer or issues at the full rate.
     Settles(Option<Millis>),
+    /// The response to [`PeerRequest::Connect`].
+    Connected(Connected),
 }
 
 /// Returns at most `limit` lenders to ask, in descending order of the tokens they can probably spare.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -6,6 +6,7 @@
 mod cost;
 pub mod lateness;
 mod limiter;
+pub mod path;
 mod pool;
 mod prefix;
 pub mod priority_gate;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -5,7 +5,7 @@
 //! body, so this module uses its codec directly.
 
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_codec::{Decoder, Encoder};
@@ -14,16 +14,16 @@
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, HeaderName};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, Uri};
 use bytes::{Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-pub use open_error::OpenError;
-
+mod dial;
 mod open_error;
+mod transport;
 
-/// Timeout for connecting to a server.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+pub use dial::{detect_silence, dial};
+pub use open_error::OpenError;
+pub use transport::Transport;
 
 /// Maximum idle time of a connection whose server sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -52,6 +52,8 @@
     Stale,
     /// The connection ended; the server may have run the request.
     Closed(String),
+    /// The server's host stopped responding; the server may have run the request.
+    Silent(String),
     /// A message is malformed or too large; the server may have run the request.
     Protocol(String),
 }
@@ -62,6 +64,15 @@
     }
 }
 
+impl From<io::Error> for ExchangeError {
+    fn from(error: io::Error) -> ExchangeError {
+        match error.kind() {
+            io::ErrorKind::TimedOut => ExchangeError::Silent(error.to_string()),
+            _ => ExchangeError::Closed(error.to_string()),
+        }
+    }
+}
+
 fn closed(why: &str) -> ExchangeError {
     ExchangeError::Closed(why.to_owned())
 }
@@ -93,9 +104,9 @@
 }
 
 /// Result of probing an address.
-pub enum ProbeResult {
+pub enum ProbeResult<T = TcpStream> {
     /// A server accepted the connection.
-    Listening(Connection),
+    Listening(Connection<T>),
     /// The host refused the connection: no process listens on the port.
     Refused,
     /// The connection timed out or failed otherwise, which does not show whether a server is running.
@@ -103,8 +114,8 @@
 }
 
 /// An HTTP/1.1 connection to a server.
-pub struct Connection {
-    stream: TcpStream,
+pub struct Connection<T = TcpStream> {
+    stream: T,
     buf: BytesMut,
     codec: Option<Codec>,
     /// The connection has carried an earlier exchange.
@@ -121,33 +132,24 @@
 impl Connection {
     /// Connects to a server. Fails after 600 ms or if the server is unreachable.
     pub async fn open(address: SocketAddr) -> Result<Connection, OpenError> {
-        Connection::open_from(None, address).await
-    }
-
-    /// Connects to a server from the local address `source`. Fails like [`Connection::open`].
-    pub async fn open_from(
-        source: Option<IpAddr>,
-        address: SocketAddr,
-    ) -> Result<Connection, OpenError> {
-        match timeout(CONNECT_TIMEOUT, connect(source, address)).await {
-            Ok(Ok(stream)) => Ok(Connection::new(stream)),
-            Ok(Err(e)) => Err(e.into()),
-            Err(_) => Err(OpenError::TimedOut),
-        }
+        dial(None, address).await.map(Connection::new)
     }
+}
 
-    /// Connects to `address` from the local address `source` to find out whether a server is listening there.
-    pub async fn probe(source: Option<IpAddr>, address: SocketAddr) -> ProbeResult {
-        match Connection::open_from(source, address).await {
+impl<T> From<Result<Connection<T>, OpenError>> for ProbeResult<T> {
+    /// Converts the outcome of a connection that was opened to find out whether a server is listening.
+    fn from(opened: Result<Connection<T>, OpenError>) -> ProbeResult<T> {
+        match opened {
             Ok(c) => ProbeResult::Listening(Connection { idle_timeout: UNUSED_IDLE_TIMEOUT, ..c }),
             Err(OpenError::Refused) => ProbeResult::Refused,
             Err(e) => ProbeResult::Unknown(e.to_string()),
         }
     }
+}
 
-    fn new(stream: TcpStream) -> Connection {
-        // A failure here only makes small requests slower.
-        let _ = stream.set_nodelay(true);
+impl<T: Transport> Connection<T> {
+    /// Wraps a stream to a server that has carried no exchange yet.
+    pub fn new(stream: T) -> Connection<T> {
         Connection {
             stream,
             buf: BytesMut::new(),
@@ -160,12 +162,17 @@
         }
     }
 
+    /// Returns the stream that carries the connection.
+    pub fn transport(&self) -> &T {
+        &self.stream
+    }
+
     /// Returns true if an idle connection has received no bytes, was not closed, and is within its idle
     /// timeout.
     pub fn is_fresh(&self, now: Instant) -> bool {
-        let mut byte = [0];
-        let is_silent = matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
-        is_silent && self.buf.is_empty() && now.duration_since(self.idle_since) < self.idle_timeout
+        self.stream.is_silent()
+            && self.buf.is_empty()
+            && now.duration_since(self.idle_since) < self.idle_timeout
     }
 
     /// Waits until the server closes a connection on which no request was sent.
@@ -202,9 +209,11 @@
         while sent < bytes.len() {
             match self.stream.write(&bytes[sent..]).await {
                 Ok(n) if n > 0 => sent += n,
-                _ if self.used && sent == 0 => return Err(ExchangeError::Stale),
+                _ if self.used && sent == 0 && !self.stream.sends_partly() => {
+                    return Err(ExchangeError::Stale);
+                }
                 Ok(_) => return Err(closed("nothing more can be sent")),
-                Err(e) => return Err(ExchangeError::Closed(e.to_string())),
+                Err(e) => return Err(e.into()),
             }
         }
         Ok(())
@@ -213,11 +222,7 @@
     /// Reads more bytes into the buffer. Returns false at the end of the connection.
     async fn fill(&mut self) -> Result<bool, ExchangeError> {
         self.buf.reserve(READ_SIZE);
-        match self.stream.read_buf(&mut self.buf).await {
-            Ok(0) => Ok(false),
-            Ok(_) => Ok(true),
-            Err(e) => Err(ExchangeError::Closed(e.to_string())),
-        }
+        Ok(self.stream.read(&mut self.buf).await? > 0)
     }
 
     /// Reads the head of the next response.
@@ -331,16 +336,6 @@
     }
 }
 
-async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
-    let Some(source) = source else { return TcpStream::connect(address).await };
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.bind(SocketAddr::new(source, 0))?;
-    socket.connect(address).await
-}
-
 /// Returns true if a response without a length has a body that ends with the connection.
 fn may_have_body(head: &ResponseHead) -> bool {
     let bodiless = matches!(head.status.as_u16(), 100..=199 | 204 | 304);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -127,6 +127,8 @@
     RetrySent = 446, Info, "a request was sent to a replica again";
     RetryBudgetTooSmall = 447, Warn, "the retry budget is too small for the number of gateways; no request is retried";
     RequestsEnded = 448, Info, "requests that ended, and connections to replicas, in the last seconds";
+    PathLost = 449, Warn, "the direct path to a replica is lost; another gateway relays connections to it";
+    PathRestored = 450, Info, "the direct path to a replica works again";
     CallerCut = 465, Warn, "a caller was cut because too many bytes are held for slow callers";
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod process;
 pub mod settings;
 pub mod time;
+pub mod tunnel;
 pub mod watch;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use cypressfork_core::code::Code;
 use cypressfork_wire::auth::{Handshake, Key, NONCE_LEN, Opener, Sealer, Side};
 use cypressfork_wire::frame::{self, LENGTH_PREFIX_LEN, MAX_FRAME, MAX_HANDSHAKE_FRAME};
@@ -120,6 +121,17 @@
     pub writer: Writer,
 }
 
+impl Link {
+    /// Returns the socket, the bytes that were received and not read, and both authenticators.
+    pub(crate) fn into_parts(self) -> (TcpStream, BytesMut, Opener, Sealer) {
+        let Reader { io, opener, .. } = self.reader;
+        let Writer { io: write_half, sealer, .. } = self.writer;
+        let received = BytesMut::from(io.buffer());
+        let stream = io.into_inner().reunite(write_half).expect("both halves are of one socket");
+        (stream, received, opener, sealer)
+    }
+}
+
 /// Reads one frame of at most `cap` bytes, without its length prefix.
 async fn read_payload(io: &mut BufferedSocket, cap: usize) -> Result<Vec<u8>, Error> {
     let mut head = [0; LENGTH_PREFIX_LEN];
@@ -139,6 +151,13 @@
     timeout(OPEN_TIMEOUT, opened).await.unwrap_or(Err(Error::TimedOut))
 }
 
+/// Opens a link on a connection that this process has opened.
+pub async fn connect_on(stream: TcpStream, credentials: &Credentials) -> Result<Link, Error> {
+    timeout(OPEN_TIMEOUT, open(stream, credentials, Side::Client))
+        .await
+        .unwrap_or(Err(Error::TimedOut))
+}
+
 /// Opens a TCP connection, starting over with twice the timeout whenever an attempt times out.
 async fn connect_tcp(address: SocketAddr) -> io::Result<TcpStream> {
     let mut attempt_timeout = FIRST_CONNECT_TIMEOUT;
@@ -217,7 +236,21 @@
     }
 }
 
+impl Reader {
+    /// Waits for the next part of the stream that a tunnel carries, and returns it; empty at the regular end.
+    pub async fn next_part(&mut self) -> Result<Vec<u8>, Error> {
+        let sealed = read_payload(&mut self.io, MAX_FRAME).await?;
+        Ok(self.opener.open(&sealed)?.to_vec())
+    }
+}
+
 impl Writer {
+    /// Sends a part of the stream that a tunnel carries; an empty one marks the regular end.
+    pub async fn send_part(&mut self, part: &[u8]) -> Result<(), Error> {
+        let bytes = frame::add_length_prefix(&self.sealer.seal(part.to_vec()));
+        Ok(self.io.write_all(&bytes).await?)
+    }
+
     /// Sends a message. Fails with [`Error::TimedOut`] if the peer does not read it in time.
     pub async fn send(&mut self, f: &Frame) -> Result<(), Error> {
         let bytes = frame::add_length_prefix(&self.sealer.seal(encode(f)));
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -36,7 +36,10 @@
     VERSION = "cypressfork_configuration_version", "gauge", "", "version of the configuration in force";
     ATTEMPTS = "cypressfork_attempts_total", "counter", "end", "requests sent to replicas, by outcome";
     SENDS = "cypressfork_sends_total", "counter", "service, try", "requests sent to replicas, by try: the first, a further one, or a resend on a new connection";
-    REPLICA_CONNECTIONS = "cypressfork_replica_connections_total", "counter", "end", "connections to replicas that a gateway tried to open, by outcome: opened, refused, timed_out or failed";
+    REPLICA_CONNECTIONS = "cypressfork_replica_connections_total", "counter", "way, end", "connections to replicas that a gateway tried to open, by way (direct or relayed by another gateway) and outcome: opened, refused, timed_out or failed";
+    RELAYED = "cypressfork_relayed_connections", "gauge", "", "connections to replicas that a gateway relays for other gateways";
+    RELAY_REQUESTS = "cypressfork_relay_requests_total", "counter", "end", "connections to replicas that other gateways requested from a gateway, by outcome: opened, refused, unreachable or declined";
+    LOST_PATHS = "cypressfork_lost_paths", "gauge", "", "replicas that a gateway reaches only through other gateways";
     RETRIES_REFUSED = "cypressfork_retries_refused_total", "counter", "service", "retries refused because the fleet's retry budget was used up";
     TOKENS_WAIT = "cypressfork_tokens_wait_seconds", "histogram", "", "time that a request waited for its token reservation";
     ACCEPT_PAUSES = "cypressfork_closed_doors_total", "counter", "", "times that a gateway paused accepting connections because its link was full";
--- a/crates/router/src/gateway/activity.rs
+++ b/crates/router/src/gateway/activity.rs
@@ -24,6 +24,15 @@
     Left,
 }
 
+/// The way of a connection to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// A direct connection.
+    Direct,
+    /// Through another gateway.
+    Relayed,
+}
+
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 struct Counts {
     answered: u32,
@@ -34,6 +43,8 @@
     open_refused: u32,
     open_timed_out: u32,
     open_failed: u32,
+    relayed: u32,
+    not_relayed: u32,
 }
 
 /// Counts since the last log line.
@@ -56,16 +67,23 @@
     }
 
     /// Counts an attempt to open a connection to a replica.
-    pub fn record_open<T>(&self, result: &Result<T, OpenError>) {
+    pub fn record_open<T>(&self, way: Way, result: &Result<T, OpenError>) {
         let mut c = self.counts.borrow_mut();
-        let (label, count) = match result {
-            Ok(_) => ("opened", &mut c.opened),
-            Err(e @ OpenError::Refused) => (e.label(), &mut c.open_refused),
-            Err(e @ OpenError::TimedOut) => (e.label(), &mut c.open_timed_out),
-            Err(e @ OpenError::Failed(_)) => (e.label(), &mut c.open_failed),
+        let count = match (way, result) {
+            (Way::Direct, Ok(_)) => &mut c.opened,
+            (Way::Direct, Err(OpenError::Refused)) => &mut c.open_refused,
+            (Way::Direct, Err(OpenError::TimedOut)) => &mut c.open_timed_out,
+            (Way::Direct, Err(OpenError::Failed(_))) => &mut c.open_failed,
+            (Way::Relayed, Ok(_)) => &mut c.relayed,
+            (Way::Relayed, Err(_)) => &mut c.not_relayed,
         };
         *count += 1;
-        counter!(metric::REPLICA_CONNECTIONS, "end" => label).increment(1);
+        let way = match way {
+            Way::Direct => "direct",
+            Way::Relayed => "relayed",
+        };
+        let end = result.as_ref().err().map_or("opened", OpenError::label);
+        counter!(metric::REPLICA_CONNECTIONS, "way" => way, "end" => end).increment(1);
     }
 
     /// Logs the counts since the last call, if there are any.
@@ -84,6 +102,8 @@
             open_refused = c.open_refused,
             open_timed_out = c.open_timed_out,
             open_failed = c.open_failed,
+            relayed = c.relayed,
+            not_relayed = c.not_relayed,
         );
     }
 }
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to serve a request: sends it to one replica and forwards the response.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
@@ -8,16 +9,18 @@
 use cypressfork_core::fleet::document::RouteKind;
 use cypressfork_core::route::{Choice, backoff};
 use cypressfork_core::unit::Millis;
-use cypressfork_http::client::{Connection, ExchangeError, OpenError, OutboundRequest};
+use cypressfork_http::client::{ExchangeError, OpenError, OutboundRequest};
 use tokio::time::{Instant, timeout_at};
 
 use super::client::Client;
+use super::dial::Target;
 use super::dialect::{Dialect, ForwardHeaders};
 use super::notices::{SendKind, SendTarget};
 use super::request::ResponseProgress;
 use super::routed_request::RoutedRequest;
 use super::state::PickedReplica;
 use super::stream;
+use super::upstream::ReplicaConnection;
 use super::witness::record_connection_loss;
 
 /// Maximum size of the body of a response that is not a stream.
@@ -58,6 +61,8 @@
     Failed(Box<Answer>),
     /// The connection to the replica ended before a complete response. The replica may have run the request.
     Lost(String),
+    /// The replica's host stopped responding. The replica may have run the request.
+    Silent(String),
     /// The response is invalid. The replica may have run the request.
     Broken(String),
     /// The request's deadline passed.
@@ -88,6 +93,7 @@
             AttemptOutcome::NotRun => "not_run",
             AttemptOutcome::Failed(_) => "failed",
             AttemptOutcome::Lost(_) => "lost",
+            AttemptOutcome::Silent(_) => "silent",
             AttemptOutcome::Broken(_) => "broken",
             AttemptOutcome::Late => "late",
         }
@@ -102,6 +108,7 @@
                 AttemptOutcome::Lost("the kept connection was closed".to_owned())
             }
             ExchangeError::Closed(why) => AttemptOutcome::Lost(why),
+            ExchangeError::Silent(why) => AttemptOutcome::Silent(why),
             ExchangeError::Protocol(why) => AttemptOutcome::Broken(why),
         }
     }
@@ -133,10 +140,12 @@
         send_kind,
         born,
         sent,
+        relay: None,
         time_to_first: None,
     };
     let outcome = attempt.run::<D>(client, progress).await;
-    if matches!(outcome, AttemptOutcome::Lost(_)) {
+    attempt.record_path(&outcome);
+    if matches!(outcome, AttemptOutcome::Lost(_) | AttemptOutcome::Silent(_)) {
         record_connection_loss(request, choice.address, replica, attempt.sent);
     }
     (outcome, attempt.time_to_first)
@@ -158,6 +167,8 @@
     born: u64,
     /// When the request was sent.
     pub sent: Instant,
+    /// The gateway that relays the connection to the replica; none if it is direct.
+    relay: Option<SocketAddr>,
     /// Time from sending to the first event or, before that, to the head of the response.
     pub time_to_first: Option<Duration>,
 }
@@ -189,11 +200,11 @@
     async fn send_request<D: Dialect>(
         &mut self,
         last_event: Option<u64>,
-    ) -> Result<(Connection, ResponseHead), AttemptOutcome> {
+    ) -> Result<(ReplicaConnection, ResponseHead), AttemptOutcome> {
         let gw = &self.request.gw;
         self.check_replica()?;
-        let mut connection =
-            gw.connections.get(Instant::now(), self.choice.address, &gw.activity).await?;
+        let mut connection = gw.connect(&self.target()).await?;
+        self.relay = connection.transport().relay();
         if let Err(outcome) = self.check_replica().and_then(|()| self.take_retry()) {
             gw.keep_connection(
                 &self.request.service,
@@ -210,7 +221,7 @@
                 self.acquire_second_permit().await?;
                 // The idle connection was closed, and nothing was sent. A new one shows whether the replica
                 // is still running.
-                connection = match gw.connections.open(self.choice.address, &gw.activity).await {
+                connection = match gw.open_connection(&self.target()).await {
                     Ok(c) => c,
                     Err(error) => {
                         record_connection_loss(
@@ -222,6 +233,7 @@
                         return Err(error.into());
                     }
                 };
+                self.relay = connection.transport().relay();
                 self.check_replica()?;
                 gw.signals.record_send(self.request, &self.send_target(), SendKind::Resend);
                 self.send::<D>(&mut connection, last_event).await?;
@@ -246,10 +258,32 @@
         allowed.then_some(()).ok_or(AttemptOutcome::OverBudget)
     }
 
-    /// Returns the replica incarnation and the time of the send.
+    /// Returns the replica to connect to.
+    fn target(&self) -> Target<'_> {
+        let (replica, address) = (self.replica, self.choice.address);
+        Target { service: &self.request.service, replica, address }
+    }
+
+    /// Returns the replica incarnation, the time of the send and the relay.
     fn send_target(&self) -> SendTarget<'_> {
         let (replica, address) = (self.replica, self.choice.address);
-        SendTarget { replica, address, born: self.born, sent: self.sent }
+        SendTarget { replica, address, born: self.born, sent: self.sent, relay: self.relay }
+    }
+
+    /// Records what the outcome shows of the way to the replica.
+    fn record_path(&self, outcome: &AttemptOutcome) {
+        let gw = &self.request.gw;
+        let is_silent = match outcome {
+            AttemptOutcome::Silent(_) => true,
+            AttemptOutcome::Late => self.time_to_first.is_none(),
+            AttemptOutcome::Lost(_) => false,
+            _ => return,
+        };
+        match self.relay {
+            Some(relay) => gw.dialer.record_relay_failed(&self.request.service, relay),
+            None if is_silent => gw.dialer.record_silence(self.sent.elapsed()),
+            None => {}
+        }
     }
 
     /// Acquires a second permit, because the first may expire while a connection is opened.
@@ -261,7 +295,7 @@
 
     async fn send<D: Dialect>(
         &self,
-        connection: &mut Connection,
+        connection: &mut ReplicaConnection,
         last_event: Option<u64>,
     ) -> Result<(), ExchangeError> {
         let request = self.request;
@@ -281,10 +315,11 @@
     /// Reads the head of the response to this request. Late responses to other requests are skipped.
     async fn read_own_head<D: Dialect>(
         &self,
-        mut connection: Connection,
-    ) -> Result<(Connection, ResponseHead), AttemptOutcome> {
+        mut connection: ReplicaConnection,
+    ) -> Result<(ReplicaConnection, ResponseHead), AttemptOutcome> {
         for _ in 0..MAX_SKIPPED_RESPONSES {
             let head = connection.read_head().await?;
+            self.request.gw.dialer.record_response(self.choice.address, &connection);
             let response = D::parse_response(&head);
             let is_own = response.id == Some(self.request.inbound.id.as_str());
             let signals = &self.request.gw.signals;
@@ -313,7 +348,7 @@
         &mut self,
         client: &mut Client,
         progress: &mut ResponseProgress,
-        connection: Connection,
+        connection: ReplicaConnection,
         head: ResponseHead,
     ) -> AttemptOutcome {
         let response = D::parse_response(&head);
@@ -383,7 +418,9 @@
 }
 
 /// Reads a whole body. Returns it with its connection.
-async fn read_body(mut connection: Connection) -> Result<(Connection, Bytes), ExchangeError> {
+async fn read_body(
+    mut connection: ReplicaConnection,
+) -> Result<(ReplicaConnection, Bytes), ExchangeError> {
     let mut body = BytesMut::new();
     while let Some(chunk) = connection.read_chunk().await? {
         if body.len() + chunk.len() > MAX_BODY_BYTES {
--- a/crates/router/src/gateway/drain.rs
+++ b/crates/router/src/gateway/drain.rs
@@ -31,7 +31,8 @@
     // Fails only if no receiver is left.
     let _ = closed.send(true);
     let end = start + within * DRAIN_PERCENT / 100;
-    while (gw.active_connections.get() > 0 || !gw.peers.is_settled()) && Instant::now() < end {
+    let is_busy = || gw.active_connections.get() > 0 || gw.relayed.get() > 0;
+    while (is_busy() || !gw.peers.is_settled()) && Instant::now() < end {
         sleep(POLL_INTERVAL).await;
     }
     return_tokens(&gw, end).await;
--- a/crates/router/src/gateway/homes.rs
+++ b/crates/router/src/gateway/homes.rs
@@ -91,6 +91,13 @@
         self.local.borrow().clone()
     }
 
+    /// Returns the gateways of the other data centres in this gateway's region.
+    pub fn remote_in_region(&self) -> Vec<SocketAddr> {
+        let remote = self.remote.borrow();
+        let in_region = remote.iter().filter(|(in_other_region, _)| !in_other_region);
+        in_region.flat_map(|(_, gateways)| gateways.iter().copied()).collect()
+    }
+
     /// Returns whether a gateway is listed in any data centre.
     pub fn is_known(&self, gateway: &SocketAddr) -> bool {
         let remote = self.remote.borrow();
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -55,6 +55,8 @@
     pub born: u64,
     /// When the request was sent.
     pub sent: Instant,
+    /// The gateway that relays the connection; none if it is direct.
+    pub relay: Option<SocketAddr>,
 }
 
 /// A replica that is leaving.
@@ -113,6 +115,11 @@
             backoff::RetryAfter::Invalid => self.log_invalid(to.replica, &request.inbound.id),
             backoff::RetryAfter::Delay(span) => {
                 let outstanding = request.gw.back_off(&request.service, to.address, span);
+                // The replica asks the machine that its connection comes from.
+                if let Some(relay) = to.relay {
+                    let gw = &request.gw;
+                    gw.peers.report_backoff(gw, relay, &request.service, to.address, span);
+                }
                 counter!(metric::BACKOFFS, "service" => request.service.clone()).increment(1);
                 emit!(
                     Event::BackoffStarted,
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -495,7 +495,9 @@
                 self.failure = Some(answer);
                 (!try_next).then(|| self.fail(client, "the replica failed".to_owned()))
             }
-            AttemptOutcome::Lost(why) | AttemptOutcome::Broken(why) => {
+            AttemptOutcome::Lost(why)
+            | AttemptOutcome::Silent(why)
+            | AttemptOutcome::Broken(why) => {
                 self.ran += 1;
                 self.progress.events.discard_partial();
                 let try_next = self.may_run_again(client);
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -107,6 +107,8 @@
     loop {
         sleep(CLEANUP_INTERVAL).await;
         gw.connections.remove_expired(Instant::now());
+        gw.dialer.remove_expired();
+        gauge!(metric::LOST_PATHS).set(gw.dialer.lost().len() as f64);
         gw.limits.remove_expired(&gw);
         gw.signals.remove_expired(&gw);
         gauge!(metric::BACKING_OFF).set(gw.backing_off().len() as f64);
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -15,19 +15,22 @@
     Loans, PeerReply, PeerRequest, Placement, Shortfall, choose_lenders,
 };
 use cypressfork_core::unit::{Millis, Time, Tokens};
+use cypressfork_http::client::detect_silence;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
 use cypressfork_node::link::{self, Credentials, Link};
 use cypressfork_node::metric;
-use cypressfork_wire::{Ask, Frame, Return, body};
+use cypressfork_wire::{Ask, Call, Frame, Return, body};
 use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
 use super::budget::holder_policy;
+use super::dial::RelayLists;
 use super::homes::Homes;
+use super::relay;
 use super::state::Gateway;
 use crate::reservation_result::{Grantor, PartialReservation};
 use crate::token_store::TokenStore;
@@ -148,6 +151,31 @@
         self.clients.borrow_mut().retain(|a, _| self.homes.is_known(a));
     }
 
+    /// Returns the gateways that may relay connections to replicas.
+    pub fn relay_lists(&self) -> RelayLists {
+        let near = self.addresses.borrow().iter().copied().collect();
+        RelayLists { near, far: self.homes.remote_in_region() }
+    }
+
+    /// Reports to the gateway at `relay` that a replica requested a backoff from it in a response that it relayed,
+    /// without waiting for its response.
+    pub fn report_backoff(
+        &self,
+        gw: &Gateway,
+        relay: SocketAddr,
+        service: &str,
+        replica: SocketAddr,
+        span: Millis,
+    ) {
+        let request = PeerRequest::BackedOff { service: service.to_owned(), replica, span };
+        let (peer, ask) = (self.client(&gw.credentials, relay), Ask::Share(body::pack(&request)));
+        actix_rt::spawn(async move {
+            if let Err(code) = peer.call(ask, ANNOUNCE_TIMEOUT).await {
+                emit!(Event::LinkFailed, address = relay, why = code);
+            }
+        });
+    }
+
     /// Returns whether the settlements of all loans to this gateway have been delivered or given up.
     pub fn is_settled(&self) -> bool {
         self.unsettled.get() == 0
@@ -342,8 +370,12 @@
             PeerRequest::Settles { replica, data_centre } => {
                 Ok(PeerReply::Settles(gw.limits.reduced_for(gw, &replica, &data_centre)))
             }
-            // Served by [`Peers::serve_hold`], because it may wait.
-            PeerRequest::Hold { .. } => Err(Code::MessageBad),
+            PeerRequest::BackedOff { service, replica, span } => {
+                gw.back_off(&service, replica, span);
+                Ok(PeerReply::Noted)
+            }
+            // Served by [`Peers::serve_hold`], because it may wait, and by [`relay::serve`], on a link of its own.
+            PeerRequest::Hold { .. } | PeerRequest::Connect(_) => Err(Code::MessageBad),
         }
     }
 
@@ -428,10 +460,17 @@
 
 /// Serves the requests of another gateway on one link, until the link ends.
 async fn serve_peer(gw: Rc<Gateway>, stream: TcpStream, from: SocketAddr) {
-    let Link { mut reader, mut writer, .. } = match link::accept(stream, &gw.credentials).await {
+    // Without the options, a peer that fell silent is noticed later.
+    let _ = detect_silence(&stream);
+    let mut link = match link::accept(stream, &gw.credentials).await {
         Ok(link) => link,
         Err(e) => return emit!(Event::LinkRefused, address = from, why = e),
     };
+    let Ok(Frame::Call(mut c)) = link.reader.next().await else { return };
+    if let Ok(PeerRequest::Connect(request)) = peer_request(&c) {
+        return relay::serve(&gw, link, c.id, &request).await;
+    }
+    let Link { mut reader, mut writer, .. } = link;
     let (tx, mut rx) = mpsc::channel(RESPONSE_QUEUE);
     let writing = actix_rt::spawn(async move {
         while let Some(f) = rx.recv().await {
@@ -440,30 +479,48 @@
             }
         }
     });
-    while let Ok(Frame::Call(c)) = reader.next().await {
-        let request = match &c.ask {
-            Ask::Share(bytes) => body::unpack::<PeerRequest>(bytes).map_err(|_| Code::MessageBad),
-            _ => Err(Code::MessageBad),
-        };
-        if let Ok(PeerRequest::Hold { id, account, tokens, within }) = request {
-            // Served in its own task, so that it does not block other requests on this link.
-            let (gw, tx) = (gw.clone(), tx.clone());
-            actix_rt::spawn(async move {
-                let reply = gw.peers.serve_hold(&gw, id, &account, tokens, within).await;
-                // If the link has ended, the borrower settles the loan on another one.
-                let _ = tx.send(response_frame(c.id, Ok(reply))).await;
-            });
-            continue;
-        }
-        let result = request.and_then(|r| gw.peers.serve(&gw, r));
-        if tx.send(response_frame(c.id, result)).await.is_err() {
+    loop {
+        if serve_call(&gw, &c, &tx).await.is_err() {
             break;
         }
+        match reader.next().await {
+            Ok(Frame::Call(next)) => c = next,
+            _ => break,
+        }
     }
     writing.abort();
 }
 
-fn response_frame(id: i64, result: Result<PeerReply, Code>) -> Frame {
+fn peer_request(c: &Call) -> Result<PeerRequest, Code> {
+    match &c.ask {
+        Ask::Share(bytes) => body::unpack(bytes).map_err(|_| Code::MessageBad),
+        _ => Err(Code::MessageBad),
+    }
+}
+
+/// Serves one request on a link. Fails if the link has ended.
+async fn serve_call(
+    gw: &Rc<Gateway>,
+    c: &Call,
+    tx: &mpsc::Sender<Frame>,
+) -> Result<(), mpsc::error::SendError<Frame>> {
+    let request = peer_request(c);
+    if let Ok(PeerRequest::Hold { id, account, tokens, within }) = request {
+        // Served in its own task, so that it does not block other requests on this link.
+        let (gw, tx, call) = (gw.clone(), tx.clone(), c.id);
+        actix_rt::spawn(async move {
+            let reply = gw.peers.serve_hold(&gw, id, &account, tokens, within).await;
+            // If the link has ended, the borrower settles the loan on another one.
+            let _ = tx.send(response_frame(call, Ok(reply))).await;
+        });
+        return Ok(());
+    }
+    let result = request.and_then(|r| gw.peers.serve(gw, r));
+    tx.send(response_frame(c.id, result)).await
+}
+
+/// Returns the message that responds to the call `id`.
+pub fn response_frame(id: i64, result: Result<PeerReply, Code>) -> Frame {
     Frame::Answer(match result {
         Ok(reply) => Return::new(id, 0, Some(body::pack(&reply)), None),
         Err(code) => Return::new(id, i32::from(code.number()), None, None),
--- a/crates/router/src/gateway/stand_in.rs
+++ b/crates/router/src/gateway/stand_in.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use cypressfork_core::fleet::limit::issuers::PROBE_VALIDITY;
-use cypressfork_http::client::{Connection, ProbeResult};
+use cypressfork_http::client::{Connection, OpenError};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use tokio::sync::Notify;
@@ -74,5 +74,5 @@
 
 /// Returns whether no process listens at a gateway's address.
 async fn is_dead(gateway: SocketAddr) -> bool {
-    matches!(Connection::probe(None, gateway).await, ProbeResult::Refused)
+    matches!(Connection::open(gateway).await, Err(OpenError::Refused))
 }
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -22,7 +22,7 @@
 use cypressfork_core::route::retry_schedule::{RetrySchedule, RetrySpacing};
 use cypressfork_core::route::{Blocked, Choice, Pool, RequestProfile};
 use cypressfork_core::unit::{Millis, Time};
-use cypressfork_http::client::Connection;
+use cypressfork_http::client::{OpenError, ProbeResult};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
@@ -33,20 +33,23 @@
 use metrics::{counter, gauge, histogram};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 use super::activity::Activity;
 use super::caller_buffers::CallerBuffers;
+use super::dial::{Dialer, Target};
 use super::documents::Documents;
 use super::limits::ReplicaLimits;
 use super::notices::ReplicaSignals;
 use super::quarantine::QuarantineState;
+use super::relay::RelayedCount;
 use super::rollouts::RolloutTracker;
 use super::settings::Settings;
 use super::share::Peers;
-use super::upstream::ConnectionPool;
+use super::upstream::{ConnectionPool, ReplicaConnection, ReplicaStream};
 use super::witness::{LostConnections, record_replica_event};
 use crate::token_store::TokenStore;
 
@@ -90,8 +93,12 @@
     pub documents: Documents,
     /// Counts of ended requests and of connections to replicas.
     pub activity: Activity,
-    /// Connections to replicas.
+    /// Idle connections to replicas.
     pub connections: ConnectionPool,
+    /// Opens connections to replicas.
+    pub dialer: Dialer,
+    /// Connections that this gateway relays for others.
+    pub relayed: RelayedCount,
     /// Connections to replicas that were lost with a request in flight.
     pub lost_connections: LostConnections,
     /// Quarantined requests, which are sent to no replica.
@@ -143,7 +150,7 @@
         credentials: Credentials,
         group: GroupClient,
     ) -> Gateway {
-        let replica_source = settings.replica_source;
+        let dialer = Dialer::new(clock, credentials.clone(), settings.replica_source);
         let caller_buffers =
             settings.caller_buffer.map(|limit| Rc::new(CallerBuffers::new(clock, limit)));
         Gateway {
@@ -153,7 +160,9 @@
             group,
             documents: Documents::default(),
             activity: Activity::default(),
-            connections: ConnectionPool::new(replica_source),
+            connections: ConnectionPool::default(),
+            dialer,
+            relayed: RelayedCount::default(),
             lost_connections: LostConnections::default(),
             quarantines: QuarantineState::default(),
             limits: ReplicaLimits::default(),
@@ -417,6 +426,7 @@
             None => {
                 pool.remove(now, c.address);
                 self.connections.close_all(c.address);
+                self.dialer.remove(c.address);
             }
         }
     }
@@ -545,13 +555,48 @@
         }
     }
 
+    /// Returns an idle connection to a replica, or opens a new one. Idle ones that may have fallen silent are closed.
+    pub async fn connect(&self, to: &Target<'_>) -> Result<ReplicaConnection, OpenError> {
+        if !self.dialer.may_reuse(to.address) {
+            self.connections.close_all(to.address);
+        } else if let Some(c) = self.connections.take(Instant::now(), to.address) {
+            return Ok(c);
+        }
+        self.open_connection(to).await
+    }
+
+    /// Returns the id and address of a random replica of a service that accepts work, except the one at `address`.
+    pub fn other_replica(
+        &self,
+        service: &str,
+        address: SocketAddr,
+    ) -> Option<(String, SocketAddr)> {
+        let pools = self.pools.borrow();
+        let others = pools
+            .get(service)?
+            .iter()
+            .filter(|r| r.upstream.address != address && !r.is_unavailable(self.now()));
+        let r = others.choose(&mut *self.rng.borrow_mut())?;
+        Some((r.upstream.vm.name.clone(), r.upstream.address))
+    }
+
+    /// Connects to a replica to find out whether it is running.
+    pub async fn probe(&self, to: &Target<'_>) -> ProbeResult<ReplicaStream> {
+        self.dialer.probe(to, || self.peers.relay_lists(), &self.activity).await
+    }
+
+    /// Opens a new connection to a replica even if there are idle ones.
+    pub async fn open_connection(&self, to: &Target<'_>) -> Result<ReplicaConnection, OpenError> {
+        self.dialer.open(to, || self.peers.relay_lists(), &self.activity).await
+    }
+
     /// Returns an idle connection to the connection pool, if the replica is still at its address.
     pub fn keep_connection(
         &self,
         service: &str,
         address: SocketAddr,
         replica: &str,
-        c: Connection,
+        c: ReplicaConnection,
     ) {
         let pools = self.pools.borrow();
         let current = pools.get(service).and_then(|p| p.get(address));
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -3,12 +3,13 @@
 use actix_http::ResponseHead;
 use actix_http::body::BodySize;
 use bytes::Bytes;
-use cypressfork_http::client::{Connection, ExchangeError};
+use cypressfork_http::client::ExchangeError;
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{Attempt, AttemptOutcome, end_to_end_headers};
 use super::client::Client;
 use super::request::ResponseProgress;
+use super::upstream::ReplicaConnection;
 
 /// The result of one read from a replica's stream.
 enum ReadOutcome {
@@ -16,6 +17,8 @@
     End,
     /// The connection ended.
     Lost(String),
+    /// The replica's host stopped responding.
+    Silent(String),
     /// The received bytes are not a valid response.
     Broken(String),
     DeadlinePassed,
@@ -31,7 +34,7 @@
     attempt: &mut Attempt<'_>,
     client: &mut Client,
     progress: &mut ResponseProgress,
-    mut connection: Connection,
+    mut connection: ReplicaConnection,
     head: ResponseHead,
 ) -> AttemptOutcome {
     let cut_off = forward_events(attempt, client, progress, &mut connection, &head).await;
@@ -47,7 +50,7 @@
 }
 
 /// Counts the events that were received and not forwarded.
-async fn count_buffered(progress: &mut ResponseProgress, connection: &mut Connection) {
+async fn count_buffered(progress: &mut ResponseProgress, connection: &mut ReplicaConnection) {
     let (chunks, is_all) = connection.read_buffered(MAX_COUNTED_BYTES).await;
     let before = progress.events.count();
     // Events before an invalid one count too.
@@ -61,7 +64,7 @@
     attempt: &mut Attempt<'_>,
     client: &mut Client,
     progress: &mut ResponseProgress,
-    connection: &mut Connection,
+    connection: &mut ReplicaConnection,
     head: &ResponseHead,
 ) -> Option<AttemptOutcome> {
     let request = attempt.request;
@@ -90,6 +93,7 @@
             }
             ReadOutcome::End => return None,
             ReadOutcome::Lost(why) => return Some(AttemptOutcome::Lost(why)),
+            ReadOutcome::Silent(why) => return Some(AttemptOutcome::Silent(why)),
             ReadOutcome::Broken(why) => return Some(AttemptOutcome::Broken(why)),
             ReadOutcome::DeadlinePassed => return Some(AttemptOutcome::Late),
             ReadOutcome::CallerClosed => return Some(AttemptOutcome::Left),
@@ -123,7 +127,7 @@
     }
 }
 
-async fn read_next(connection: &mut Connection, until: Instant) -> ReadOutcome {
+async fn read_next(connection: &mut ReplicaConnection, until: Instant) -> ReadOutcome {
     match timeout_at(until, connection.read_chunk()).await {
         Ok(Ok(Some(bytes))) => ReadOutcome::Bytes(bytes),
         Ok(Ok(None)) => ReadOutcome::End,
@@ -131,6 +135,7 @@
             ReadOutcome::Broken(why)
         }
         Ok(Err(ExchangeError::Closed(why))) => ReadOutcome::Lost(why),
+        Ok(Err(ExchangeError::Silent(why))) => ReadOutcome::Silent(why),
         Ok(Err(ExchangeError::Stale)) => ReadOutcome::Lost("the connection was closed".to_owned()),
         Err(_) => ReadOutcome::DeadlinePassed,
     }
@@ -173,7 +178,7 @@
 async fn finish_response(
     attempt: &Attempt<'_>,
     client: &mut Client,
-    connection: Connection,
+    connection: ReplicaConnection,
     head: &ResponseHead,
 ) -> AttemptOutcome {
     let gw = &attempt.request.gw;
--- a/crates/router/src/gateway/upstream.rs
+++ b/crates/router/src/gateway/upstream.rs
@@ -1,55 +1,81 @@
-//! Pool of idle connections to replicas.
+//! Connections to replicas and the pool of idle ones.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::io;
+use std::net::SocketAddr;
 
-use cypressfork_http::client::{Connection, OpenError};
+use bytes::BytesMut;
+use cypressfork_http::client::{Connection, Transport};
+use cypressfork_node::tunnel::Tunnel;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::activity::Activity;
-
 /// Maximum number of idle connections kept per replica.
 const MAX_IDLE_PER_REPLICA: usize = 32;
 
-/// Idle connections by replica address.
-pub struct ConnectionPool {
-    /// Local address of new connections.
-    source: Option<IpAddr>,
-    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+/// A connection to a replica.
+pub type ReplicaConnection = Connection<ReplicaStream>;
+
+/// The way of the bytes of a connection to a replica.
+pub enum ReplicaStream {
+    /// A direct connection.
+    Direct(TcpStream),
+    /// A connection that another gateway relays.
+    Relayed {
+        /// The tunnel to that gateway.
+        tunnel: Box<Tunnel>,
+        /// Its address.
+        relay: SocketAddr,
+    },
 }
 
-impl ConnectionPool {
-    /// Returns an empty pool whose connections have the local address `source`.
-    pub fn new(source: Option<IpAddr>) -> ConnectionPool {
-        ConnectionPool { source, idle: RefCell::default() }
+impl ReplicaStream {
+    /// Returns the gateway that relays the connection; none if it is direct.
+    pub fn relay(&self) -> Option<SocketAddr> {
+        match self {
+            ReplicaStream::Direct(_) => None,
+            ReplicaStream::Relayed { relay, .. } => Some(*relay),
+        }
+    }
+}
+
+impl Transport for ReplicaStream {
+    async fn read(&mut self, buf: &mut BytesMut) -> io::Result<usize> {
+        match self {
+            ReplicaStream::Direct(stream) => stream.read(buf).await,
+            ReplicaStream::Relayed { tunnel, .. } => tunnel.read(buf).await,
+        }
     }
 
-    /// Returns an idle connection to a replica, or opens a new one.
-    pub async fn get(
-        &self,
-        now: Instant,
-        address: SocketAddr,
-        activity: &Activity,
-    ) -> Result<Connection, OpenError> {
-        match self.take_idle(now, address) {
-            Some(c) => Ok(c),
-            None => self.open(address, activity).await,
+    async fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self {
+            ReplicaStream::Direct(stream) => Transport::write(stream, bytes).await,
+            ReplicaStream::Relayed { tunnel, .. } => tunnel.write(bytes).await,
         }
     }
 
-    /// Opens a new connection to a replica even if there are idle ones.
-    pub async fn open(
-        &self,
-        address: SocketAddr,
-        activity: &Activity,
-    ) -> Result<Connection, OpenError> {
-        let result = Connection::open_from(self.source, address).await;
-        activity.record_open(&result);
-        result
+    fn sends_partly(&self) -> bool {
+        matches!(self, ReplicaStream::Relayed { .. })
     }
 
-    fn take_idle(&self, now: Instant, address: SocketAddr) -> Option<Connection> {
+    fn is_silent(&self) -> bool {
+        match self {
+            ReplicaStream::Direct(stream) => stream.is_silent(),
+            ReplicaStream::Relayed { tunnel, .. } => tunnel.is_silent(),
+        }
+    }
+}
+
+/// Idle direct connections by replica address.
+#[derive(Default)]
+pub struct ConnectionPool {
+    idle: RefCell<HashMap<SocketAddr, Vec<ReplicaConnection>>>,
+}
+
+impl ConnectionPool {
+    /// Removes and returns an idle connection to a replica.
+    pub fn take(&self, now: Instant, address: SocketAddr) -> Option<ReplicaConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         while let Some(c) = connections.pop() {
@@ -60,10 +86,11 @@
         None
     }
 
-    /// Returns a connection to the pool after a complete response. Drops it if it cannot be reused or
-    /// the pool of the replica is full.
-    pub fn put(&self, now: Instant, address: SocketAddr, mut c: Connection) {
-        if !c.is_reusable() {
+    /// Returns a connection to the pool after a complete response. Drops it if it cannot be reused or the pool of
+    /// the replica is full. Relayed ones are not reused: the relay checks for each whether the replica accepts
+    /// requests from it.
+    pub fn put(&self, now: Instant, address: SocketAddr, mut c: ReplicaConnection) {
+        if !c.is_reusable() || c.transport().relay().is_some() {
             return;
         }
         c.mark_idle(now);
@@ -74,7 +101,7 @@
         }
     }
 
-    /// Closes the idle connections to the address of a replica that no longer exists.
+    /// Closes the idle connections to an address.
     pub fn close_all(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
     }
--- a/crates/router/src/gateway/witness.rs
+++ b/crates/router/src/gateway/witness.rs
@@ -12,13 +12,14 @@
 use cypressfork_core::fleet::connection_loss::{ConnectionLosses, EndEvidence, Loss, ReplicaEvent};
 use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::unit::Millis;
-use cypressfork_http::client::{Connection, ProbeResult};
+use cypressfork_http::client::ProbeResult;
 use cypressfork_node::digest::fingerprint;
 use cypressfork_node::event::Event;
 use cypressfork_node::{emit, metric};
 use metrics::counter;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::dial::Target;
 use super::routed_request::RoutedRequest;
 use super::state::Gateway;
 
@@ -76,14 +77,16 @@
     let mut losses = gw.lost_connections.losses.borrow_mut();
     count_alive(losses.expire(gw.now()));
     if losses.record_loss(gw.now(), address, replica, lost) {
-        actix_rt::spawn(probe(gw.clone(), address, replica.to_owned()));
+        let service = request.service.clone();
+        actix_rt::spawn(probe(gw.clone(), service, address, replica.to_owned()));
     }
 }
 
 /// Probes a replica's address to find out whether the replica has ended.
-async fn probe(gw: Rc<Gateway>, address: SocketAddr, replica: String) {
+async fn probe(gw: Rc<Gateway>, service: String, address: SocketAddr, replica: String) {
     let losses = &gw.lost_connections.losses;
-    let mut result = Connection::probe(gw.settings.replica_source, address).await;
+    let target = Target { service: &service, replica: &replica, address };
+    let mut result = gw.probe(&target).await;
     sleep(GATHER_DELAY).await;
     if gw.connections.has_open(Instant::now(), address) {
         let lost = losses.borrow_mut().confirm_alive(address, &replica);
@@ -106,7 +109,7 @@
         if !losses.borrow().is_open(address, &replica) {
             return;
         }
-        result = Connection::probe(gw.settings.replica_source, address).await;
+        result = gw.probe(&target).await;
     }
     losses.borrow_mut().end_probe(address, &replica);
 }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -316,6 +316,7 @@
                 ExchangeError::NotSent(_)
                 | ExchangeError::Stale
                 | ExchangeError::Closed(_)
+                | ExchangeError::Silent(_)
                 | ExchangeError::Protocol(_),
             ) => {
                 return Outcome::Cut { begun: true, events };
