Check the path when a whole service falls silent

In a silent partition requests are written to open connections that still look sound. Until the system gives up the first of them after 2 s, further requests followed.

A request without a response for 200 ms now checks the path by another connection, unless a replica of the service has sent anything since: slow replicas are not checked while others respond, and one check runs at a time for a service. A check that needs a relay marks the path as lost and casts doubt on the other idle connections.

--- a/crates/core/src/route/path.rs
+++ b/crates/core/src/route/path.rs
@@ -5,7 +5,7 @@
 //! happened to one path casts doubt on the others: a replica from which nothing was received directly since
 //! then gets a new connection, so that no request is sent on one that may have fallen silent.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use crate::unit::{Millis, Time};
@@ -55,6 +55,10 @@
     lost: HashMap<SocketAddr, LostPath>,
     /// When each replica last accepted a direct connection or responded on one.
     reached: HashMap<SocketAddr, Time>,
+    /// When a replica of each service last sent something on a direct connection.
+    heard: HashMap<String, Time>,
+    /// Services of which a replica is being checked.
+    checked: HashSet<String>,
     /// Start of the last direct exchange or connection that failed without a sign of the replica.
     doubt_since: Option<Time>,
 }
@@ -96,9 +100,27 @@
         doubt.is_some_and(|since| self.reached.get(&replica).is_none_or(|at| *at <= since))
     }
 
-    /// Records that a replica responded on a direct connection.
-    pub fn record_response(&mut self, now: Time, replica: SocketAddr) {
+    /// Records that a replica of a service sent something on a direct connection.
+    pub fn record_response(&mut self, now: Time, service: &str, replica: SocketAddr) {
         self.reached.insert(replica, now);
+        match self.heard.get_mut(service) {
+            Some(at) => *at = now,
+            None => {
+                self.heard.insert(service.to_owned(), now);
+            }
+        }
+    }
+
+    /// Returns whether to check the path to a replica of a service that has not responded since `sent`: no other
+    /// one has either, and none is being checked. [`Paths::end_check`] must follow.
+    pub fn begin_check(&mut self, service: &str, sent: Time) -> bool {
+        let is_heard = self.heard.get(service).is_some_and(|at| *at >= sent);
+        !is_heard && self.checked.insert(service.to_owned())
+    }
+
+    /// Ends the check of a path.
+    pub fn end_check(&mut self, service: &str) {
+        self.checked.remove(service);
     }
 
     /// Records that a replica accepted a direct connection. Returns for how long its path had been lost. Other
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -51,7 +51,7 @@
     paths.record_lost(Time(2_000), Time(1_000), address(1));
     assert!(!paths.may_reuse(Time(2_000), address(2)));
     assert!(relay_delay(paths.plan(Time(2_000), address(2))) < Some(Millis(50)));
-    paths.record_response(Time(2_000), address(3));
+    paths.record_response(Time(2_000), "talk", address(3));
     assert!(paths.may_reuse(Time(2_001), address(3)), "it has responded since");
     assert!(!paths.may_reuse(Time(2_001), address(2)));
 }
@@ -62,7 +62,7 @@
     let mut paths = Paths::default();
     paths.record_lost(Time(2_000), Time(1_000), address(1));
     assert!(!paths.may_reuse(Time(2_000), address(1)));
-    paths.record_response(Time(2_100), address(1));
+    paths.record_response(Time(2_100), "talk", address(1));
     assert!(paths.may_reuse(Time(2_101), address(1)));
     assert!(
         paths.is_lost(address(1)),
@@ -84,6 +84,19 @@
     assert_eq!(paths.lost().count(), 2);
 }
 
+/// Guards against a check of each slow replica: while others of the service respond, the network works.
+#[test]
+fn a_slow_replica_is_checked_only_if_the_whole_service_is_silent() {
+    let mut paths = Paths::default();
+    paths.record_response(Time(1_000), "talk", address(1));
+    assert!(!paths.begin_check("talk", Time(900)));
+    assert!(paths.begin_check("talk", Time(1_100)));
+    assert!(!paths.begin_check("talk", Time(1_200)), "one check at a time");
+    assert!(paths.begin_check("board", Time(1_100)), "services are checked separately");
+    paths.end_check("talk");
+    assert!(paths.begin_check("talk", Time(1_200)));
+}
+
 #[test]
 fn doubt_ends_without_further_failures() {
     let mut paths = Paths::default();
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to serve a request: sends it to one replica and forwards the response.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
@@ -10,7 +11,7 @@
 use cypressfork_core::route::{Choice, backoff};
 use cypressfork_core::unit::Millis;
 use cypressfork_http::client::{ExchangeError, OpenError, OutboundRequest};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::client::Client;
 use super::dial::Target;
@@ -29,6 +30,9 @@
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_SKIPPED_RESPONSES: usize = 4;
 
+/// Time without a response after which the path to the replica is checked, unless other replicas respond.
+const CHECK_DELAY: Duration = Duration::from_millis(200);
+
 /// A replica's complete response.
 #[derive(Debug)]
 pub struct Answer {
@@ -312,14 +316,47 @@
         connection.send(OutboundRequest { method, uri, headers, body }).await
     }
 
+    /// Reads the head of the next response. If it takes long, checks the path to the replica meanwhile.
+    async fn read_head(
+        &self,
+        connection: &mut ReplicaConnection,
+    ) -> Result<ResponseHead, ExchangeError> {
+        let is_direct = connection.transport().relay().is_none();
+        let mut reading = pin!(connection.read_head());
+        if let Ok(result) = timeout(CHECK_DELAY, &mut reading).await {
+            return result;
+        }
+        if is_direct {
+            self.check_path();
+        }
+        reading.await
+    }
+
+    /// Checks the direct path to the replica by another connection, if no replica of the service has sent anything
+    /// since the request was sent. Does not wait for the result.
+    fn check_path(&self) {
+        let (gw, service) = (self.request.gw.clone(), self.request.service.clone());
+        if !gw.dialer.begin_check(&service, self.sent.elapsed()) {
+            return;
+        }
+        let (replica, address) = (self.replica.to_owned(), self.choice.address);
+        actix_rt::spawn(async move {
+            let target = Target { service: &service, replica: &replica, address };
+            // Opening a connection records what it shows of the path.
+            let _ = gw.open_connection(&target).await;
+            gw.dialer.end_check(&service);
+        });
+    }
+
     /// Reads the head of the response to this request. Late responses to other requests are skipped.
     async fn read_own_head<D: Dialect>(
         &self,
         mut connection: ReplicaConnection,
     ) -> Result<(ReplicaConnection, ResponseHead), AttemptOutcome> {
         for _ in 0..MAX_SKIPPED_RESPONSES {
-            let head = connection.read_head().await?;
-            self.request.gw.dialer.record_response(self.choice.address, &connection);
+            let head = self.read_head(&mut connection).await?;
+            let (service, address) = (&self.request.service, self.choice.address);
+            self.request.gw.dialer.record_response(service, address, &connection);
             let response = D::parse_response(&head);
             let is_own = response.id == Some(self.request.inbound.id.as_str());
             let signals = &self.request.gw.signals;
--- a/crates/router/src/gateway/dial.rs
+++ b/crates/router/src/gateway/dial.rs
@@ -82,13 +82,25 @@
         self.paths.borrow().lost().map(since).collect()
     }
 
-    /// Records that a replica responded on a connection.
-    pub fn record_response(&self, replica: SocketAddr, c: &ReplicaConnection) {
+    /// Records that a replica of a service sent something on a connection.
+    pub fn record_response(&self, service: &str, replica: SocketAddr, c: &ReplicaConnection) {
         if c.transport().relay().is_none() {
-            self.paths.borrow_mut().record_response(self.clock.now(), replica);
+            self.paths.borrow_mut().record_response(self.clock.now(), service, replica);
         }
     }
 
+    /// Returns whether to check the path to a replica of a service to which a request was sent `ago`.
+    /// [`Dialer::end_check`] must follow.
+    pub fn begin_check(&self, service: &str, ago: Duration) -> bool {
+        let sent = self.clock.now().before(Millis(ago.as_millis() as u64));
+        self.paths.borrow_mut().begin_check(service, sent)
+    }
+
+    /// Ends the check of a path.
+    pub fn end_check(&self, service: &str) {
+        self.paths.borrow_mut().end_check(service);
+    }
+
     /// Records that nothing was received on a direct connection since a request was sent on it `ago`.
     pub fn record_silence(&self, ago: Duration) {
         let since = self.clock.now().before(Millis(ago.as_millis() as u64));
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -79,10 +79,14 @@
             () = client.closed() => ReadOutcome::CallerClosed,
         };
         let complete = match read {
-            ReadOutcome::Bytes(bytes) => match events.feed(&bytes) {
-                Ok(complete) => complete,
-                Err(error) => return Some(AttemptOutcome::Broken(format!("{error:?}"))),
-            },
+            ReadOutcome::Bytes(bytes) => {
+                let (service, address) = (&request.service, attempt.choice.address);
+                request.gw.dialer.record_response(service, address, connection);
+                match events.feed(&bytes) {
+                    Ok(complete) => complete,
+                    Err(error) => return Some(AttemptOutcome::Broken(format!("{error:?}"))),
+                }
+            }
             ReadOutcome::End if !events.is_at_boundary() => {
                 return Some(AttemptOutcome::Broken("it ends inside an event".to_owned()));
             }
