Soak: gateways are partitioned from all replicas, and have to serve their callers

Half of the seeds draw two partitions of some gateways from all replicas (silent, with resets, or for new connections only): one beside the other faults, one after them. From 3 s after its start, gateways in an otherwise undisturbed partition have to answer at least two thirds as often as the others, or fail no more than 10 requests and one in 50. Each gateway has a local address of its own, whose packets the replicas' proxies drop.

A refused connection is now confirmed by other replicas of any service that this gateway itself reaches as well.

--- a/crates/cypressfork/tests/paths.rs
+++ b/crates/cypressfork/tests/paths.rs
@@ -14,6 +14,7 @@
 use cypressfork_core::fleet::relay::{Connect, Connected};
 use cypressfork_core::unit::Millis;
 use cypressfork_node::link::{self, Credentials};
+use cypressfork_soak::plan::OpenConnections;
 use cypressfork_wire::auth::Key;
 use cypressfork_wire::{Ask, Call, Frame, body};
 use support::gateways::{CALLER_HEADERS, HOST, exchange, read_log};
--- a/crates/cypressfork/tests/support/partitioned.rs
+++ b/crates/cypressfork/tests/support/partitioned.rs
@@ -10,6 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use cypressfork_soak::plan::OpenConnections;
+use cypressfork_soak::proxy::drop_from;
 use serde_json::json;
 use socket2::{SockFilter, SockRef};
 
@@ -21,41 +23,6 @@
 /// Number of replicas of the service.
 pub const REPLICAS: usize = 6;
 
-/// Opcodes of classic BPF: load a word at an absolute offset, jump if equal, return a constant.
-const BPF_LD_W_ABS: u16 = 0x20;
-const BPF_JEQ_K: u16 = 0x15;
-const BPF_RET_K: u16 = 0x06;
-
-/// Offset of the source address of a packet: `SKF_NET_OFF` and its place in the IPv4 header.
-const SOURCE_ADDRESS: u32 = (-0x10_0000_i32) as u32 + 12;
-
-/// Lengths to which a filter shortens a packet: it drops or keeps it.
-const DROP: u32 = 0;
-const KEEP: u32 = u32::MAX;
-
-/// Returns a filter that drops the packets from `sources`.
-fn drop_from(sources: &[Ipv4Addr]) -> Vec<SockFilter> {
-    let mut filter = vec![SockFilter::new(BPF_LD_W_ABS, 0, 0, SOURCE_ADDRESS)];
-    for (n, source) in sources.iter().enumerate() {
-        let to_drop = (sources.len() - n) as u8;
-        filter.push(SockFilter::new(BPF_JEQ_K, to_drop, 0, u32::from(*source)));
-    }
-    filter.push(SockFilter::new(BPF_RET_K, 0, 0, KEEP));
-    filter.push(SockFilter::new(BPF_RET_K, 0, 0, DROP));
-    filter
-}
-
-/// What a partition does to connections that are open when it begins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OpenConnections {
-    /// They fall silent.
-    Silent,
-    /// They are reset.
-    Reset,
-    /// They continue to work.
-    Kept,
-}
-
 /// What a replica has seen, and how it responds.
 #[derive(Default)]
 pub struct ReplicaState {
--- a/crates/router/src/gateway/dial.rs
+++ b/crates/router/src/gateway/dial.rs
@@ -170,25 +170,31 @@
     }
 
     /// Connects to a replica to find out whether it is running. A refused connection alone does not show that it has
-    /// ended, because only the path of this gateway may be lost: another gateway has to see the same.
+    /// ended, because only the path of this gateway may be lost: another gateway has to see the same, or
+    /// `is_connected` has to show that this one reaches other replicas.
     pub async fn probe(
         &self,
         to: &Target<'_>,
-        lists: impl FnOnce() -> RelayLists,
+        lists: &RelayLists,
         activity: &Activity,
+        is_connected: impl AsyncFnOnce() -> bool,
     ) -> ProbeResult<ReplicaStream> {
         let begun = self.clock.now();
         let error = match self.open_direct(to, activity).await {
             Ok(c) => return Ok(c).into(),
             Err(error) => error,
         };
-        let lists = lists();
-        if lists.near.is_empty() && lists.far.is_empty() {
-            return Err(error).into();
-        }
-        let relayed = self.open_relayed(to, &lists, activity).await;
-        if let Ok(c) = &relayed {
-            self.record_lost(begun, to, c);
+        let relayed = self.open_relayed(to, lists, activity).await;
+        match &relayed {
+            Ok(c) => self.record_lost(begun, to, c),
+            Err(OpenError::Refused) => {}
+            Err(_) if error == OpenError::Refused => {
+                let is_alone = lists.near.is_empty() && lists.far.is_empty();
+                if is_alone || is_connected().await {
+                    return ProbeResult::Refused;
+                }
+            }
+            Err(_) => {}
         }
         relayed.into()
     }
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -137,10 +137,9 @@
 /// Returns whether this gateway reaches another replica of the service. Otherwise its own paths may be lost, and a
 /// refused connection does not show that the replica has ended.
 async fn reaches_another(gw: &Gateway, refused: &Target<'_>, until: Instant) -> bool {
-    let Some((replica, address)) = gw.other_replica(refused.service, refused.address) else {
-        return false;
-    };
-    let target = Target { service: refused.service, replica: &replica, address };
+    let others = gw.other_replicas(Some(refused.service), refused.address, 1);
+    let Some((service, replica, address)) = others.first() else { return false };
+    let target = Target { service, replica, address: *address };
     matches!(timeout_at(until, gw.dialer.connect(&target)).await, Ok(Ok(_)))
 }
 
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -20,9 +20,9 @@
 use cypressfork_core::fleet::sources::ReplicaSources;
 use cypressfork_core::fleet::watch::FeedCursor;
 use cypressfork_core::route::retry_schedule::{RetrySchedule, RetrySpacing};
-use cypressfork_core::route::{Blocked, Choice, Pool, RequestProfile};
+use cypressfork_core::route::{Blocked, Choice, Pool, Replica, RequestProfile};
 use cypressfork_core::unit::{Millis, Time};
-use cypressfork_http::client::{OpenError, ProbeResult};
+use cypressfork_http::client::OpenError;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
@@ -49,7 +49,7 @@
 use super::rollouts::RolloutTracker;
 use super::settings::Settings;
 use super::share::Peers;
-use super::upstream::{ConnectionPool, ReplicaConnection, ReplicaStream};
+use super::upstream::{ConnectionPool, ReplicaConnection};
 use super::witness::{LostConnections, record_replica_event};
 use crate::token_store::TokenStore;
 
@@ -565,24 +565,23 @@
         self.open_connection(to).await
     }
 
-    /// Returns the id and address of a random replica of a service that accepts work, except the one at `address`.
-    pub fn other_replica(
+    /// Returns the service, id and address of up to `limit` random replicas that accept work, except the one at
+    /// `address`: of this service, or of all if it is `None`.
+    pub fn other_replicas(
         &self,
-        service: &str,
+        service: Option<&str>,
         address: SocketAddr,
-    ) -> Option<(String, SocketAddr)> {
+        limit: usize,
+    ) -> Vec<(String, String, SocketAddr)> {
         let pools = self.pools.borrow();
-        let others = pools
-            .get(service)?
-            .iter()
-            .filter(|r| r.upstream.address != address && !r.is_unavailable(self.now()));
-        let r = others.choose(&mut *self.rng.borrow_mut())?;
-        Some((r.upstream.vm.name.clone(), r.upstream.address))
-    }
-
-    /// Connects to a replica to find out whether it is running.
-    pub async fn probe(&self, to: &Target<'_>) -> ProbeResult<ReplicaStream> {
-        self.dialer.probe(to, || self.peers.relay_lists(), &self.activity).await
+        let pools = pools.iter().filter(|(name, _)| service.is_none_or(|s| s == *name));
+        let all = pools.flat_map(|(name, pool)| pool.iter().map(move |r| (name, r)));
+        let is_other = |r: &Replica| r.upstream.address != address && !r.is_unavailable(self.now());
+        all.filter(|(_, r)| is_other(r))
+            .choose_multiple(&mut *self.rng.borrow_mut(), limit)
+            .into_iter()
+            .map(|(name, r)| (name.clone(), r.upstream.vm.name.clone(), r.upstream.address))
+            .collect()
     }
 
     /// Opens a new connection to a replica even if there are idle ones.
--- a/crates/router/src/gateway/witness.rs
+++ b/crates/router/src/gateway/witness.rs
@@ -22,6 +22,7 @@
 use super::dial::Target;
 use super::routed_request::RoutedRequest;
 use super::state::Gateway;
+use super::upstream::ReplicaStream;
 
 /// Delay until all lost connections of an ended replica have been recorded. They end at the same time, but
 /// their tasks run one after the other.
@@ -86,7 +87,7 @@
 async fn probe(gw: Rc<Gateway>, service: String, address: SocketAddr, replica: String) {
     let losses = &gw.lost_connections.losses;
     let target = Target { service: &service, replica: &replica, address };
-    let mut result = gw.probe(&target).await;
+    let mut result = probe_once(&gw, &target).await;
     sleep(GATHER_DELAY).await;
     if gw.connections.has_open(Instant::now(), address) {
         let lost = losses.borrow_mut().confirm_alive(address, &replica);
@@ -109,11 +110,27 @@
         if !losses.borrow().is_open(address, &replica) {
             return;
         }
-        result = gw.probe(&target).await;
+        result = probe_once(&gw, &target).await;
     }
     losses.borrow_mut().end_probe(address, &replica);
 }
 
+/// Maximum number of other replicas to which this gateway connects to find out whether its network works.
+const MAX_OTHERS: usize = 3;
+
+async fn probe_once(gw: &Gateway, target: &Target<'_>) -> ProbeResult<ReplicaStream> {
+    let is_connected = async || {
+        for (service, replica, address) in gw.other_replicas(None, target.address, MAX_OTHERS) {
+            let other = Target { service: &service, replica: &replica, address };
+            if gw.dialer.connect(&other).await.is_ok() {
+                return true;
+            }
+        }
+        false
+    };
+    gw.dialer.probe(target, &gw.peers.relay_lists(), &gw.activity, is_connected).await
+}
+
 /// Records a change of a replica, which may show that one whose connections were lost has ended.
 pub fn record_replica_event(gw: &Gateway, event: ReplicaEvent<'_>) {
     let ended = gw.lost_connections.losses.borrow_mut().apply(event);
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -4,7 +4,8 @@
 use std::fmt;
 
 use crate::history::{
-    AnnouncedLimit, Arrival, Change, Disruption, History, Kind, Outcome, Request, Timestamp,
+    AnnouncedLimit, Arrival, Change, Disruption, History, Kind, Outcome, ReplicaCutPeriod, Request,
+    Timestamp,
 };
 
 /// The limits within which the promises hold.
@@ -54,6 +55,12 @@
     pub max_leaderless_ms: u64,
     /// Maximum memory of a gateway, in bytes.
     pub max_gateway_memory: u64,
+    /// Time after the start of a partition from the replicas until requests are counted, in milliseconds.
+    pub cut_counts_after_ms: u64,
+    /// Minimum part of the requests that gateways in such a partition answer, relative to the others.
+    pub min_cut_ratio: f64,
+    /// Requests that may fail there whatever the ratio: a number, and a part of all requests.
+    pub max_cut_failures: (usize, f64),
 }
 
 /// A promise that was broken.
@@ -102,6 +109,7 @@
     gateways_recover,
     no_process_exits_unexpectedly,
     gateway_memory_is_bounded,
+    callers_are_served_in_replica_cuts,
 ];
 
 /// Runs all checks and returns the broken promises, earliest first.
@@ -131,6 +139,9 @@
     h.requests.iter().map(|r| (r.id.as_str(), r)).collect()
 }
 
+/// The description of the disruption recorded for a partition of gateways from all replicas.
+pub const REPLICA_CUT: &str = "partition from all replicas";
+
 /// Returns the ids of requests that a replica ran.
 fn executed_ids(h: &History) -> BTreeSet<&str> {
     h.arrivals.iter().filter(|a| a.run).map(|a| a.id.as_str()).collect()
@@ -641,3 +652,42 @@
     let over = h.memory.iter().filter(|(_, bytes)| **bytes > b.max_gateway_memory);
     over.map(violation).collect()
 }
+
+/// Checks that gateways without a path to any replica answer about as many requests as the others.
+fn callers_are_served_in_replica_cuts(h: &History, b: &Bounds) -> Vec<BrokenPromise> {
+    let violation = |cut: &ReplicaCutPeriod| {
+        let from = cut.from + b.cut_counts_after_ms;
+        let starts_undisturbed = from.saturating_sub(b.undisturbed_ms);
+        let others = h.disruptions.iter().filter(|d| d.what != REPLICA_CUT);
+        if others.into_iter().any(|d| d.from <= cut.until && d.until >= starts_undisturbed) {
+            return None;
+        }
+        let is_counted = |r: &&Request| {
+            r.sent >= from && r.ended <= cut.until && !matches!(r.kind, Kind::Poison(_))
+        };
+        let has_left = |r: &&Request| matches!(r.outcome, Outcome::Left { .. });
+        let counted = h.requests.iter().filter(is_counted).filter(|r| !has_left(r));
+        let (inside, outside): (Vec<_>, Vec<_>) =
+            counted.partition(|r| cut.gateways.contains(&r.gateway));
+        let answered = |all: &[&Request]| {
+            all.iter().filter(|r| matches!(r.outcome, Outcome::Answered { .. })).count()
+        };
+        let ratio = |all: &[&Request]| answered(all) as f64 / all.len().max(1) as f64;
+        let failed = inside.len() - answered(&inside);
+        let (number, part) = b.max_cut_failures;
+        let allowed = number as f64 + part * (inside.len() + outside.len()) as f64;
+        let is_short = ratio(&inside) < b.min_cut_ratio * ratio(&outside);
+        (is_short && failed as f64 > allowed).then(|| {
+            let why = format!(
+                "gateways {:?} without paths to replicas answered {} of {} requests, the others {} of {}",
+                cut.gateways,
+                answered(&inside),
+                inside.len(),
+                answered(&outside),
+                outside.len(),
+            );
+            broken_promise("served in a partition", from, why, &[])
+        })
+    };
+    h.replica_cuts.iter().filter_map(violation).collect()
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::fs::{self, File};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::rc::Rc;
@@ -290,8 +290,9 @@
         let caller_buffer =
             caller_buffer_mb.map_or(String::new(), |n| format!("caller_buffer_mb: {n}\n"));
         let settings = format!(
-            "{}{caller_buffer}listen: \"{}\"\nlink: \"{}\"\nlink_advertise: \"{}\"\noperators: \"{}\"\nretry_extra: {RETRY_EXTRA}\nstop_within_s: {STOP_WITHIN_S}\nstop_serve_s: {STOP_SERVE_S}\n",
+            "{}{caller_buffer}replica_source: {}\nlisten: \"{}\"\nlink: \"{}\"\nlink_advertise: \"{}\"\noperators: \"{}\"\nretry_extra: {RETRY_EXTRA}\nstop_within_s: {STOP_WITHIN_S}\nstop_serve_s: {STOP_SERVE_S}\n",
             self.common_settings(&name),
+            gateway_source(self.gateways.len()),
             p.http,
             p.link,
             p.proxy,
@@ -331,6 +332,11 @@
     }
 }
 
+/// Returns the local address of the connections that a gateway opens to replicas.
+pub fn gateway_source(gateway: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 250, 0, 1 + gateway as u8)
+}
+
 /// Returns the addresses of `n` processes at a loopback IP derived from the process id and the seed, so that
 /// concurrent runs use different IPs.
 fn allocate_addresses(seed: u64, n: usize) -> Vec<Addresses> {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -221,6 +221,17 @@
     pub until: Option<Timestamp>,
 }
 
+/// A partition of gateways from all replicas.
+#[derive(Clone, Debug)]
+pub struct ReplicaCutPeriod {
+    /// The indexes of the gateways that were cut off.
+    pub gateways: Vec<usize>,
+    /// When it began.
+    pub from: Timestamp,
+    /// When it ended.
+    pub until: Timestamp,
+}
+
 /// Everything observed in one run.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -252,6 +263,8 @@
     pub backoffs: Vec<Backoff>,
     /// Answers in which replicas announced that they are draining.
     pub announced_drains: Vec<AnnouncedDrain>,
+    /// Partitions of gateways from all replicas.
+    pub replica_cuts: Vec<ReplicaCutPeriod>,
     /// When the last fault ended.
     pub healed: Timestamp,
     /// When each gateway first answered a request after the last fault ended, or `None` if it did not.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -166,6 +166,40 @@
     pub span: u64,
 }
 
+/// What a partition does to the connections that are open when it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenConnections {
+    /// They fall silent.
+    Silent,
+    /// They are reset.
+    Reset,
+    /// They continue to work.
+    Kept,
+}
+
+/// A partition of some gateways from all replicas. New connections get no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplicaCut {
+    /// Index of the first gateway that is cut off.
+    pub first: usize,
+    /// Number of gateways that are cut off, from the first on and modulo their number; all but one at most.
+    pub count: usize,
+    /// What happens to open connections.
+    pub open: OpenConnections,
+    /// Start, in milliseconds; `None`: after all other faults and the recovery from them.
+    pub at: Option<u64>,
+    /// Duration in milliseconds.
+    pub span: u64,
+}
+
+impl ReplicaCut {
+    /// Returns the indexes of the gateways that are cut off, of `gateways` gateways.
+    pub fn gateways(&self, gateways: usize) -> Vec<usize> {
+        let count = self.count.min(gateways - 1);
+        (self.first..self.first + count).map(|n| n % gateways).collect()
+    }
+}
+
 /// The fleet and the faults of one run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -187,6 +221,8 @@
     pub header_drains: Vec<HeaderDrain>,
     /// Callers that read slowly. The gateways of such a run hold answers.
     pub slow_callers: Vec<SlowCallers>,
+    /// Partitions of gateways from all replicas.
+    pub replica_cuts: Vec<ReplicaCut>,
 }
 
 /// Minimum and maximum number of steps in a run.
@@ -234,6 +270,7 @@
             retry_after_periods,
             header_drains,
             slow_callers: draw_slow_callers(seed, millis),
+            replica_cuts: draw_replica_cuts(seed, size.gateways, millis),
         }
     }
 }
@@ -378,6 +415,39 @@
     (0..rng.random_range(1..=MAX_SLOW_CALLERS.0)).map(|_| group(&mut rng)).collect()
 }
 
+/// Percentage of seeds in which gateways are partitioned from all replicas.
+const REPLICA_CUTS_PERCENT: u32 = 50;
+
+/// Minimum and maximum duration of such a partition beside other faults, in milliseconds.
+const REPLICA_CUT_SPAN_MS: (u64, u64) = (1_000, 6_000);
+
+/// Duration of the one after all other faults, in milliseconds. Callers have to be served from
+/// `cut_counts_after_ms` on.
+const FINAL_CUT_SPAN_MS: u64 = 6_000;
+
+/// Draws the partitions of gateways from replicas: one beside other faults, and one after them. A separate generator
+/// leaves the steps of a seed unchanged.
+fn draw_replica_cuts(seed: u64, gateways: usize, millis: u64) -> Vec<ReplicaCut> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x3c79_ac49_2ba7_b653);
+    if rng.random_range(0..100) >= REPLICA_CUTS_PERCENT {
+        return Vec::new();
+    }
+    let mut cut = |at: Option<u64>, span: u64| {
+        let open = match rng.random_range(0..3) {
+            0 => OpenConnections::Silent,
+            1 => OpenConnections::Reset,
+            _ => OpenConnections::Kept,
+        };
+        let (first, count) = (rng.random_range(0..gateways), rng.random_range(1..gateways));
+        ReplicaCut { first, count, open, at, span }
+    };
+    let last = cut(None, FINAL_CUT_SPAN_MS);
+    let (min, max) = REPLICA_CUT_SPAN_MS;
+    let span = min + (max - min) * (seed % 8) / 7;
+    let at = seed % 5 * millis.saturating_sub(span) / 5;
+    vec![cut(Some(at), span.min(millis)), last]
+}
+
 /// Percentage of plans in which a group of more than three members loses two seed processes.
 const SEEDS_AWAY_PERCENT: u32 = 40;
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -5,12 +5,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr};
+use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
 use std::time::Duration;
 
 use cypressfork_wire::frame::{self, LENGTH_PREFIX_LEN, MAX_HANDSHAKE_FRAME};
 use cypressfork_wire::{Frame, decode};
+use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +20,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
+use crate::plan::OpenConnections;
+
 /// Buffer size for forwarding, in bytes.
 const BUFFER_SIZE: usize = 16 * 1024;
 
@@ -176,47 +180,128 @@
     }
 }
 
-/// A proxy in front of one simulated replica that can reset its connections and simulate its crash.
+/// A connection through a [`ReplicaProxy`].
+struct Forwarded {
+    task: AbortHandle,
+    /// The gateway's end of the connection.
+    from: SocketAddr,
+    /// Another handle of the gateway's socket, for its filter.
+    socket: OwnedFd,
+}
+
+/// A proxy in front of one simulated replica that can reset its connections, simulate its crash, and cut gateways
+/// off.
 pub struct ReplicaProxy {
     /// Address of the proxy.
     pub address: SocketAddr,
     accept_task: AbortHandle,
-    connections: Rc<RefCell<Vec<AbortHandle>>>,
+    listener: OwnedFd,
+    connections: Rc<RefCell<Vec<Forwarded>>>,
 }
 
 impl ReplicaProxy {
-    /// Listens on a free port and forwards connections to `to`.
+    /// Listens on a free port and forwards connections to `to`. Drops the packets from `cut_off`.
     ///
     /// # Errors
     /// Fails if no port can be bound.
-    pub async fn start(to: SocketAddr) -> io::Result<ReplicaProxy> {
+    pub async fn start(to: SocketAddr, cut_off: &[Ipv4Addr]) -> io::Result<ReplicaProxy> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let connections: Rc<RefCell<Vec<AbortHandle>>> = Rc::default();
+        let socket = listener.as_fd().try_clone_to_owned()?;
+        let connections: Rc<RefCell<Vec<Forwarded>>> = Rc::default();
         let all = connections.clone();
         let accept_task = actix_rt::spawn(async move {
-            while let Ok((mut client, _)) = listener.accept().await {
+            while let Ok((mut client, from)) = listener.accept().await {
+                let Ok(socket) = client.as_fd().try_clone_to_owned() else { continue };
+                let open = all.clone();
                 let connection = actix_rt::spawn(async move {
-                    let Ok(mut server) = TcpStream::connect(to).await else { return };
-                    // The processes under test handle broken connections.
-                    let _ = tokio::io::copy_bidirectional(&mut client, &mut server).await;
+                    if let Ok(mut server) = TcpStream::connect(to).await {
+                        // The processes under test handle broken connections.
+                        let _ = tokio::io::copy_bidirectional(&mut client, &mut server).await;
+                    }
+                    // The socket is closed with its last handle.
+                    open.borrow_mut().retain(|c: &Forwarded| c.from != from);
                 });
-                let mut all = all.borrow_mut();
-                all.retain(|c: &AbortHandle| !c.is_finished());
-                all.push(connection.abort_handle());
+                let task = connection.abort_handle();
+                all.borrow_mut().push(Forwarded { task, from, socket });
             }
         });
-        Ok(ReplicaProxy { address, accept_task: accept_task.abort_handle(), connections })
+        let accept_task = accept_task.abort_handle();
+        let proxy = ReplicaProxy { address, accept_task, listener: socket, connections };
+        proxy.cut(cut_off, OpenConnections::Kept)?;
+        Ok(proxy)
+    }
+
+    /// Drops the packets of new connections from `cut_off`, and no others. Open connections from there are treated
+    /// as `open` says.
+    ///
+    /// # Errors
+    /// Fails if the system does not filter packets.
+    pub fn cut(&self, cut_off: &[Ipv4Addr], open: OpenConnections) -> io::Result<()> {
+        let filter = drop_from(cut_off);
+        SockRef::from(&self.listener).attach_filter(&filter)?;
+        let is_cut =
+            |c: &Forwarded| matches!(c.from.ip(), IpAddr::V4(from) if cut_off.contains(&from));
+        let mut all = self.connections.borrow_mut();
+        match open {
+            OpenConnections::Kept => {}
+            OpenConnections::Silent => {
+                for c in all.iter().filter(|c| is_cut(c)) {
+                    SockRef::from(&c.socket).attach_filter(&filter)?;
+                }
+            }
+            OpenConnections::Reset => {
+                for c in all.extract_if(.., |c| is_cut(c)) {
+                    SockRef::from(&c.socket).set_linger(Some(Duration::ZERO))?;
+                    c.task.abort();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets all packets through again.
+    pub fn heal(&self) {
+        let all = self.connections.borrow();
+        let sockets = all.iter().map(|c| &c.socket).chain([&self.listener]);
+        // Fails for sockets without a filter.
+        sockets.for_each(|s| drop(SockRef::from(s).detach_filter()));
     }
 
     /// Closes all open connections.
     pub fn reset(&self) {
-        self.connections.borrow_mut().drain(..).for_each(|c| c.abort());
+        self.connections.borrow_mut().drain(..).for_each(|c| c.task.abort());
     }
 
     /// Stops listening and closes all open connections.
     pub fn close(&self) {
         self.accept_task.abort();
+        // The other handle of the listening socket would keep its port open.
+        drop(SockRef::from(&self.listener).shutdown(Shutdown::Both));
         self.reset();
     }
 }
+
+/// Opcodes of classic BPF: load a word at an absolute offset, jump if equal, return a constant.
+const BPF_LD_W_ABS: u16 = 0x20;
+const BPF_JEQ_K: u16 = 0x15;
+const BPF_RET_K: u16 = 0x06;
+
+/// Offset of the source address of a packet: `SKF_NET_OFF` and its place in the IPv4 header.
+const SOURCE_ADDRESS: u32 = (-0x10_0000_i32) as u32 + 12;
+
+/// Lengths to which a filter shortens a packet: it drops or keeps it.
+const DROP: u32 = 0;
+const KEEP: u32 = u32::MAX;
+
+/// Returns a socket filter that drops the packets from `sources`, at most 255.
+pub fn drop_from(sources: &[Ipv4Addr]) -> Vec<SockFilter> {
+    let mut filter = vec![SockFilter::new(BPF_LD_W_ABS, 0, 0, SOURCE_ADDRESS)];
+    for (n, source) in sources.iter().enumerate() {
+        let to_drop = (sources.len() - n) as u8;
+        filter.push(SockFilter::new(BPF_JEQ_K, to_drop, 0, u32::from(*source)));
+    }
+    filter.push(SockFilter::new(BPF_RET_K, 0, 0, KEEP));
+    filter.push(SockFilter::new(BPF_RET_K, 0, 0, DROP));
+    filter
+}
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 
 use crate::history::{AckedDrain, AnnouncedDrain, AnnouncedLimit, Arrival, Backoff, PoisonCrash};
 use crate::http::call;
-use crate::plan::RetryAfterPeriod;
+use crate::plan::{OpenConnections, RetryAfterPeriod};
 use crate::proxy::ReplicaProxy;
 use crate::world::World;
 
@@ -106,6 +107,19 @@
 }
 
 impl Replica {
+    /// Drops the packets of gateways, see [`ReplicaProxy::cut`].
+    ///
+    /// # Errors
+    /// Fails if the system does not filter packets.
+    pub fn cut(&self, cut_off: &[Ipv4Addr], open: OpenConnections) -> io::Result<()> {
+        self.proxy.cut(cut_off, open)
+    }
+
+    /// Lets all packets through again.
+    pub fn heal(&self) {
+        self.proxy.heal();
+    }
+
     /// Starts a replica of `service`, which sends heartbeats and serves requests until it crashes.
     ///
     /// # Errors
@@ -117,7 +131,7 @@
     ) -> io::Result<Rc<Replica>> {
         w.end_announcements(&id);
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let proxy = ReplicaProxy::start(listener.local_addr()?).await?;
+        let proxy = ReplicaProxy::start(listener.local_addr()?, &w.cut_off.borrow()).await?;
         let replica = Rc::new(Replica {
             id,
             service,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,13 +17,13 @@
 use crate::caller::{
     CALLER_TIMEOUT, run_caller, run_prober, run_slow_callers, send_poison, send_recorded,
 };
-use crate::check::{Bounds, BrokenPromise, POISONED, check, stop_description};
+use crate::check::{Bounds, BrokenPromise, POISONED, REPLICA_CUT, check, stop_description};
 use crate::document::ACCOUNTS;
 use crate::error::{Error, io};
-use crate::fleet::{Fleet, Process, Programs, RETRY_EXTRA, STOP_WITHIN_S};
-use crate::history::{Disruption, History, Kind, Outcome, Stop, Timestamp};
+use crate::fleet::{Fleet, Process, Programs, RETRY_EXTRA, STOP_WITHIN_S, gateway_source};
+use crate::history::{Disruption, History, Kind, Outcome, ReplicaCutPeriod, Stop, Timestamp};
 use crate::operator::{publish, read_version, read_version_forever, send_document, watch_gateway};
-use crate::plan::{Fault, HeaderDrain, Plan, RateLimit, RetryAfterPeriod, Step};
+use crate::plan::{Fault, HeaderDrain, Plan, RateLimit, ReplicaCut, RetryAfterPeriod, Step};
 use crate::proxy::{Cut, Side};
 use crate::replica::Replica;
 use crate::world::World;
@@ -126,6 +126,9 @@
         max_backoff_requests: 2,
         max_leaderless_ms: 2 * ELECTION_TIMEOUT_MS,
         max_gateway_memory: MAX_GATEWAY_MEMORY,
+        cut_counts_after_ms: 3_000,
+        min_cut_ratio: 2.0 / 3.0,
+        max_cut_failures: (10, 0.02),
     }
 }
 
@@ -162,6 +165,7 @@
     run.spawn_tasks(&plan);
     run.run_steps(&plan).await;
     run.wait_for_recovery().await;
+    run.run_final_cuts(&plan).await;
     run.send_final_poisons(&plan).await;
     run.finish().await;
     let history = run.w.history.borrow();
@@ -295,6 +299,14 @@
                 run.drain_by_header(d).await;
             });
         }
+        for cut in plan.replica_cuts.iter().copied() {
+            let Some(at) = cut.at else { continue };
+            let run = self.clone();
+            self.spawn(async move {
+                sleep(Duration::from_millis(at)).await;
+                run.cut_from_replicas(cut).await;
+            });
+        }
         for s in plan.slow_callers.iter().copied() {
             let w = self.w.clone();
             self.spawn(async move {
@@ -377,14 +389,48 @@
         }
     }
 
+    /// Partitions gateways from all replicas, also from those that start meanwhile.
+    async fn cut_from_replicas(&self, cut: ReplicaCut) {
+        self.record_disruption(REPLICA_CUT.to_owned(), cut.span + START_DISRUPTION_MS);
+        let gateways = cut.gateways(self.fleet.gateways.len());
+        let sources: Vec<_> = gateways.iter().map(|n| gateway_source(*n)).collect();
+        let replicas = || {
+            let talk = self.talk.borrow().running.clone();
+            talk.into_iter().chain(self.board.borrow().running.clone())
+        };
+        self.w.cut_off.borrow_mut().clone_from(&sources);
+        for r in replicas() {
+            r.cut(&sources, cut.open).expect("packets can be filtered");
+        }
+        let from = self.w.now();
+        sleep(Duration::from_millis(cut.span)).await;
+        self.w.cut_off.borrow_mut().clear();
+        replicas().for_each(|r| r.heal());
+        let until = self.w.now();
+        self.w.history.borrow_mut().replica_cuts.push(ReplicaCutPeriod { gateways, from, until });
+    }
+
+    /// Runs the partitions that come after all other faults, once the fleet has been undisturbed.
+    async fn run_final_cuts(&self, plan: &Plan) {
+        for cut in plan.replica_cuts.iter().filter(|c| c.at.is_none()) {
+            self.wait_until_undisturbed().await;
+            self.cut_from_replicas(*cut).await;
+        }
+    }
+
+    /// Waits until the fleet has been undisturbed for `undisturbed_ms`.
+    async fn wait_until_undisturbed(&self) {
+        let last = self.w.history.borrow().disruptions.iter().map(|d| d.until).max();
+        let undisturbed_from = last.unwrap_or_default() + bounds().undisturbed_ms;
+        sleep(Duration::from_millis(undisturbed_from.saturating_sub(self.w.now()))).await;
+    }
+
     /// Sends the poison requests again once the fleet has been undisturbed for `undisturbed_ms`.
     async fn send_final_poisons(&self, plan: &Plan) {
         if plan.poisons.is_empty() {
             return;
         }
-        let last = self.w.history.borrow().disruptions.iter().map(|d| d.until).max();
-        let undisturbed_from = last.unwrap_or_default() + bounds().undisturbed_ms;
-        sleep(Duration::from_millis(undisturbed_from.saturating_sub(self.w.now()))).await;
+        self.wait_until_undisturbed().await;
         let all =
             plan.poisons.iter().map(|p| send_poison(self.w.clone(), p.number, FINAL_POISON_SPAN));
         futures_util::future::join_all(all).await;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,7 +1,7 @@
 //! State that all tasks of one run share.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use cypressfork_node::time::unix_time;
 use rand::rngs::SmallRng;
@@ -29,6 +29,8 @@
     pub acked: Cell<u64>,
     /// The highest document version that was sent.
     pub sent: Cell<u64>,
+    /// Local addresses of the gateways that are partitioned from all replicas.
+    pub cut_off: RefCell<Vec<Ipv4Addr>>,
     /// Ids of replicas that have crashed and are to be restarted.
     pub crashed: RefCell<Vec<String>>,
     /// Start time of the last replica, in milliseconds since the Unix epoch.
@@ -55,6 +57,7 @@
             stop_callers: Cell::new(false),
             acked: Cell::new(0),
             sent: Cell::new(0),
+            cut_off: RefCell::default(),
             crashed: RefCell::default(),
             born: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
