--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -131,7 +131,8 @@
     ) -> io::Result<Rc<Replica>> {
         w.end_announcements(&id);
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let proxy = ReplicaProxy::start(listener.local_addr()?, &w.cut_off.borrow()).await?;
+        let cut_off = w.cut_off.borrow().clone();
+        let proxy = ReplicaProxy::start(listener.local_addr()?, &cut_off).await?;
         let replica = Rc::new(Replica {
             id,
             service,
