--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -2,10 +2,10 @@
 
 #![allow(missing_docs)]
 
-use cypressfork_soak::check::{BrokenPromise, check, stop_description};
+use cypressfork_soak::check::{BrokenPromise, REPLICA_CUT, check, stop_description};
 use cypressfork_soak::history::{
     AckedDrain, AnnouncedDrain, AnnouncedLimit, Arrival, Backoff, Change, Disruption, FailedRead,
-    History, Kind, Outcome, PoisonCrash, Read, Request, Stop, VersionReport,
+    History, Kind, Outcome, PoisonCrash, Read, ReplicaCutPeriod, Request, Stop, VersionReport,
 };
 use cypressfork_soak::plan::{Fault, Plan};
 use cypressfork_soak::run::bounds;
@@ -322,3 +322,30 @@
         .collect();
     assert_eq!(broken_promises(&h), promises);
 }
+
+/// Cases: how many of 30 requests a gateway without paths to replicas refuses, from when on, whether another fault
+/// disturbs the fleet, and the promises that this breaks.
+#[rstest]
+#[case::most(20, 24_000, None, &["served in a partition"])]
+#[case::no_more_than_ten(10, 24_000, None, &[])]
+#[case::early(20, 20_500, None, &[])]
+#[case::beside_another_fault(20, 24_000, Some("KillControls"), &[])]
+#[case::beside_its_own_disruption(20, 24_000, Some(REPLICA_CUT), &["served in a partition"])]
+fn a_gateway_that_serves_nobody_in_a_partition_is_found(
+    #[case] refused: usize,
+    #[case] sent: u64,
+    #[case] fault: Option<&str>,
+    #[case] promises: &[&str],
+) {
+    let mut h = correct_history();
+    h.replica_cuts.push(ReplicaCutPeriod { gateways: vec![1], from: 20_000, until: 26_000 });
+    let disruption = |what: &str| Disruption { what: what.into(), from: 20_000, until: 22_000 };
+    h.disruptions.extend(fault.map(disruption));
+    for n in 0..60 {
+        let outcome = if n < refused { Outcome::Refused(503) } else { answered(&[]) };
+        let mut r = request(&format!("cut-{n}"), Kind::Safe, outcome);
+        (r.gateway, r.sent, r.ended) = (usize::from(n < 30), sent, sent + 10);
+        h.requests.push(r);
+    }
+    assert_eq!(broken_promises(&h), promises);
+}
