--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -277,16 +277,14 @@
     /// Records what the outcome shows of the way to the replica.
     fn record_path(&self, outcome: &AttemptOutcome) {
         let gw = &self.request.gw;
-        let is_silent = match outcome {
-            AttemptOutcome::Silent(_) => true,
-            AttemptOutcome::Late => self.time_to_first.is_none(),
-            AttemptOutcome::Lost(_) => false,
-            _ => return,
-        };
-        match self.relay {
-            Some(relay) => gw.dialer.record_relay_failed(&self.request.service, relay),
-            None if is_silent => gw.dialer.record_silence(self.sent.elapsed()),
-            None => {}
+        let is_late = matches!(outcome, AttemptOutcome::Late) && self.time_to_first.is_none();
+        match (self.relay, outcome) {
+            (Some(relay), AttemptOutcome::Lost(_) | AttemptOutcome::Silent(_)) => {
+                gw.dialer.record_relay_failed(&self.request.service, relay);
+            }
+            (None, AttemptOutcome::Silent(_)) => gw.dialer.record_silence(self.sent.elapsed()),
+            (None, _) if is_late => gw.dialer.record_silence(self.sent.elapsed()),
+            _ => {}
         }
     }
 
