Control: time by kind of work, and the path of a document to force

What could not be told: where a change's time goes at 300 machines, and whether a control process is short of processor time at what. Every unit of work of the event loop is timed by kind (333 every 10 s, and the late ticks of 331), a document's steps are logged with their times (314 sent and acknowledged, 334 applied at each control process, 335 in force at all gateways in touch), and gateways tell which version they have in force, so that the slowest is known (cypressfork_routers_behind, cypressfork_document_in_force_seconds).

Gateways' watches are one field longer: control processes go first in an upgrade.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -15,7 +15,7 @@
 use futures_util::StreamExt;
 use metrics::counter;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::dialect::{Call, CallAnswer, Dialect, Incoming};
 
@@ -114,9 +114,11 @@
     let services = document.services.iter().map(|s| s.name.clone()).collect();
     let version = document.version;
     let command = Command::Publish { version, source, budgets, services };
+    let received = Instant::now();
     match api.group.command(&command, PUBLISH_TIMEOUT).await {
         Ok(Committed::Published(current)) => {
-            emit!(Event::DocumentPublished, version = version, held = current);
+            let ms = received.elapsed().as_millis();
+            emit!(Event::DocumentPublished, version = version, held = current, ms = ms);
             CallAnswer::Published(current)
         }
         Ok(_) => CallAnswer::Refused(Code::MessageBad, "the group gave another answer".to_owned()),
--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -21,7 +21,7 @@
 use cypressfork_node::event::Event;
 use cypressfork_node::{emit, metric};
 use cypressfork_wire::compression;
-use metrics::gauge;
+use metrics::{gauge, histogram};
 
 use crate::feed_cache::{Changes, FeedCache};
 
@@ -52,6 +52,9 @@
 /// Interval at which rate limits of replicas that are gone are removed.
 const LIMIT_EXPIRY_INTERVAL: Millis = Millis::seconds(1);
 
+/// Interval between checks whether a document is in force at all routers.
+const PROGRESS_INTERVAL: Millis = Millis(100);
+
 /// Maximum number of routers listed to a router as lenders of tokens.
 const MAX_PEERS: usize = 32;
 
@@ -94,6 +97,7 @@
     pub limits: RateLimits,
     next_limit_expiry: Time,
     directory: RouterDirectory,
+    document: DocumentProgress,
     /// Time of the next check of the pending watches.
     next_poll: Time,
     boot: u64,
@@ -104,6 +108,45 @@
     quarantine_list: Option<QuarantineList>,
 }
 
+/// How far the newest document has come into force at the routers.
+#[derive(Default)]
+struct DocumentProgress {
+    version: Version,
+    /// When this process applied it.
+    applied_at: Time,
+    /// Whether it is in force at all routers with a recent heartbeat.
+    complete: bool,
+    next_check: Time,
+}
+
+impl DocumentProgress {
+    /// Records that a router reports the document in force there, and which one it reported before.
+    fn record_router(&self, now: Time, before: Version, version: Version) {
+        if before < self.version && version >= self.version && before > 0 {
+            let lag = now.since(self.applied_at);
+            histogram!(metric::DOCUMENT_LAG).record(lag.0 as f64 / 1_000.0);
+        }
+    }
+
+    /// Updates the newest version and, if a check is due, the number of routers without it.
+    fn update(&mut self, now: Time, version: Version, routers: &RouterHeartbeats) {
+        if version > self.version {
+            *self = DocumentProgress { version, applied_at: now, ..DocumentProgress::default() };
+        }
+        if self.complete || now < self.next_check {
+            return;
+        }
+        self.next_check = now.after(PROGRESS_INTERVAL);
+        let (behind, all) = (routers.count_behind(now, version), routers.count(now));
+        gauge!(metric::ROUTERS_BEHIND).set(behind as f64);
+        if behind == 0 && all > 0 {
+            self.complete = true;
+            let ms = now.since(self.applied_at).0;
+            emit!(Event::DocumentInForce, version = version, routers = all, ms = ms);
+        }
+    }
+}
+
 /// A watch that has not been answered yet.
 struct PendingWatch<T> {
     watch: Watch,
@@ -162,6 +205,7 @@
             limits: RateLimits::default(),
             next_limit_expiry: Time(0),
             directory: RouterDirectory::default(),
+            document: DocumentProgress::default(),
             next_poll: Time(0),
             boot,
             heartbeat_interval,
@@ -177,7 +221,8 @@
     pub fn watch(&mut self, now: Time, mut watch: Watch, to: T) {
         let reports = std::mem::take(&mut watch.reports);
         if let Some(r) = &watch.router {
-            self.routers.record(now, r);
+            let before = self.routers.record(now, r).map_or(0, |old| old.version);
+            self.document.record_router(now, before, r.version);
             reports.into_iter().for_each(|report| self.reports.record(now, &r.vm, report));
         }
         let limit_reports = std::mem::take(&mut watch.heard);
@@ -273,6 +318,7 @@
             self.packed_documents.insert(state.version, compression::compress_text(state.source));
         }
         self.directory.refresh(now, state.registered.iter(), &self.routers);
+        self.document.update(now, state.version, &self.routers);
         due.into_iter()
             .map(|w| (self.response(now, &w, state), w.to))
             .map(|(response, to)| (to, response))
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -351,32 +351,45 @@
         while self.applied < up_to {
             let Some(e) = self.raft.log().get(self.applied + 1).cloned() else { break };
             self.applied = e.index;
-            let answer = self.apply(&e);
+            let answer = self.apply(at, &e);
             self.answer_proposal(at, e.index, e.term, answer);
         }
         self.answer_reads(at);
         self.answer_watches(at);
     }
 
-    fn apply(&mut self, e: &Entry) -> Answer {
+    fn apply(&mut self, at: ClockReading, e: &Entry) -> Answer {
         match &e.payload {
             Payload::Noop => Answer::Done,
             Payload::Members(m) => {
                 emit!(Event::MembersChanged, voters = m.voters.len(), learners = m.learners.len());
                 Answer::Done
             }
-            Payload::Command(bytes) => self.apply_command(e, bytes),
+            Payload::Command(bytes) => self.apply_command(at, e, bytes),
         }
     }
 
-    fn apply_command(&mut self, e: &Entry, bytes: &[u8]) -> Answer {
+    fn apply_command(&mut self, at: ClockReading, e: &Entry, bytes: &[u8]) -> Answer {
         let stamped = bytes.split_first_chunk::<STAMP_BYTES>();
         let Some((stamp, command)) = stamped else { return Answer::Refused(Code::MessageBad) };
         let Ok(c) = body::unpack::<Command>(command) else {
             return Answer::Refused(Code::MessageBad);
         };
         let pos = LeaseId { term: e.term, index: e.index };
-        let answer = self.state.apply(Time(u64::from_be_bytes(*stamp)), pos, &c);
+        let proposed = Time(u64::from_be_bytes(*stamp));
+        let held = self.state.published().0;
+        let answer = self.state.apply(proposed, pos, &c);
+        if let Command::Publish { version, source, .. } = &c
+            && *version > held
+        {
+            let after_ms = at.wall.since(proposed).0;
+            emit!(
+                Event::DocumentStored,
+                version = version,
+                bytes = source.len(),
+                after_ms = after_ms
+            );
+        }
         if let Answer::Applied(Ok(version)) = &answer {
             emit!(Event::ConfigApplied, version = version);
         }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -29,7 +29,7 @@
 use metrics::{counter, gauge};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::api::LocalCall;
 use crate::disk::{Disk, disk_failure};
@@ -39,7 +39,7 @@
 use crate::machine::{ClockReading, GroupMember, Output};
 use crate::reserve::Reserve;
 use crate::server::fleet::next_call;
-use crate::turns::{InputKind, LoopStats};
+use crate::turns::{LoopStats, Work};
 
 /// Minimum and maximum of the tick interval, which is otherwise a fifth of the heartbeat interval.
 const TICK_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(20));
@@ -78,12 +78,12 @@
 }
 
 impl Input {
-    fn kind(&self) -> InputKind {
+    fn work(&self) -> Work {
         match self {
-            Input::Raft(..) => InputKind::Raft,
-            Input::Call(Ask::Watch(_), _) => InputKind::Watch,
-            Input::PeerUpdate(..) => InputKind::PeerUpdate,
-            Input::Call(..) | Input::ReserveAnswered(..) => InputKind::Call,
+            Input::Raft(..) => Work::Raft,
+            Input::Call(Ask::Watch(_), _) => Work::Watch,
+            Input::PeerUpdate(..) => Work::PeerUpdate,
+            Input::Call(..) | Input::ReserveAnswered(..) => Work::Call,
         }
     }
 }
@@ -197,32 +197,32 @@
         let stop = stop_signal();
         tokio::pin!(stop);
         loop {
-            let started;
             tokio::select! {
                 () = &mut stop => break,
                 Some(input) = rx.recv() => {
-                    started = Instant::now();
+                    self.loop_stats.start_iteration();
                     self.handle_batch(input, &mut rx);
                 }
                 Some(local) = next_call(&mut self.fleet) => {
-                    let started = Instant::now();
+                    self.loop_stats.start_iteration();
                     self.handle_http_calls(local);
-                    self.loop_stats.record_iteration(started);
+                    self.loop_stats.end_iteration();
                     // Calls leave the replicated log unchanged; watch responses wait for a tick.
                     continue;
                 }
                 _ = ticks.tick() => {
-                    started = Instant::now();
                     self.loop_stats.record_tick();
+                    self.loop_stats.start_iteration();
                     self.retry_disk()?;
                     self.member.tick(self.read_clocks());
                     self.update_metrics();
                     self.send_reserve_commands(&tx);
                     self.tick_fleet(&tx);
+                    self.loop_stats.record_work(Work::Tick);
                 }
             }
             self.finish()?;
-            self.loop_stats.record_iteration(started);
+            self.loop_stats.end_iteration();
         }
         emit!(Event::Stopping);
         self.member.transfer_leadership();
@@ -247,7 +247,7 @@
 
     fn handle(&mut self, input: Input) {
         let at = self.read_clocks();
-        self.loop_stats.record_input(input.kind());
+        let work = input.work();
         match input {
             Input::Call(Ask::Reserve(bytes), to) => match &mut self.reserve {
                 Some(r) => r.handle_request(at.wall, &bytes, to),
@@ -295,6 +295,7 @@
                 self.member.step(at, m);
             }
         }
+        self.loop_stats.record_work(work);
     }
 
     /// Returns whether a query is for limits, which this process answers from its own state because
@@ -349,8 +350,11 @@
     fn finish(&mut self) -> Result<(), Failure> {
         self.finish_reserve();
         self.answer_watches();
+        self.loop_stats.record_work(Work::Answer);
         let at = self.read_clocks();
-        for out in self.member.finish(at) {
+        let outputs = self.member.finish(at);
+        self.loop_stats.record_work(Work::Log);
+        for out in outputs {
             match out {
                 Output::Reply(to, result) => self.reply(to, result),
                 Output::Send(m) => self.send(m),
@@ -362,6 +366,7 @@
                 Output::Stop(code, why) => return Err((code, why)),
             }
         }
+        self.loop_stats.record_work(Work::Answer);
         Ok(())
     }
 
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -26,7 +26,7 @@
 use crate::dialect::{Call, CallAnswer};
 use crate::fleet_view::WatchedState;
 use crate::machine::ClockReading;
-use crate::turns::InputKind;
+use crate::turns::Work;
 
 /// Interval between checks for control processes that are not watched yet.
 const WATCH_INTERVAL: Millis = Millis(100);
@@ -67,17 +67,18 @@
     /// Answers an HTTP call and those queued behind it.
     pub(super) fn handle_http_calls(&mut self, first: LocalCall) {
         self.handle_http_call(first);
+        self.loop_stats.record_work(Work::Http);
         for _ in 1..MAX_BATCH {
             let Some(local) = self.fleet.as_mut().and_then(|f| f.calls.try_recv().ok()) else {
                 break;
             };
             self.handle_http_call(local);
+            self.loop_stats.record_work(Work::Http);
         }
     }
 
     /// Answers an HTTP call from this process's own state.
     pub(super) fn handle_http_call(&mut self, local: LocalCall) {
-        self.loop_stats.record_input(InputKind::Http);
         let now = self.read_clocks().now;
         let has_leader = self.member.raft().leader().is_some();
         let Some(f) = &mut self.fleet else { return };
--- a/crates/control/tests/leaves.rs
+++ b/crates/control/tests/leaves.rs
@@ -43,6 +43,7 @@
         link: String::new(),
         open: true,
         busy: false,
+        version: 0,
     };
     Watch {
         router: Some(router),
--- a/crates/core/src/fleet/router_heartbeats.rs
+++ b/crates/core/src/fleet/router_heartbeats.rs
@@ -5,7 +5,7 @@
 use super::load_shedding::{LoadShedding, RouterLoad};
 use super::regions::Regions;
 use super::watch::RouterStatus;
-use crate::unit::{Millis, Time};
+use crate::unit::{Millis, Time, Version};
 
 /// A router without a heartbeat for this long is not listed while most others send theirs.
 const SILENT_AFTER: Millis = Millis(2_500);
@@ -32,11 +32,16 @@
 }
 
 impl RouterHeartbeats {
-    /// Records a router's heartbeat. Returns whether the router is new or has changed in anything but
-    /// `busy`.
-    pub fn record(&mut self, now: Time, r: &RouterStatus) -> bool {
-        let old = self.heartbeats.insert(r.vm.clone(), (r.clone(), now));
-        old.is_none_or(|(o, _)| RouterStatus { busy: r.busy, ..o } != *r)
+    /// Records a router's heartbeat. Returns the previous one.
+    pub fn record(&mut self, now: Time, r: &RouterStatus) -> Option<RouterStatus> {
+        self.heartbeats.insert(r.vm.clone(), (r.clone(), now)).map(|(old, _)| old)
+    }
+
+    /// Returns the number of routers with a recent heartbeat in which a document older than `version` is in
+    /// force.
+    pub fn count_behind(&self, now: Time, version: Version) -> usize {
+        let live = self.heartbeats.values().filter(|(_, at)| now.since(*at) < SILENT_AFTER);
+        live.filter(|(r, _)| r.version < version).count()
     }
 
     /// Returns the number of routers that sent a heartbeat in the last minute.
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -56,6 +56,9 @@
     /// Whether it is overloaded, so that callers should prefer other routers.
     #[serde(default)]
     pub busy: bool,
+    /// Version of the document in force there, or 0 if there is none or it is not reported.
+    #[serde(default)]
+    pub version: Version,
 }
 
 /// A watch request.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -237,6 +237,7 @@
         link: format!("{vm}:81"),
         open,
         busy: false,
+        version: 0,
     }
 }
 
--- a/crates/core/tests/homes.rs
+++ b/crates/core/tests/homes.rs
@@ -152,6 +152,7 @@
         link: String::new(),
         open: true,
         busy: false,
+        version: 0,
     }
 }
 
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -47,6 +47,7 @@
         data_centre: data_centre.to_owned(),
         open: true,
         busy: pass_ms >= 25,
+        version: 0,
     }
 }
 
--- a/crates/core/tests/regions.rs
+++ b/crates/core/tests/regions.rs
@@ -56,6 +56,7 @@
             link: String::new(),
             open: true,
             busy: false,
+            version: 0,
         };
         all.record(Time(9_900), &status);
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -81,6 +81,9 @@
     RolloutChanged = 330, Info, "a rollout was ordered, moved to another stage or was aborted";
     LoopStalled = 331, Warn, "the event loop was blocked for a while";
     LeaderKnown = 332, Info, "a leader of the group is known again";
+    LoopWork = 333, Info, "what the event loop spent its time on in the last seconds";
+    DocumentStored = 334, Info, "a control process applied a newer document and can send it to routers";
+    DocumentInForce = 335, Info, "a document is in force at all routers that a control process hears from";
     RouterRegistered = 401, Info, "this router registered with the control group";
     RouterReady = 402, Info, "this router is ready to serve callers";
     ControlUnreachable = 403, Warn, "the control group is out of reach";
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -69,7 +69,10 @@
     IS_LEADER = "cypressfork_group_leads", "gauge", "", "1 while this member of the control group is the leader";
     TERM = "cypressfork_group_term", "gauge", "", "term of the control group";
     WITHOUT_LEADER = "cypressfork_group_without_leader_milliseconds_total", "counter", "", "time during which this control process knew no leader of its group";
-    INPUTS = "cypressfork_inputs_total", "counter", "kind", "inputs of a control process, by kind: Raft messages, commands and queries, watch requests, responses of other processes, calls over HTTP";
+    INPUTS = "cypressfork_inputs_total", "counter", "kind", "units of work of a control process's event loop, by kind: Raft messages (log), commands and queries, watch requests, responses of other processes (seen), calls over HTTP, periodic tasks, passes of storing and applying log entries, passes of answering";
+    LOOP_TIME = "cypressfork_loop_time_microseconds_total", "counter", "kind", "time that a control process's event loop spent on each kind of work";
+    DOCUMENT_LAG = "cypressfork_document_in_force_seconds", "histogram", "", "time from the commit of a document, as one control process applied it, until a router reported to it that the document is in force there";
+    ROUTERS_BEHIND = "cypressfork_routers_behind", "gauge", "", "routers with a recent heartbeat in which the newest document is not in force";
     TICK = "cypressfork_tick_seconds", "histogram", "", "time between two ticks of a control process's event loop";
     COMMITTED = "cypressfork_group_committed", "gauge", "", "index of the last committed log entry";
     COMMIT = "cypressfork_commit_seconds", "histogram", "", "time from a proposal at the leader to its commit";
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -72,6 +72,7 @@
             link: gw.settings.link_advertise.to_string(),
             open: gw.is_open(),
             busy: gw.is_busy(),
+            version: gw.documents.version(),
         };
         counter!(metric::WATCH_REQUESTS).increment(1);
         let feed = gw.feeds.borrow().get(&to).copied().unwrap_or_default();
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -50,6 +50,7 @@
         link: text("10.0.0.1:81"),
         open: true,
         busy: true,
+        version: 7,
     };
     let fetch = Some(PartRequest { held: 3, version: 4, digest: 5, offset: 6 });
     Watch {
