Control: a heartbeat is relayed once to each other control process

Now a watch names the control processes that the watcher hears, and it gets heartbeats at second hand only of those that it does not; on losing one it gets its newest at once. Pending watches stay where they are while nothing is due.

Why it is safe: heartbeats at second hand exist for a process that is cut off from the one that got them. A process of the earlier release refuses the longer watch; it is then asked without the list and sends all, as before.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -3,10 +3,11 @@
 
 use cypressfork_core::fleet::contacts::Leader;
 use cypressfork_core::fleet::evacuation::Evacuations;
+use cypressfork_core::fleet::heard::WatchersHear;
 use cypressfork_core::fleet::limit::DisplayLimit;
 use cypressfork_core::fleet::limit::rate_limits::{LimitReport, RateLimits};
 use cypressfork_core::fleet::quarantine::{Quarantine, QuarantineList};
-use cypressfork_core::fleet::registry::{Heartbeat, Record, RecordSource, Registry};
+use cypressfork_core::fleet::registry::{Receiver, RecordSource, Registry};
 use cypressfork_core::fleet::repair::Candidates;
 use cypressfork_core::fleet::rollout::Rollouts;
 use cypressfork_core::fleet::rollout::evidence::Reports;
@@ -102,10 +103,12 @@
     next_poll: Time,
     boot: u64,
     heartbeat_interval: Millis,
-    pending: Vec<PendingWatch<T>>,
+    pending: Vec<Box<PendingWatch<T>>>,
     packed_documents: PackedDocuments,
     feed_cache: FeedCache,
     quarantine_list: Option<QuarantineList>,
+    /// Which processes the watching control processes hear.
+    watchers_hear: WatchersHear,
 }
 
 /// How far the newest document has come into force at the routers.
@@ -156,6 +159,8 @@
     leave_position: u64,
     /// Position up to which it has received the changes of rate limits.
     limit_position: u64,
+    /// Control processes that the watcher, another one, no longer hears.
+    lost_contacts: Vec<u64>,
     received: Time,
     to: T,
 }
@@ -213,9 +218,15 @@
             packed_documents: PackedDocuments::default(),
             feed_cache: FeedCache::default(),
             quarantine_list: None,
+            watchers_hear: WatchersHear::default(),
         }
     }
 
+    /// Returns the number that identifies this start of the process.
+    pub fn boot(&self) -> u64 {
+        self.boot
+    }
+
     /// Applies the reports that a watch carries, and keeps the watch until [`FleetView::due_responses`] returns
     /// its response.
     pub fn watch(&mut self, now: Time, mut watch: Watch, to: T) {
@@ -241,14 +252,19 @@
             // The watcher gets earlier leaves from its replica sources.
             false => (0, self.registry.position(), 0),
         };
-        self.pending.push(PendingWatch {
+        let lost_contacts = match (&watch.control, &watch.hears) {
+            (Some(address), Some(hears)) => self.watchers_hear.record(address, hears),
+            _ => Vec::new(),
+        };
+        self.pending.push(Box::new(PendingWatch {
             watch,
             replica_position,
             leave_position,
             limit_position,
+            lost_contacts,
             received: now,
             to,
-        });
+        }));
     }
 
     /// Records a process's announcement that it belongs to no group.
@@ -272,21 +288,24 @@
         }
     }
 
-    /// Applies the records, heartbeats and rate limits that another control process relayed.
-    pub fn apply_peer_update(
-        &mut self,
-        now: Time,
-        replicas: Vec<Record>,
-        heartbeats: &[Heartbeat],
-        limits: &[LimitReport],
-    ) {
-        for r in replicas {
+    /// Applies the records, heartbeats and rate limits in the response of another control process.
+    pub fn apply_peer_update(&mut self, now: Time, response: WatchResponse) {
+        for r in response.replicas {
             self.registry.apply(now, r, RecordSource::Peer);
         }
-        for h in heartbeats {
-            self.registry.apply_heartbeat(now, h);
+        for h in &response.beats {
+            self.registry.apply_heartbeat(now, h, Receiver::Peer(response.feed.boot));
+        }
+        for relayed in &response.relayed {
+            let receiver = match relayed.receiver {
+                0 => Receiver::Unknown,
+                boot => Receiver::Peer(boot),
+            };
+            for h in &relayed.heartbeats {
+                self.registry.apply_heartbeat(now, h, receiver);
+            }
         }
-        self.apply_limit_reports(now, limits);
+        self.apply_limit_reports(now, &response.limits);
     }
 
     /// Expires heartbeats, candidates and rate limits that are out of date at `now`.
@@ -309,9 +328,9 @@
     /// Removes the pending watches that are due, and returns their responses.
     pub fn due_responses(&mut self, now: Time, state: &WatchedState) -> Vec<(T, WatchResponse)> {
         self.next_poll = now.after(POLL_INTERVAL);
-        let (due, rest): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.pending).into_iter().partition(|w| self.is_due(now, w, state));
-        self.pending = rest;
+        let mut pending = std::mem::take(&mut self.pending);
+        let due: Vec<_> = pending.extract_if(.., |w| self.is_due(now, w, state)).collect();
+        self.pending = pending;
         if due.iter().any(|w| w.is_behind(state.version))
             && self.packed_documents.newest_version() < state.version
         {
@@ -319,8 +338,9 @@
         }
         self.directory.refresh(now, state.registered.iter(), &self.routers);
         self.document.update(now, state.version, &self.routers);
+        let controls = controls_digest(&state.controls);
         due.into_iter()
-            .map(|w| (self.response(now, &w, state), w.to))
+            .map(|w| (self.response(now, &w, state, controls), w.to))
             .map(|(response, to)| (to, response))
             .collect()
     }
@@ -343,6 +363,7 @@
             || state.quarantine.quarantined_revision() > w.watch.quarantine
             || state.rollouts.revision > w.watch.rollouts
             || waited >= WATCH_TIMEOUT
+            || !w.lost_contacts.is_empty()
             || (waited >= CHANGE_BATCH_DELAY && w.has_quarantine_changes(state.quarantine))
             || (waited >= CHANGE_BATCH_DELAY && w.has_replica_changes(&self.registry))
             || (waited >= CHANGE_BATCH_DELAY && w.has_direct_leaves(&self.registry))
@@ -350,9 +371,16 @@
             || (relays_heartbeats && self.registry.has_heartbeats(w.replica_position))
     }
 
-    fn response(&mut self, now: Time, w: &PendingWatch<T>, state: &WatchedState) -> WatchResponse {
+    /// Returns the response to a watch. `controls` is the digest of the control processes' addresses.
+    fn response(
+        &mut self,
+        now: Time,
+        w: &PendingWatch<T>,
+        state: &WatchedState,
+        controls: u64,
+    ) -> WatchResponse {
         let is_router = w.watch.router.is_some();
-        let mut heartbeats = Vec::new();
+        let (mut heartbeats, mut relayed) = (Vec::new(), Vec::new());
         let mut leaves = self.registry.position();
         let changes = match is_router {
             true if w.watch.without_replicas => {
@@ -363,15 +391,24 @@
             }
             true => self.feed_cache.changes(now, &self.registry, w.replica_position, MAX_RECORDS),
             false => {
-                let batch =
-                    self.registry.relay_batch(w.replica_position, MAX_RECORDS, MAX_HEARTBEATS);
+                let batch = self.registry.relay_batch(
+                    w.replica_position,
+                    MAX_RECORDS,
+                    MAX_HEARTBEATS,
+                    w.watch.hears.as_deref(),
+                );
                 heartbeats = batch.heartbeats;
+                relayed = batch.relayed;
+                if !w.lost_contacts.is_empty() {
+                    let newest =
+                        self.registry.heartbeats_received_by(&w.lost_contacts, MAX_HEARTBEATS);
+                    relayed.extend(newest);
+                }
                 Changes { records: batch.records, packed: None, position: batch.position }
             }
         };
         let has_homes = |r: &RouterStatus| self.directory.has_homes(&r.data_centre);
         let needs_peers = w.watch.router.as_ref().is_some_and(|r| !has_homes(r));
-        let controls = controls_digest(&state.controls);
         let has_controls = w.watch.feed.boot == self.boot && w.watch.feed.controls == controls;
         let has_routers_with_homes =
             w.watch.areas == NOT_WANTED || w.watch.areas == self.directory.with_homes_digest();
@@ -392,6 +429,7 @@
             replicas: changes.records,
             packed: changes.packed,
             beats: heartbeats,
+            relayed,
             version: state.version,
             part: w.watch.fetch.and_then(|fetch| self.packed_documents.part(&fetch)),
             controls: if has_controls { Vec::new() } else { state.controls.clone() },
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -12,6 +12,7 @@
 use cypressfork_core::command::{Answer, Command};
 use cypressfork_core::fleet::clocks::Clocks;
 use cypressfork_core::fleet::contacts::{Contacts, GroupStatus};
+use cypressfork_core::fleet::heard::HeardControls;
 use cypressfork_core::fleet::regions::Regions;
 use cypressfork_core::fleet::watch::{FeedCursor, WatchResponse};
 use cypressfork_core::query::{Query, Reply};
@@ -133,6 +134,8 @@
     fleet: Option<FleetContext>,
     /// Position in the feed of each other control process.
     feeds: Rc<RefCell<BTreeMap<SocketAddr, FeedCursor>>>,
+    /// The control processes that have recently answered.
+    heard: Rc<RefCell<HeardControls>>,
     /// The control processes that are watched.
     watched: Rc<RefCell<BTreeSet<SocketAddr>>>,
     next_watch: Time,
@@ -163,6 +166,7 @@
         group: GroupClient,
         fleet: Option<FleetContext>,
     ) -> Server {
+        let boot = fleet.as_ref().map_or(0, |f| f.view.boot());
         Server {
             member,
             clock,
@@ -176,6 +180,7 @@
             sender_addresses: BTreeMap::new(),
             fleet,
             feeds: Rc::default(),
+            heard: Rc::new(RefCell::new(HeardControls::new(boot))),
             watched: Rc::default(),
             next_watch: Time(0),
             leaderless: LeaderlessTimer::default(),
@@ -279,12 +284,7 @@
                     self.contacts.record_leader(at.now, lead);
                 }
                 if let Some(f) = &mut self.fleet {
-                    f.view.apply_peer_update(
-                        at.now,
-                        response.replicas,
-                        &response.beats,
-                        &response.limits,
-                    );
+                    f.view.apply_peer_update(at.now, *response);
                 }
             }
             Input::Call(ask, to) => self.member.handle_request(at, ask, to),
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -1,20 +1,21 @@
 //! The fleet side of a control process: HTTP calls, watch requests, and watches of the other control
 //! processes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::evacuation;
+use cypressfork_core::fleet::heard::HeardControls;
 use cypressfork_core::fleet::registry::{RecordSource, Registration, ReplicaStatus};
 use cypressfork_core::fleet::router_directory::NOT_WANTED;
 use cypressfork_core::fleet::watch::{Announce, FeedCursor, Watch, WatchResponse};
 use cypressfork_core::raft::Members;
 use cypressfork_core::unit::Millis;
 use cypressfork_node::event::Event;
-use cypressfork_node::time::unix_time;
+use cypressfork_node::time::{Clock, unix_time};
 use cypressfork_node::watch::{Watcher, watch};
 use cypressfork_node::{emit, metric};
 use cypressfork_wire::body;
@@ -163,9 +164,16 @@
         }
         let before = self.watched.replace(all.clone());
         for address in all.into_iter().filter(|a| !before.contains(a)) {
-            let (feeds, own_address) = (self.feeds.clone(), self.address.clone());
-            let peer =
-                PeerWatch { feeds, watched: self.watched.clone(), tx: tx.clone(), own_address };
+            let peer = PeerWatch {
+                feeds: self.feeds.clone(),
+                heard: self.heard.clone(),
+                clock: self.clock,
+                watched: self.watched.clone(),
+                tx: tx.clone(),
+                own_address: self.address.clone(),
+                names_heard: Cell::new(true),
+                answered: Cell::new(false),
+            };
             actix_rt::spawn(watch(address, self.credentials.clone(), peer));
         }
     }
@@ -219,11 +227,18 @@
 /// Watches another control process.
 struct PeerWatch {
     feeds: Rc<RefCell<BTreeMap<SocketAddr, FeedCursor>>>,
+    heard: Rc<RefCell<HeardControls>>,
+    clock: Clock,
     /// The processes to keep watching.
     watched: Rc<RefCell<BTreeSet<SocketAddr>>>,
     tx: mpsc::Sender<Input>,
     /// Address on which this process listens for the others.
     own_address: String,
+    /// Whether requests name the processes that this one hears. A process of an earlier release refuses
+    /// such requests.
+    names_heard: Cell<bool>,
+    /// Whether a response has arrived on the current link.
+    answered: Cell<bool>,
 }
 
 impl Watcher for PeerWatch {
@@ -245,18 +260,28 @@
             few: NOT_WANTED,
             leaving: Vec::new(),
             without_replicas: false,
+            hears: self.names_heard.get().then(|| self.heard.borrow().boots(self.clock.now())),
         })
     }
 
     fn handle_response(&self, from: SocketAddr, response: WatchResponse) {
         let feed = response.feed;
+        self.answered.set(true);
+        self.heard.borrow_mut().record(self.clock.now(), from, feed.boot);
         // If the queue is full, the next request asks for the same update again.
         if self.tx.try_send(Input::PeerUpdate(from, Box::new(response))).is_ok() {
             self.feeds.borrow_mut().insert(from, feed);
         }
     }
 
+    fn handle_refusal(&self, _: SocketAddr) {
+        self.names_heard.set(false);
+    }
+
     fn handle_disconnect(&self, from: SocketAddr) {
+        if self.answered.replace(false) {
+            self.names_heard.set(true);
+        }
         emit!(Event::LinkClosed, peer = from);
     }
 
--- a/crates/control/tests/leaves.rs
+++ b/crates/control/tests/leaves.rs
@@ -60,6 +60,7 @@
         heard: Vec::new(),
         few: 0,
         leaving: Vec::new(),
+        hears: None,
     }
 }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod fetch;
 pub mod fingerprint;
 pub mod format;
+pub mod heard;
 pub mod homes;
 pub mod limit;
 pub mod load_monitor;
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -130,6 +130,8 @@
     heartbeat_position: u64,
     /// When a heartbeat was last published.
     published_at: Time,
+    /// The control process that received its newest heartbeat.
+    receiver: Receiver,
 }
 
 /// The sender of a replica's record.
@@ -141,6 +143,28 @@
     Peer,
 }
 
+/// The control process that a replica's newest heartbeat was sent to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Receiver {
+    /// This process.
+    Own,
+    /// Another process, identified by its [`FeedCursor::boot`](super::watch::FeedCursor::boot).
+    Peer(u64),
+    /// Not known: the record came from another process that did not say so.
+    #[default]
+    Unknown,
+}
+
+/// Heartbeats that another control process than the sender of this message received.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedHeartbeats {
+    /// The process that received them, by its [`FeedCursor::boot`](super::watch::FeedCursor::boot);
+    /// 0 if unknown.
+    pub receiver: u64,
+    /// The heartbeats.
+    pub heartbeats: Vec<Heartbeat>,
+}
+
 /// A heartbeat of a replica whose registration is otherwise unchanged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -163,16 +187,38 @@
 }
 
 /// The changes between two positions of a registry's feed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
     /// Records of replicas that are new or have changed.
     pub records: Vec<Record>,
-    /// Heartbeats of unchanged replicas, for other control processes only.
+    /// Heartbeats of unchanged replicas, for other control processes only: those that this process
+    /// received, or all if the follower does not name the processes that it hears.
     pub heartbeats: Vec<Heartbeat>,
+    /// Heartbeats of unchanged replicas that processes received which the follower does not hear.
+    pub relayed: Vec<RelayedHeartbeats>,
     /// Position from which the follower continues.
     pub position: u64,
 }
 
+impl Batch {
+    /// Adds the newest heartbeat of a replica, by its receiver if `by_receiver`.
+    fn push(&mut self, e: &Entry, by_receiver: bool) {
+        let Registration { id, sequence, born, .. } = &e.record.registration;
+        let heartbeat = Heartbeat { id: id.clone(), sequence: *sequence, born: *born };
+        let receiver = match e.receiver {
+            Receiver::Peer(boot) if by_receiver => boot,
+            Receiver::Unknown if by_receiver => 0,
+            _ => return self.heartbeats.push(heartbeat),
+        };
+        match self.relayed.iter_mut().find(|r| r.receiver == receiver) {
+            Some(r) => r.heartbeats.push(heartbeat),
+            None => {
+                self.relayed.push(RelayedHeartbeats { receiver, heartbeats: vec![heartbeat] });
+            }
+        }
+    }
+}
+
 /// The replicas known to one control process, with a feed of changes to them. Each published change
 /// or heartbeat gets the next position in the feed.
 #[derive(Clone, Debug, Default)]
@@ -182,8 +228,8 @@
     /// Replicas by the position of their last change that is relevant to routers. A follower's
     /// missing changes are a range of it.
     by_change: BTreeMap<u64, Arc<str>>,
-    /// Replicas by the position of their last published heartbeat.
-    by_heartbeat: BTreeMap<u64, Arc<str>>,
+    /// Replicas by the position of their last published heartbeat, with its receiver.
+    by_heartbeat: BTreeMap<u64, (Arc<str>, Receiver)>,
     /// Replicas that announced to this process directly that they leave, by the position of that
     /// change.
     direct_leaves: BTreeMap<u64, Arc<str>>,
@@ -212,12 +258,17 @@
         let id: Arc<str> = Arc::from(r.registration.id);
         let (heartbeat_position, published_at) =
             known.map_or((0, Time(0)), |e| (e.heartbeat_position, e.published_at));
+        let receiver = match source {
+            RecordSource::Replica => Receiver::Own,
+            RecordSource::Peer => known.map_or(Receiver::Unknown, |e| e.receiver),
+        };
         let entry = Entry {
             record: merged,
             last_heartbeat,
             change_position,
             heartbeat_position,
             published_at,
+            receiver,
         };
         self.entries.insert(id.clone(), entry);
         self.publish(now, &id, !same, source);
@@ -242,10 +293,10 @@
         all
     }
 
-    /// Applies a heartbeat relayed by another control process. Returns whether that is a change for
-    /// routers, which is the case if the replica was silent. A heartbeat of an unknown replica is
-    /// ignored; the sender relays its record as well.
-    pub fn apply_heartbeat(&mut self, now: Time, h: &Heartbeat) -> bool {
+    /// Applies a heartbeat that `receiver` received and that it or another control process relayed.
+    /// Returns whether that is a change for routers, which is the case if the replica was silent. A
+    /// heartbeat of an unknown replica is ignored; the sender relays its record as well.
+    pub fn apply_heartbeat(&mut self, now: Time, h: &Heartbeat, receiver: Receiver) -> bool {
         let Some((id, e)) = self.entries.get_key_value(h.id.as_str()) else { return false };
         let id = id.clone();
         let known = &e.record.registration;
@@ -259,6 +310,7 @@
             e.record.registration.sequence = h.sequence;
             e.record.standing = ReplicaStatus::Ready;
             e.last_heartbeat = now;
+            e.receiver = receiver;
         }
         self.publish(now, &id, was_silent, RecordSource::Peer);
         was_silent
@@ -279,7 +331,7 @@
         let Some(e) = self.entries.get_mut(id) else { return };
         self.position += 1;
         self.by_heartbeat.remove(&e.heartbeat_position);
-        self.by_heartbeat.insert(self.position, id.clone());
+        self.by_heartbeat.insert(self.position, (id.clone(), e.receiver));
         e.heartbeat_position = self.position;
         if changed {
             self.by_change.remove(&e.change_position);
@@ -388,28 +440,52 @@
         Batch {
             records: records.map(|e| e.record.clone()).collect(),
             heartbeats: Vec::new(),
+            relayed: Vec::new(),
             position,
         }
     }
 
     /// Returns the changes after position `since` for another control process: at most `max`
-    /// records and at most `max_heartbeats` heartbeats of unchanged replicas.
-    pub fn relay_batch(&self, since: u64, max: usize, max_heartbeats: usize) -> Batch {
+    /// records and at most `max_heartbeats` heartbeats of unchanged replicas. `hears` are the processes
+    /// that it hears itself, if it names them; it gets no heartbeats at second hand that these
+    /// received. With n processes, each heartbeat would otherwise be sent n squared times.
+    pub fn relay_batch(
+        &self,
+        since: u64,
+        max: usize,
+        max_heartbeats: usize,
+        hears: Option<&[u64]>,
+    ) -> Batch {
         let Batch { records, position, .. } = self.changes(since, max);
-        let mut newer =
-            self.by_heartbeat.range((Bound::Excluded(since), Bound::Included(position)));
+        let is_wanted = |receiver: Receiver| match (receiver, hears) {
+            (Receiver::Peer(boot), Some(hears)) => !hears.contains(&boot),
+            _ => true,
+        };
+        let newer = self.by_heartbeat.range((Bound::Excluded(since), Bound::Included(position)));
+        let mut newer = newer.filter(|(_, (_, receiver))| is_wanted(*receiver));
         let batch: Vec<_> = newer.by_ref().take(max_heartbeats).collect();
         let last = batch.last().map_or(since, |(at, _)| **at);
         let position = if newer.next().is_some() { last } else { position };
-        let known = batch.into_iter().filter_map(|(_, id)| self.entries.get(id));
+        let known = batch.into_iter().filter_map(|(_, (id, _))| self.entries.get(id));
         // The record of a changed replica already contains its newest heartbeat.
         let unchanged = known.filter(|e| e.change_position <= since);
-        let heartbeats = unchanged.map(|e| Heartbeat {
-            id: e.record.registration.id.clone(),
-            sequence: e.record.registration.sequence,
-            born: e.record.registration.born,
-        });
-        Batch { records, heartbeats: heartbeats.collect(), position }
+        let mut batch = Batch { records, heartbeats: Vec::new(), relayed: Vec::new(), position };
+        for e in unchanged {
+            batch.push(e, hears.is_some());
+        }
+        batch
+    }
+
+    /// Returns the newest heartbeats of at most `max` replicas that were received by the processes
+    /// `receivers`, for a follower that has just lost contact with these.
+    pub fn heartbeats_received_by(&self, receivers: &[u64], max: usize) -> Vec<RelayedHeartbeats> {
+        let mut batch = Batch::default();
+        let is_theirs =
+            |e: &&Entry| matches!(e.receiver, Receiver::Peer(boot) if receivers.contains(&boot));
+        for e in self.entries.values().filter(is_theirs).take(max) {
+            batch.push(e, true);
+        }
+        batch.relayed
     }
 
     /// Returns the record of a replica.
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -8,7 +8,7 @@
 use super::evacuation::Evacuations;
 use super::limit::rate_limits::LimitReport;
 use super::quarantine::QuarantineList;
-use super::registry::{Heartbeat, Leaving, Record};
+use super::registry::{Heartbeat, Leaving, Record, RelayedHeartbeats};
 use super::rollout::Rollouts;
 use super::rollout::evidence::Report;
 use super::router_directory::DataCentreRouters;
@@ -102,6 +102,10 @@
     /// Replicas that announced in responses to the router that they leave.
     #[serde(default)]
     pub leaving: Vec<Leaving>,
+    /// The control processes that have recently answered the watcher, by their
+    /// [`FeedCursor::boot`], if it is one; `None` if it is a router or of an earlier release.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hears: Option<Vec<u64>>,
 }
 
 /// The response to a watch request.
@@ -141,7 +145,8 @@
     /// The rollouts, if the watcher has an older revision.
     #[serde(default)]
     pub rollouts: Option<Rollouts>,
-    /// Heartbeats of unchanged replicas, if the watcher is a control process.
+    /// Heartbeats of unchanged replicas that this process received, if the watcher is a control
+    /// process; all that it knows of if the watcher does not say which processes it hears.
     #[serde(default)]
     pub beats: Vec<Heartbeat>,
     /// Compressed list of the records of replicas that are new or have changed, if they are many.
@@ -153,6 +158,9 @@
     /// Routers of data centres with few routers, if the watcher's list differs.
     #[serde(default)]
     pub few: Option<Vec<DataCentreRouters>>,
+    /// Heartbeats of unchanged replicas that processes received which the watcher does not hear.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub relayed: Vec<RelayedHeartbeats>,
 }
 
 /// Announcement of a control process that belongs to no group.
--- a/crates/core/tests/incarnations.rs
+++ b/crates/core/tests/incarnations.rs
@@ -6,7 +6,7 @@
 
 use cypressfork_core::config::{Upstream, Vm};
 use cypressfork_core::fleet::registry::{
-    Heartbeat, Record, RecordSource, Registration, Registry, ReplicaStatus,
+    Heartbeat, Receiver, Record, RecordSource, Registration, Registry, ReplicaStatus,
 };
 use cypressfork_core::fleet::replicas::ReplicaTable;
 use cypressfork_core::route::{Pool, ReplicaInfo, RequestProfile};
@@ -105,9 +105,12 @@
     r.apply(Time(0), record((20, 80, 1, Ready)), RecordSource::Peer);
     r.tick(Time(10_000), Millis(1_000));
     let beat = |born, sequence| Heartbeat { id: "i-1".to_owned(), sequence, born };
-    assert!(!r.apply_heartbeat(Time(10_000), &beat(10, 99)), "of the earlier incarnation");
+    assert!(
+        !r.apply_heartbeat(Time(10_000), &beat(10, 99), Receiver::Unknown),
+        "of the earlier incarnation"
+    );
     assert_eq!(r.iter().next().unwrap().standing, ReplicaStatus::Silent);
-    assert!(r.apply_heartbeat(Time(10_000), &beat(20, 2)));
+    assert!(r.apply_heartbeat(Time(10_000), &beat(20, 2), Receiver::Unknown));
     assert_eq!(r.iter().next().unwrap().standing, Ready);
 }
 
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -1,7 +1,7 @@
 //! The registry of replicas: registrations, heartbeats, and how control processes relay them.
 
 use cypressfork_core::fleet::registry::{
-    Heartbeat, Leaving, Record, RecordSource, Registration, Registry, ReplicaStatus,
+    Heartbeat, Leaving, Receiver, Record, RecordSource, Registration, Registry, ReplicaStatus,
 };
 use cypressfork_core::unit::{Millis, Time};
 use rstest::rstest;
@@ -62,7 +62,7 @@
     assert_eq!(r.changes(since, MAX_RECORDS).records.len(), 0);
     let heartbeats = vec![Heartbeat { id: "i-1".to_owned(), sequence: 2, born: 0 }];
     assert_eq!(
-        r.relay_batch(since, MAX_RECORDS, MAX_RECORDS).heartbeats,
+        r.relay_batch(since, MAX_RECORDS, MAX_RECORDS, None).heartbeats,
         heartbeats,
         "heartbeats are relayed to control processes"
     );
@@ -88,11 +88,14 @@
             all[0].apply(now, record("i-1", n, ReplicaStatus::Ready), RecordSource::Replica);
         }
         for to in 1..3 {
-            let batch = all[to - 1].relay_batch(since[to - 1], MAX_RECORDS, MAX_RECORDS);
+            let batch = all[to - 1].relay_batch(since[to - 1], MAX_RECORDS, MAX_RECORDS, None);
             since[to - 1] = batch.position;
             relayed += batch.heartbeats.len() * to.saturating_sub(1);
             batch.records.into_iter().for_each(|r| _ = all[to].apply(now, r, RecordSource::Peer));
-            batch.heartbeats.iter().for_each(|h| _ = all[to].apply_heartbeat(now, h));
+            batch
+                .heartbeats
+                .iter()
+                .for_each(|h| _ = all[to].apply_heartbeat(now, h, Receiver::Unknown));
         }
         all.iter_mut().for_each(|r| r.tick(now, interval));
         assert!(
@@ -120,8 +123,8 @@
     r.apply(Time(0), record("i-1", 5, standing), RecordSource::Peer);
     let since = r.position();
     let heartbeat = |id: &str| Heartbeat { id: id.to_owned(), sequence, born: 0 };
-    assert_eq!(r.apply_heartbeat(Time(9), &heartbeat("i-1")), changes);
-    assert!(!r.apply_heartbeat(Time(9), &heartbeat("i-2")), "unknown replica");
+    assert_eq!(r.apply_heartbeat(Time(9), &heartbeat("i-1"), Receiver::Unknown), changes);
+    assert!(!r.apply_heartbeat(Time(9), &heartbeat("i-2"), Receiver::Unknown), "unknown replica");
     assert_eq!(r.iter().next().unwrap().standing, after);
     assert_eq!(r.changes(since, MAX_RECORDS).records.len(), usize::from(changes));
 }
@@ -135,18 +138,24 @@
         let id = format!("i-{}", n % 50);
         from.apply(Time(n), record(&id, n + 1, ReplicaStatus::Ready), RecordSource::Replica);
         if n % 10 == 0 {
-            let batch = from.relay_batch(since, 3, 5);
+            let batch = from.relay_batch(since, 3, 5, None);
             since = batch.position;
             batch.records.into_iter().for_each(|r| _ = to.apply(Time(n), r, RecordSource::Peer));
-            batch.heartbeats.iter().for_each(|h| _ = to.apply_heartbeat(Time(n), h));
+            batch
+                .heartbeats
+                .iter()
+                .for_each(|h| _ = to.apply_heartbeat(Time(n), h, Receiver::Unknown));
         }
     }
     while since < from.position() {
-        let batch = from.relay_batch(since, 3, 5);
+        let batch = from.relay_batch(since, 3, 5, None);
         assert!(batch.position > since);
         since = batch.position;
         batch.records.into_iter().for_each(|r| _ = to.apply(Time(400), r, RecordSource::Peer));
-        batch.heartbeats.iter().for_each(|h| _ = to.apply_heartbeat(Time(400), h));
+        batch
+            .heartbeats
+            .iter()
+            .for_each(|h| _ = to.apply_heartbeat(Time(400), h, Receiver::Unknown));
     }
     let sequences = |r: &Registry| -> Vec<_> {
         r.iter().map(|r| (r.registration.id.clone(), r.registration.sequence)).collect()
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -25,6 +25,8 @@
     fn next_request(&self, to: SocketAddr) -> Option<Watch>;
     /// Handles a response.
     fn handle_response(&self, from: SocketAddr, response: WatchResponse);
+    /// Handles a request that the control process refused; the link is closed after it.
+    fn handle_refusal(&self, _from: SocketAddr) {}
     /// Handles a failed connection or a broken link.
     fn handle_disconnect(&self, from: SocketAddr);
     /// Waits until the next request must be sent although the last one has no response yet.
@@ -69,8 +71,11 @@
             }
         };
         let Ok(Ok(Frame::Answer(r))) = result else { return };
+        if r.code != 0 {
+            return watcher.handle_refusal(address);
+        }
         let response = r.body.as_deref().and_then(|b| body::unpack::<WatchResponse>(b).ok());
-        let Some(response) = response.filter(|_| r.code == 0) else { return };
+        let Some(response) = response else { return };
         watcher.handle_response(address, response);
         due = r.id == id;
     }
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -96,6 +96,7 @@
             reports: gw.rollouts.reports(),
             heard: if without_replicas { Vec::new() } else { gw.limits.take_due_reports(gw.now()) },
             leaving: if without_replicas { Vec::new() } else { gw.signals.pending_reports() },
+            hears: None,
             few: gw.limits.small_data_centres_digest(gw.peers.homes.digest_for(to)),
         })
     }
--- a/crates/soak/examples/control_load.rs
+++ b/crates/soak/examples/control_load.rs
@@ -109,6 +109,7 @@
             heard: Vec::new(),
             few: NOT_WANTED,
             leaving: Vec::new(),
+            hears: None,
         })
     }
 
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -72,6 +72,7 @@
         }],
         few: 11,
         leaving: Vec::new(),
+        hears: Some(vec![12]),
         without_replicas: false,
     }
 }
@@ -145,3 +146,17 @@
     });
     result.unwrap();
 }
+
+/// Guards against requests and responses that a process of the earlier release cannot read: it refuses
+/// messages with more fields than it knows.
+#[test]
+fn fields_that_are_not_used_are_left_out() {
+    const ARRAY_OF_14: u8 = 0x9e;
+    const ARRAY_16: u8 = 0xdc;
+    let plain = Watch { hears: None, ..watch() };
+    assert_eq!(body::pack(&plain)[0], ARRAY_OF_14);
+    let response = body::pack(&watch_response());
+    assert_eq!(response[..3], [ARRAY_16, 0, 20]);
+    assert_eq!(body::unpack::<Watch>(&body::pack(&plain)), Ok(plain));
+    assert_eq!(body::unpack::<Watch>(&body::pack(&watch())), Ok(watch()));
+}
