Control: no scan of all replicas and routers when nothing is due

Each unchanged heartbeat cloned and compared a whole record, all replicas were scanned ten times a second for silent ones, and the leader built an answer for every router's long poll fifty times a second to find out whether it had changed. Now an unchanged heartbeat updates its record in place, the next scan is due when the oldest heartbeat may run out, and an answer is built once it is due.

--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -1,7 +1,7 @@
 //! Linearizable reads: a query is answered from the state machine after a quorum has confirmed the
 //! leader.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::fingerprint::Fingerprint;
@@ -55,10 +55,22 @@
 }
 
 /// The registered routers at one moment.
-struct RoutersSnapshot {
+struct Sites {
     sites: Vec<Site>,
     digest: u64,
-    registered: BTreeSet<HolderId>,
+    /// The holder ids of all routers, in ascending order.
+    holders: Vec<HolderId>,
+}
+
+impl Sites {
+    /// Returns whether a watch names this list, or wants none.
+    fn are_known_to(&self, q: &Follow) -> bool {
+        q.sites == self.digest || q.sites == NO_SITES
+    }
+
+    fn is_registered(&self, holder: HolderId) -> bool {
+        self.holders.binary_search(&holder).is_ok()
+    }
 }
 
 /// The fields of a [`Query::Follow`].
@@ -202,36 +214,36 @@
         self.reads.next_poll = at.now.after(POLL_INTERVAL);
         let needs_sites = self.reads.pending.iter().any(|w| w.follow.sites != NO_SITES);
         let sites = if needs_sites { self.sites(at) } else { Vec::new() };
-        let routers = RoutersSnapshot {
-            digest: sites_digest(&sites),
-            sites,
-            registered: self.state.routers().iter().map(|r| r.holder).collect(),
-        };
-        let pending = std::mem::take(&mut self.reads.pending);
-        for w in pending {
-            let update = self.router_update(at, &w.follow, &routers);
-            if at.now >= w.deadline || has_changes(&update, &w.follow) {
-                self.heartbeats.record(at.now, w.follow.holder, w.follow.version);
-                self.reply(w.to, Ok(body::pack(&Reply::News(update))));
-            } else {
-                self.reads.pending.push(w);
-            }
+        let mut holders: Vec<_> = self.state.routers().iter().map(|r| r.holder).collect();
+        holders.sort_unstable();
+        let sites = Sites { digest: sites_digest(&sites), sites, holders };
+        let mut pending = std::mem::take(&mut self.reads.pending);
+        let due: Vec<_> = pending
+            .extract_if(.., |w| at.now >= w.deadline || self.has_changes(at, &w.follow, &sites))
+            .collect();
+        self.reads.pending = pending;
+        for w in due {
+            let update = self.router_update(at, &w.follow, &sites);
+            self.heartbeats.record(at.now, w.follow.holder, w.follow.version);
+            self.reply(w.to, Ok(body::pack(&Reply::News(update))));
         }
     }
 
-    fn router_update(
-        &self,
-        at: ClockReading,
-        q: &Follow,
-        routers: &RoutersSnapshot,
-    ) -> RouterUpdate {
+    /// Returns whether there is anything new for a router.
+    fn has_changes(&self, at: ClockReading, q: &Follow, sites: &Sites) -> bool {
+        self.state.config().version() > q.version
+            || !sites.are_known_to(q)
+            || self.state.ledger().recalls(at.wall, q.holder).next().is_some()
+            || !sites.is_registered(q.holder)
+    }
+
+    fn router_update(&self, at: ClockReading, q: &Follow, sites: &Sites) -> RouterUpdate {
         let recalls = self.state.ledger().recalls(at.wall, q.holder);
-        let up_to_date = q.sites == routers.digest || q.sites == NO_SITES;
         RouterUpdate {
             difference: self.state.config().difference(q.version),
             recalls: recalls.map(str::to_owned).collect(),
-            sites: (!up_to_date).then(|| routers.sites.clone()),
-            stranger: !routers.registered.contains(&q.holder),
+            sites: (!sites.are_known_to(q)).then(|| sites.sites.clone()),
+            stranger: !sites.is_registered(q.holder),
         }
     }
 
@@ -314,8 +326,3 @@
         }
     }
 }
-
-fn has_changes(u: &RouterUpdate, q: &Follow) -> bool {
-    let changed = u.difference.version > q.version || u.sites.is_some();
-    changed || !u.recalls.is_empty() || u.stranger
-}
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -24,8 +24,8 @@
 /// relayed ones keep a process that it cannot reach from marking these replicas silent.
 const MIN_RELAY_HEARTBEATS: u64 = 2;
 
-/// Interval between scans for silent replicas and expired records.
-const SCAN_INTERVAL: Millis = Millis(100);
+/// Minimum interval between scans for silent replicas and expired records.
+const MIN_SCAN_INTERVAL: Millis = Millis(100);
 
 /// Heartbeat intervals without a heartbeat after which a replica counts as silent.
 const MAX_MISSED_HEARTBEATS: u64 = 4;
@@ -121,6 +121,7 @@
 
 #[derive(Clone, Debug)]
 struct Entry {
+    id: Arc<str>,
     record: Record,
     /// When its newest heartbeat arrived.
     last_heartbeat: Time,
@@ -219,21 +220,60 @@
     }
 }
 
-/// The replicas known to one control process, with a feed of changes to them. Each published change
-/// or heartbeat gets the next position in the feed.
+/// The changes and heartbeats of replicas in the order of their publication. Each gets the next
+/// position.
 #[derive(Clone, Debug, Default)]
-pub struct Registry {
-    entries: BTreeMap<Arc<str>, Entry>,
+struct Feed {
     position: u64,
     /// Replicas by the position of their last change that is relevant to routers. A follower's
     /// missing changes are a range of it.
     by_change: BTreeMap<u64, Arc<str>>,
     /// Replicas by the position of their last published heartbeat, with its receiver.
     by_heartbeat: BTreeMap<u64, (Arc<str>, Receiver)>,
+    /// Minimum interval between published heartbeats of a replica that other processes relay.
+    relay_interval: Millis,
+}
+
+impl Feed {
+    /// Publishes a replica's change or heartbeat. Relayed heartbeats are rate limited.
+    fn publish(&mut self, now: Time, e: &mut Entry, changed: bool, source: RecordSource) {
+        let is_due = now.since(e.published_at) >= self.relay_interval;
+        if changed || is_due || source == RecordSource::Replica {
+            e.published_at = now;
+            self.move_to_end(e, changed);
+        }
+    }
+
+    /// Moves a replica to a new position at the end of the feed, also in `by_change` if `changed`.
+    fn move_to_end(&mut self, e: &mut Entry, changed: bool) {
+        self.position += 1;
+        self.by_heartbeat.remove(&e.heartbeat_position);
+        self.by_heartbeat.insert(self.position, (e.id.clone(), e.receiver));
+        e.heartbeat_position = self.position;
+        if changed {
+            self.by_change.remove(&e.change_position);
+            self.by_change.insert(self.position, e.id.clone());
+            e.change_position = self.position;
+        }
+    }
+
+    /// Removes a replica.
+    fn remove(&mut self, e: &Entry) {
+        self.by_heartbeat.remove(&e.heartbeat_position);
+        self.by_change.remove(&e.change_position);
+    }
+}
+
+/// The replicas known to one control process, with a feed of changes to them.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    entries: BTreeMap<Arc<str>, Entry>,
+    feed: Feed,
     /// Replicas that announced to this process directly that they leave, by the position of that
     /// change.
     direct_leaves: BTreeMap<u64, Arc<str>>,
-    next_tick: Time,
+    /// Time before which no replica becomes silent and no record expires.
+    next_scan: Time,
     /// Heartbeat interval of the replicas.
     heartbeat: Millis,
 }
@@ -241,12 +281,28 @@
 impl Registry {
     /// Returns the newest position in the feed.
     pub fn position(&self) -> u64 {
-        self.position
+        self.feed.position
     }
 
     /// Merges a record from `source` into the registry. Returns whether that is a change for
     /// routers.
     pub fn apply(&mut self, now: Time, r: Record, source: RecordSource) -> bool {
+        let known = self.entries.get_mut(r.registration.id.as_str());
+        if let Some(e) = known
+            && is_next_heartbeat(&r, &e.record)
+        {
+            e.record.registration.sequence = r.registration.sequence;
+            e.last_heartbeat = now;
+            if source == RecordSource::Replica {
+                e.receiver = Receiver::Own;
+            }
+            self.feed.publish(now, e, false, source);
+            return false;
+        }
+        self.merge_record(now, r, source)
+    }
+
+    fn merge_record(&mut self, now: Time, r: Record, source: RecordSource) -> bool {
         let known = self.entries.get(r.registration.id.as_str());
         let Some(merged) = merge(known, &r) else { return false };
         let same = known.is_some_and(|e| is_same_for_routers(&e.record, &merged));
@@ -254,29 +310,28 @@
             Some(e) if !is_newer(&r.registration, &e.record.registration) => e.last_heartbeat,
             _ => now,
         };
-        let change_position = known.map_or(0, |e| e.change_position);
-        let id: Arc<str> = Arc::from(r.registration.id);
-        let (heartbeat_position, published_at) =
-            known.map_or((0, Time(0)), |e| (e.heartbeat_position, e.published_at));
         let receiver = match source {
             RecordSource::Replica => Receiver::Own,
             RecordSource::Peer => known.map_or(Receiver::Unknown, |e| e.receiver),
         };
-        let entry = Entry {
+        let mut entry = Entry {
+            id: known.map_or_else(|| Arc::from(r.registration.id), |e| e.id.clone()),
             record: merged,
             last_heartbeat,
-            change_position,
-            heartbeat_position,
-            published_at,
+            change_position: known.map_or(0, |e| e.change_position),
+            heartbeat_position: known.map_or(0, |e| e.heartbeat_position),
+            published_at: known.map_or(Time(0), |e| e.published_at),
             receiver,
         };
-        self.entries.insert(id.clone(), entry);
-        self.publish(now, &id, !same, source);
-        let leaves =
-            self.entries.get(&id).is_some_and(|e| e.record.standing >= ReplicaStatus::Draining);
-        if leaves && !same && source == RecordSource::Replica {
-            self.direct_leaves.insert(self.position, id);
+        self.feed.publish(now, &mut entry, !same, source);
+        let id = entry.id.clone();
+        if entry.record.standing >= ReplicaStatus::Draining
+            && !same
+            && source == RecordSource::Replica
+        {
+            self.direct_leaves.insert(self.feed.position, id.clone());
         }
+        self.entries.insert(id, entry);
         !same
     }
 
@@ -297,8 +352,7 @@
     /// Returns whether that is a change for routers, which is the case if the replica was silent. A
     /// heartbeat of an unknown replica is ignored; the sender relays its record as well.
     pub fn apply_heartbeat(&mut self, now: Time, h: &Heartbeat, receiver: Receiver) -> bool {
-        let Some((id, e)) = self.entries.get_key_value(h.id.as_str()) else { return false };
-        let id = id.clone();
+        let Some(e) = self.entries.get_mut(h.id.as_str()) else { return false };
         let known = &e.record.registration;
         let same_incarnation = cmp_start_times(h.born, known.born) == Ordering::Equal;
         let old = h.sequence <= known.sequence;
@@ -306,40 +360,14 @@
             return false;
         }
         let was_silent = e.record.standing == ReplicaStatus::Silent;
-        if let Some(e) = self.entries.get_mut(&id) {
-            e.record.registration.sequence = h.sequence;
-            e.record.standing = ReplicaStatus::Ready;
-            e.last_heartbeat = now;
-            e.receiver = receiver;
-        }
-        self.publish(now, &id, was_silent, RecordSource::Peer);
+        e.record.registration.sequence = h.sequence;
+        e.record.standing = ReplicaStatus::Ready;
+        e.last_heartbeat = now;
+        e.receiver = receiver;
+        self.feed.publish(now, e, was_silent, RecordSource::Peer);
         was_silent
     }
 
-    /// Publishes a replica's change or heartbeat in the feed. Relayed heartbeats are rate limited.
-    fn publish(&mut self, now: Time, id: &Arc<str>, changed: bool, source: RecordSource) {
-        let Some(e) = self.entries.get_mut(id) else { return };
-        let is_due = now.since(e.published_at) >= self.heartbeat.scale(MIN_RELAY_HEARTBEATS, 1);
-        if changed || is_due || source == RecordSource::Replica {
-            e.published_at = now;
-            self.move_to_end(id, changed);
-        }
-    }
-
-    /// Moves a replica to a new position at the end of the feed, also in `by_change` if `changed`.
-    fn move_to_end(&mut self, id: &Arc<str>, changed: bool) {
-        let Some(e) = self.entries.get_mut(id) else { return };
-        self.position += 1;
-        self.by_heartbeat.remove(&e.heartbeat_position);
-        self.by_heartbeat.insert(self.position, (id.clone(), e.receiver));
-        e.heartbeat_position = self.position;
-        if changed {
-            self.by_change.remove(&e.change_position);
-            self.by_change.insert(self.position, id.clone());
-            e.change_position = self.position;
-        }
-    }
-
     /// Records that a replica has left. Returns whether that is a change for routers.
     pub fn mark_left(&mut self, now: Time, id: &str) -> bool {
         let Some(e) = self.entries.get(id) else { return false };
@@ -363,35 +391,36 @@
     /// Marks replicas silent that have missed several heartbeats at the heartbeat `interval`, and
     /// removes expired records of replicas that drain or have left.
     pub fn tick(&mut self, now: Time, interval: Millis) {
-        if now < self.next_tick {
+        if now < self.next_scan && interval == self.heartbeat {
             return;
         }
-        self.next_tick = now.after(SCAN_INTERVAL);
         self.heartbeat = interval;
-        let timeout = interval.scale(MAX_MISSED_HEARTBEATS, 1);
-        let is_expired = |e: &Entry| {
-            e.record.standing >= ReplicaStatus::Draining
-                && now.since(e.last_heartbeat) >= DEPARTED_TTL
-        };
-        let is_silent = |e: &Entry| {
-            e.record.standing == ReplicaStatus::Ready && now.since(e.last_heartbeat) >= timeout
-        };
-        let mut silent = Vec::new();
-        self.entries.retain(|id, e| {
-            if is_expired(e) {
-                self.by_heartbeat.remove(&e.heartbeat_position);
-                self.by_change.remove(&e.change_position);
-                return false;
+        self.feed.relay_interval = interval.scale(MIN_RELAY_HEARTBEATS, 1);
+        let silent_after = interval.scale(MAX_MISSED_HEARTBEATS, 1);
+        // A replica that registers after this scan is silent no earlier than this.
+        let mut next_due = now.after(silent_after);
+        let feed = &mut self.feed;
+        self.entries.retain(|_, e| {
+            let due = match e.record.standing {
+                ReplicaStatus::Ready => e.last_heartbeat.after(silent_after),
+                ReplicaStatus::Silent => return true,
+                ReplicaStatus::Draining | ReplicaStatus::Left => {
+                    e.last_heartbeat.after(DEPARTED_TTL)
+                }
+            };
+            if now < due {
+                next_due = next_due.min(due);
+                return true;
             }
-            if is_silent(e) {
+            if e.record.standing == ReplicaStatus::Ready {
                 e.record.standing = ReplicaStatus::Silent;
-                silent.push(id.clone());
+                feed.move_to_end(e, true);
+                return true;
             }
-            true
+            feed.remove(e);
+            false
         });
-        for id in silent {
-            self.move_to_end(&id, true);
-        }
+        self.next_scan = next_due.max(now.after(MIN_SCAN_INTERVAL));
         let entries = &self.entries;
         self.direct_leaves.retain(|_, id| entries.contains_key(id));
     }
@@ -410,7 +439,7 @@
         let mut newer = self.direct_leaves.range((Bound::Excluded(since), Bound::Unbounded));
         let batch: Vec<_> = newer.by_ref().take(max).collect();
         let last = batch.last().map_or(since, |(at, _)| **at);
-        let position = if newer.next().is_some() { last } else { self.position };
+        let position = if newer.next().is_some() { last } else { self.feed.position };
         let known = batch.into_iter().filter_map(|(_, id)| self.entries.get(id));
         (known.map(|e| e.record.clone()).collect(), position)
     }
@@ -422,20 +451,20 @@
 
     /// Returns the position of the newest change for routers, or 0 if there is none.
     pub fn newest_change(&self) -> u64 {
-        self.by_change.last_key_value().map_or(0, |(newest, _)| *newest)
+        self.feed.by_change.last_key_value().map_or(0, |(newest, _)| *newest)
     }
 
     /// Returns whether a change or heartbeat was published after position `since`.
     pub fn has_heartbeats(&self, since: u64) -> bool {
-        self.by_heartbeat.last_key_value().is_some_and(|(newest, _)| *newest > since)
+        self.feed.by_heartbeat.last_key_value().is_some_and(|(newest, _)| *newest > since)
     }
 
     /// Returns the changes for routers after position `since`, oldest first, at most `max` records.
     pub fn changes(&self, since: u64, max: usize) -> Batch {
-        let mut newer = self.by_change.range((Bound::Excluded(since), Bound::Unbounded));
+        let mut newer = self.feed.by_change.range((Bound::Excluded(since), Bound::Unbounded));
         let batch: Vec<_> = newer.by_ref().take(max).collect();
         let last = batch.last().map_or(since, |(at, _)| **at);
-        let position = if newer.next().is_some() { last } else { self.position };
+        let position = if newer.next().is_some() { last } else { self.feed.position };
         let records = batch.into_iter().filter_map(|(_, id)| self.entries.get(id));
         Batch {
             records: records.map(|e| e.record.clone()).collect(),
@@ -461,7 +490,8 @@
             (Receiver::Peer(boot), Some(hears)) => !hears.contains(&boot),
             _ => true,
         };
-        let newer = self.by_heartbeat.range((Bound::Excluded(since), Bound::Included(position)));
+        let newer =
+            self.feed.by_heartbeat.range((Bound::Excluded(since), Bound::Included(position)));
         let mut newer = newer.filter(|(_, (_, receiver))| is_wanted(*receiver));
         let batch: Vec<_> = newer.by_ref().take(max_heartbeats).collect();
         let last = batch.last().map_or(since, |(at, _)| **at);
@@ -523,6 +553,21 @@
     (merged != *old).then_some(merged)
 }
 
+/// Returns whether `r` is the next heartbeat of a ready replica and changes nothing but the sequence.
+fn is_next_heartbeat(r: &Record, known: &Record) -> bool {
+    let (x, y) = (&r.registration, &known.registration);
+    r.standing == ReplicaStatus::Ready
+        && known.standing == ReplicaStatus::Ready
+        && x.sequence > y.sequence
+        && x.born == y.born
+        && x.cold == y.cold
+        && x.slots == y.slots
+        && x.address == y.address
+        && x.service == y.service
+        && x.data_centre == y.data_centre
+        && x.version == y.version
+}
+
 /// Returns whether `r` is from a later incarnation or heartbeat than `known`.
 fn is_newer(r: &Registration, known: &Registration) -> bool {
     let order = r.cmp_incarnation(known).then(r.sequence.cmp(&known.sequence));
