Gateway: 404 and 401 need a control process that knows a leader

What callers can see: a 404 for a route that has been added and acknowledged, from a gateway that is answered by control processes which have themselves lost their group. Cause: a gateway counted as informed while any control process answered, however old that one's own knowledge was. Now only answers of processes that know a leader count; without one for 2 s the gateway says 503 with a time to come back.

--- a/crates/cypressfork/tests/documents.rs
+++ b/crates/cypressfork/tests/documents.rs
@@ -168,3 +168,20 @@
     all.iter().for_each(|c| *c.state.silent.lock().unwrap() = false);
     wait_for("a confirmation that the document is current", || gw.ask("/new/x") == 404);
 }
+
+/// Guards against a 404 from a gateway whose only contacts have themselves lost the control group: a document
+/// that adds the route may have been committed meanwhile.
+#[test]
+fn a_gateway_in_contact_with_a_process_without_a_leader_answers_503_instead_of_404() {
+    let all = controls(2);
+    let addresses: Vec<_> = all.iter().map(|c| c.address).collect();
+    let gw = Gateway::start(&addresses);
+    all.iter().for_each(|c| c.publish(1, &document(1, 1)));
+    wait_for("the first document", || gw.version() == 1);
+    assert_eq!(gw.ask("/new/x"), 404);
+    *all[0].state.silent.lock().unwrap() = true;
+    *all[1].state.leaderless.lock().unwrap() = true;
+    wait_for("a temporary refusal", || gw.ask("/new/x") == 503);
+    *all[1].state.leaderless.lock().unwrap() = false;
+    wait_for("a confirmation that the document is current", || gw.ask("/new/x") == 404);
+}
--- a/crates/cypressfork/tests/support/control.rs
+++ b/crates/cypressfork/tests/support/control.rs
@@ -10,6 +10,7 @@
 
 use cypressfork_control::fleet_view::{FleetView, WatchedState};
 use cypressfork_core::code::Code;
+use cypressfork_core::fleet::contacts::Leader;
 use cypressfork_core::fleet::evacuation::Evacuations;
 use cypressfork_core::fleet::quarantine::Quarantine;
 use cypressfork_core::fleet::rollout::Rollouts;
@@ -41,6 +42,8 @@
     pub withholds_documents: Mutex<bool>,
     /// Whether all answers to watches are dropped.
     pub silent: Mutex<bool>,
+    /// Whether it knows no leader of its group.
+    pub leaderless: Mutex<bool>,
     /// Number of watches received.
     pub watches: AtomicUsize,
 }
@@ -95,13 +98,15 @@
         let (controls, wall) = (Vec::new(), Time(0));
         let evacuations = Evacuations::default();
         let (quarantine, rollouts) = (Quarantine::default(), Rollouts::default());
+        let leader = Leader { term: 1, address: "127.0.0.1:1".to_owned() };
+        let knows_leader = !*state.leaderless.lock().unwrap();
         let watched = WatchedState {
             version,
             source: &source,
             controls,
             wall,
             registered: &registered,
-            lead: None,
+            lead: knows_leader.then_some(leader),
             data_centre: "tamar-a",
             evacuations: &evacuations,
             quarantine: &quarantine,
--- a/crates/router/src/gateway/documents.rs
+++ b/crates/router/src/gateway/documents.rs
@@ -21,8 +21,8 @@
 /// Interval of the check for a fetch that has timed out.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time without a response from any control process after which the gateway counts as cut off. A
-/// reachable control process answers within a second.
+/// Time without a response from any control process that knows its group's leader, after which the gateway
+/// counts as cut off. A reachable control process answers within a second.
 const CUT_OFF_AFTER: Millis = Millis(2_000);
 
 /// The document in force and the state of the fetch of a newer one.
@@ -31,7 +31,7 @@
     in_force: RefCell<Option<Rc<Routes>>>,
     /// When that document came into force here.
     in_force_since: Cell<Time>,
-    /// When a control process last answered.
+    /// When a control process that knows its group's leader last answered.
     last_response: Cell<Time>,
     fetch: RefCell<Fetch>,
     assembly: RefCell<Assembly>,
@@ -68,8 +68,8 @@
         self.fetch.borrow().latest_version() > self.version()
     }
 
-    /// Returns whether no control process has answered recently. A newer document may then be in force
-    /// elsewhere.
+    /// Returns whether no control process that knows its group's leader has answered recently. A newer
+    /// document may then be in force elsewhere.
     pub fn is_cut_off(&self, now: Time) -> bool {
         now.since(self.last_response.get()) > CUT_OFF_AFTER
     }
@@ -86,16 +86,20 @@
     matches!(code, Code::RouteUnknown | Code::KeyMissing | Code::KeyUnknown)
 }
 
-/// Records a response of the control process at `from`, which has the document of `version`. Adds the part
-/// of a document in it, if there is one, and starts a fetch if a newer document is available.
+/// Records a response of the control process at `from`, which has the document of `version` and may know
+/// its group's leader. Adds the part of a document in it, if there is one, and starts a fetch if a newer
+/// document is available.
 pub fn record_response<F: DocumentFormat>(
     gw: &Rc<Gateway>,
     from: SocketAddr,
+    has_leader: bool,
     version: Version,
     part: Option<Part>,
 ) {
     let docs = &gw.documents;
-    docs.last_response.set(gw.now());
+    if has_leader {
+        docs.last_response.set(gw.now());
+    }
     if let Some(part) = part {
         add_part::<F>(gw, from, part);
     }
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -130,7 +130,8 @@
         if let Some(rollouts) = &response.rollouts {
             gw.apply_rollouts(rollouts);
         }
-        documents::record_response::<D>(gw, from, response.version, response.part);
+        let has_leader = response.lead.is_some();
+        documents::record_response::<D>(gw, from, has_leader, response.version, response.part);
         gw.peers.add(gw.settings.link_advertise, &response.peers);
         if let Some(areas) = &response.areas {
             apply_router_lists(gw, from, areas);
