Gateway: homes report what was spent as often as their number allows

Suspected cause, one of several: reports to the group are limited to 280 a second in all, and the interval was worked out from the number of gateways, though only the homes of budgets hold tokens: 60 of 296 there, which reported each second. Now the number of homes counts: 250 ms there; nothing changes where budgets have no homes or as many as there are gateways. No promise is loosened: bounds are reported as before, more often, within the same limit of the whole.

--- a/crates/core/src/fleet/homes.rs
+++ b/crates/core/src/fleet/homes.rs
@@ -65,6 +65,15 @@
     holders as u64
 }
 
+/// Returns the number of routers that hold tokens, and report what they spent, when `budgets` have
+/// homes in `areas` data centres and there are `routers` in all. The few others with heavy demand are
+/// not counted.
+pub fn reporting_routers(areas: usize, budgets: usize, routers: usize) -> u64 {
+    let homes = areas * HOMES_PER_BUDGET * budgets;
+    let reporting = if homes == 0 { routers } else { homes.min(routers) };
+    reporting as u64
+}
+
 /// Returns the index among `n` items at which router `own` starts, a hash of its address that spreads
 /// routers evenly; 0 if `n` is 0.
 pub fn start_index(own: SocketAddr, n: usize) -> usize {
--- a/crates/core/src/fleet/routes.rs
+++ b/crates/core/src/fleet/routes.rs
@@ -16,6 +16,7 @@
     /// Index into `accounts` by key. `None` if the document has no accounts.
     by_key: Option<HashMap<String, usize>>,
     accounts: Vec<ClientAccount>,
+    budget_count: usize,
     services: HashMap<String, Backend>,
     limits: Limits,
 }
@@ -35,8 +36,10 @@
         let keys = accounts.iter().enumerate();
         let keys = keys.flat_map(|(i, a)| a.keys.iter().map(move |k| (k.clone(), i)));
         let by_key = has_accounts.then(|| keys.collect());
+        let budget_count = accounts.iter().filter(|a| a.prepaid.is_some()).count();
         let services = d.services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Routes { version: d.version, by_host, by_key, accounts, services, limits: d.limits }
+        let (version, limits) = (d.version, d.limits);
+        Routes { version, by_host, by_key, accounts, budget_count, services, limits }
     }
 
     /// Returns the version of the document.
@@ -92,6 +95,11 @@
         self.accounts.iter().find(|a| a.name == account)?.prepaid
     }
 
+    /// Returns the number of accounts with a budget.
+    pub fn budget_count(&self) -> usize {
+        self.budget_count
+    }
+
     /// Returns the service with this name.
     pub fn backend(&self, name: &str) -> Option<&Backend> {
         self.services.get(name)
--- a/crates/core/tests/homes.rs
+++ b/crates/core/tests/homes.rs
@@ -3,14 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use cypressfork_core::budget::report_interval;
 use cypressfork_core::fleet::homes::{
     HOMES_PER_BUDGET, MIN_ROUTERS_FOR_HOMES, ask_order, holder_count, home_candidates,
+    reporting_routers,
 };
 use cypressfork_core::fleet::router_directory::{DataCentreRouters, RouterDirectory, digest};
 use cypressfork_core::fleet::router_heartbeats::RouterHeartbeats;
 use cypressfork_core::fleet::watch::RouterStatus;
 use cypressfork_core::member::Router;
-use cypressfork_core::unit::{HolderId, Time};
+use cypressfork_core::unit::{HolderId, Millis, Time};
 use rstest::rstest;
 
 fn address(n: usize) -> SocketAddr {
@@ -234,3 +236,23 @@
     );
     assert_eq!(directory.with_homes(), Vec::<DataCentreRouters>::new());
 }
+
+/// Guards against homes that report their spending as rarely as if every gateway did: a home that dies loses
+/// what it may have spent since its last report. Each case: data centres with homes, budgets, routers, and the
+/// interval between two reports.
+#[rstest]
+#[case::no_homes(0, 10, 8, 250)]
+#[case::no_homes_many_routers(0, 10, 300, 1_000)]
+#[case::few_budgets(3, 10, 30, 250)]
+#[case::few_budgets_many_routers(3, 10, 300, 250)]
+#[case::more_homes_than_routers(3, 24, 82, 292)]
+#[case::many_budgets(5, 333, 984, 1_000)]
+fn homes_report_as_often_as_their_number_allows(
+    #[case] areas: usize,
+    #[case] budgets: usize,
+    #[case] routers: usize,
+    #[case] interval: u64,
+) {
+    let reporting = reporting_routers(areas, budgets, routers);
+    assert_eq!(report_interval(reporting, Millis::seconds(1)), Millis(interval));
+}
--- a/crates/router/src/gateway/homes.rs
+++ b/crates/router/src/gateway/homes.rs
@@ -123,13 +123,18 @@
     /// have together. `routers` is the number of gateways in the fleet.
     pub fn holder_count(&self, own: SocketAddr, budget: &str, routers: usize) -> u64 {
         let has_local_homes = !self.local.borrow().is_empty();
-        let areas = self.remote.borrow().len() + usize::from(has_local_homes);
+        let areas = self.area_count();
         let is_among_homes =
             |c: &Candidates| c.local.iter().take(HOMES_PER_BUDGET).any(|a| *a == own);
         let is_home = has_local_homes && is_among_homes(&self.candidates(budget));
         holder_count(areas, is_home, routers)
     }
 
+    /// Returns the number of data centres in which budgets have homes.
+    pub fn area_count(&self) -> usize {
+        self.remote.borrow().len() + usize::from(!self.local.borrow().is_empty())
+    }
+
     /// Records a request that spends from a budget.
     pub fn record_request(&self, now: Time, budget: &str) {
         let mut all = self.demand.borrow_mut();
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use cypressfork_core::budget::report_interval;
 use cypressfork_core::fleet::connection_loss::ReplicaEvent;
 use cypressfork_core::fleet::evacuation::Evacuations;
+use cypressfork_core::fleet::homes::reporting_routers;
 use cypressfork_core::fleet::load_monitor::LoadMonitor;
 use cypressfork_core::fleet::peer::Placement;
 use cypressfork_core::fleet::registry::{Record, ReplicaStatus};
@@ -194,11 +195,14 @@
         self.clock.now()
     }
 
-    /// Returns the interval between two reports of spent tokens, which depends on the number of gateways in
-    /// the fleet.
+    /// Returns the interval between two reports of spent tokens, which depends on the number of gateways
+    /// that hold tokens.
     pub fn report_interval(&self) -> Duration {
         let max = Millis(self.settings.report_interval.as_millis() as u64);
-        Duration::from_millis(report_interval(u64::from(self.router_count.get()), max).0)
+        let routers = self.router_count.get() as usize;
+        let budgets = self.documents.in_force().map_or(0, |d| d.budget_count());
+        let reporting = reporting_routers(self.peers.homes.area_count(), budgets, routers);
+        Duration::from_millis(report_interval(reporting, max).0)
     }
 
     /// Returns whether the gateway accepts callers: it has a document and is not stopping.
