Test of the watch's encoding: the earlier release knows 18 fields of a response

The response of the release before has 18 fields, its request 14, counted in its source; the test demands just these, as before.

--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -156,7 +156,7 @@
     let plain = Watch { hears: None, ..watch() };
     assert_eq!(body::pack(&plain)[0], ARRAY_OF_14);
     let response = body::pack(&watch_response());
-    assert_eq!(response[..3], [ARRAY_16, 0, 20]);
+    assert_eq!(response[..3], [ARRAY_16, 0, 18]);
     assert_eq!(body::unpack::<Watch>(&body::pack(&plain)), Ok(plain));
     assert_eq!(body::unpack::<Watch>(&body::pack(&watch())), Ok(watch()));
 }
