Control: a write-off shows what the tokens of a dead holder consist of

A dead holder's unreported tokens were one number, which does not tell requests under way from the allowance or from growth since its last report.

--- a/crates/control/src/leader_tasks.rs
+++ b/crates/control/src/leader_tasks.rs
@@ -113,6 +113,7 @@
                 let elapsed = Elapsed { last: Some(last), before: Some(before) };
                 let WriteOff { counted, freed } =
                     self.state.ledger().write_off_amounts(holder, &elapsed);
+                let parts = self.state.ledger().unreported_parts(holder, &elapsed);
                 emit!(
                     Event::HolderWrittenOff,
                     holder = holder,
@@ -120,15 +121,24 @@
                     before_ms = before.0,
                     counted = counted,
                     freed = freed,
+                    under_way = parts.under_way,
+                    begun = parts.begun,
+                    allowance = parts.allowance,
+                    growth = parts.growth,
                 );
                 let budgets = self.state.ledger().write_offs(holder, &elapsed);
                 for (budget, w) in budgets.filter(|(_, w)| w.counted > 0).take(lines) {
                     lines -= 1;
                     let (counted, freed) = (w.counted, w.freed);
+                    let state = self.state.ledger().get(budget);
+                    let prepaid = state.map_or(0, |state| state.funded);
+                    let spent = state.map_or(0, |state| state.spent());
                     emit!(
                         Event::BudgetWrittenOff,
                         holder = holder,
                         budget = budget,
+                        prepaid = prepaid,
+                        spent = spent,
                         counted = counted,
                         freed = freed,
                     );
--- a/crates/core/src/budget/bound.rs
+++ b/crates/core/src/budget/bound.rs
@@ -81,6 +81,25 @@
     /// Length of the early period at the grantor; 0 in bounds of the previous release.
     #[serde(default)]
     pub early_for: Millis,
+    /// The part of `limit` for running requests, at the most that they can use.
+    #[serde(default)]
+    pub under_way: Tokens,
+    /// The part of `under_way` for requests whose response has begun, so that its tokens are being spent.
+    #[serde(default)]
+    pub begun: Tokens,
+}
+
+/// What the tokens consist of that a holder may have spent without reporting them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnreportedParts {
+    /// Running requests, at the most that they can use.
+    pub under_way: Tokens,
+    /// The part of `under_way` for requests whose response has begun.
+    pub begun: Tokens,
+    /// New requests until the next report.
+    pub allowance: Tokens,
+    /// Growth of the limit since the last report.
+    pub growth: Tokens,
 }
 
 impl Bound {
@@ -265,6 +284,20 @@
         max_spent.saturating_sub(bounds.last.spent)
     }
 
+    /// Returns the parts of [`Bounds::unreported`] by the last report, over all budgets.
+    pub fn unreported_parts(&self, holder: HolderId, e: &Elapsed) -> UnreportedParts {
+        let mut sum = UnreportedParts::default();
+        for bounds in self.words.get(&holder).into_iter().flat_map(BTreeMap::values) {
+            let b = &bounds.last;
+            let unspent = b.limit.saturating_sub(b.spent);
+            sum.under_way += b.under_way;
+            sum.begun += b.begun;
+            sum.allowance += unspent.saturating_sub(b.under_way);
+            sum.growth += b.max_spent(e.last).saturating_sub(b.limit);
+        }
+        sum
+    }
+
     /// Removes a holder's reports.
     pub fn remove_holder(&mut self, holder: HolderId) {
         self.chains.remove(&holder);
--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Policy;
-use super::bound::{Bound, Bounds, Elapsed, LastReports};
+use super::bound::{Bound, Bounds, Elapsed, LastReports, UnreportedParts};
 use crate::unit::{HolderId, LeaseId, Millis, Time, Tokens};
 
 /// Time for which a recall blocks other requests, and within which a holder has to answer it.
@@ -482,6 +482,11 @@
         })
     }
 
+    /// Returns what the unreported tokens of a holder consist of, by its last report.
+    pub fn unreported_parts(&self, holder: HolderId, e: &Elapsed) -> UnreportedParts {
+        self.bounds.unreported_parts(holder, e)
+    }
+
     /// Like [`Ledger::write_off_amounts`], for each budget of which the holder has leases.
     pub fn write_offs(
         &self,
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -15,8 +15,8 @@
 mod usage;
 
 pub use bound::{
-    Bound, Bounds, BoundsReport, Elapsed, LastReports, SpendingLimit, hold_off, longest_run,
-    may_wait_for_limit,
+    Bound, Bounds, BoundsReport, Elapsed, LastReports, SpendingLimit, UnreportedParts, hold_off,
+    longest_run, may_wait_for_limit,
 };
 pub use ledger::{
     BudgetState, Decision, Grant, Lease, LeaseRequest, Ledger, Report, Shortage, WriteOff,
--- a/crates/core/src/budget/slice_store.rs
+++ b/crates/core/src/budget/slice_store.rs
@@ -24,6 +24,8 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct Reservation {
     parts: Vec<(LeaseId, Tokens)>,
+    /// Whether the response has begun.
+    begun: bool,
 }
 
 impl Reservation {
@@ -70,6 +72,8 @@
     spent: Tokens,
     /// Tokens reserved at present, over all slices.
     reserved: Tokens,
+    /// The part of `reserved` for requests whose response has begun.
+    begun: Tokens,
     /// Limit on the spent and reserved tokens, under a bounded policy.
     limit: SpendingLimit,
     /// Tokens that requests waiting for a higher limit need in total.
@@ -123,7 +127,7 @@
                 parts.push((*id, take));
             }
         }
-        Some(Reservation { parts })
+        Some(Reservation { parts, begun: false })
     }
 
     /// Reserves as many of `n` tokens as possible; `None` if that is none.
@@ -132,6 +136,13 @@
         (part > 0).then(|| self.reserve(now, part)).flatten()
     }
 
+    /// Records that the response to a request has begun, so that its tokens are being spent.
+    pub fn begin(&mut self, r: &mut Reservation) {
+        if !std::mem::replace(&mut r.begun, true) {
+            self.begun += r.amount();
+        }
+    }
+
     /// Returns whether `n` more tokens exceed the holder's limit at `now`.
     pub fn exceeds_limit(&self, now: Time, n: Tokens) -> bool {
         self.policy.bounded && self.spent + self.reserved + n > self.limit.at(now)
@@ -193,6 +204,8 @@
             hold_off: terms.hold_off,
             early_rate,
             early_for: terms.early_for,
+            under_way: self.reserved,
+            begun: self.begun,
         })
     }
 
@@ -206,6 +219,9 @@
     pub fn settle(&mut self, now: Time, r: Reservation, used: Tokens) -> Tokens {
         let charged = used.min(r.amount());
         self.reserved -= r.amount();
+        if r.begun {
+            self.begun -= r.amount();
+        }
         self.spent += charged;
         let mut left = charged;
         for (id, reserved) in r.parts {
--- a/crates/router/src/budget_slices.rs
+++ b/crates/router/src/budget_slices.rs
@@ -47,6 +47,13 @@
         entry.clone()
     }
 
+    /// Records that the response to a request has begun.
+    pub fn begin(&self, budget: &str, r: &mut Reservation) {
+        if let Some(entry) = self.by_budget.borrow().get(budget) {
+            entry.slices.borrow_mut().begin(r);
+        }
+    }
+
     /// Ends a reservation of which `used` tokens were spent. Returns the number of tokens charged.
     pub fn settle(&self, now: Time, budget: &str, r: Reservation, used: Tokens) -> Tokens {
         let Some(entry) = self.by_budget.borrow().get(budget).cloned() else { return 0 };
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -77,6 +77,10 @@
 }
 
 impl OwnReservation {
+    fn begin(&mut self) {
+        self.token_store.begin(self.grantor, &self.budget, &mut self.reservation);
+    }
+
     fn settle(self, used: Tokens) {
         self.token_store.settle(self.grantor, &self.budget, self.reservation, used);
     }
@@ -330,6 +334,15 @@
 }
 
 impl TokenReservation {
+    /// Records that the response has begun, so that the tokens are being spent.
+    pub fn begin(&mut self) {
+        for part in &mut self.parts {
+            if let Part::Own(own) = part {
+                own.begin();
+            }
+        }
+    }
+
     /// Ends the reservation: charges the used tokens, at most the reserved ones, and releases the rest.
     pub fn settle(self, usage: &TokenUsage) {
         let parts: Vec<Tokens> = self.parts.iter().map(Part::amount).collect();
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -79,6 +79,8 @@
     pub events: EventSplitter,
     /// The time spent in each phase.
     pub timing: StreamTiming,
+    /// The tokens reserved for the request.
+    pub tokens: Option<TokenReservation>,
 }
 
 /// The outcome of a request.
@@ -198,10 +200,10 @@
         Ok(reservation) => reservation,
         Err(r) => return Outcome::Refused(r),
     };
-    let mut attempts = RequestAttempts::new(&request, arrived);
+    let mut attempts = RequestAttempts::new(&request, arrived, reservation);
     let outcome = attempts.run::<D>(client).await;
-    if let Some(reservation) = reservation {
-        reservation.settle(&attempts.usage());
+    if let Some(tokens) = attempts.progress.tokens.take() {
+        tokens.settle(&attempts.usage());
     }
     deliver_held(client, request.deadline, outcome).await
 }
@@ -341,9 +343,13 @@
 }
 
 impl<'a> RequestAttempts<'a> {
-    fn new(request: &'a RoutedRequest, arrived: Instant) -> RequestAttempts<'a> {
+    fn new(
+        request: &'a RoutedRequest,
+        arrived: Instant,
+        tokens: Option<TokenReservation>,
+    ) -> RequestAttempts<'a> {
         let events = EventSplitter::resume_after(request.inbound.last_event);
-        let progress = ResponseProgress { events, timing: StreamTiming::new(arrived) };
+        let progress = ResponseProgress { events, timing: StreamTiming::new(arrived), tokens };
         RequestAttempts {
             request,
             progress,
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -68,7 +68,7 @@
     head: &ResponseHead,
 ) -> Option<AttemptOutcome> {
     let request = attempt.request;
-    let ResponseProgress { events, timing } = progress;
+    let ResponseProgress { events, timing, tokens } = progress;
     let mut is_first = true;
     loop {
         let before = events.count();
@@ -108,6 +108,9 @@
         timing.record_events(attempt.sent, events.count() - before);
         if std::mem::take(&mut is_first) {
             let took = attempt.sent.elapsed();
+            if let Some(tokens) = tokens {
+                tokens.begin();
+            }
             attempt.time_to_first = Some(took);
             request.gw.record_first_event(
                 &request.service,
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -375,6 +375,11 @@
         Available { idle, allowed, limit_retry_after }
     }
 
+    /// Records that the response to a request has begun, so that its tokens are being spent.
+    pub fn begin(&self, grantor: Grantor, budget: &str, r: &mut Reservation) {
+        self.slices_of(grantor).begin(budget, r);
+    }
+
     /// Settles a reservation of which `used` tokens were spent. Returns the tokens charged.
     pub fn settle(&self, grantor: Grantor, budget: &str, r: Reservation, used: Tokens) -> Tokens {
         self.slices_of(grantor).settle(self.clock.now(), budget, r, used)
