A resumed stream's prompt is charged once

Of 1.7 million tokens that the write-off counted as spent 0.82 million belonged to streams that had begun, whose callers resume them after the event they have received. The resumed request was charged its whole prompt again, so these tokens counted twice.

Only a resumable route and an event received count; sizes and this number are the caller's own words, as before.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -26,4 +26,4 @@
 pub use reserve::{ReserveAnswer, ReserveCommand, ReserveLedger};
 pub use slice_store::{Reservation, SliceStore};
 pub use unread::UnreadEstimate;
-pub use usage::TokenUsage;
+pub use usage::{TokenUsage, prompt_charge};
--- a/crates/core/src/budget/usage.rs
+++ b/crates/core/src/budget/usage.rs
@@ -2,10 +2,22 @@
 
 use crate::unit::Tokens;
 
+/// Returns the tokens of a request's prompt that are to be charged. `last_event` is the number of the last event
+/// that the caller has received, if it resumes a stream.
+///
+/// The prompt of a resumed stream was charged with its first event, by the gateway that forwarded it or by the
+/// bound on that gateway's spending.
+pub fn prompt_charge(prompt: Tokens, last_event: Option<u64>) -> Tokens {
+    match last_event {
+        Some(1..) => 0,
+        _ => prompt,
+    }
+}
+
 /// What a gateway knows of a request after its last attempt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TokenUsage {
-    /// Tokens of its prompt.
+    /// Tokens of its prompt that are charged to it; see [`prompt_charge`].
     pub prompt: Tokens,
     /// Events received from replicas, over all attempts.
     pub events: u64,
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -3,7 +3,7 @@
 
 #![allow(missing_docs)]
 
-use cypressfork_core::budget::TokenUsage;
+use cypressfork_core::budget::{TokenUsage, prompt_charge};
 use cypressfork_core::unit::Tokens;
 use rstest::rstest;
 
@@ -24,3 +24,17 @@
     let usage = TokenUsage { prompt: 1_000, events, tokens_per_event: 3, unread, is_complete };
     assert_eq!(usage.charge(), charge);
 }
+
+/// Guards against charging the prompt of a resumed stream twice, and against requests that avoid its charge
+/// although their callers have received nothing.
+#[rstest]
+#[case::a_new_request(None, 1_000)]
+#[case::before_the_first_event(Some(0), 1_000)]
+#[case::after_the_first_event(Some(1), 0)]
+#[case::after_many_events(Some(40), 0)]
+fn a_prompt_is_charged_until_its_caller_has_received_an_event(
+    #[case] last_event: Option<u64>,
+    #[case] charge: Tokens,
+) {
+    assert_eq!(prompt_charge(1_000, last_event), charge);
+}
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -13,7 +13,6 @@
 use cypressfork_core::unit::{Millis, Tokens};
 use tokio::time::{Instant, sleep};
 
-use super::dialect::PromptSize;
 use super::share::BorrowedTokens;
 use super::state::Gateway;
 use crate::reply::Refusal;
@@ -102,13 +101,13 @@
     }
 }
 
-/// Reserves the most tokens that a request can use, `prompt.tokens + prompt.max_output`. Returns the refusal
-/// for the caller if they cannot be reserved, at `deadline` at the latest.
+/// Reserves `max_tokens`, the most that a request can use. Returns the refusal for the caller if they cannot be
+/// reserved, at `deadline` at the latest.
 pub async fn reserve_tokens(
     gw: &Gateway,
     account: &str,
     prepaid: Tokens,
-    prompt: &PromptSize,
+    max_tokens: Tokens,
     deadline: Instant,
 ) -> Result<TokenReservation, Refusal> {
     let budget = budget_name(account);
@@ -116,7 +115,7 @@
         account,
         policy: holder_policy(gw, &budget, prepaid),
         budget,
-        max_tokens: prompt.tokens.saturating_add(prompt.max_output),
+        max_tokens,
         deadline,
     };
     gw.peers.homes.record_request(gw.now(), &demand.budget);
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -319,7 +319,8 @@
     else {
         return Ok(None);
     };
-    reserve_tokens(&request.gw, account, prepaid, prompt, request.deadline).await.map(Some)
+    let max_tokens = request.prompt_charge().saturating_add(prompt.max_output);
+    reserve_tokens(&request.gw, account, prepaid, max_tokens, request.deadline).await.map(Some)
 }
 
 /// The attempts of one request.
@@ -368,7 +369,7 @@
     fn usage(&self) -> TokenUsage {
         let is_complete = self.is_complete;
         TokenUsage {
-            prompt: self.request.inbound.prompt.as_ref().map_or(0, |p| p.tokens),
+            prompt: self.request.prompt_charge(),
             events: self.progress.events.count(),
             tokens_per_event: self.request.tokens_per_event,
             unread: if is_complete { 0 } else { self.progress.timing.unread().max_unread() },
--- a/crates/router/src/gateway/routed_request.rs
+++ b/crates/router/src/gateway/routed_request.rs
@@ -7,6 +7,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
 use bytes::Bytes;
+use cypressfork_core::budget::prompt_charge;
 use cypressfork_core::fleet::document::RouteKind;
 use cypressfork_core::fleet::fingerprint::RequestIdentity;
 use cypressfork_core::route::RequestProfile;
@@ -68,6 +69,13 @@
         self.inbound.prompt.clone().unwrap_or_default()
     }
 
+    /// Returns the tokens of its prompt that are charged to it.
+    pub fn prompt_charge(&self) -> Tokens {
+        let tokens = self.inbound.prompt.as_ref().map_or(0, |p| p.tokens);
+        let last_event = self.inbound.last_event.filter(|_| self.resumable);
+        prompt_charge(tokens, last_event)
+    }
+
     /// Returns what the choice of a replica depends on.
     pub fn profile(&self) -> RequestProfile {
         let prompt = self.inbound.prompt.as_ref();
