Budgets: a request counts towards the spending limit once its response begins

Callers saw: after the loss of all gateways, owed requests got 402, because requests that were still waiting for their first event counted as spent at their most: 137,000 to 266,000 of 1.4 to 1.7 million tokens.

Cause: a bound covered every reservation from its start, although nothing reaches a caller before the gateway forwards the first event. Now the gateway sets tokens aside when it sends a request, and begins to spend them right before it forwards anything, within its limit. While reports are not answered it begins at once as before, since a replica would run the request in vain.

--- a/crates/control/src/leader_tasks.rs
+++ b/crates/control/src/leader_tasks.rs
@@ -121,7 +121,6 @@
                     before_ms = before.0,
                     counted = counted,
                     freed = freed,
-                    under_way = parts.under_way,
                     begun = parts.begun,
                     allowance = parts.allowance,
                     growth = parts.growth,
--- a/crates/core/src/budget/bound.rs
+++ b/crates/core/src/budget/bound.rs
@@ -5,6 +5,9 @@
 //! a rate for each second since it learned that. When its successor registers, the holder is dead;
 //! the grantor computes the most that it can have spent, and frees the rest of its slices.
 //!
+//! A request counts towards the limit from the time at which its response begins: until then its caller has
+//! received nothing, and nothing is lost if the holder dies.
+//!
 //! The grantor counts the time from its receipt of a report, the holder from the answer, which is
 //! later. The holder may miss the answer to its last report and still spend under the one before.
 //! So each report names the last one whose answer the holder received, and the grantor keeps both.
@@ -86,10 +89,7 @@
     /// Time in which the growth reaches its rate; 0 in bounds of the previous release.
     #[serde(default)]
     pub ramp: Millis,
-    /// The part of `limit` for running requests, at the most that they can use.
-    #[serde(default)]
-    pub under_way: Tokens,
-    /// The part of `under_way` for requests whose response has begun, so that its tokens are being spent.
+    /// The part of `limit` for requests that are being spent on, at the most that they can use.
     #[serde(default)]
     pub begun: Tokens,
 }
@@ -97,11 +97,9 @@
 /// What the tokens consist of that a holder may have spent without reporting them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UnreportedParts {
-    /// Running requests, at the most that they can use.
-    pub under_way: Tokens,
-    /// The part of `under_way` for requests whose response has begun.
+    /// Requests that are being spent on, at the most that they can use.
     pub begun: Tokens,
-    /// New requests until the next report.
+    /// Requests that begin until the next report.
     pub allowance: Tokens,
     /// Growth of the limit since the last report.
     pub growth: Tokens,
@@ -318,9 +316,8 @@
         for bounds in self.words.get(&holder).into_iter().flat_map(BTreeMap::values) {
             let b = &bounds.last;
             let unspent = b.limit.saturating_sub(b.spent);
-            sum.under_way += b.under_way;
             sum.begun += b.begun;
-            sum.allowance += unspent.saturating_sub(b.under_way);
+            sum.allowance += unspent.saturating_sub(b.begun);
             sum.growth += b.max_spent(e.last).saturating_sub(b.limit);
         }
         sum
--- a/crates/core/src/budget/slice_store.rs
+++ b/crates/core/src/budget/slice_store.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct Reservation {
     parts: Vec<(LeaseId, Tokens)>,
-    /// Whether the response has begun.
+    /// Whether it counts towards the holder's limit.
     begun: bool,
 }
 
@@ -72,9 +72,9 @@
     spent: Tokens,
     /// Tokens reserved at present, over all slices.
     reserved: Tokens,
-    /// The part of `reserved` for requests whose response has begun.
+    /// The part of `reserved` for requests that are being spent on.
     begun: Tokens,
-    /// Limit on the spent and reserved tokens, under a bounded policy.
+    /// Limit on the spent and begun tokens, under a bounded policy.
     limit: SpendingLimit,
     /// Tokens that requests waiting for a higher limit need in total.
     limit_demand: Tokens,
@@ -109,10 +109,20 @@
         self.slices.is_empty() && self.pending.is_none()
     }
 
-    /// Reserves `n` tokens. Returns `None` and reserves nothing if too few are idle or the limit
-    /// does not allow them.
+    /// Reserves `n` tokens and begins to spend them. Returns `None` and reserves nothing if too few are
+    /// idle or the limit does not allow them.
     pub fn reserve(&mut self, now: Time, n: Tokens) -> Option<Reservation> {
-        if self.idle(now) < n || self.exceeds_limit(now, n) {
+        if self.exceeds_limit(now, n) {
+            return None;
+        }
+        let mut r = self.set_aside(now, n)?;
+        self.begin(now, &mut r).then_some(r)
+    }
+
+    /// Reserves `n` tokens that must not be spent before [`SliceStore::begin`]. Returns `None` and reserves
+    /// nothing if too few are idle.
+    pub fn set_aside(&mut self, now: Time, n: Tokens) -> Option<Reservation> {
+        if self.idle(now) < n {
             return None;
         }
         self.last_reserved = now;
@@ -136,22 +146,24 @@
         (part > 0).then(|| self.reserve(now, part)).flatten()
     }
 
-    /// Records that the response to a request has begun, so that its tokens are being spent.
-    pub fn begin(&mut self, r: &mut Reservation) {
-        if !std::mem::replace(&mut r.begun, true) {
-            self.begun += r.amount();
+    /// Begins to spend reserved tokens. Returns false if the limit does not allow them.
+    pub fn begin(&mut self, now: Time, r: &mut Reservation) -> bool {
+        if !r.begun {
+            r.begun = !self.exceeds_limit(now, r.amount());
+            self.begun += if r.begun { r.amount() } else { 0 };
         }
+        r.begun
     }
 
     /// Returns whether `n` more tokens exceed the holder's limit at `now`.
     pub fn exceeds_limit(&self, now: Time, n: Tokens) -> bool {
-        self.policy.bounded && self.spent + self.reserved + n > self.limit.at(now)
+        self.policy.bounded && self.spent + self.begun + n > self.limit.at(now)
     }
 
     /// Returns how many more tokens the holder's limit allows at `now`.
     pub fn limit_remaining(&self, now: Time) -> Tokens {
         match self.policy.bounded {
-            true => self.limit.at(now).saturating_sub(self.spent + self.reserved),
+            true => self.limit.at(now).saturating_sub(self.spent + self.begun),
             false => Tokens::MAX,
         }
     }
@@ -159,10 +171,16 @@
     /// Returns how long after `now` the growing limit allows `n` more tokens. `None` if there is no
     /// limit, if too few tokens are idle, or if the limit does not grow without a report.
     pub fn limit_wait(&self, now: Time, n: Tokens) -> Option<Millis> {
-        if !self.policy.bounded || self.idle(now) < n {
+        if self.idle(now) < n { None } else { self.limit_growth_time(now, n) }
+    }
+
+    /// Returns how long after `now` the growing limit allows `n` reserved tokens to be spent. `None` if there
+    /// is no limit, or if it does not grow without a report.
+    pub fn limit_growth_time(&self, now: Time, n: Tokens) -> Option<Millis> {
+        if !self.policy.bounded {
             return None;
         }
-        self.limit.time_until(now, (self.spent + self.reserved).saturating_add(n))
+        self.limit.time_until(now, (self.spent + self.begun).saturating_add(n))
     }
 
     /// Registers a request that waits for a limit higher by `n` tokens. The bounds returned by
@@ -193,9 +211,8 @@
             _ => early_growth * catch_up.0 / catch_up.1,
         };
         // New requests use up the allowance until the next report, so waiting ones are added to it.
-        let limit = (self.spent + self.reserved)
-            .saturating_add(self.limit_demand)
-            .saturating_add(allowance);
+        let limit =
+            (self.spent + self.begun).saturating_add(self.limit_demand).saturating_add(allowance);
         Some(Bound {
             budget: budget.to_owned(),
             spent: self.spent,
@@ -205,7 +222,6 @@
             early_rate,
             early_for: terms.early_for,
             ramp: terms.ramp,
-            under_way: self.reserved,
             begun: self.begun,
         })
     }
--- a/crates/router/src/budget_slices.rs
+++ b/crates/router/src/budget_slices.rs
@@ -47,16 +47,14 @@
         entry.clone()
     }
 
-    /// Records that the response to a request has begun.
-    pub fn begin(&self, budget: &str, r: &mut Reservation) {
-        if let Some(entry) = self.by_budget.borrow().get(budget) {
-            entry.slices.borrow_mut().begin(r);
-        }
+    /// Returns the slices of a budget.
+    pub fn get(&self, budget: &str) -> Option<Rc<BudgetSlices>> {
+        self.by_budget.borrow().get(budget).cloned()
     }
 
     /// Ends a reservation of which `used` tokens were spent. Returns the number of tokens charged.
     pub fn settle(&self, now: Time, budget: &str, r: Reservation, used: Tokens) -> Tokens {
-        let Some(entry) = self.by_budget.borrow().get(budget).cloned() else { return 0 };
+        let Some(entry) = self.get(budget) else { return 0 };
         let charged = entry.slices.borrow_mut().settle(now, r, used);
         entry.changed.notify_waiters();
         charged
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -431,6 +431,9 @@
         if head.status.is_server_error() {
             return AttemptOutcome::Failed(Box::new(Answer { status: head.status, headers, body }));
         }
+        if !progress.begin(self.request.deadline).await {
+            return AttemptOutcome::Late;
+        }
         let sent = match unframed {
             true => client.send_unframed_response(head.status, headers, body).await,
             false => client.send_response(head.status, headers, body).await,
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -76,8 +76,9 @@
 }
 
 impl OwnReservation {
-    fn begin(&mut self) {
-        self.token_store.begin(self.grantor, &self.budget, &mut self.reservation);
+    async fn begin(&mut self, deadline: Instant) -> bool {
+        let OwnReservation { token_store, grantor, budget, reservation } = self;
+        token_store.begin(*grantor, budget, reservation, deadline).await
     }
 
     fn settle(self, used: Tokens) {
@@ -295,7 +296,7 @@
     };
     // The order is: tokens available at short notice, idle tokens of other gateways, recalled tokens.
     let short_until = deadline.min(Instant::now() + SHORT_WAIT);
-    if let Ok((grantor, r)) = token_store.reserve(budget, policy, max_tokens, short_until).await {
+    if let Ok((grantor, r)) = token_store.set_aside(budget, policy, max_tokens, short_until).await {
         return Ok(vec![to_part(grantor, r)]);
     }
     let part =
@@ -308,7 +309,7 @@
         part.settle(0);
     }
     let until = deadline.min(Instant::now() + RECALL_WAIT);
-    match token_store.reserve(budget, policy, max_tokens, until).await {
+    match token_store.set_aside(budget, policy, max_tokens, until).await {
         Ok((grantor, r)) => Ok(vec![to_part(grantor, r)]),
         Err(r) => {
             let available = token_store.available(budget, policy, max_tokens);
@@ -333,13 +334,18 @@
 }
 
 impl TokenReservation {
-    /// Records that the response has begun, so that the tokens are being spent.
-    pub fn begin(&mut self) {
+    /// Begins to spend the tokens; must precede the forwarding of any of the response. Waits until `deadline` at
+    /// most. Returns false if the spending limit does not allow it by then.
+    pub async fn begin(&mut self, deadline: Instant) -> bool {
         for part in &mut self.parts {
-            if let Part::Own(own) = part {
-                own.begin();
+            // Lenders count a loan as being spent from the start.
+            if let Part::Own(own) = part
+                && !own.begin(deadline).await
+            {
+                return false;
             }
         }
+        true
     }
 
     /// Ends the reservation: charges the used tokens, at most the reserved ones, and releases the rest.
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -83,6 +83,17 @@
     pub tokens: Option<TokenReservation>,
 }
 
+impl ResponseProgress {
+    /// Begins to spend the request's tokens before the first part of a response is forwarded. Returns false if
+    /// that is not allowed by `deadline`.
+    pub async fn begin(&mut self, deadline: Instant) -> bool {
+        match &mut self.tokens {
+            Some(tokens) => tokens.begin(deadline).await,
+            None => true,
+        }
+    }
+}
+
 /// The outcome of a request.
 enum Outcome {
     /// The complete response was forwarded.
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -68,10 +68,9 @@
     head: &ResponseHead,
 ) -> Option<AttemptOutcome> {
     let request = attempt.request;
-    let ResponseProgress { events, timing, tokens } = progress;
     let mut is_first = true;
     loop {
-        let before = events.count();
+        let before = progress.events.count();
         // Received bytes are read before a closed caller ends the stream, so that their events count.
         let read = tokio::select! {
             biased;
@@ -82,12 +81,12 @@
             ReadOutcome::Bytes(bytes) => {
                 let (service, address) = (&request.service, attempt.choice.address);
                 request.gw.dialer.record_response(service, address, connection);
-                match events.feed(&bytes) {
+                match progress.events.feed(&bytes) {
                     Ok(complete) => complete,
                     Err(error) => return Some(AttemptOutcome::Broken(format!("{error:?}"))),
                 }
             }
-            ReadOutcome::End if !events.is_at_boundary() => {
+            ReadOutcome::End if !progress.events.is_at_boundary() => {
                 return Some(AttemptOutcome::Broken("it ends inside an event".to_owned()));
             }
             // An earlier attempt sent a head with framing, and this unframed response may be truncated.
@@ -105,18 +104,18 @@
         if complete.is_empty() {
             continue;
         }
-        timing.record_events(attempt.sent, events.count() - before);
+        progress.timing.record_events(attempt.sent, progress.events.count() - before);
         if std::mem::take(&mut is_first) {
             let took = attempt.sent.elapsed();
-            if let Some(tokens) = tokens {
-                tokens.begin();
-            }
             attempt.time_to_first = Some(took);
             request.gw.record_first_event(
                 &request.service,
                 attempt.choice,
                 took.as_micros() as u64,
             );
+            if !progress.begin(request.deadline).await {
+                return Some(AttemptOutcome::Late);
+            }
         }
         let unframed = connection.is_unframed();
         let mut begun = Instant::now();
@@ -124,10 +123,10 @@
         if client.may_hold() {
             // So far, nothing was waited for.
             begun = Instant::now();
-            timing.record_held(client.held_for());
+            progress.timing.record_held(client.held_for());
         }
         let sent = sent && wait_for_room(client, request.deadline).await;
-        timing.record_forwarded(begun.elapsed());
+        progress.timing.record_forwarded(begun.elapsed());
         if !sent {
             return Some(AttemptOutcome::Left);
         }
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -120,8 +120,8 @@
         }
     }
 
-    /// Reserves `n` tokens of a budget. Requests more from the control group if too few are idle,
-    /// or from the reserve if the group is unreachable, and waits no longer than `deadline`.
+    /// Reserves `n` tokens of a budget and begins to spend them. Requests more from the control group if too
+    /// few are idle, or from the reserve if the group is unreachable, and waits no longer than `deadline`.
     ///
     /// Returns the reservation and its grantor, or the refusal for the caller.
     pub async fn reserve(
@@ -130,11 +130,67 @@
         policy: Policy,
         n: Tokens,
         deadline: Instant,
+    ) -> Result<(Grantor, Reservation), Refusal> {
+        self.reserve_with(budget, policy, n, deadline, || false).await
+    }
+
+    /// Like [`TokenStore::reserve`], for a request that calls [`TokenStore::begin`] before any of its response
+    /// is forwarded. While reports are not being answered it begins at once: a replica would run it in vain.
+    pub async fn set_aside(
+        self: &Rc<Self>,
+        budget: &str,
+        policy: Policy,
+        n: Tokens,
+        deadline: Instant,
+    ) -> Result<(Grantor, Reservation), Refusal> {
+        self.reserve_with(budget, policy, n, deadline, || self.reports_are_answered()).await
+    }
+
+    /// Begins to spend reserved tokens, after waiting until `deadline` at most for a limit that allows them.
+    /// Returns false if there is none.
+    pub async fn begin(
+        &self,
+        grantor: Grantor,
+        budget: &str,
+        r: &mut Reservation,
+        deadline: Instant,
+    ) -> bool {
+        let Some(entry) = self.slices_of(grantor).get(budget) else { return true };
+        loop {
+            let now = self.clock.now();
+            if entry.slices.borrow_mut().begin(now, r) {
+                return true;
+            }
+            let n = r.amount();
+            let growth_time = entry.slices.borrow().limit_growth_time(now, n);
+            let allowed_at = at_latest(growth_time, deadline);
+            if self.wait_for_limit(&entry, n, allowed_at, deadline).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    /// Returns whether the control group has accepted a report lately.
+    fn reports_are_answered(&self) -> bool {
+        self.clock.now().since(self.bounds_accepted.get()) < REPORTS_UNANSWERED
+    }
+
+    /// Reserves tokens. They are spent at once unless `is_set_aside` returns true.
+    async fn reserve_with(
+        self: &Rc<Self>,
+        budget: &str,
+        policy: Policy,
+        n: Tokens,
+        deadline: Instant,
+        is_set_aside: impl Fn() -> bool,
     ) -> Result<(Grantor, Reservation), Refusal> {
         let entry = self.group_slices.get_or_create(budget, policy);
         loop {
             let now = self.clock.now();
-            let found = entry.slices.borrow_mut().reserve(now, n);
+            let found = match is_set_aside() {
+                true => entry.slices.borrow_mut().set_aside(now, n),
+                false => entry.slices.borrow_mut().reserve(now, n),
+            };
             if let Some(r) = found {
                 self.refill(budget, &entry);
                 return Ok((Grantor::Group, r));
@@ -185,9 +241,7 @@
         n: Tokens,
         deadline: Instant,
     ) -> Option<Instant> {
-        let span = entry.slices.borrow().limit_wait(now, n)?;
-        let at = Instant::now() + Duration::from_millis(span.0);
-        (at <= deadline).then_some(at)
+        at_latest(entry.slices.borrow().limit_wait(now, n), deadline)
     }
 
     /// Requests a limit that allows `n` more tokens and waits for the grantor to accept it, until
@@ -215,10 +269,8 @@
     /// tokens: when the growing limit allows them, or sooner if reports are being answered. `None` if
     /// something else is missing.
     fn limit_retry_after(&self, entry: &BudgetSlices, n: Tokens) -> Option<Millis> {
-        let now = self.clock.now();
-        let wait = entry.slices.borrow().limit_wait(now, n)?;
-        let is_answered = now.since(self.bounds_accepted.get()) < REPORTS_UNANSWERED;
-        Some(if is_answered { wait.min(BUSY_RETRY_AFTER) } else { wait })
+        let wait = entry.slices.borrow().limit_wait(self.clock.now(), n)?;
+        Some(if self.reports_are_answered() { wait.min(BUSY_RETRY_AFTER) } else { wait })
     }
 
     /// Reserves `n` tokens of the data centre's reserve. Sends it one request at most: the reserve
@@ -375,11 +427,6 @@
         Available { idle, allowed, limit_retry_after }
     }
 
-    /// Records that the response to a request has begun, so that its tokens are being spent.
-    pub fn begin(&self, grantor: Grantor, budget: &str, r: &mut Reservation) {
-        self.slices_of(grantor).begin(budget, r);
-    }
-
     /// Settles a reservation of which `used` tokens were spent. Returns the tokens charged.
     pub fn settle(&self, grantor: Grantor, budget: &str, r: Reservation, used: Tokens) -> Tokens {
         self.slices_of(grantor).settle(self.clock.now(), budget, r, used)
@@ -508,6 +555,12 @@
     }
 }
 
+/// Returns the time after `span`, if that is no later than `deadline`.
+fn at_latest(span: Option<Millis>, deadline: Instant) -> Option<Instant> {
+    let at = Instant::now() + Duration::from_millis(span?.0);
+    (at <= deadline).then_some(at)
+}
+
 fn without_budgets(reports: &[(String, Report)]) -> Vec<Report> {
     reports.iter().map(|(_, r)| *r).collect()
 }
