Budgets: a request whose limit is too low begins with borrowed tokens

Callers saw: while all gateways are cut off from control, a request sent right before waits at its first event for a limit that grows for seconds, because a gateway's part of an account's limit is smaller than a prompt.

The tokens of other gateways now take its place, as at its reservation. A request whose spending never began is not charged, and reports count as unanswered after 350 ms (500 before). The allowance is an eighth of a second's spending.

--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -90,7 +90,7 @@
 
 /// Allowance of a bounded holder beyond its reported spending, as a divisor of its tokens per
 /// second. Covers the start of a partition; a connected holder can get a higher limit at once.
-const ALLOWANCE_DIVISOR: u64 = 4;
+const ALLOWANCE_DIVISOR: u64 = 8;
 
 /// Least such allowance, as a divisor of the idle tokens, for a holder that has spent little.
 const MIN_ALLOWANCE_DIVISOR: u64 = 16;
--- a/crates/core/src/budget/slice_store.rs
+++ b/crates/core/src/budget/slice_store.rs
@@ -232,9 +232,9 @@
     }
 
     /// Settles a reservation of which `used` tokens were spent. Returns the tokens charged: `used`,
-    /// but at most the reserved amount.
+    /// but at most the reserved amount, and none if their spending never began.
     pub fn settle(&mut self, now: Time, r: Reservation, used: Tokens) -> Tokens {
-        let charged = used.min(r.amount());
+        let charged = if r.begun { used.min(r.amount()) } else { 0 };
         self.reserved -= r.amount();
         if r.begun {
             self.begun -= r.amount();
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -431,7 +431,7 @@
         if head.status.is_server_error() {
             return AttemptOutcome::Failed(Box::new(Answer { status: head.status, headers, body }));
         }
-        if !progress.begin(self.request.deadline).await {
+        if !progress.begin(self.request).await {
             return AttemptOutcome::Late;
         }
         let sent = match unframed {
--- a/crates/router/src/gateway/budget.rs
+++ b/crates/router/src/gateway/budget.rs
@@ -333,19 +333,47 @@
     }
 }
 
+/// Begins to spend `own` tokens, or borrowed ones in their place, and adds them to `parts`. Returns false if neither
+/// is possible by `deadline`.
+async fn begin_part(
+    gw: &Gateway,
+    account: &str,
+    mut own: OwnReservation,
+    deadline: Instant,
+    parts: &mut Vec<Part>,
+) -> bool {
+    if !own.begin(deadline.min(Instant::now() + SHORT_WAIT)).await {
+        let needed = own.reservation.amount();
+        if let Some(borrowed) = gw.peers.borrow(gw, account, needed).await {
+            own.settle(0);
+            parts.extend(borrowed.into_iter().map(Part::Borrowed));
+            return true;
+        }
+        if !own.begin(deadline).await {
+            parts.push(Part::Own(own));
+            return false;
+        }
+    }
+    parts.push(Part::Own(own));
+    true
+}
+
 impl TokenReservation {
-    /// Begins to spend the tokens; must precede the forwarding of any of the response. Waits until `deadline` at
-    /// most. Returns false if the spending limit does not allow it by then.
-    pub async fn begin(&mut self, deadline: Instant) -> bool {
-        for part in &mut self.parts {
-            // Lenders count a loan as being spent from the start.
-            if let Part::Own(own) = part
-                && !own.begin(deadline).await
-            {
-                return false;
+    /// Begins to spend the tokens; must precede the forwarding of any of the response. Where the limit of this
+    /// gateway is too low, tokens of other gateways take their place. Returns false if none of them may be spent
+    /// by `deadline`.
+    pub async fn begin(&mut self, gw: &Gateway, account: &str, deadline: Instant) -> bool {
+        let mut parts = Vec::with_capacity(self.parts.len());
+        let mut begun = true;
+        for part in std::mem::take(&mut self.parts) {
+            match part {
+                Part::Own(own) => begun &= begin_part(gw, account, own, deadline, &mut parts).await,
+                // Its lender counts a loan as being spent from the start.
+                Part::Borrowed(_) => parts.push(part),
             }
         }
-        true
+        self.parts = parts;
+        begun
     }
 
     /// Ends the reservation: charges the used tokens, at most the reserved ones, and releases the rest.
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -85,11 +85,13 @@
 
 impl ResponseProgress {
     /// Begins to spend the request's tokens before the first part of a response is forwarded. Returns false if
-    /// that is not allowed by `deadline`.
-    pub async fn begin(&mut self, deadline: Instant) -> bool {
-        match &mut self.tokens {
-            Some(tokens) => tokens.begin(deadline).await,
-            None => true,
+    /// that is not allowed by its deadline.
+    pub async fn begin(&mut self, request: &RoutedRequest) -> bool {
+        match (&mut self.tokens, &request.account) {
+            (Some(tokens), Some(account)) => {
+                tokens.begin(&request.gw, account, request.deadline).await
+            }
+            _ => true,
         }
     }
 }
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -113,7 +113,7 @@
                 attempt.choice,
                 took.as_micros() as u64,
             );
-            if !progress.begin(request.deadline).await {
+            if !progress.begin(request).await {
                 return Some(AttemptOutcome::Late);
             }
         }
--- a/crates/router/src/token_store.rs
+++ b/crates/router/src/token_store.rs
@@ -46,9 +46,9 @@
 /// Retry delay for a budget that is short of tokens for an unknown reason.
 const BUSY_RETRY_AFTER: Millis = Millis(700);
 
-/// Age of the last accepted report from which on reports count as unanswered. Before that a report is
-/// likely to raise a limit sooner than its growth.
-const REPORTS_UNANSWERED: Millis = Millis(500);
+/// Age of the last accepted report from which on reports count as unanswered: the shortest interval between
+/// two, and the time of an answer. Before that a report is likely to raise a limit sooner than its growth.
+const REPORTS_UNANSWERED: Millis = Millis(350);
 
 /// The leased tokens and unsent bills of one registration.
 pub struct TokenStore {
