--- a/crates/core/src/budget/policy.rs
+++ b/crates/core/src/budget/policy.rs
@@ -90,7 +90,7 @@
 
 /// Allowance of a bounded holder beyond its reported spending, as a divisor of its tokens per
 /// second. Covers the start of a partition; a connected holder can get a higher limit at once.
-const ALLOWANCE_DIVISOR: u64 = 8;
+const ALLOWANCE_DIVISOR: u64 = 4;
 
 /// Least such allowance, as a divisor of the idle tokens, for a holder that has spent little.
 const MIN_ALLOWANCE_DIVISOR: u64 = 16;
@@ -100,12 +100,11 @@
 
 /// The idle tokens of all holders of a budget together add at most its prepaid total divided by this
 /// to their allowances. A power failure of all holders costs these tokens.
-const IDLE_CAP_DIVISOR: u64 = 200;
+const IDLE_CAP_DIVISOR: u64 = 100;
 
-/// Time in which the growth of a limit reaches its rate, without a hold-off. All holders together lose a
-/// quarter of a second's growth if they are away for 1.2 s, and requests of holders that are cut off wait up
-/// to 1.2 s.
-const GROWTH_RAMP: Millis = Millis::seconds(6);
+/// Time in which the growth of a limit reaches its rate, without a hold-off. At most a quarter of this time's
+/// spending is delayed while a holder is cut off; a longer ramp strands less when holders die.
+const GROWTH_RAMP: Millis = Millis::seconds(3);
 
 impl Policy {
     /// Returns the policy for a client account that has prepaid `tokens` in total.
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -431,8 +431,8 @@
         if head.status.is_server_error() {
             return AttemptOutcome::Failed(Box::new(Answer { status: head.status, headers, body }));
         }
-        if !progress.begin(self.request).await {
-            return AttemptOutcome::Late;
+        if let Err(ended) = progress.begin(self.request, client).await {
+            return ended;
         }
         let sent = match unframed {
             true => client.send_unframed_response(head.status, headers, body).await,
--- a/crates/router/src/gateway/client.rs
+++ b/crates/router/src/gateway/client.rs
@@ -19,7 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::caller_buffers::HeldOutput;
 
@@ -201,6 +201,11 @@
         }
     }
 
+    /// Returns whether the caller has closed the connection or was cut, without waiting.
+    pub async fn is_closed(&mut self) -> bool {
+        timeout(Duration::ZERO, self.closed()).await.is_ok()
+    }
+
     /// Closes the connection after the current response.
     pub fn close_after_response(&mut self) {
         self.closing = true;
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -57,6 +57,9 @@
 /// Denied permits before a request avoids rate-limited replicas. Each costs a round trip between gateways.
 const MAX_PERMIT_DENIALS: u32 = 3;
 
+/// Interval at which a request that waits for its spending limit checks whether its caller is still connected.
+const BEGIN_STEP: Duration = Duration::from_millis(200);
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -84,15 +87,29 @@
 }
 
 impl ResponseProgress {
-    /// Begins to spend the request's tokens before the first part of a response is forwarded. Returns false if
-    /// that is not allowed by its deadline.
-    pub async fn begin(&mut self, request: &RoutedRequest) -> bool {
-        match (&mut self.tokens, &request.account) {
-            (Some(tokens), Some(account)) => {
-                tokens.begin(&request.gw, account, request.deadline).await
+    /// Begins to spend the request's tokens, before the first part of a response is forwarded. Returns the outcome
+    /// of the attempt if the caller closes its connection or the deadline passes first.
+    pub async fn begin(
+        &mut self,
+        request: &RoutedRequest,
+        client: &mut Client,
+    ) -> Result<(), AttemptOutcome> {
+        let (Some(tokens), Some(account)) = (&mut self.tokens, &request.account) else {
+            return Ok(());
+        };
+        // Not cancelled on close: a loan that is under way would count as used.
+        while !tokens
+            .begin(&request.gw, account, request.deadline.min(Instant::now() + BEGIN_STEP))
+            .await
+        {
+            if client.is_closed().await {
+                return Err(AttemptOutcome::Left);
+            }
+            if request.time_left() == Duration::ZERO {
+                return Err(AttemptOutcome::Late);
             }
-            _ => true,
         }
+        Ok(())
     }
 }
 
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -113,8 +113,8 @@
                 attempt.choice,
                 took.as_micros() as u64,
             );
-            if !progress.begin(request).await {
-                return Some(AttemptOutcome::Late);
+            if let Err(ended) = progress.begin(request, client).await {
+                return Some(ended);
             }
         }
         let unframed = connection.is_unframed();
