A stream without events begins to spend its tokens too

Its prompt was charged before, and would not be since a request counts from its first event: found by reading. Tests of tokens set aside: the model draws them among lost and late reports and restarts, and what never began costs nothing.

--- a/crates/core/tests/bound.rs
+++ b/crates/core/tests/bound.rs
@@ -167,6 +167,28 @@
     assert_eq!(limit(&mut sim), before.limit);
 }
 
+/// Guards against requests without any response that count as spent when their holder dies, and against spending
+/// that begins beyond the limit.
+#[test]
+fn tokens_set_aside_count_once_their_spending_begins() {
+    let mut sim = Simulation::new();
+    sim.request_lease(0, 100_000);
+    sim.send_report(0, Delivery::Answered);
+    let now = sim.now;
+    let before = sim.slices(0).bound(now, BUDGET).unwrap().limit;
+    let mut r = sim.slices(0).set_aside(now, 50_000).unwrap();
+    assert!(sim.slices(0).bound(now, BUDGET).unwrap().limit <= before);
+    assert!(!sim.slices(0).begin(now, &mut r), "the limit allows fewer tokens");
+    sim.wait_for_limit(0, 50_000);
+    sim.send_report(0, Delivery::Answered);
+    let now = sim.now;
+    assert!(sim.slices(0).begin(now, &mut r));
+    assert!(sim.slices(0).bound(now, BUDGET).unwrap().limit >= 50_000);
+    assert_eq!(sim.slices(0).settle(now, r, 20_000), 20_000);
+    let unbegun = sim.slices(0).set_aside(now, 10_000).unwrap();
+    assert_eq!(sim.slices(0).settle(now, unbegun, 10_000), 0, "nothing was spent");
+}
+
 /// Guards against a partial reservation that exceeds the limit.
 #[test]
 fn a_partial_reservation_fits_the_limit() {
@@ -387,6 +409,8 @@
     report_seqs: (u64, u64),
     /// Reservations of running requests.
     open: Vec<Reservation>,
+    /// Reservations whose spending has not begun.
+    aside: Vec<Reservation>,
     /// Tokens that each request waiting for a higher limit needs.
     waiting: Vec<Tokens>,
 }
@@ -442,6 +466,7 @@
             slices: SliceStore::new(policy(), 0),
             report_seqs: (0, 0),
             open: Vec::new(),
+            aside: Vec::new(),
             waiting: Vec::new(),
         }
     }
@@ -493,6 +518,18 @@
         self.slices(n).reserve(now, tokens)
     }
 
+    /// Begins to spend the latest tokens that a holder has set aside, or waits for a higher limit.
+    fn begin(&mut self, n: usize) {
+        let now = self.holder_time(n);
+        let Some(mut r) = self.holders[n].aside.pop() else { return };
+        if self.slices(n).begin(now, &mut r) {
+            self.holders[n].open.push(r);
+        } else {
+            self.wait_for_limit(n, r.amount());
+            self.holders[n].aside.push(r);
+        }
+    }
+
     /// Reserves all that the holder's limit and its tokens allow.
     fn reserve_all(&mut self, n: usize) -> Option<Reservation> {
         let now = self.holder_time(n);
@@ -601,6 +638,10 @@
 #[derive(Clone, Debug)]
 enum Step {
     Reserve(usize, Tokens),
+    /// Reserves tokens that are not spent yet.
+    SetAside(usize, Tokens),
+    /// Begins to spend the latest tokens set aside, if the limit allows it.
+    Begin(usize),
     /// Settles the latest reservation; the `u8` is the used part of it, in 255ths.
     Settle(usize, u8),
     RequestLease(usize, Tokens),
@@ -625,6 +666,8 @@
     let age = prop_oneof![3 => 0..5_000u64, 1 => 0..3_000_000u64];
     prop_oneof![
         4 => (n.clone(), 1..60_000u64).prop_map(|(n, t)| Step::Reserve(n, t)),
+        3 => (n.clone(), 1..60_000u64).prop_map(|(n, t)| Step::SetAside(n, t)),
+        3 => n.clone().prop_map(Step::Begin),
         3 => (n.clone(), any::<u8>()).prop_map(|(n, part)| Step::Settle(n, part)),
         1 => (n.clone(), 1..80_000u64).prop_map(|(n, t)| Step::RequestLease(n, t)),
         4 => (n.clone(), delivery).prop_map(|(n, d)| Step::SendReport(n, d)),
@@ -655,6 +698,12 @@
                     Some(r) => sim.holders[n].open.push(r),
                     None => sim.wait_for_limit(n, tokens),
                 },
+                Step::SetAside(n, tokens) => {
+                    let now = sim.holder_time(n);
+                    let r = sim.slices(n).set_aside(now, tokens);
+                    sim.holders[n].aside.extend(r);
+                }
+                Step::Begin(n) => sim.begin(n),
                 Step::Settle(n, part) => {
                     if let Some(r) = sim.holders[n].open.pop() {
                         let used = r.amount() * u64::from(part) / 255;
--- a/crates/cypressfork/tests/resumed_streams.rs
+++ b/crates/cypressfork/tests/resumed_streams.rs
@@ -66,7 +66,8 @@
     if s.write_all(head.as_bytes()).is_err() {
         return;
     }
-    for n in last + 1..=EVENTS {
+    let events = if text.contains("/talk/empty") { 0 } else { EVENTS };
+    for n in last + 1..=events {
         let event = format!("id: {n}\ndata: x\n\n");
         if write!(s, "{:x}\r\n{event}\r\n", event.len()).is_err() {
             return;
@@ -76,13 +77,13 @@
     let _ = s.write_all(b"0\r\n\r\n");
 }
 
-/// Sends a request for a stream that continues after event `last`, if given.
-fn request(gateway: SocketAddr, route: &str, id: &str, last: Option<u64>) -> TcpStream {
+/// Sends a request for a stream that continues after event `last`, if given. `path` follows the first slash.
+fn request(gateway: SocketAddr, path: &str, id: &str, last: Option<u64>) -> TcpStream {
     let mut s = TcpStream::connect(gateway).unwrap();
     s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
     let last = last.map(|n| format!("Last-Event-Id: {n}\r\n")).unwrap_or_default();
     let head = format!(
-        "GET /{route}/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nAuthorization: Bearer club-key\r\n\
+        "GET /{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nAuthorization: Bearer club-key\r\n\
          X-Tokens: {PROMPT_TOKENS},{EVENTS}\r\n{last}Connection: close\r\n\r\n"
     );
     s.write_all(head.as_bytes()).unwrap();
@@ -91,60 +92,60 @@
 
 /// Sends a request until the response is final, and returns its status. Gateways answer 503 until the tokens of a
 /// dead one have been counted.
-fn status(gateway: SocketAddr, route: &str, id: &str, last: Option<u64>) -> u16 {
+fn status(gateway: SocketAddr, path: &str, id: &str, last: Option<u64>) -> u16 {
     let mut status = 503;
     wait_for("a final response", || {
         let mut text = String::new();
-        request(gateway, route, id, last).read_to_string(&mut text).unwrap();
+        request(gateway, path, id, last).read_to_string(&mut text).unwrap();
         status = text.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap();
         status != 503
     });
     status
 }
 
-/// A fleet of two gateways whose account has spent one prompt: the first gateway died midway through its
-/// response, and was started again.
-struct Interrupted {
-    /// Keeps the control process running.
-    _fleet: Fleet,
+/// Requests a stream, and returns whether two of its events arrive.
+fn receives_two_events(gateway: SocketAddr, path: &str) -> bool {
+    let mut s = request(gateway, path, "first", None);
+    let mut received = String::new();
+    let mut buf = [0; 512];
+    while !received.contains("id: 2\n") {
+        match s.read(&mut buf) {
+            Ok(n) if n > 0 => received.push_str(&String::from_utf8_lossy(&buf[..n])),
+            _ => return false,
+        }
+    }
+    true
+}
+
+/// A fleet of two gateways whose account has prepaid one prompt.
+struct Setup {
+    fleet: Fleet,
     gateways: Vec<ExtraGateway>,
     stop: Arc<AtomicBool>,
 }
 
-impl Interrupted {
-    fn new(route: &str) -> Interrupted {
+impl Setup {
+    fn new() -> Setup {
         let mut fleet = Fleet::new(1);
         fleet.start_control(0, true);
-        let mut gateways = fleet.start_extra_gateways(2);
+        let gateways = fleet.start_extra_gateways(2);
         let body = document().to_string();
         wait_for("the document to be accepted", || {
             matches!(fleet.call(0, "PUT", "/v1/document", &body), Some((200, _)))
         });
         let stop = Arc::<AtomicBool>::default();
-        let engine = start_engine();
-        start_heartbeats(
-            "talk",
-            "t-1".to_owned(),
-            engine,
-            vec![fleet.controls[0].api],
-            stop.clone(),
-        );
-        let mut received = String::new();
-        wait_for("two events", || {
-            let mut s = request(gateways[0].listen, route, "first", None);
-            let mut buf = [0; 512];
-            received.clear();
-            while !received.contains("id: 2\n") {
-                match s.read(&mut buf) {
-                    Ok(n) if n > 0 => received.push_str(&String::from_utf8_lossy(&buf[..n])),
-                    _ => return false,
-                }
-            }
-            true
-        });
-        gateways[0].process.kill();
-        fleet.restart_extra_gateway(&mut gateways[0]);
-        Interrupted { _fleet: fleet, gateways, stop }
+        let control = vec![fleet.controls[0].api];
+        start_heartbeats("talk", "t-1".to_owned(), start_engine(), control, stop.clone());
+        Setup { fleet, gateways, stop }
+    }
+
+    /// Kills the first gateway midway through a response, and starts it again.
+    fn interrupted(path: &str) -> Setup {
+        let mut f = Setup::new();
+        wait_for("two events", || receives_two_events(f.gateways[0].listen, path));
+        f.gateways[0].process.kill();
+        f.fleet.restart_extra_gateway(&mut f.gateways[0]);
+        f
     }
 
     fn survivor(&self) -> SocketAddr {
@@ -152,7 +153,7 @@
     }
 }
 
-impl Drop for Interrupted {
+impl Drop for Setup {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
     }
@@ -162,15 +163,23 @@
 /// then run out of tokens that nobody has received, and callers get 402.
 #[test]
 fn the_prompt_of_a_resumed_stream_is_charged_once() {
-    let f = Interrupted::new("talk");
-    assert_eq!(status(f.survivor(), "talk", "resumed", Some(2)), 200);
+    let f = Setup::interrupted("talk/x");
+    assert_eq!(status(f.survivor(), "talk/x", "resumed", Some(2)), 200);
+}
+
+/// Guards against a stream without events whose prompt is not charged because its spending never began.
+#[test]
+fn the_prompt_of_a_stream_without_events_is_charged() {
+    let f = Setup::new();
+    assert_eq!(status(f.survivor(), "talk/empty", "first", None), 200);
+    assert_eq!(status(f.survivor(), "talk/empty", "second", None), 402);
 }
 
 /// Guards against requests that avoid the charge of their prompt although they resume nothing.
 #[test]
 fn the_prompt_of_a_request_that_resumes_nothing_is_charged() {
-    let f = Interrupted::new("talk");
-    assert_eq!(status(f.survivor(), "talk", "without-an-event", None), 402);
-    assert_eq!(status(f.survivor(), "talk", "before-the-first-event", Some(0)), 402);
-    assert_eq!(status(f.survivor(), "once", "not-resumable", Some(2)), 402);
+    let f = Setup::interrupted("talk/x");
+    assert_eq!(status(f.survivor(), "talk/x", "without-an-event", None), 402);
+    assert_eq!(status(f.survivor(), "talk/x", "before-the-first-event", Some(0)), 402);
+    assert_eq!(status(f.survivor(), "once/x", "not-resumable", Some(2)), 402);
 }
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -45,7 +45,10 @@
             }
             ended
         }
-        None => finish_response(attempt, client, connection, &head).await,
+        None => match progress.begin(attempt.request, client).await {
+            Ok(()) => finish_response(attempt, client, connection, &head).await,
+            Err(ended) => ended,
+        },
     }
 }
 
