--- /dev/null
+++ b/crates/cypressfork/tests/stream_versions.rs
@@ -0,0 +1,359 @@
+//! Tests that a stream continues only at the software version of a replica that began it. Runs real processes on
+//! loopback.
+
+#![allow(missing_docs, dead_code)]
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use support::crashing::{header, read_request};
+use support::gateways::*;
+use support::wait_for;
+
+/// Events of a response.
+const EVENTS: u64 = 14;
+
+/// Time between two events.
+const INTERVAL: Duration = Duration::from_millis(20);
+
+/// The event after which callers stop reading, and after which replicas break responses off.
+const BREAK: u64 = 5;
+
+/// Marker in the path of requests whose first response breaks off.
+const BREAKING: &str = "breaking";
+
+/// Streams of one test.
+const STREAMS: usize = 40;
+
+/// Concurrent callers.
+const CALLERS: usize = 8;
+
+/// Interval between heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
+fn document(version: u64, services: &[&str]) -> Value {
+    let targets: Vec<_> = services.iter().map(|s| json!({ "service": s, "weight": 1 })).collect();
+    let services: Vec<_> = services
+        .iter()
+        .map(|s| {
+            json!({ "name": s, "connections": 100,
+                "engine": { "slots": 16, "memory": 100_000, "stride": 1 } })
+        })
+        .collect();
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "talk", "host": HOST, "prefix": "/talk/", "kind": "stream", "timeout": 5000,
+            "objective": 300, "attempts": 2, "resumable": true, "targets": targets,
+        }],
+        "services": services,
+        "limits": { "head": 8192, "body": 65536, "head_within": 1000, "idle": 5000 },
+        "accounts": [
+            { "name": "club", "keys": ["club-key"], "prepaid": 10_000_000 },
+            { "name": "guest", "keys": ["guest-key"], "prepaid": 10_000_000 },
+        ],
+    })
+}
+
+/// A replica whose events name its service and version. It may restart at its address with another version.
+struct Replica {
+    service: &'static str,
+    name: String,
+    version: Mutex<&'static str>,
+    /// Start time of its process.
+    born: AtomicU64,
+    /// Whether it accepts requests and sends heartbeats.
+    running: AtomicBool,
+    stop: Arc<AtomicBool>,
+    control: SocketAddr,
+}
+
+impl Replica {
+    fn start(
+        service: &'static str,
+        name: &str,
+        version: &'static str,
+        control: SocketAddr,
+        stop: Arc<AtomicBool>,
+    ) -> Arc<Replica> {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let replica = Arc::new(Replica {
+            service,
+            name: name.to_owned(),
+            version: Mutex::new(version),
+            born: AtomicU64::new(1_000),
+            running: AtomicBool::new(true),
+            stop,
+            control,
+        });
+        let sender = replica.clone();
+        thread::spawn(move || sender.send_heartbeats(address));
+        let server = replica.clone();
+        thread::spawn(move || {
+            for s in listener.incoming().flatten() {
+                let server = server.clone();
+                thread::spawn(move || server.serve(s));
+            }
+        });
+        replica
+    }
+
+    fn send_heartbeats(&self, address: SocketAddr) {
+        for sequence in 1.. {
+            if self.stop.load(Ordering::Relaxed) {
+                return;
+            }
+            if self.running.load(Ordering::Relaxed) {
+                let version = *self.version.lock().unwrap();
+                let heartbeat = json!({ "service": self.service, "address": address.to_string(),
+                    "data_centre": "tamar-a", "slots": 16, "sequence": sequence, "version": version,
+                    "born": self.born.load(Ordering::Relaxed) });
+                let path = format!("/v1/replicas/{}", self.name);
+                // A failed heartbeat is not retried: the next one follows.
+                let _ = exchange(self.control, "PUT", &path, "", &heartbeat.to_string());
+            }
+            sleep(HEARTBEAT_INTERVAL);
+        }
+    }
+
+    /// Restarts under the same id and address with another version. Heartbeats stop until `running` is set.
+    fn restart_silently_as(&self, version: &'static str) {
+        self.running.store(false, Ordering::Relaxed);
+        self.born.fetch_add(1, Ordering::Relaxed);
+        *self.version.lock().unwrap() = version;
+    }
+
+    /// Serves the requests on one connection. Each belongs to the process that accepted the connection.
+    fn serve(&self, mut s: TcpStream) {
+        let (version, born) = (*self.version.lock().unwrap(), self.born.load(Ordering::Relaxed));
+        while let Some(text) = read_request(&mut s) {
+            if self.born.load(Ordering::Relaxed) != born {
+                return;
+            }
+            let id = header(&text, "x-request-id").to_owned();
+            let start = header(&text, "x-replica-start");
+            if header(&text, "x-replica") != self.name
+                || (!start.is_empty() && start != born.to_string())
+            {
+                let head =
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Not-Run: true\r\nContent-Length: 0\r\n";
+                let _ = write!(s, "{head}X-Request-Id: {id}\r\n\r\n");
+                continue;
+            }
+            let last: u64 = header(&text, "last-event-id").parse().unwrap_or(0);
+            let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+            if write!(s, "{head}X-Request-Id: {id}\r\n\r\n").is_err() {
+                return;
+            }
+            for n in last + 1..=EVENTS {
+                if n == BREAK && last == 0 && text.contains(BREAKING) {
+                    return;
+                }
+                if self.born.load(Ordering::Relaxed) != born {
+                    return;
+                }
+                let event = format!("id: {n}\ndata: {} {version}\n\n", self.service);
+                if write!(s, "{:x}\r\n{event}\r\n", event.len()).is_err() {
+                    return;
+                }
+                sleep(INTERVAL);
+            }
+            if s.write_all(b"0\r\n\r\n").is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// The headers by which a caller continues a stream.
+#[derive(Clone, Copy)]
+struct Resume<'a> {
+    last: u64,
+    id: Option<&'a str>,
+}
+
+fn send(gateway: SocketAddr, key: &str, path: &str, id: &str, resume: Option<Resume>) -> TcpStream {
+    let mut s = TcpStream::connect(gateway).unwrap();
+    s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let mut headers = String::new();
+    if let Some(r) = resume {
+        headers = format!("Last-Event-Id: {}\r\n", r.last);
+        if let Some(id) = r.id {
+            headers += &format!("X-Resumes: {id}\r\n");
+        }
+    }
+    let head = format!(
+        "GET /talk/{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nAuthorization: Bearer {key}\r\n\
+         X-Tokens: 10,{EVENTS}\r\n{headers}Connection: close\r\n\r\n"
+    );
+    s.write_all(head.as_bytes()).unwrap();
+    s
+}
+
+/// A response, whole or up to an event.
+struct Response {
+    status: u16,
+    text: String,
+}
+
+impl Response {
+    /// Reads a response up to event `last`, or to its end.
+    fn read(mut s: TcpStream, last: Option<u64>) -> Response {
+        let mut text = String::new();
+        let mut buf = [0; 1024];
+        let end = last.map(|n| format!("id: {n}\n"));
+        while !end.as_ref().is_some_and(|end| text.contains(end)) {
+            match s.read(&mut buf) {
+                Ok(n) if n > 0 => text.push_str(&String::from_utf8_lossy(&buf[..n])),
+                _ => break,
+            }
+        }
+        let status = text.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
+        Response { status, text }
+    }
+
+    /// Returns the services and versions whose events it contains.
+    fn origins(&self) -> BTreeSet<String> {
+        let events = self.text.lines().filter_map(|l| l.strip_prefix("data: "));
+        events.map(|data| data.trim_end().to_owned()).collect()
+    }
+
+    fn has_event(&self, n: u64) -> bool {
+        self.text.contains(&format!("id: {n}\n"))
+    }
+
+    fn is_whole(&self) -> bool {
+        self.status == 200 && self.text.ends_with("0\r\n\r\n")
+    }
+}
+
+/// A fleet of several gateways with three replicas of each of two versions.
+struct Setup {
+    fleet: Fleet,
+    gateways: Vec<ExtraGateway>,
+    replicas: Vec<Arc<Replica>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Setup {
+    fn new(gateways: usize, replicas: &[(&'static str, &'static str)], services: &[&str]) -> Setup {
+        let mut fleet = Fleet::new(1);
+        fleet.start_control(0, true);
+        let gateways = fleet.start_extra_gateways(gateways);
+        let body = document(3, services).to_string();
+        wait_for("the document to be accepted", || {
+            matches!(fleet.call(0, "PUT", "/v1/document", &body), Some((200, _)))
+        });
+        let stop = Arc::<AtomicBool>::default();
+        let start = |(n, (service, version)): (usize, &(&'static str, &'static str))| {
+            Replica::start(service, &format!("t-{n}"), version, fleet.controls[0].api, stop.clone())
+        };
+        let replicas = replicas.iter().enumerate().map(start).collect();
+        let f = Setup { fleet, gateways, replicas, stop };
+        f.wait_until_known();
+        f
+    }
+
+    /// Waits until every gateway has sent requests to all versions, so that it knows both.
+    fn wait_until_known(&self) {
+        let expected: BTreeSet<_> = self
+            .replicas
+            .iter()
+            .map(|r| format!("{} {}", r.service, r.version.lock().unwrap()))
+            .collect();
+        for (g, gateway) in self.gateways.iter().enumerate() {
+            let (mut n, mut seen) = (0, BTreeSet::new());
+            wait_for("all versions to serve", || {
+                n += 1;
+                let s = send(gateway.listen, "club-key", "x", &format!("known-{g}-{n}"), None);
+                seen.extend(Response::read(s, Some(1)).origins());
+                seen == expected
+            });
+        }
+    }
+
+    fn two_versions(gateways: usize) -> Setup {
+        let versions = ["v1", "v2"].map(|v| [("talk", v); 3]).concat();
+        Setup::new(gateways, &versions, &["talk"])
+    }
+
+    fn gateway(&self, n: usize) -> SocketAddr {
+        self.gateways[n % self.gateways.len()].listen
+    }
+
+    /// Runs `caller` for each of the streams, some at a time, and returns the results.
+    fn run_callers<T: Send>(&self, caller: impl Fn(usize) -> T + Sync) -> Vec<T> {
+        let next = AtomicU64::new(0);
+        let results = Mutex::new(Vec::new());
+        thread::scope(|s| {
+            for _ in 0..CALLERS {
+                s.spawn(|| {
+                    loop {
+                        let n = next.fetch_add(1, Ordering::Relaxed) as usize;
+                        if n >= STREAMS {
+                            return;
+                        }
+                        let result = caller(n);
+                        results.lock().unwrap().push(result);
+                    }
+                });
+            }
+        });
+        results.into_inner().unwrap()
+    }
+}
+
+impl Drop for Setup {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Returns the number of streams with events of more than one service or version.
+fn mixed<'a>(streams: impl IntoIterator<Item = &'a [Response; 2]>) -> usize {
+    let origins = |parts: &[Response; 2]| -> BTreeSet<_> {
+        parts.iter().flat_map(Response::origins).collect()
+    };
+    streams.into_iter().filter(|parts| origins(parts).len() > 1).count()
+}
+
+/// Guards against a gateway that continues a stream at a replica of another software version after the first
+/// replica has broken it off: the response then holds events of two versions, which do not fit together.
+#[test]
+fn a_stream_that_breaks_off_continues_at_its_version_within_one_response() {
+    let f = Setup::two_versions(2);
+    let responses = f.run_callers(|n| {
+        let s = send(f.gateway(n), "club-key", BREAKING, &format!("s-{n}"), None);
+        Response::read(s, None)
+    });
+    let mixed = responses.iter().filter(|r| r.origins().len() > 1).count();
+    let whole = responses.iter().filter(|r| r.is_whole()).count();
+    assert_eq!(mixed, 0, "of {STREAMS} responses");
+    assert!(whole * 10 >= STREAMS * 9, "{whole} of {STREAMS} responses are whole");
+}
+
+/// Guards against a gateway that continues a caller's stream at another software version than the one that began
+/// it, because another gateway sent the first attempt.
+#[test]
+fn a_resumed_stream_continues_at_the_version_that_began_it() {
+    let f = Setup::two_versions(4);
+    let streams = f.run_callers(|n| {
+        let id = format!("s-{n}");
+        let first = Response::read(send(f.gateway(n), "club-key", "x", &id, None), Some(BREAK));
+        let resume = Resume { last: BREAK, id: Some(&id) };
+        let s = send(f.gateway(n + 1), "club-key", "x", &format!("r-{n}"), Some(resume));
+        [first, Response::read(s, None)]
+    });
+    let whole = streams.iter().filter(|[_, second]| second.is_whole()).count();
+    assert_eq!(mixed(&streams), 0, "of {STREAMS} streams");
+    assert!(whole * 10 >= STREAMS * 9, "{whole} of {STREAMS} streams went on");
+}
