Log the replica and version at which a stream continues

Nothing told whether a stream went on within a response or over a caller's attempts, nor at which version: event 419 is a debug line without a version.

--- a/crates/core/src/route/replica.rs
+++ b/crates/core/src/route/replica.rs
@@ -40,7 +40,7 @@
     /// Requests that it can run concurrently.
     pub(super) slots: u32,
     /// Version of its software.
-    pub(super) version: String,
+    pub version: String,
     /// Its side in the rollout of its service.
     pub side: Side,
     /// Consecutive failures.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -133,6 +133,7 @@
     PathLost = 449, Warn, "the direct path to a replica is lost; another gateway relays connections to it";
     PathRestored = 450, Info, "the direct path to a replica works again";
     RejectionsLimited = 451, Info, "a replica that bears few rejections rejected a request; this gateway and its peers back off";
+    StreamContinued = 452, Info, "a stream continues at a replica after events that its caller has received";
     CallerCut = 465, Warn, "a caller was cut because too many bytes are held for slow callers";
 }
 
--- a/crates/router/src/gateway/dialect.rs
+++ b/crates/router/src/gateway/dialect.rs
@@ -36,6 +36,8 @@
     pub prompt: Option<PromptSize>,
     /// Id of the last event that the caller received, to resume its stream.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<String>,
 }
 
 /// The values that the gateway adds to the caller's headers when it forwards a request.
--- a/crates/router/src/gateway/native.rs
+++ b/crates/router/src/gateway/native.rs
@@ -28,6 +28,9 @@
 /// Id of the last stream event that the caller received.
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
+/// Id of the attempt that brought the first event of the stream that the caller resumes.
+const RESUMES: HeaderName = HeaderName::from_static("x-resumes");
+
 /// Id of the replica that the request is sent to.
 const REPLICA: HeaderName = HeaderName::from_static("x-replica");
 
@@ -167,6 +170,7 @@
             timeout: parse_number(h, DEADLINE)?.map(Millis),
             prompt: parse_prompt_size(header_text(h, TOKENS), header_text(h, PARTS))?,
             last_event: parse_number(h, LAST_EVENT)?,
+            resumes: header_text(h, RESUMES).map(str::to_owned),
         })
     }
 
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -428,14 +428,12 @@
                 return self.fail_quarantined(f, client);
             }
             let request = self.request;
-            let Some(PickedReplica { choice, replica, data_centre, side }) =
-                self.pick_replica().await
-            else {
+            let Some(chosen) = self.pick_replica().await else {
                 return self.give_up("no replica is left", client);
             };
-            self.tried.push(choice.address);
-            let observation = AttemptObservation::start(&request.gw, &request.service, side);
-            let chosen = PickedReplica { choice, replica, data_centre, side };
+            self.log_continuation(&chosen);
+            self.tried.push(chosen.choice.address);
+            let observation = AttemptObservation::start(&request.gw, &request.service, chosen.side);
             let kind = if self.is_sent() { SendKind::Retry } else { SendKind::First };
             let (ended, time_to_first) =
                 attempt::run::<D>(request, client, &mut self.progress, &chosen, kind).await;
@@ -464,6 +462,20 @@
         }
     }
 
+    /// Logs the replica at which a stream continues after an event that its caller has received.
+    fn log_continuation(&self, at: &PickedReplica) {
+        let inbound = &self.request.inbound;
+        let Some(after) = self.progress.events.last().filter(|n| *n > 0) else { return };
+        emit!(
+            Event::StreamContinued,
+            id = inbound.id,
+            resumes = inbound.resumes.as_deref().unwrap_or_default(),
+            after = after,
+            replica = at.replica,
+            version = at.version,
+        );
+    }
+
     /// Picks a replica and acquires a permit if it is rate-limited. Returns none if no replica is available.
     async fn pick_replica(&mut self) -> Option<PickedReplica> {
         let request = self.request;
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -76,6 +76,8 @@
     pub replica: String,
     /// Its data centre.
     pub data_centre: String,
+    /// The version of its software.
+    pub version: String,
     /// Whether it runs the old or the new version of its service's rollout.
     pub side: Side,
 }
@@ -488,7 +490,8 @@
         let r = pool.get(choice.address)?;
         let vm = &r.upstream.vm;
         let (replica, data_centre) = (vm.name.clone(), vm.data_centre.clone());
-        Some(PickedReplica { choice, replica, data_centre, side: r.side })
+        let version = r.version.clone();
+        Some(PickedReplica { choice, replica, data_centre, version, side: r.side })
     }
 
     /// Records a request that is being sent to a replica, and announces a long prompt to other gateways.
