A stream continues only at the service and version that began it

Cause: nothing in the choice of a replica named a version, and what one attempt knew died with it. After a replica broke a stream off, the gateway went on at whichever replica was cheapest (H1). A caller's next attempt reached a gateway that knew nothing of the first, and drew its service anew from its own id (H2).

A request that resumes a stream is restricted to the origin that it or a keeper knows, in all its attempts, whatever rollout is under way; within a response the version of the events that were forwarded decides. What nobody knows is refused at once, not run (CF1313), as is a version without replicas (CF1314).

Why this works: an origin is only ever written by the gateway that forwarded the event, for the replica that brought it; a lost one is a refusal and never another version.

The stream on a route that is not resumable begins there, so that its charge is checked past the check of its origin.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -102,6 +102,8 @@
     /// Time of the next check of the pending watches.
     next_poll: Time,
     boot: u64,
+    /// When this process began to follow the fleet; `None` before its first task.
+    followed_since: Option<Time>,
     heartbeat_interval: Millis,
     pending: Vec<Box<PendingWatch<T>>>,
     packed_documents: PackedDocuments,
@@ -213,6 +215,7 @@
             document: DocumentProgress::default(),
             next_poll: Time(0),
             boot,
+            followed_since: None,
             heartbeat_interval,
             pending: Vec::new(),
             packed_documents: PackedDocuments::default(),
@@ -296,7 +299,7 @@
         for h in &response.beats {
             self.registry.apply_heartbeat(now, h, Receiver::Peer(response.feed.boot));
         }
-        for relayed in &response.relayed {
+        for relayed in response.relayed.iter().flatten() {
             let receiver = match relayed.receiver {
                 0 => Receiver::Unknown,
                 boot => Receiver::Peer(boot),
@@ -328,6 +331,7 @@
     /// Removes the pending watches that are due, and returns their responses.
     pub fn due_responses(&mut self, now: Time, state: &WatchedState) -> Vec<(T, WatchResponse)> {
         self.next_poll = now.after(POLL_INTERVAL);
+        self.followed_since.get_or_insert(now);
         let mut pending = std::mem::take(&mut self.pending);
         let due: Vec<_> = pending.extract_if(.., |w| self.is_due(now, w, state)).collect();
         self.pending = pending;
@@ -418,7 +422,14 @@
             true => (Vec::new(), w.limit_position),
             false => self.limits.changes(now, w.limit_position, MAX_LIMITS),
         };
+        let has_all_replicas = is_router
+            && w.watch.hears.is_some()
+            && !w.watch.without_replicas
+            && changes.position >= self.registry.newest_change();
+        let followed_for = self.followed_since.map(|at| now.since(at));
+        let complete_for = followed_for.filter(|_| has_all_replicas);
         WatchResponse {
+            complete_for,
             feed: FeedCursor {
                 boot: self.boot,
                 position: changes.position,
@@ -429,7 +440,7 @@
             replicas: changes.records,
             packed: changes.packed,
             beats: heartbeats,
-            relayed,
+            relayed: (complete_for.is_some() || !relayed.is_empty()).then_some(relayed),
             version: state.version,
             part: w.watch.fetch.and_then(|fetch| self.packed_documents.part(&fetch)),
             controls: if has_controls { Vec::new() } else { state.controls.clone() },
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -96,6 +96,8 @@
     NoRegion = 1310, 503, "server_error", "no upstream is in reach in a region that may serve this request";
     LimitReached = 1311, 503, "rate_limit_error", "the upstreams that could run it take no more requests for now";
     UpstreamsResting = 1312, 503, "rate_limit_error", "the upstreams that could run it have asked for rest";
+    OriginUnknown = 1313, 503, "server_error", "it is not known at which version of its upstreams this stream began";
+    VersionGone = 1314, 503, "server_error", "no upstream of the version at which this stream began takes requests";
     ClaimUnreachable = 1401, 503, "server_error", "the request is marked not repeatable and the control group is not in reach to claim it";
     ClaimRunning = 1402, 409, "conflict_error", "a request with this id is running";
     ClaimUnknown = 1403, 409, "conflict_error", "a request with this id was started and its outcome is not known; it ran at most once";
--- a/crates/core/src/fleet/peer.rs
+++ b/crates/core/src/fleet/peer.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::limit::permits::{Grant, PermitRequest};
+use super::origin::{Origin, OriginRecord, StreamId};
 use super::relay::{Connect, Connected};
 use crate::route::PromptPrefixes;
 use crate::unit::{Millis, Time, Tokens};
@@ -92,6 +93,10 @@
         /// The backoff.
         span: Millis,
     },
+    /// Keep the origins of streams.
+    KeepOrigins(Vec<OriginRecord>),
+    /// Ask for the origin of a stream.
+    FindOrigin(StreamId),
 }
 
 /// The reason a home reserved fewer tokens than requested.
@@ -108,7 +113,7 @@
 }
 
 /// The response to a [`PeerRequest`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerReply {
     /// Number of tokens reserved; 0 if the lender can spare none.
     Reserved(Tokens),
@@ -125,6 +130,8 @@
     Settles(Option<Millis>),
     /// The response to [`PeerRequest::Connect`].
     Connected(Connected),
+    /// The origin of a stream; `None` if it is unknown.
+    Origin(Option<Origin>),
 }
 
 /// Returns at most `limit` lenders to ask, in descending order of the tokens they can probably spare.
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -14,7 +14,7 @@
 use super::router_directory::DataCentreRouters;
 use super::transfer::{Part, PartRequest};
 use crate::hash::Fnv;
-use crate::unit::{Index, Version};
+use crate::unit::{Index, Millis, Version};
 
 /// The position up to which a watcher has followed one control process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -103,7 +103,8 @@
     #[serde(default)]
     pub leaving: Vec<Leaving>,
     /// The control processes that have recently answered the watcher, by their
-    /// [`FeedCursor::boot`], if it is one; `None` if it is a router or of an earlier release.
+    /// [`FeedCursor::boot`], if it is one; empty if it is a router. `None` if it is of an earlier release,
+    /// which refuses responses with fields that it does not know.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hears: Option<Vec<u64>>,
 }
@@ -158,9 +159,14 @@
     /// Routers of data centres with few routers, if the watcher's list differs.
     #[serde(default)]
     pub few: Option<Vec<DataCentreRouters>>,
-    /// Heartbeats of unchanged replicas that processes received which the watcher does not hear.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub relayed: Vec<RelayedHeartbeats>,
+    /// Heartbeats of unchanged replicas that processes received which the watcher does not hear. Not `None`
+    /// if `complete_for` follows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relayed: Option<Vec<RelayedHeartbeats>>,
+    /// For how long this process has followed the fleet, if the watcher is a router that has all of its
+    /// replica records with this response; `None` otherwise.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub complete_for: Option<Millis>,
 }
 
 /// Announcement of a control process that belongs to no group.
--- a/crates/core/src/route/pool.rs
+++ b/crates/core/src/route/pool.rs
@@ -53,6 +53,8 @@
     pub objective: Option<LatencyObjective>,
     /// Which version it may be sent to during a rollout.
     pub version_preference: VersionPreference,
+    /// The only version that may serve it, whatever the rollout; any if `None`.
+    pub version: Option<String>,
     /// Regions that may serve it; any region if empty.
     pub regions: BTreeSet<String>,
     /// Its priority; 0 is the highest.
@@ -267,6 +269,11 @@
         self.replicas.values().any(|r| matches!(r.side, Side::Old | Side::Any) && r.accepts_work())
     }
 
+    /// Returns whether any replica of a software version accepts work.
+    pub fn has_version(&self, version: &str) -> bool {
+        self.replicas.values().any(|r| r.version == version && r.accepts_work())
+    }
+
     /// Returns the number of replicas that get new work at `now`.
     pub fn usable_count(&self, now: Time) -> usize {
         self.replicas.values().filter(|r| !r.is_unavailable(now)).count()
@@ -421,8 +428,12 @@
     /// Returns whether a replica may serve this request, regardless of load, backoff and rate
     /// limit.
     fn may_serve(&self, r: &Replica, profile: &RequestProfile) -> bool {
+        let allows_version = match &profile.version {
+            Some(version) => r.version == *version,
+            None => profile.version_preference.allows(r.side),
+        };
         r.accepts_work()
-            && profile.version_preference.allows(r.side)
+            && allows_version
             && self.location.1.allows(&profile.regions, &r.upstream.vm.data_centre)
     }
 
--- a/crates/cypressfork/tests/resumed_streams.rs
+++ b/crates/cypressfork/tests/resumed_streams.rs
@@ -77,11 +77,13 @@
     let _ = s.write_all(b"0\r\n\r\n");
 }
 
-/// Sends a request for a stream that continues after event `last`, if given. `path` follows the first slash.
+/// Sends a request for a stream that continues after event `last` of the attempt `first`, if given. `path` follows
+/// the first slash.
 fn request(gateway: SocketAddr, path: &str, id: &str, last: Option<u64>) -> TcpStream {
     let mut s = TcpStream::connect(gateway).unwrap();
     s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-    let last = last.map(|n| format!("Last-Event-Id: {n}\r\n")).unwrap_or_default();
+    let last = last.map(|n| format!("Last-Event-Id: {n}\r\nX-Resumes: first\r\n"));
+    let last = last.unwrap_or_default();
     let head = format!(
         "GET /{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nAuthorization: Bearer club-key\r\n\
          X-Tokens: {PROMPT_TOKENS},{EVENTS}\r\n{last}Connection: close\r\n\r\n"
@@ -181,5 +183,6 @@
     let f = Setup::interrupted("talk/x");
     assert_eq!(status(f.survivor(), "talk/x", "without-an-event", None), 402);
     assert_eq!(status(f.survivor(), "talk/x", "before-the-first-event", Some(0)), 402);
+    let f = Setup::interrupted("once/x");
     assert_eq!(status(f.survivor(), "once/x", "not-resumable", Some(2)), 402);
 }
--- a/crates/cypressfork/tests/stream_versions.rs
+++ b/crates/cypressfork/tests/stream_versions.rs
@@ -1,7 +1,7 @@
 //! Tests that a stream continues only at the software version of a replica that began it. Runs real processes on
 //! loopback.
 
-#![allow(missing_docs, dead_code)]
+#![allow(missing_docs)]
 
 mod support;
 
@@ -125,13 +125,6 @@
         }
     }
 
-    /// Restarts under the same id and address with another version. Heartbeats stop until `running` is set.
-    fn restart_silently_as(&self, version: &'static str) {
-        self.running.store(false, Ordering::Relaxed);
-        self.born.fetch_add(1, Ordering::Relaxed);
-        *self.version.lock().unwrap() = version;
-    }
-
     /// Serves the requests on one connection. Each belongs to the process that accepted the connection.
     fn serve(&self, mut s: TcpStream) {
         let (version, born) = (*self.version.lock().unwrap(), self.born.load(Ordering::Relaxed));
@@ -248,7 +241,7 @@
     fn new(gateways: usize, replicas: &[(&'static str, &'static str)], services: &[&str]) -> Setup {
         let mut fleet = Fleet::new(1);
         fleet.start_control(0, true);
-        let gateways = fleet.start_extra_gateways(gateways);
+        let gateways = fleet.start_extra_gateways_with(0, gateways, "retry_ratio: 1.0\n");
         let body = document(3, services).to_string();
         wait_for("the document to be accepted", || {
             matches!(fleet.call(0, "PUT", "/v1/document", &body), Some((200, _)))
@@ -332,7 +325,9 @@
 fn a_stream_that_breaks_off_continues_at_its_version_within_one_response() {
     let f = Setup::two_versions(2);
     let responses = f.run_callers(|n| {
-        let s = send(f.gateway(n), "club-key", BREAKING, &format!("s-{n}"), None);
+        // Requests that differ, because copies of one that loses its connections are quarantined.
+        let path = format!("{BREAKING}-{n}");
+        let s = send(f.gateway(n), "club-key", &path, &format!("s-{n}"), None);
         Response::read(s, None)
     });
     let mixed = responses.iter().filter(|r| r.origins().len() > 1).count();
@@ -357,3 +352,117 @@
     assert_eq!(mixed(&streams), 0, "of {STREAMS} streams");
     assert!(whole * 10 >= STREAMS * 9, "{whole} of {STREAMS} streams went on");
 }
+
+/// Guards against a gateway that forgets a stream's origin after the first resumption: a third attempt names the
+/// first one, which another gateway sent.
+#[test]
+fn a_stream_that_is_resumed_twice_stays_at_its_version() {
+    let f = Setup::two_versions(4);
+    let streams = f.run_callers(|n| {
+        let id = format!("s-{n}");
+        let first = Response::read(send(f.gateway(n), "club-key", "x", &id, None), Some(BREAK));
+        let resume = |last| Some(Resume { last, id: Some(&id) });
+        let s = send(f.gateway(n + 1), "club-key", "x", &format!("r-{n}"), resume(BREAK));
+        let second = Response::read(s, Some(2 * BREAK));
+        let s = send(f.gateway(n + 2), "club-key", "x", &format!("t-{n}"), resume(2 * BREAK));
+        let mut third = Response::read(s, None);
+        third.text = format!("{}{}", second.text, third.text);
+        [first, third]
+    });
+    let whole = streams.iter().filter(|[_, third]| third.is_whole()).count();
+    assert_eq!(mixed(&streams), 0, "of {STREAMS} streams");
+    assert!(whole * 10 >= STREAMS * 9, "{whole} of {STREAMS} streams went on");
+}
+
+/// Guards against the loss of a stream's origin with the gateway that sent its first attempt: the caller's stream
+/// then continues at any version, or nowhere.
+#[test]
+fn a_stream_continues_at_its_version_after_the_death_of_its_gateway() {
+    let mut f = Setup::two_versions(6);
+    let dying = f.gateways.len() / 2;
+    let first = f.run_callers(|n| {
+        let s = send(f.gateways[n % dying].listen, "club-key", "x", &format!("s-{n}"), None);
+        Response::read(s, Some(BREAK))
+    });
+    for g in &mut f.gateways[..dying] {
+        g.process.kill();
+    }
+    let first = Mutex::new(first.into_iter().map(Some).collect::<Vec<_>>());
+    let survivors = &f.gateways[dying..];
+    let streams = f.run_callers(|n| {
+        let first = first.lock().unwrap()[n].take().unwrap();
+        let id = header(&first.text, "x-request-id").to_owned();
+        let resume = Resume { last: BREAK, id: Some(&id) };
+        let gateway = survivors[n % survivors.len()].listen;
+        let s = send(gateway, "club-key", "x", &format!("r-{n}"), Some(resume));
+        [first, Response::read(s, None)]
+    });
+    let whole = streams.iter().filter(|[_, second]| second.is_whole()).count();
+    assert_eq!(mixed(&streams), 0, "of {STREAMS} streams");
+    assert!(whole * 10 >= STREAMS * 9, "{whole} of {STREAMS} streams went on");
+}
+
+/// Guards against a resumed stream whose service is drawn from the id of the new attempt instead of being the one
+/// that began it.
+#[test]
+fn a_resumed_stream_continues_at_the_service_that_began_it() {
+    let replicas = [("talk", "v1"), ("talk", "v1"), ("talk-next", "v1"), ("talk-next", "v1")];
+    let f = Setup::new(2, &replicas, &["talk", "talk-next"]);
+    let streams = f.run_callers(|n| {
+        let id = format!("s-{n}");
+        let first = Response::read(send(f.gateway(n), "club-key", "x", &id, None), Some(BREAK));
+        let resume = Resume { last: BREAK, id: Some(&id) };
+        let s = send(f.gateway(n + 1), "club-key", "x", &format!("r-{n}"), Some(resume));
+        [first, Response::read(s, None)]
+    });
+    assert_eq!(mixed(&streams), 0, "of {STREAMS} streams");
+}
+
+/// Guards against streams that continue at any version because their origin is unknown: with the id of another
+/// account's stream, with an id that no gateway has seen, and without an id.
+#[test]
+fn a_stream_of_unknown_origin_is_refused_where_versions_differ() {
+    let f = Setup::two_versions(2);
+    let first = Response::read(send(f.gateway(0), "club-key", "x", "s-1", None), Some(BREAK));
+    assert!(first.has_event(BREAK));
+    let status = |key: &str, attempt: &str, id: Option<&str>| {
+        let resume = Resume { last: BREAK, id };
+        Response::read(send(f.gateway(1), key, "x", attempt, Some(resume)), None).status
+    };
+    assert_eq!(status("guest-key", "a-1", Some("s-1")), 503, "another account");
+    assert_eq!(status("club-key", "a-2", Some("s-2")), 503, "an unknown id");
+    assert_eq!(status("club-key", "a-3", None), 503, "no id");
+    assert_eq!(status("club-key", "a-4", Some("s-1")), 200, "its own");
+}
+
+/// Guards against a stream that continues where no replica of its version is left, and against a refusal that
+/// asks the caller to wait for one.
+#[test]
+fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let f = Setup::new(2, &[("talk", "v1"), ("talk", "v2")], &["talk"]);
+    let first = Response::read(send(f.gateway(0), "club-key", "x", "s-1", None), Some(BREAK));
+    let gone = f.replicas.iter().find(|r| first.text.contains(*r.version.lock().unwrap())).unwrap();
+    gone.running.store(false, Ordering::Relaxed);
+    let path = format!("/v1/replicas/{}", gone.name);
+    assert_eq!(f.fleet.call(0, "DELETE", &path, "").map(|(status, _)| status), Some(200));
+    let mut last = None;
+    let mut n = 0;
+    wait_for("a refusal", || {
+        n += 1;
+        let resume = Resume { last: BREAK, id: Some("s-1") };
+        let s = send(f.gateway(1), "club-key", "x", &format!("r-{n}"), Some(resume));
+        let response = Response::read(s, None);
+        assert_eq!(
+            mixed([&[
+                Response { status: 200, text: first.text.clone() },
+                Response { status: 200, text: response.text.clone() }
+            ]]),
+            0
+        );
+        let is_refused = response.status == 503;
+        last = Some(response);
+        is_refused
+    });
+    let text = last.unwrap().text.to_ascii_lowercase();
+    assert!(!text.contains("retry-after"), "{text}");
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -134,6 +134,7 @@
     PathRestored = 450, Info, "the direct path to a replica works again";
     RejectionsLimited = 451, Info, "a replica that bears few rejections rejected a request; this gateway and its peers back off";
     StreamContinued = 452, Info, "a stream continues at a replica after events that its caller has received";
+    StreamNotResumed = 453, Info, "a stream is not resumed, because its origin is unknown or takes no requests";
     CallerCut = 465, Warn, "a caller was cut because too many bytes are held for slow callers";
 }
 
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -62,6 +62,8 @@
     BACKING_OFF = "cypressfork_resting_replicas", "gauge", "", "replicas that this gateway backs off from";
     SENT_IN_BACKOFF = "cypressfork_sent_in_rest_total", "counter", "try", "requests sent to a replica during its backoff, by try: the first, a further one, or a resend on a new connection";
     SENT_TO_LEAVING = "cypressfork_sent_to_leaving_total", "counter", "try", "requests sent to a replica after it reported in a response that it is draining, by try";
+    STREAMS_NOT_RESUMED = "cypressfork_streams_not_resumed_total", "counter", "reason", "streams that callers could not resume, by reason";
+    ORIGINS_DROPPED = "cypressfork_stream_origins_dropped_total", "counter", "", "origins of streams that a gateway did not store because it had no room";
     ROLLOUT_ANSWERS = "cypressfork_rollout_answers_total", "counter", "service, version", "responses of the old and the new version of a service during a rollout, failures included";
     ROLLOUT_BAD = "cypressfork_rollout_bad_total", "counter", "service", "failures of the new version of a service during a rollout";
     CALLS_REFUSED = "cypressfork_calls_refused_total", "counter", "code", "calls of operators, replicas and callers that a control process refused, by result code";
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -141,6 +141,7 @@
         choice,
         replica,
         data_centre,
+        version: &chosen.version,
         send_kind,
         born,
         sent,
@@ -165,6 +166,8 @@
     pub replica: &'a str,
     /// The replica's data centre.
     pub data_centre: &'a str,
+    /// The version of the replica's software.
+    pub version: &'a str,
     /// Whether this is the first send of the request.
     send_kind: SendKind,
     /// Start time of the replica's process at the time it was picked; 0 if unknown.
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -96,7 +96,7 @@
             reports: gw.rollouts.reports(),
             heard: if without_replicas { Vec::new() } else { gw.limits.take_due_reports(gw.now()) },
             leaving: if without_replicas { Vec::new() } else { gw.signals.pending_reports() },
-            hears: None,
+            hears: Some(Vec::new()),
             few: gw.limits.small_data_centres_digest(gw.peers.homes.digest_for(to)),
         })
     }
@@ -143,6 +143,10 @@
         if let Some(packed) = &response.packed {
             apply_packed_records(gw, from, packed);
         }
+        if let Some(followed_for) = response.complete_for.filter(|_| response.lead.is_some()) {
+            gw.origins.record_complete(gw.now(), followed_for);
+        }
+        gw.origins.send_due(gw);
         gw.limits.apply_reports(gw, &response.limits);
         let controls = || response.controls.iter().filter_map(|a| a.parse().ok());
         gw.group.add_addresses(controls());
--- a/crates/router/src/gateway/homes.rs
+++ b/crates/router/src/gateway/homes.rs
@@ -98,6 +98,13 @@
         in_region.flat_map(|(_, gateways)| gateways.iter().copied()).collect()
     }
 
+    /// Returns the gateways of each other data centre in this gateway's region.
+    pub fn remote_data_centres(&self) -> Vec<Vec<SocketAddr>> {
+        let remote = self.remote.borrow();
+        let in_region = remote.iter().filter(|(in_other_region, _)| !in_other_region);
+        in_region.map(|(_, gateways)| gateways.clone()).collect()
+    }
+
     /// Returns whether a gateway is listed in any data centre.
     pub fn is_known(&self, gateway: &SocketAddr) -> bool {
         let remote = self.remote.borrow();
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod limits;
 pub mod native;
 mod notices;
+mod origins;
 mod quarantine;
 mod relay;
 mod request;
--- /dev/null
+++ b/crates/router/src/gateway/origins.rs
@@ -0,0 +1,253 @@
+//! The origins of streams at a gateway: stores where its own streams began, keeps the origins of other
+//! gateways' streams, and finds those of streams that callers resume. `core::fleet::origin` says why.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cypressfork_core::code::Code;
+use cypressfork_core::fleet::document::Route;
+use cypressfork_core::fleet::origin::{Origin, OriginRecord, Origins, REFRESH_INTERVAL, StreamId};
+use cypressfork_core::fleet::peer::{PeerReply, PeerRequest};
+use cypressfork_core::fleet::registry::Record;
+use cypressfork_core::fleet::routes::Routes;
+use cypressfork_core::fleet::software::SoftwareVersions;
+use cypressfork_core::unit::{Millis, Time};
+use cypressfork_node::event::Event;
+use cypressfork_node::{emit, metric};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use metrics::counter;
+use tokio::time::{Instant, timeout_at};
+
+use super::routed_request::RoutedRequest;
+use super::state::Gateway;
+use crate::reply::Refusal;
+
+/// Maximum number of streams whose origins are stored, about 10 MB.
+const MAX_STREAMS: usize = 32_768;
+
+/// Time within which keepers respond.
+const FIND_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time for which keepers are awaited where the stream may continue without its origin.
+const SHORT_FIND_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// `Retry-After` while this gateway does not know all replicas.
+const INCOMPLETE_RETRY_AFTER: Millis = Millis(400);
+
+/// The origins that this gateway knows, and the software versions by which it decides who has to know them.
+pub struct StreamOrigins {
+    known: RefCell<Origins>,
+    versions: RefCell<SoftwareVersions>,
+    /// Services with origins that the keepers do not have, because the service had a single version.
+    unsent_services: RefCell<HashSet<String>>,
+}
+
+impl Default for StreamOrigins {
+    fn default() -> StreamOrigins {
+        StreamOrigins {
+            known: RefCell::new(Origins::new(MAX_STREAMS)),
+            versions: RefCell::default(),
+            unsent_services: RefCell::default(),
+        }
+    }
+}
+
+/// The origin of a stream that this gateway forwards.
+#[derive(Clone, Debug)]
+pub struct ForwardedStream {
+    /// Version of the replica that brought the last event.
+    pub version: String,
+    stored_at: Time,
+}
+
+impl ForwardedStream {
+    /// Returns whether the origin has to be stored again, so that it does not expire.
+    pub fn is_due(&self, now: Time) -> bool {
+        now.since(self.stored_at) >= REFRESH_INTERVAL
+    }
+}
+
+impl StreamOrigins {
+    /// Records the state of a replica.
+    pub fn record_replica(&self, now: Time, r: &Record) {
+        self.versions.borrow_mut().record(now, r);
+    }
+
+    /// Records the word of a control process that it has sent all replicas, see
+    /// [`SoftwareVersions::record_complete`].
+    pub fn record_complete(&self, now: Time, followed_for: Millis) {
+        self.versions.borrow_mut().record_complete(now, followed_for);
+    }
+
+    /// Returns whether the origins of a service's streams may be found out without asking.
+    fn has_single_version(&self, now: Time, service: &str) -> bool {
+        self.versions.borrow().single(now, service).is_some()
+    }
+
+    /// Stores the origin of a stream whose events are about to be forwarded, and sends it to its keepers unless
+    /// its service has a single version.
+    pub fn store(&self, request: &RoutedRequest, version: &str) -> ForwardedStream {
+        let now = request.gw.now();
+        let forwarded = ForwardedStream { version: version.to_owned(), stored_at: now };
+        let Some(stream) = request.stream_id() else { return forwarded };
+        let (route, service) = (request.route.clone(), request.service.clone());
+        let origin = Origin { route, service, version: version.to_owned() };
+        let record = OriginRecord { stream, origin };
+        let stays = request.has_one_service && self.has_single_version(now, &request.service);
+        if !self.known.borrow_mut().store(now, record.clone(), stays) {
+            counter!(metric::ORIGINS_DROPPED).increment(1);
+        }
+        match stays {
+            true => {
+                self.unsent_services.borrow_mut().insert(request.service.clone());
+            }
+            false => send(&request.gw, vec![record]),
+        }
+        forwarded
+    }
+
+    /// Sends the origins of streams whose services no longer have a single version to their keepers.
+    pub fn send_due(&self, gw: &Gateway) {
+        let now = gw.now();
+        let due: Vec<_> = {
+            let mut services = self.unsent_services.borrow_mut();
+            services.extract_if(|s| !self.has_single_version(now, s)).collect()
+        };
+        for service in due {
+            let records = self.known.borrow_mut().take_unsent(now, &service);
+            send(gw, records);
+        }
+    }
+
+    /// Removes versions that no stream can be resumed at.
+    pub fn remove_expired(&self, gw: &Gateway) {
+        self.versions.borrow_mut().expire(gw.now());
+        self.send_due(gw);
+    }
+
+    /// Keeps the origins of another gateway's streams.
+    pub fn keep(&self, now: Time, records: Vec<OriginRecord>) {
+        let mut known = self.known.borrow_mut();
+        let dropped = records.into_iter().filter(|r| !known.store(now, r.clone(), false)).count();
+        counter!(metric::ORIGINS_DROPPED).increment(dropped as u64);
+    }
+
+    /// Returns the origin of a stream, if this gateway knows it.
+    pub fn get(&self, now: Time, stream: &StreamId) -> Option<Origin> {
+        self.known.borrow().get(now, stream).cloned()
+    }
+
+    /// Restricts a request that resumes a stream to the service and the version that began it. Fails if they
+    /// are not known or take no requests.
+    pub async fn restrict(
+        &self,
+        request: &mut RoutedRequest,
+        routes: &Routes,
+        route: &Route,
+    ) -> Result<(), Refusal> {
+        if !request.is_resumed() {
+            return Ok(());
+        }
+        let gw = request.gw.clone();
+        let origin = match self.find(request).await {
+            Ok(origin) => origin,
+            Err(why) => return Err(self.refuse(request, Code::OriginUnknown, why)),
+        };
+        if origin.route != route.name {
+            return Err(self.refuse(request, Code::OriginUnknown, "it began on another route"));
+        }
+        let is_target = route.targets.iter().any(|t| t.service == origin.service && t.weight > 0);
+        let Some(backend) = routes.backend(&origin.service).filter(|_| is_target) else {
+            return Err(self.refuse(request, Code::VersionGone, "its service left the route"));
+        };
+        request.set_backend(backend);
+        if !gw.may_serve_version(&origin.service, &origin.version) {
+            return Err(self.refuse(request, Code::VersionGone, "no replica of its version"));
+        }
+        request.version = Some(origin.version);
+        Ok(())
+    }
+
+    /// Returns the origin of the stream that a request resumes, or the reason why it is unknown.
+    async fn find(&self, request: &RoutedRequest) -> Result<Origin, &'static str> {
+        let now = request.gw.now();
+        let single = || {
+            let versions = self.versions.borrow();
+            let version =
+                versions.single(now, &request.service).filter(|_| request.has_one_service)?;
+            let (route, service) = (request.route.clone(), request.service.clone());
+            Some(Origin { route, service, version: version.to_owned() })
+        };
+        let Some(stream) = request.stream_id() else {
+            return single().ok_or("the caller does not name its first attempt");
+        };
+        if let Some(origin) = self.get(now, &stream) {
+            return Ok(origin);
+        }
+        let single = single();
+        let within = if single.is_some() { SHORT_FIND_TIMEOUT } else { FIND_TIMEOUT };
+        let until = request.deadline.min(Instant::now() + within);
+        let found = ask_keepers(&request.gw, &stream, until).await;
+        found.or(single).ok_or("no gateway knows the attempt that it names")
+    }
+
+    /// Returns the refusal of a request that resumes a stream, counts and logs it.
+    fn refuse(&self, request: &RoutedRequest, code: Code, why: &'static str) -> Refusal {
+        let is_complete = self.versions.borrow().is_complete(request.gw.now());
+        let inbound = &request.inbound;
+        counter!(metric::STREAMS_NOT_RESUMED, "reason" => why).increment(1);
+        emit!(
+            Event::StreamNotResumed,
+            id = inbound.id,
+            resumes = inbound.resumes.as_deref().unwrap_or_default(),
+            after = inbound.last_event.unwrap_or_default(),
+            service = request.service,
+            why = why,
+            knows_all_replicas = is_complete,
+            origins = self.known.borrow().len(),
+        );
+        let refusal = Refusal::from(code).detail(why);
+        // Without all replicas, one of the version may still be reported.
+        match code == Code::VersionGone && !is_complete {
+            true => refusal.retry_after(INCOMPLETE_RETRY_AFTER),
+            false => refusal,
+        }
+    }
+}
+
+/// Sends origins to their keepers, without waiting for responses. An origin that does not arrive is unknown there.
+fn send(gw: &Gateway, records: Vec<OriginRecord>) {
+    let lists = gw.peers.relay_lists();
+    let own = gw.settings.link_advertise;
+    let mut by_keeper: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
+    for r in records {
+        for keeper in r.stream.keepers(own, &lists.near, &lists.far) {
+            by_keeper.entry(keeper).or_default().push(r.clone());
+        }
+    }
+    for (keeper, records) in by_keeper {
+        gw.peers.tell(gw, keeper, &PeerRequest::KeepOrigins(records));
+    }
+}
+
+/// Asks the keepers of a stream for its origin until one of them knows it.
+async fn ask_keepers(gw: &Gateway, stream: &StreamId, until: Instant) -> Option<Origin> {
+    let own = gw.settings.link_advertise;
+    let keepers = stream.asked_keepers(own, gw.peers.data_centres());
+    let request = PeerRequest::FindOrigin(stream.clone());
+    let within = until.saturating_duration_since(Instant::now());
+    let answers = keepers.iter().map(|keeper| gw.peers.ask(gw, *keeper, &request, within));
+    let mut answers: FuturesUnordered<_> = answers.collect();
+    let first_known = async {
+        while let Some(answer) = answers.next().await {
+            if let Some(PeerReply::Origin(Some(origin))) = answer {
+                return Some(origin);
+            }
+        }
+        None
+    };
+    timeout_at(until, first_known).await.ok().flatten()
+}
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -33,6 +33,7 @@
 use super::documents::depends_on_document;
 use super::events::EventSplitter;
 use super::notices::SendKind;
+use super::origins::ForwardedStream;
 use super::rollouts::AttemptObservation;
 use super::routed_request::RoutedRequest;
 use super::state::{Gateway, PickedReplica};
@@ -84,6 +85,8 @@
     pub timing: StreamTiming,
     /// The tokens reserved for the request.
     pub tokens: Option<TokenReservation>,
+    /// The stream whose events were forwarded.
+    pub stream: Option<ForwardedStream>,
 }
 
 impl ResponseProgress {
@@ -203,7 +206,7 @@
         },
         _ => routes,
     };
-    let (request, prepaid) = match resolve(gw, &routes, req, inbound, body) {
+    let (mut request, prepaid) = match resolve(gw, &routes, req, inbound, body) {
         Ok(resolved) => resolved,
         Err(code) => {
             let detail = gw.documents.describe(gw.now());
@@ -213,6 +216,11 @@
     if let Some(f) = gw.quarantines.find(&request) {
         return Outcome::Refused(quarantine_refusal(f));
     }
+    if let Ok(route) = routes.route(&request.inbound.host, req.path())
+        && let Err(refusal) = gw.origins.restrict(&mut request, &routes, route).await
+    {
+        return Outcome::Refused(refusal);
+    }
     gw.count_request(&request.service);
     if !admission::admits(
         gw.active_connections.get() as u64,
@@ -296,7 +304,7 @@
     for name in HOP_BY_HOP {
         headers.remove(name);
     }
-    let request = RoutedRequest {
+    let mut request = RoutedRequest {
         gw: gw.clone(),
         method: req.method().clone(),
         uri: req.uri().clone(),
@@ -307,11 +315,13 @@
         priority: account.and_then(|a| a.priority).unwrap_or(route.priority),
         max_attempts: route.attempts.max(1),
         route: route.name.clone(),
-        service: backend.name.clone(),
-        cold_per_minute: backend.cold_per_minute,
+        service: String::new(),
+        cold_per_minute: None,
         regions: allowed_regions(route, account)?,
         account: account.map(|a| a.name.clone()),
-        tokens_per_event: backend.engine.map_or(1, |e| e.stride.max(1)),
+        tokens_per_event: 1,
+        has_one_service: route.targets.iter().filter(|t| t.weight > 0).count() == 1,
+        version: None,
         latency_objective: LatencyObjective {
             first_event: to_duration(route.objective),
             max_pause: route.gap.map(to_duration),
@@ -319,6 +329,7 @@
         deadline: Instant::now() + to_duration(timeout),
         inbound,
     };
+    request.set_backend(backend);
     Ok((request, account.and_then(|a| a.prepaid)))
 }
 
@@ -380,7 +391,8 @@
         tokens: Option<TokenReservation>,
     ) -> RequestAttempts<'a> {
         let events = EventSplitter::resume_after(request.inbound.last_event);
-        let progress = ResponseProgress { events, timing: StreamTiming::new(arrived), tokens };
+        let progress =
+            ResponseProgress { events, timing: StreamTiming::new(arrived), tokens, stream: None };
         RequestAttempts {
             request,
             progress,
@@ -462,6 +474,12 @@
         }
     }
 
+    /// Returns the only version at which the response may continue, once an event of it has reached the caller.
+    fn required_version(&self) -> Option<String> {
+        let forwarded = self.progress.stream.as_ref().map(|s| s.version.clone());
+        forwarded.or_else(|| self.request.version.clone())
+    }
+
     /// Logs the replica at which a stream continues after an event that its caller has received.
     fn log_continuation(&self, at: &PickedReplica) {
         let inbound = &self.request.inbound;
@@ -486,7 +504,8 @@
             &request.inbound.id,
             !self.tried.is_empty(),
         );
-        let mut profile = RequestProfile { version_preference, ..request.profile() };
+        let version = self.required_version();
+        let mut profile = RequestProfile { version_preference, version, ..request.profile() };
         let mut denials = 0;
         loop {
             let picked =
--- a/crates/router/src/gateway/routed_request.rs
+++ b/crates/router/src/gateway/routed_request.rs
@@ -8,8 +8,9 @@
 use actix_http::{Method, Uri};
 use bytes::Bytes;
 use cypressfork_core::budget::prompt_charge;
-use cypressfork_core::fleet::document::RouteKind;
+use cypressfork_core::fleet::document::{Backend, RouteKind};
 use cypressfork_core::fleet::fingerprint::RequestIdentity;
+use cypressfork_core::fleet::origin::StreamId;
 use cypressfork_core::route::RequestProfile;
 use cypressfork_core::route::lateness::LatencyObjective;
 use cypressfork_core::unit::Tokens;
@@ -54,6 +55,10 @@
     pub tokens_per_event: Tokens,
     /// The latency objective of its route.
     pub latency_objective: LatencyObjective,
+    /// Whether its route has a single service.
+    pub has_one_service: bool,
+    /// The software version that began the stream that it resumes, if that is known.
+    pub version: Option<String>,
     /// Its deadline.
     pub deadline: Instant,
 }
@@ -64,6 +69,28 @@
         self.kind == RouteKind::Safe || self.resumable
     }
 
+    /// Returns whether it resumes a stream after an event that its caller has received.
+    pub fn is_resumed(&self) -> bool {
+        self.kind == RouteKind::Stream && self.inbound.last_event.is_some_and(|n| n > 0)
+    }
+
+    /// Returns the id of its stream: that of the attempt that brought the first event. `None` if it resumes a
+    /// stream and its caller does not name that.
+    pub fn stream_id(&self) -> Option<StreamId> {
+        let attempt = match self.is_resumed() {
+            true => self.inbound.resumes.clone()?,
+            false => self.inbound.id.clone(),
+        };
+        Some(StreamId { account: self.account.clone(), attempt })
+    }
+
+    /// Sets the service that it is sent to.
+    pub fn set_backend(&mut self, backend: &Backend) {
+        self.service.clone_from(&backend.name);
+        self.cold_per_minute = backend.cold_per_minute;
+        self.tokens_per_event = backend.engine.map_or(1, |e| e.stride.max(1));
+    }
+
     /// Returns its prompt; an empty one if its head has none.
     pub fn prompt(&self) -> PromptSize {
         self.inbound.prompt.clone().unwrap_or_default()
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -114,6 +114,7 @@
         gauge!(metric::LOST_PATHS).set(gw.dialer.lost().len() as f64);
         gw.limits.remove_expired(&gw);
         gw.signals.remove_expired(&gw);
+        gw.origins.remove_expired(&gw);
         gauge!(metric::BACKING_OFF).set(gw.backing_off().len() as f64);
     }
 }
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -157,6 +157,37 @@
         RelayLists { near, far: self.homes.remote_in_region() }
     }
 
+    /// Returns the gateways of each data centre in this gateway's region; all in one list in small fleets.
+    pub fn data_centres(&self) -> Vec<Vec<SocketAddr>> {
+        let near = self.addresses.borrow().iter().copied().collect();
+        let mut all = self.homes.remote_data_centres();
+        all.push(near);
+        all
+    }
+
+    /// Sends a request to the gateway at `to` and returns its response, or `None` if there is none within `within`.
+    pub async fn ask(
+        &self,
+        gw: &Gateway,
+        to: SocketAddr,
+        request: &PeerRequest,
+        within: Duration,
+    ) -> Option<PeerReply> {
+        let peer = self.client(&gw.credentials, to);
+        let answer = peer.call(Ask::Share(body::pack(request)), within).await;
+        body::unpack(&answer.ok()?).ok()
+    }
+
+    /// Sends a request to the gateway at `to` without waiting for its response.
+    pub fn tell(&self, gw: &Gateway, to: SocketAddr, request: &PeerRequest) {
+        let (peer, ask) = (self.client(&gw.credentials, to), Ask::Share(body::pack(request)));
+        actix_rt::spawn(async move {
+            if let Err(code) = peer.call(ask, ANNOUNCE_TIMEOUT).await {
+                emit!(Event::LinkFailed, address = to, why = code);
+            }
+        });
+    }
+
     /// Asks the gateway at `to` to back off from a replica, without waiting for its response.
     pub fn report_backoff(
         &self,
@@ -167,12 +198,7 @@
         span: Millis,
     ) {
         let request = PeerRequest::BackedOff { service: service.to_owned(), replica, span };
-        let (peer, ask) = (self.client(&gw.credentials, to), Ask::Share(body::pack(&request)));
-        actix_rt::spawn(async move {
-            if let Err(code) = peer.call(ask, ANNOUNCE_TIMEOUT).await {
-                emit!(Event::LinkFailed, address = to, why = code);
-            }
-        });
+        self.tell(gw, to, &request);
     }
 
     /// Asks all peers to back off from a replica for a `span` of their own, within the rate limit of announcements and
@@ -237,10 +263,7 @@
         req: &permits::PermitRequest,
         within: Duration,
     ) -> Option<permits::Grant> {
-        let issuer = self.client(&gw.credentials, issuer);
-        let request = PeerRequest::Permit(req.clone());
-        let answer = issuer.call(Ask::Share(body::pack(&request)), within).await;
-        match body::unpack::<PeerReply>(&answer.ok()?).ok()? {
+        match self.ask(gw, issuer, &PeerRequest::Permit(req.clone()), within).await? {
             PeerReply::Permitted(grant) => Some(grant),
             _ => None,
         }
@@ -255,11 +278,9 @@
         replica: &str,
         data_centre: &str,
     ) -> Option<Option<Millis>> {
-        let issuer = self.client(&gw.credentials, issuer);
         let (replica, data_centre) = (replica.to_owned(), data_centre.to_owned());
         let request = PeerRequest::Settles { replica, data_centre };
-        let answer = issuer.call(Ask::Share(body::pack(&request)), LEND_TIMEOUT).await;
-        match body::unpack::<PeerReply>(&answer.ok()?).ok()? {
+        match self.ask(gw, issuer, &request, LEND_TIMEOUT).await? {
             PeerReply::Settles(reduced_for) => Some(reduced_for),
             _ => None,
         }
@@ -388,6 +409,11 @@
                 gw.back_off(&service, replica, span);
                 Ok(PeerReply::Noted)
             }
+            PeerRequest::KeepOrigins(records) => {
+                gw.origins.keep(now, records);
+                Ok(PeerReply::Noted)
+            }
+            PeerRequest::FindOrigin(stream) => Ok(PeerReply::Origin(gw.origins.get(now, &stream))),
             // Served by [`Peers::serve_hold`], because it may wait, and by [`relay::serve`], on a link of its own.
             PeerRequest::Hold { .. } | PeerRequest::Connect(_) => Err(Code::MessageBad),
         }
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -45,6 +45,7 @@
 use super::documents::Documents;
 use super::limits::ReplicaLimits;
 use super::notices::ReplicaSignals;
+use super::origins::StreamOrigins;
 use super::quarantine::QuarantineState;
 use super::relay::RelayedCount;
 use super::rollouts::RolloutTracker;
@@ -112,6 +113,8 @@
     pub signals: ReplicaSignals,
     /// Rollouts in progress.
     pub rollouts: RolloutTracker,
+    /// Where streams began.
+    pub origins: StreamOrigins,
     /// Position in each control process's feed of replica records.
     pub feeds: RefCell<BTreeMap<SocketAddr, FeedCursor>>,
     /// Evacuated data centres, whose replicas receive no new requests.
@@ -171,6 +174,7 @@
             limits: ReplicaLimits::default(),
             signals: ReplicaSignals::default(),
             rollouts: RolloutTracker::default(),
+            origins: StreamOrigins::default(),
             feeds: RefCell::default(),
             evacuations: RefCell::default(),
             sources: RefCell::new(ReplicaSources::new(rand::random())),
@@ -360,9 +364,10 @@
             if start == Start::Restarted || r.standing == ReplicaStatus::Left {
                 self.limits.remove(&id);
             }
-            let Some((standing, changes)) = self.replicas.borrow_mut().apply(now, r) else {
+            let Some((standing, changes)) = self.replicas.borrow_mut().apply(now, r.clone()) else {
                 continue;
             };
+            self.origins.record_replica(now, &Record { standing, ..r });
             changes.iter().for_each(|c| self.change_pool(now, c));
             self.record_replica_events(start, standing, &id, &address);
             logged.push(ReplicaChange { id, address, sequence, standing });
@@ -507,6 +512,11 @@
         }
     }
 
+    /// Returns whether replicas of a service's software version accept work, or none of the service is known.
+    pub fn may_serve_version(&self, service: &str, version: &str) -> bool {
+        self.pools.borrow().get(service).is_none_or(|p| p.has_version(version))
+    }
+
     /// Blocks requests of this priority or a lower one from a replica for `span`, because its rate limit
     /// is reached.
     pub fn block(&self, service: &str, c: &PickedReplica, span: Millis, priority: u8) {
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -108,6 +108,9 @@
             continue;
         }
         progress.timing.record_events(attempt.sent, progress.events.count() - before);
+        if is_first || progress.stream.as_ref().is_some_and(|s| s.is_due(request.gw.now())) {
+            progress.stream = Some(request.gw.origins.store(request, attempt.version));
+        }
         if std::mem::take(&mut is_first) {
             let took = attempt.sent.elapsed();
             attempt.time_to_first = Some(took);
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -157,6 +157,12 @@
     assert_eq!(body::pack(&plain)[0], ARRAY_OF_14);
     let response = body::pack(&watch_response());
     assert_eq!(response[..3], [ARRAY_16, 0, 18]);
+    let complete = WatchResponse {
+        relayed: Some(Vec::new()),
+        complete_for: Some(Millis(9)),
+        ..watch_response()
+    };
+    assert_eq!(body::unpack::<WatchResponse>(&body::pack(&complete)), Ok(complete));
     assert_eq!(body::unpack::<Watch>(&body::pack(&plain)), Ok(plain));
     assert_eq!(body::unpack::<Watch>(&body::pack(&watch())), Ok(watch()));
 }
