Native: requests name the start time of the replica's process

Cause: a version belongs to one life of a replica, and the gateway knows the new life only from its heartbeat. `X-Replica` names the id, which both lives share.

`X-Replica-Start` names the life, as the heartbeat's `born` does; a replica that started at another time rejects the request as not run.

--- a/crates/cypressfork/tests/stream_versions.rs
+++ b/crates/cypressfork/tests/stream_versions.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Restarts under the same id and address with another version. Heartbeats stop until `running` is set.
+    fn restart_silently_as(&self, version: &'static str) {
+        self.running.store(false, Ordering::Relaxed);
+        self.born.fetch_add(1, Ordering::Relaxed);
+        *self.version.lock().unwrap() = version;
+    }
+
     /// Serves the requests on one connection. Each belongs to the process that accepted the connection.
     fn serve(&self, mut s: TcpStream) {
         let (version, born) = (*self.version.lock().unwrap(), self.born.load(Ordering::Relaxed));
@@ -466,3 +473,23 @@
     let text = last.unwrap().text.to_ascii_lowercase();
     assert!(!text.contains("retry-after"), "{text}");
 }
+
+/// Guards against a stream that continues at a replica that has restarted under its id and address with another
+/// version, before its new heartbeats have arrived.
+#[test]
+fn a_stream_does_not_continue_at_a_restarted_replica_of_another_version() {
+    let f = Setup::two_versions(2);
+    let streams = f.run_callers(|n| {
+        let id = format!("s-{n}");
+        let first = Response::read(send(f.gateway(n), "club-key", "x", &id, None), Some(BREAK));
+        if n == STREAMS / 2 {
+            for r in f.replicas.iter().filter(|r| *r.version.lock().unwrap() == "v1") {
+                r.restart_silently_as("v3");
+            }
+        }
+        let resume = Resume { last: BREAK, id: Some(&id) };
+        let s = send(f.gateway(n + 1), "club-key", "x", &format!("r-{n}"), Some(resume));
+        [first, Response::read(s, None)]
+    });
+    assert_eq!(mixed(&streams), 0, "of {STREAMS} streams");
+}
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -308,6 +308,7 @@
         let forwarded = ForwardHeaders {
             time_left: Millis(request.time_left().as_millis() as u64),
             replica: self.replica,
+            born: self.born,
             account: request.account.as_deref(),
             last_event,
             urgency: request.inbound.prompt.as_ref().map(|_| request.priority),
--- a/crates/router/src/gateway/dialect.rs
+++ b/crates/router/src/gateway/dialect.rs
@@ -47,6 +47,8 @@
     pub time_left: Millis,
     /// Id of the replica that the request is sent to.
     pub replica: &'a str,
+    /// Start time of the replica's process, in milliseconds since 1970; 0 if unknown.
+    pub born: u64,
     /// Name of the client account.
     pub account: Option<&'a str>,
     /// Id of the last event that the caller received.
--- a/crates/router/src/gateway/native.rs
+++ b/crates/router/src/gateway/native.rs
@@ -34,6 +34,10 @@
 /// Id of the replica that the request is sent to.
 const REPLICA: HeaderName = HeaderName::from_static("x-replica");
 
+/// Start time of the process of that replica, in milliseconds since 1970. A process that started at another time
+/// under the same id must not run the request.
+const REPLICA_START: HeaderName = HeaderName::from_static("x-replica-start");
+
 /// Name of the client account.
 const ACCOUNT: HeaderName = HeaderName::from_static("x-client-account");
 
@@ -177,8 +181,12 @@
     fn set_forward_headers(h: &mut HeaderMap, values: &ForwardHeaders) {
         h.remove(AUTHORIZATION);
         h.remove(ACCOUNT);
+        h.remove(REPLICA_START);
         set_number(h, DEADLINE, values.time_left.0);
         set_text(h, REPLICA, values.replica);
+        if values.born > 0 {
+            set_number(h, REPLICA_START, values.born);
+        }
         if let Some(account) = values.account {
             set_text(h, ACCOUNT, account);
         }
