Gateway: origins are sent when documents change and at a planned stop

An origin stays at its gateway while its service is known to have a single version. Two cases need it elsewhere although no second version has appeared: a document may lead the route to another service, so that the caller's next attempt would continue there, and a gateway that stops takes what it knows with it. Both send what the keepers do not have.

--- a/crates/router/src/gateway/documents.rs
+++ b/crates/router/src/gateway/documents.rs
@@ -203,6 +203,7 @@
                 bytes = source.len(),
                 packed = bytes.len(),
             );
+            gw.origins.send_all(gw);
             gw.documents.in_force_since.set(gw.now());
             *gw.documents.in_force.borrow_mut() = Some(Rc::new(Routes::new(d)));
             gw.notify_waiters();
--- a/crates/router/src/gateway/drain.rs
+++ b/crates/router/src/gateway/drain.rs
@@ -25,6 +25,7 @@
     let within = gw.settings.stop_within;
     emit!(Event::Stopping);
     gw.stopping.set(true);
+    gw.origins.send_all(&gw);
     actix_rt::spawn(announce_leave(gw.clone()));
     sleep(gw.settings.stop_serve).await;
     emit!(Event::DrainWaiting, active = gw.active_connections.get());
--- a/crates/router/src/gateway/origins.rs
+++ b/crates/router/src/gateway/origins.rs
@@ -96,7 +96,9 @@
         let (route, service) = (request.route.clone(), request.service.clone());
         let origin = Origin { route, service, version: version.to_owned() };
         let record = OriginRecord { stream, origin };
-        let stays = request.has_one_service && self.has_single_version(now, &request.service);
+        let stays = request.has_one_service
+            && !request.gw.stopping.get()
+            && self.has_single_version(now, &request.service);
         if !self.known.borrow_mut().store(now, record.clone(), stays) {
             counter!(metric::ORIGINS_DROPPED).increment(1);
         }
@@ -112,12 +114,21 @@
     /// Sends the origins of streams whose services no longer have a single version to their keepers.
     pub fn send_due(&self, gw: &Gateway) {
         let now = gw.now();
+        self.send_unsent(gw, |service| !self.has_single_version(now, service));
+    }
+
+    /// Sends all origins to their keepers, because this gateway stops or routes may lead to other services.
+    pub fn send_all(&self, gw: &Gateway) {
+        self.send_unsent(gw, |_| true);
+    }
+
+    fn send_unsent(&self, gw: &Gateway, is_due: impl Fn(&str) -> bool) {
         let due: Vec<_> = {
             let mut services = self.unsent_services.borrow_mut();
-            services.extract_if(|s| !self.has_single_version(now, s)).collect()
+            services.extract_if(|s| is_due(s)).collect()
         };
         for service in due {
-            let records = self.known.borrow_mut().take_unsent(now, &service);
+            let records = self.known.borrow_mut().take_unsent(gw.now(), &service);
             send(gw, records);
         }
     }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,7 +1,8 @@
 //! Simulated callers: they ask a control process for a gateway, reuse their connection until it fails,
 //! and record the outcome of each request.
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,12 +16,14 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::document::{ACCOUNTS, probe_path};
-use crate::history::{Kind, Outcome, Request};
+use crate::document::{ACCOUNTS, Account, probe_path};
+use crate::history::{Kind, Outcome, Request, Resumption};
 use crate::http::CALLERS_HOST;
 use crate::http::{call, exchange, headers, read_body};
 use crate::plan::SlowCallers;
-use crate::replica::{LONG_STREAM, MAX_EVENTS, POISON, answer_body, event_count, event_text};
+use crate::replica::{
+    LONG_STREAM, MAX_EVENTS, POISON, VERSION_PREFIX, answer_body, event_count, event_text,
+};
 use crate::world::World;
 
 /// How long a caller waits for a complete answer.
@@ -41,6 +44,12 @@
 /// Percentage of streams that a caller abandons early.
 const ABANDON_PERCENT: u32 = 4;
 
+/// Percentage of abandoned streams that the caller resumes.
+const RESUME_PERCENT: u32 = 50;
+
+/// Maximum number of times that a caller resumes a stream.
+const MAX_RESUMPTIONS: usize = 2;
+
 /// Tokens in the prompt of a stream request.
 const PROMPT_TOKENS: u64 = 40;
 
@@ -110,6 +119,8 @@
         account: account.name,
         prompt: PROMPT_TOKENS,
         events: MAX_EVENTS,
+        resumes: None,
+        versions: BTreeSet::new(),
         id,
         gateway,
         sent,
@@ -189,7 +200,17 @@
     }
 }
 
-/// Sends one request and records its outcome. Returns the connection if it can be reused.
+/// What a caller has received of a stream.
+#[derive(Default)]
+struct Received {
+    /// Numbers of the events.
+    events: RefCell<Vec<u64>>,
+    /// The software versions that the events name.
+    versions: RefCell<BTreeSet<String>>,
+}
+
+/// Sends one request and records its outcome. Resumes a stream that breaks off, and half of those that the caller
+/// abandons. Returns the connection if it can be reused.
 pub async fn send_recorded(
     w: &Rc<World>,
     gateway: usize,
@@ -202,44 +223,106 @@
         Kind::Poison(_) => &ACCOUNTS[0],
         _ => &ACCOUNTS[usize::from(w.random_bool(30))],
     };
-    let sent = w.now();
-    let abandons = kind == Kind::Stream && w.random_bool(ABANDON_PERCENT);
-    let max_wait =
-        if abandons { Duration::from_millis(w.random_below(150) as u64) } else { CALLER_TIMEOUT };
-    let begun = Cell::new(false);
-    let result = timeout(max_wait, send(w, gateway, &id, kind, account.key, idle, &begun)).await;
-    let (outcome, reusable) = result.unwrap_or((Outcome::Left { begun: begun.get() }, None));
-    let (prompt, events) = match kind {
-        Kind::Stream => (PROMPT_TOKENS, event_count(&id)),
-        _ => (0, 0),
-    };
-    let (account, ended) = (account.name, w.now());
-    let request = Request { id, kind, account, prompt, events, gateway, sent, ended, outcome };
-    w.history.borrow_mut().requests.push(request);
+    let first = id.clone();
+    let mut attempt = Attempt { id, kind, account, resumes: None };
+    let (reusable, mut after) = attempt.send(w, gateway, idle).await;
+    for n in 1..=MAX_RESUMPTIONS {
+        let Some(last) = after.filter(|last| *last < event_count(&first)) else { break };
+        let Some(gateway) = fetch_gateway(w).await else { break };
+        attempt.id = format!("{first}-again-{n}");
+        attempt.resumes = Some(Resumption { first: first.clone(), after: last });
+        let (_, received) = attempt.send(w, gateway, None).await;
+        after = received.map(|n| n.max(last));
+    }
     reusable
 }
 
-fn request_headers(id: &str, kind: Kind, key: &str) -> HeaderMap {
-    let mut all = vec![
-        ("x-request-id", id.to_owned()),
-        ("authorization", format!("Bearer {key}")),
-        ("x-timeout-ms", DEADLINE_MS.to_string()),
-    ];
-    if kind == Kind::Stream {
-        all.push(("x-tokens", format!("{PROMPT_TOKENS},{MAX_EVENTS}")));
+/// One attempt at a request.
+struct Attempt {
+    id: String,
+    kind: Kind,
+    account: &'static Account,
+    resumes: Option<Resumption>,
+}
+
+impl Attempt {
+    /// Sends it and records its outcome. Returns the connection if it can be reused, and the last event of a stream
+    /// that is to be resumed; 0 if none was received.
+    async fn send(
+        &self,
+        w: &Rc<World>,
+        gateway: usize,
+        idle: Option<Connection>,
+    ) -> (Option<Connection>, Option<u64>) {
+        let sent = w.now();
+        let is_stream = self.kind == Kind::Stream;
+        let abandons = is_stream && self.resumes.is_none() && w.random_bool(ABANDON_PERCENT);
+        let max_wait = if abandons {
+            Duration::from_millis(w.random_below(150) as u64)
+        } else {
+            CALLER_TIMEOUT
+        };
+        let received = Received::default();
+        let result = timeout(max_wait, send(w, gateway, self, idle, &received)).await;
+        let begun = !received.events.borrow().is_empty();
+        let (outcome, reusable) = result.unwrap_or((Outcome::Left { begun }, None));
+        let is_interrupted = match &outcome {
+            Outcome::Cut { events, .. } => !events.is_empty(),
+            Outcome::Left { begun } => *begun && w.random_bool(RESUME_PERCENT),
+            _ => false,
+        };
+        let last = received.events.borrow().last().copied();
+        let after = self.resumes.as_ref().map_or(0, |r| r.after);
+        // A prompt is charged once for all attempts.
+        let prompt = if is_stream && after == 0 { PROMPT_TOKENS } else { 0 };
+        let events = if is_stream { event_count(self.stream()) - after } else { 0 };
+        let request = Request {
+            id: self.id.clone(),
+            kind: self.kind,
+            account: self.account.name,
+            prompt,
+            events,
+            resumes: self.resumes.clone(),
+            versions: received.versions.take(),
+            gateway,
+            sent,
+            ended: w.now(),
+            outcome,
+        };
+        w.history.borrow_mut().requests.push(request);
+        (reusable, last.filter(|_| is_interrupted))
+    }
+
+    /// Returns the id of the attempt that brought the first event of its stream.
+    fn stream(&self) -> &str {
+        self.resumes.as_ref().map_or(&self.id, |r| &r.first)
+    }
+
+    fn headers(&self) -> HeaderMap {
+        let mut all = vec![
+            ("x-request-id", self.id.clone()),
+            ("authorization", format!("Bearer {}", self.account.key)),
+            ("x-timeout-ms", DEADLINE_MS.to_string()),
+        ];
+        if self.kind == Kind::Stream {
+            all.push(("x-tokens", format!("{PROMPT_TOKENS},{MAX_EVENTS}")));
+        }
+        if let Some(r) = &self.resumes {
+            all.push(("last-event-id", r.after.to_string()));
+            all.push(("x-resumes", r.first.clone()));
+        }
+        headers(&all)
     }
-    headers(&all)
 }
 
 async fn send(
     w: &World,
     gateway: usize,
-    id: &str,
-    kind: Kind,
-    key: &str,
+    attempt: &Attempt,
     idle: Option<Connection>,
-    begun: &Cell<bool>,
+    received: &Received,
 ) -> (Outcome, Option<Connection>) {
+    let (id, kind) = (attempt.id.as_str(), attempt.kind);
     let mut c = match idle {
         Some(c) => c,
         None => match Connection::open(w.gateways[gateway]).await {
@@ -261,10 +344,10 @@
         _ => Bytes::from(if method == Method::POST { "a body" } else { "" }),
     };
     let cut = |events| Outcome::Cut { begun: false, events };
-    match exchange(&mut c, &method, &path, request_headers(id, kind, key), &body).await {
+    match exchange(&mut c, &method, &path, attempt.headers(), &body).await {
         Err(_) => (cut(Vec::new()), None),
         Ok(head) if kind == Kind::Stream && head.status.is_success() => {
-            (read_stream(&mut c, id, &head, begun).await, reusable(c))
+            (read_stream(&mut c, attempt, &head, received).await, reusable(c))
         }
         Ok(head) => (read_plain(&mut c, id, &head).await, reusable(c)),
     }
@@ -297,20 +380,21 @@
     }
 }
 
-/// Reads the answer to a stream request event by event, and sets `begun` at the first.
+/// Reads the answer to a stream request event by event, and adds them to `received`.
 async fn read_stream(
     c: &mut Connection,
-    id: &str,
+    attempt: &Attempt,
     head: &ResponseHead,
-    begun: &Cell<bool>,
+    received: &Received,
 ) -> Outcome {
     let mut text = String::new();
-    let (mut events, mut valid) = (Vec::new(), is_own(head, id));
+    let mut valid = is_own(head, &attempt.id);
+    let events = || received.events.borrow().clone();
     loop {
         match c.read_chunk().await {
             Ok(Some(bytes)) => text.push_str(&String::from_utf8_lossy(&bytes)),
             Ok(None) => {
-                return Outcome::Answered { whole: valid && text.is_empty(), events };
+                return Outcome::Answered { whole: valid && text.is_empty(), events: events() };
             }
             Err(
                 ExchangeError::NotSent(_)
@@ -319,16 +403,16 @@
                 | ExchangeError::Silent(_)
                 | ExchangeError::Protocol(_),
             ) => {
-                return Outcome::Cut { begun: true, events };
+                return Outcome::Cut { begun: true, events: events() };
             }
         }
         while let Some(end) = text.find("\n\n") {
-            let received: String = text.drain(..end + 2).collect();
-            let n =
-                received.lines().find_map(|l| l.strip_prefix("id: ")?.parse().ok()).unwrap_or(0);
-            valid &= received == event_text(id, n);
-            events.push(n);
-            begun.set(true);
+            let event: String = text.drain(..end + 2).collect();
+            let n = event.lines().find_map(|l| l.strip_prefix("id: ")?.parse().ok()).unwrap_or(0);
+            valid &= event.ends_with(&event_text(attempt.stream(), n));
+            let version = event.lines().find_map(|l| l.strip_prefix(VERSION_PREFIX));
+            received.versions.borrow_mut().extend(version.map(str::to_owned));
+            received.events.borrow_mut().push(n);
         }
     }
 }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -4,8 +4,8 @@
 use std::fmt;
 
 use crate::history::{
-    AnnouncedLimit, Arrival, Change, Disruption, History, Kind, Outcome, ReplicaCutPeriod, Request,
-    Timestamp,
+    AnnouncedLimit, Arrival, Change, Disruption, History, Kind, Outcome, ReplicaCutPeriod,
+    ReplicaLife, Request, Timestamp,
 };
 
 /// The limits within which the promises hold.
@@ -61,6 +61,10 @@
     pub min_cut_ratio: f64,
     /// Requests that may fail there whatever the ratio: a number, and a part of all requests.
     pub max_cut_failures: (usize, f64),
+    /// Number of resumed streams from which on their ratio is checked.
+    pub min_resumed: usize,
+    /// Minimum part of the resumed streams that go on, relative to the part of new ones that begin.
+    pub min_resumed_ratio: f64,
 }
 
 /// A promise that was broken.
@@ -92,6 +96,8 @@
     unsafe_requests_run_at_most_once,
     refused_requests_did_not_run,
     answers_are_complete,
+    streams_keep_their_version,
+    resumed_streams_go_on,
     replicas_get_the_right_account,
     streams_are_in_order,
     no_new_requests_after_acked_drain,
@@ -167,7 +173,8 @@
         if !has_begun(&r.outcome) {
             continue;
         }
-        let generated = h.generated.get(id).copied().unwrap_or(0);
+        let before = r.resumes.as_ref().map_or(0, |resumed| resumed.after);
+        let generated = h.generated.get(id).copied().unwrap_or(0).saturating_sub(before);
         *all.entry(r.account).or_default() += r.prompt + generated;
     }
     all
@@ -264,7 +271,8 @@
         let (Outcome::Answered { events, .. } | Outcome::Cut { events, .. }) = &r.outcome else {
             continue;
         };
-        let in_order = events.iter().zip(1..).all(|(got, want)| *got == want);
+        let first = r.resumes.as_ref().map_or(1, |resumed| resumed.after + 1);
+        let in_order = events.iter().zip(first..).all(|(got, want)| *got == want);
         let complete = !matches!(r.outcome, Outcome::Answered { .. })
             || r.kind != Kind::Stream
             || events.len() as u64 == r.events;
@@ -276,6 +284,68 @@
     all
 }
 
+/// Checks that all events of a stream, over all attempts of its caller, come from replicas of one software version.
+fn streams_keep_their_version(h: &History, _: &Bounds) -> Vec<BrokenPromise> {
+    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    let mut all = Vec::new();
+    for r in h.requests.iter().filter(|r| r.kind == Kind::Stream) {
+        let stream = r.resumes.as_ref().map_or(&r.id, |resumed| &resumed.first);
+        let known = versions.entry(stream).or_default();
+        let before = known.len();
+        known.extend(r.versions.iter().map(String::as_str));
+        if known.len() > 1 && known.len() > before {
+            let why = format!("{} brought events of the versions {known:?}", r.id);
+            all.push(broken_promise("one version", r.ended, why, &[stream, &r.id]));
+        }
+    }
+    all
+}
+
+/// Checks that streams which callers resume go on about as often as new ones begin, while two replicas of their
+/// version serve.
+fn resumed_streams_go_on(h: &History, b: &Bounds) -> Vec<BrokenPromise> {
+    let versions: BTreeMap<&str, &str> = h
+        .requests
+        .iter()
+        .filter_map(|r| Some((r.id.as_str(), r.versions.first()?.as_str())))
+        .collect();
+    let serves_twice = |version: &str, r: &Request| {
+        let serves = |l: &&ReplicaLife| {
+            let covers = l.from <= r.sent.saturating_sub(b.undisturbed_ms)
+                && l.until.is_none_or(|until| until > r.ended);
+            l.service == r.kind.service() && l.version == version && covers
+        };
+        h.replica_lives.iter().filter(serves).count() >= 2
+    };
+    let is_counted = |r: &&Request| {
+        let undisturbed = is_undisturbed(h, r.sent.saturating_sub(b.undisturbed_ms), r.ended);
+        r.kind == Kind::Stream
+            && undisturbed
+            && !matches!(r.outcome, Outcome::Left { begun: false })
+    };
+    let counted = h.requests.iter().filter(is_counted);
+    let (mut resumed, new): (Vec<_>, Vec<_>) = counted.partition(|r| r.resumes.is_some());
+    resumed.retain(|r| {
+        let first = r.resumes.as_ref().and_then(|resumed| versions.get(resumed.first.as_str()));
+        first.is_some_and(|version| serves_twice(version, r))
+    });
+    let begun = |all: &[&Request]| all.iter().filter(|r| has_begun(&r.outcome)).count();
+    let ratio = |all: &[&Request]| begun(all) as f64 / all.len().max(1) as f64;
+    if resumed.len() < b.min_resumed || ratio(&resumed) >= b.min_resumed_ratio * ratio(&new) {
+        return Vec::new();
+    }
+    let why = format!(
+        "{} of {} resumed streams went on, {} of {} new ones began",
+        begun(&resumed),
+        resumed.len(),
+        begun(&new),
+        new.len()
+    );
+    let ids: Vec<_> =
+        resumed.iter().filter(|r| !has_begun(&r.outcome)).map(|r| r.id.as_str()).collect();
+    vec![broken_promise("goes on", resumed[0].sent, why, &ids)]
+}
+
 fn no_new_requests_after_acked_drain(h: &History, b: &Bounds) -> Vec<BrokenPromise> {
     let acked: BTreeMap<&str, Timestamp> =
         h.acked_drains.iter().map(|d| (d.replica.as_str(), d.acked)).collect();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,7 +1,7 @@
 //! The observations of callers, replicas and operators in one run. All times are in milliseconds since
 //! the start of the run, by the clock of the soak process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A point in time, in milliseconds since the run's start.
 pub type Timestamp = u64;
@@ -63,6 +63,15 @@
     },
 }
 
+/// A stream that a caller resumes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// The id of the attempt that brought the first event.
+    pub first: String,
+    /// The number of the last event that the caller received.
+    pub after: u64,
+}
+
 /// A request of a caller and its outcome.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -76,6 +85,10 @@
     pub prompt: u64,
     /// Number of events in the complete answer.
     pub events: u64,
+    /// The stream that it resumes, if it does.
+    pub resumes: Option<Resumption>,
+    /// The software versions of the replicas whose events were received.
+    pub versions: BTreeSet<String>,
     /// The index of the gateway that it was sent to.
     pub gateway: usize,
     /// When it was sent.
@@ -103,6 +116,19 @@
     pub run: bool,
 }
 
+/// The time for which a replica accepted requests.
+#[derive(Clone, Debug)]
+pub struct ReplicaLife {
+    /// The service of the replica.
+    pub service: &'static str,
+    /// The version of its software.
+    pub version: String,
+    /// When it started.
+    pub from: Timestamp,
+    /// When it announced its drain or crashed, or `None` if it did not.
+    pub until: Option<Timestamp>,
+}
+
 /// A period in which a fault or planned operation affected the fleet.
 #[derive(Clone, Debug)]
 pub struct Disruption {
@@ -241,6 +267,8 @@
     pub requests: Vec<Request>,
     /// Arrivals at replicas.
     pub arrivals: Vec<Arrival>,
+    /// Replicas that were started.
+    pub replica_lives: Vec<ReplicaLife>,
     /// The highest event number that replicas generated, by request id.
     pub generated: BTreeMap<String, u64>,
     /// Documents sent by the operator.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -209,6 +209,8 @@
     pub size: Size,
     /// Time by which all faults have ended, in milliseconds.
     pub healed: u64,
+    /// Number of software versions that the replicas of `talk` run side by side.
+    pub versions: u64,
     /// The faults, ordered by start.
     pub steps: Vec<Step>,
     /// Requests that crash their replicas.
@@ -264,6 +266,7 @@
             seed,
             size,
             healed: millis,
+            versions: draw_versions(seed),
             steps,
             poisons,
             limits,
@@ -275,6 +278,14 @@
     }
 }
 
+/// Maximum number of software versions side by side. A third of the seeds has one.
+const MAX_VERSIONS: u64 = 3;
+
+/// Draws the number of software versions. A separate generator leaves the steps of a seed unchanged.
+fn draw_versions(seed: u64) -> u64 {
+    SmallRng::seed_from_u64(seed ^ 0x7a3f_91c4_d2b8_605e).random_range(1..=MAX_VERSIONS)
+}
+
 /// Percentage of seeds with poison requests.
 const POISONED_PERCENT: u32 = 50;
 
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -17,7 +17,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-use crate::history::{AckedDrain, AnnouncedDrain, AnnouncedLimit, Arrival, Backoff, PoisonCrash};
+use crate::history::{
+    AckedDrain, AnnouncedDrain, AnnouncedLimit, Arrival, Backoff, PoisonCrash, ReplicaLife,
+};
 use crate::http::call;
 use crate::plan::{OpenConnections, RetryAfterPeriod};
 use crate::proxy::ReplicaProxy;
@@ -71,6 +73,9 @@
     1 + sum % MAX_EVENTS
 }
 
+/// Start of the comment before each event that names the version of the replica's software.
+pub const VERSION_PREFIX: &str = ": version ";
+
 /// Returns the text of event `n` of a response.
 pub fn event_text(id: &str, n: u64) -> String {
     format!("id: {n}\ndata: {id} {n}\n\n")
@@ -89,6 +94,10 @@
     /// Id of the replica.
     pub id: String,
     service: &'static str,
+    /// Version of its software.
+    version: String,
+    /// Index in the history of this life.
+    life: usize,
     proxy: ReplicaProxy,
     /// Percentage of requests that it rejects without `Retry-After`.
     rejected_percent: Cell<u32>,
@@ -133,9 +142,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let cut_off = w.cut_off.borrow().clone();
         let proxy = ReplicaProxy::start(listener.local_addr()?, &cut_off).await?;
+        let born = w.next_born();
+        let version = match service {
+            "talk" => format!("v{}", born % w.versions.get()),
+            _ => String::new(),
+        };
+        let life = ReplicaLife { service, version: version.clone(), from: w.now(), until: None };
+        let lives = w.history.borrow().replica_lives.len();
+        w.history.borrow_mut().replica_lives.push(life);
         let replica = Rc::new(Replica {
             id,
             service,
+            version,
+            life: lives,
             proxy,
             rejected_percent: Cell::new(0),
             limit_index: Cell::new(None),
@@ -143,7 +162,7 @@
             drains_by_header: Cell::new(false),
             draining: Cell::new(false),
             heartbeats: Cell::new(0),
-            born: w.next_born(),
+            born,
             serve_task: Cell::new(None),
             heartbeat_task: Cell::new(None),
         });
@@ -157,6 +176,11 @@
         Ok(replica)
     }
 
+    /// Records that it gets no new work from now on.
+    pub fn end_life(&self, w: &World) {
+        w.history.borrow_mut().replica_lives[self.life].until.get_or_insert(w.now());
+    }
+
     /// Sets the percentage of requests that the replica rejects without `Retry-After`.
     pub fn set_rejected_percent(&self, percent: u32) {
         self.rejected_percent.set(percent);
@@ -195,6 +219,7 @@
     /// crashes.
     pub async fn drain_by_header(self: Rc<Self>, w: Rc<World>) {
         self.drains_by_header.set(true);
+        self.end_life(&w);
         sleep(DRAIN_TIME * 2).await;
         let path = format!("/v1/replicas/{}", self.id);
         // The replica ends even if the deregistration fails.
@@ -280,6 +305,7 @@
     /// Announces its drain by heartbeat, goes on serving for a while, then deregisters and crashes.
     pub async fn drain_by_heartbeat(self: Rc<Self>, w: Rc<World>) {
         self.draining.set(true);
+        self.end_life(&w);
         for _ in 0..MAX_DRAIN_ATTEMPTS {
             if self.send_heartbeat(&w).await {
                 let acked = w.now();
@@ -302,7 +328,7 @@
         let body = json!({
             "service": self.service, "address": self.proxy.address.to_string(),
             "data_centre": "tamar-a", "slots": 16, "draining": self.draining.get(),
-            "sequence": self.heartbeats.get(), "born": self.born,
+            "sequence": self.heartbeats.get(), "born": self.born, "version": self.version,
         });
         let path = format!("/v1/replicas/{}", self.id);
         let body = Bytes::from(body.to_string());
@@ -356,7 +382,14 @@
 async fn handle(r: Rc<Replica>, w: Rc<World>, req: Request) -> Response<Body> {
     let h = req.headers();
     let id = header_text(h, "x-request-id").to_owned();
-    let addressed = header_text(h, "x-replica") == r.id;
+    let start = header_text(h, "x-replica-start");
+    let addressed =
+        header_text(h, "x-replica") == r.id && (start.is_empty() || start == r.born.to_string());
+    // Every attempt at a stream gets the events of the first one.
+    let stream = match header_text(h, "x-resumes") {
+        "" => id.clone(),
+        first => first.to_owned(),
+    };
     let account = header_text(h, "x-client-account").to_owned();
     let last: u64 = header_text(h, "last-event-id").parse().unwrap_or(0);
     let rejection = if addressed { r.reject_with_retry_after(&w, &id) } else { None };
@@ -385,9 +418,11 @@
     if r.service == "talk" {
         let (tx, rx) = mpsc::channel(4);
         let events = if body == LONG_STREAM.as_bytes() {
-            Events { last: MAX_EVENTS, padding: format!(": {}\n", "x".repeat(PADDING)) }
+            let padding = format!(": {}\n", "x".repeat(PADDING));
+            Events { stream, last: MAX_EVENTS, prefix: padding }
         } else {
-            Events { last: event_count(&id), padding: String::new() }
+            let last = event_count(&stream);
+            Events { stream, last, prefix: format!("{VERSION_PREFIX}{}\n", r.version) }
         };
         actix_rt::spawn(send_events(w, id.clone(), last, events, tx));
         return respond(&id, StatusCode::OK, Body::Stream(rx));
@@ -421,15 +456,18 @@
     w.crashed.borrow_mut().push(r.id.clone());
     let at = w.now();
     w.history.borrow_mut().poison_crashes.push(PoisonCrash { poison, at });
+    r.end_life(w);
     r.crash();
 }
 
 /// The events of one stream.
 struct Events {
+    /// The id of the attempt that brought the first one.
+    stream: String,
     /// The number of the last one.
     last: u64,
     /// Text before each of them.
-    padding: String,
+    prefix: String,
 }
 
 /// Sends the events after `last` of a stream and records how many were generated.
@@ -442,7 +480,7 @@
             *generated = (*generated).max(n);
         }
         // Sending fails if the gateway has disconnected.
-        let text = events.padding.clone() + &event_text(&id, n);
+        let text = events.prefix.clone() + &event_text(&events.stream, n);
         if tx.send(Bytes::from(text)).await.is_err() {
             return;
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -126,6 +126,8 @@
         max_backoff_requests: 2,
         max_leaderless_ms: 2 * ELECTION_TIMEOUT_MS,
         max_gateway_memory: MAX_GATEWAY_MEMORY,
+        min_resumed: 12,
+        min_resumed_ratio: 0.5,
         cut_counts_after_ms: 3_000,
         min_cut_ratio: 2.0 / 3.0,
         max_cut_failures: (10, 0.02),
@@ -158,6 +160,7 @@
     let gateways = fleet.gateways.iter().map(|g| g.callers).collect();
     let operators = fleet.gateways.iter().map(|g| g.operators).collect();
     let w = Rc::new(World::new(plan.seed, apis, gateways, operators));
+    w.versions.set(plan.versions);
     let replicas = |service| RefCell::new(Replicas { service, started: 0, running: Vec::new() });
     let (talk, board) = (replicas("talk"), replicas("board"));
     let run = Rc::new(Run { w, fleet, talk, board, tasks: RefCell::default() });
@@ -646,6 +649,7 @@
     /// Crashes a replica and restarts it.
     async fn crash(&self, all: &RefCell<Replicas>, n: usize) {
         let Some(removed) = self.remove_replica(all, n) else { return };
+        removed.end_life(&self.w);
         removed.crash();
         let restarted = self.restart_replica(all, removed.id.clone()).await;
         restarted.expect("a replica can be started");
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -33,6 +33,8 @@
     pub cut_off: RefCell<Vec<Ipv4Addr>>,
     /// Ids of replicas that have crashed and are to be restarted.
     pub crashed: RefCell<Vec<String>>,
+    /// Number of software versions that the replicas of `talk` run side by side.
+    pub versions: Cell<u64>,
     /// Start time of the last replica, in milliseconds since the Unix epoch.
     born: Cell<u64>,
     rng: RefCell<SmallRng>,
@@ -59,6 +61,7 @@
             sent: Cell::new(0),
             cut_off: RefCell::default(),
             crashed: RefCell::default(),
+            versions: Cell::new(1),
             born: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -2,10 +2,13 @@
 
 #![allow(missing_docs)]
 
+use std::collections::BTreeSet;
+
 use cypressfork_soak::check::{BrokenPromise, REPLICA_CUT, check, stop_description};
 use cypressfork_soak::history::{
     AckedDrain, AnnouncedDrain, AnnouncedLimit, Arrival, Backoff, Change, Disruption, FailedRead,
-    History, Kind, Outcome, PoisonCrash, Read, ReplicaCutPeriod, Request, Stop, VersionReport,
+    History, Kind, Outcome, PoisonCrash, Read, ReplicaCutPeriod, ReplicaLife, Request, Resumption,
+    Stop, VersionReport,
 };
 use cypressfork_soak::plan::{Fault, Plan};
 use cypressfork_soak::run::bounds;
@@ -19,6 +22,8 @@
         account: "club",
         prompt,
         events,
+        resumes: None,
+        versions: BTreeSet::new(),
         gateway: 0,
         sent: 10_000,
         ended: 10_050,
@@ -349,3 +354,61 @@
     }
     assert_eq!(broken_promises(&h), promises);
 }
+
+/// Returns a resumed attempt at stream `s`, which has brought its first event.
+fn resumed(n: usize, version: &str, outcome: Outcome) -> Request {
+    let resumes = Some(Resumption { first: "s".to_owned(), after: 1 });
+    let versions = BTreeSet::from([version.to_owned()]);
+    let id = format!("s-again-{n}");
+    Request { events: 2, prompt: 0, resumes, versions, ..request(&id, Kind::Stream, outcome) }
+}
+
+/// Returns a correct history in which `s` brought events of v1, which two replicas run.
+fn history_with_versions() -> History {
+    let mut h = correct_history();
+    h.disruptions.clear();
+    h.spent.clear();
+    h.requests[0].versions.insert("v1".to_owned());
+    let life = ReplicaLife { service: "talk", version: "v1".to_owned(), from: 0, until: None };
+    h.replica_lives = vec![life; 2];
+    h
+}
+
+/// Guards against a check that misses a stream whose attempts bring events of two versions.
+#[rstest]
+#[case::same("v1", &[])]
+#[case::other("v2", &["one version"])]
+fn a_stream_keeps_its_version_over_attempts(#[case] version: &str, #[case] expected: &[&str]) {
+    let mut h = history_with_versions();
+    h.requests.push(resumed(1, version, answered(&[2, 3])));
+    assert_eq!(broken_promises(&h), expected);
+}
+
+/// Guards against a check that misses one response with events of two versions.
+#[test]
+fn a_stream_keeps_its_version_within_a_response() {
+    let mut h = history_with_versions();
+    h.requests[0].versions.insert("v2".to_owned());
+    assert_eq!(broken_promises(&h), ["one version"]);
+}
+
+/// Guards against a check that accepts gateways which refuse to continue any stream.
+#[rstest]
+#[case::most_go_on(12, 5, 2, &[])]
+#[case::most_are_refused(12, 7, 2, &["goes on"])]
+#[case::too_few_to_tell(11, 11, 2, &[])]
+#[case::one_replica_of_the_version(12, 12, 1, &[])]
+fn resumed_streams_go_on_as_new_ones_begin(
+    #[case] all: usize,
+    #[case] refused: usize,
+    #[case] replicas: usize,
+    #[case] expected: &[&str],
+) {
+    let mut h = history_with_versions();
+    h.replica_lives.truncate(replicas);
+    h.requests.extend((0..all).map(|n| match n < refused {
+        true => resumed(n, "v1", Outcome::Refused(503)),
+        false => resumed(n, "v1", answered(&[2, 3])),
+    }));
+    assert_eq!(broken_promises(&h), expected);
+}
