--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -215,7 +215,8 @@
         // Requests from before the fleet was up are not checked.
         let mut h = self.w.history.borrow_mut();
         let changes = std::mem::take(&mut h.changes);
-        *h = History { changes, ..History::default() };
+        let replica_lives = std::mem::take(&mut h.replica_lives);
+        *h = History { changes, replica_lives, ..History::default() };
         Ok(())
     }
 
