Gateway: a stream of unknown origin needs an answer of another gateway

A gateway whose service has a single version let a stream go on without its origin although no other gateway had answered. One that has just been cut off from all others believes for 1.5 s more that no second version exists, and would continue streams of it at the first. Found by reading; now it refuses unless a keeper answers or there are no other gateways, and waits 20 ms for further keepers only once one has answered.

Batches of origins are bounded, so that a release over many open streams does not exceed the largest frame. Event 419 names the version.

Test: a service of one version continues its streams after the death of all gateways, and refuses them when it is cut off from control processes. The test now prints each refusal.

--- a/crates/cypressfork/tests/stream_versions.rs
+++ b/crates/cypressfork/tests/stream_versions.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use support::crashing::{header, read_request};
@@ -36,6 +36,9 @@
 /// Concurrent callers.
 const CALLERS: usize = 8;
 
+/// Time after its start from which a control process vouches for the versions of a service.
+const CONTROL_VOUCHES_AFTER: Duration = Duration::from_secs(30);
+
 /// Interval between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -242,10 +245,12 @@
     gateways: Vec<ExtraGateway>,
     replicas: Vec<Arc<Replica>>,
     stop: Arc<AtomicBool>,
+    started: Instant,
 }
 
 impl Setup {
     fn new(gateways: usize, replicas: &[(&'static str, &'static str)], services: &[&str]) -> Setup {
+        let started = Instant::now();
         let mut fleet = Fleet::new(1);
         fleet.start_control(0, true);
         let gateways = fleet.start_extra_gateways_with(0, gateways, "retry_ratio: 1.0\n");
@@ -258,7 +263,7 @@
             Replica::start(service, &format!("t-{n}"), version, fleet.controls[0].api, stop.clone())
         };
         let replicas = replicas.iter().enumerate().map(start).collect();
-        let f = Setup { fleet, gateways, replicas, stop };
+        let f = Setup { fleet, gateways, replicas, stop, started };
         f.wait_until_known();
         f
     }
@@ -452,26 +457,19 @@
     gone.running.store(false, Ordering::Relaxed);
     let path = format!("/v1/replicas/{}", gone.name);
     assert_eq!(f.fleet.call(0, "DELETE", &path, "").map(|(status, _)| status), Some(200));
-    let mut last = None;
+    let mut refusal = String::new();
     let mut n = 0;
-    wait_for("a refusal", || {
+    wait_for("a refusal because the version is gone", || {
         n += 1;
         let resume = Resume { last: BREAK, id: Some("s-1") };
         let s = send(f.gateway(1), "club-key", "x", &format!("r-{n}"), Some(resume));
         let response = Response::read(s, None);
-        assert_eq!(
-            mixed([&[
-                Response { status: 200, text: first.text.clone() },
-                Response { status: 200, text: response.text.clone() }
-            ]]),
-            0
-        );
-        let is_refused = response.status == 503;
-        last = Some(response);
-        is_refused
+        assert!(response.origins().is_subset(&first.origins()), "{}", response.text);
+        refusal = response.text;
+        refusal.contains("CF1314")
     });
-    let text = last.unwrap().text.to_ascii_lowercase();
-    assert!(!text.contains("retry-after"), "{text}");
+    assert!(refusal.starts_with("HTTP/1.1 503 "), "{refusal}");
+    assert!(!refusal.to_ascii_lowercase().contains("retry-after"), "{refusal}");
 }
 
 /// Guards against a stream that continues at a replica that has restarted under its id and address with another
@@ -493,3 +491,45 @@
     });
     assert_eq!(mixed(&streams), 0, "of {STREAMS} streams");
 }
+
+/// Guards against the refusal of all streams after the death of all gateways although a service has a single version,
+/// and against a gateway that still believes so when it hears of no control process.
+#[test]
+fn a_stream_of_a_single_version_continues_after_the_death_of_all_gateways() {
+    let mut f = Setup::new(2, &[("talk", "v1"); 2], &["talk"]);
+    let mut n = 0;
+    let mut status = |f: &Setup, id: Option<&str>| {
+        n += 1;
+        let resume = Resume { last: BREAK, id };
+        let s = send(f.gateway(n), "club-key", "x", &format!("r-{n}"), Some(resume));
+        let response = Response::read(s, None);
+        if response.status != 200 {
+            println!("{}", response.text);
+        }
+        response.status
+    };
+    assert_eq!(status(&f, None), 503, "the control process has just started");
+    // The control process vouches for the versions after a time, which may exceed that of one wait.
+    while f.started.elapsed() < CONTROL_VOUCHES_AFTER {
+        sleep(HEARTBEAT_INTERVAL);
+    }
+    wait_for("streams without an origin to continue", || status(&f, None) == 200);
+    let first = Response::read(send(f.gateway(0), "club-key", "x", "s-1", None), Some(BREAK));
+    assert!(first.has_event(BREAK));
+    for g in &mut f.gateways {
+        g.process.kill();
+    }
+    let Setup { fleet, gateways, .. } = &mut f;
+    gateways.iter_mut().for_each(|g| fleet.restart_extra_gateway(g));
+    for g in &f.gateways {
+        wait_for("the gateway to serve", || TcpStream::connect(g.listen).is_ok());
+    }
+    wait_for("the stream to continue", || status(&f, Some("s-1")) == 200);
+    f.fleet.controls[0].process.as_mut().unwrap().kill();
+    // A stream that went on shortly before has a known origin.
+    let mut unknown = 0;
+    wait_for("a refusal by a gateway that is cut off", || {
+        unknown += 1;
+        status(&f, Some(&format!("unknown-{unknown}"))) == 503
+    });
+}
--- a/crates/router/src/gateway/origins.rs
+++ b/crates/router/src/gateway/origins.rs
@@ -28,10 +28,13 @@
 /// Maximum number of streams whose origins are stored, about 10 MB.
 const MAX_STREAMS: usize = 32_768;
 
+/// Maximum number of origins in one message, about 30 kB.
+const MAX_BATCH: usize = 256;
+
 /// Time within which keepers respond.
 const FIND_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time for which keepers are awaited where the stream may continue without its origin.
+/// Time for which further keepers are awaited where the stream may continue without its origin.
 const SHORT_FIND_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// `Retry-After` while this gateway does not know all replicas.
@@ -199,10 +202,13 @@
             return Ok(origin);
         }
         let single = single();
-        let within = if single.is_some() { SHORT_FIND_TIMEOUT } else { FIND_TIMEOUT };
-        let until = request.deadline.min(Instant::now() + within);
-        let found = ask_keepers(&request.gw, &stream, until).await;
-        found.or(single).ok_or("no gateway knows the attempt that it names")
+        let found = ask_keepers(request, &stream, single.is_some()).await;
+        match (found, single) {
+            (Found::Origin(origin), _) | (Found::Unknown, Some(origin)) => Ok(origin),
+            (Found::Unknown, None) => Err("no gateway knows the attempt that it names"),
+            // A gateway that is cut off does not hear of a second version.
+            (Found::NoAnswer, _) => Err("no gateway that may know the attempt answers"),
+        }
     }
 
     /// Returns the refusal of a request that resumes a stream, counts and logs it.
@@ -240,25 +246,45 @@
         }
     }
     for (keeper, records) in by_keeper {
-        gw.peers.tell(gw, keeper, &PeerRequest::KeepOrigins(records));
+        for batch in records.chunks(MAX_BATCH) {
+            gw.peers.tell(gw, keeper, &PeerRequest::KeepOrigins(batch.to_vec()));
+        }
     }
 }
 
-/// Asks the keepers of a stream for its origin until one of them knows it.
-async fn ask_keepers(gw: &Gateway, stream: &StreamId, until: Instant) -> Option<Origin> {
+/// What the keepers of a stream know.
+enum Found {
+    Origin(Origin),
+    /// Those that answered do not know its origin, or there are no other gateways.
+    Unknown,
+    NoAnswer,
+}
+
+/// Asks the keepers of a stream for its origin until one of them knows it. If the stream may continue without it
+/// (`is_optional`), does not wait for all of them.
+async fn ask_keepers(request: &RoutedRequest, stream: &StreamId, is_optional: bool) -> Found {
+    let gw = &request.gw;
     let own = gw.settings.link_advertise;
     let keepers = stream.asked_keepers(own, gw.peers.data_centres());
-    let request = PeerRequest::FindOrigin(stream.clone());
-    let within = until.saturating_duration_since(Instant::now());
-    let answers = keepers.iter().map(|keeper| gw.peers.ask(gw, *keeper, &request, within));
+    if keepers.is_empty() {
+        return Found::Unknown;
+    }
+    let started = Instant::now();
+    let ask = PeerRequest::FindOrigin(stream.clone());
+    let answers = keepers.iter().map(|keeper| gw.peers.ask(gw, *keeper, &ask, FIND_TIMEOUT));
     let mut answers: FuturesUnordered<_> = answers.collect();
-    let first_known = async {
-        while let Some(answer) = answers.next().await {
-            if let Some(PeerReply::Origin(Some(origin))) = answer {
-                return Some(origin);
-            }
+    let mut found = Found::NoAnswer;
+    loop {
+        let within = match found {
+            Found::Unknown if is_optional => SHORT_FIND_TIMEOUT,
+            _ => FIND_TIMEOUT,
+        };
+        let until = request.deadline.min(started + within);
+        match timeout_at(until, answers.next()).await {
+            Ok(Some(Some(PeerReply::Origin(Some(origin))))) => return Found::Origin(origin),
+            Ok(Some(Some(_))) => found = Found::Unknown,
+            Ok(Some(None)) => {}
+            Ok(None) | Err(_) => return found,
         }
-        None
-    };
-    timeout_at(until, first_known).await.ok().flatten()
+    }
 }
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -449,7 +449,7 @@
             let kind = if self.is_sent() { SendKind::Retry } else { SendKind::First };
             let (ended, time_to_first) =
                 attempt::run::<D>(request, client, &mut self.progress, &chosen, kind).await;
-            let PickedReplica { choice, replica, .. } = chosen;
+            let PickedReplica { choice, replica, version, .. } = chosen;
             observation.finish(&request.route, &ended, time_to_first, choice.expected_us);
             counter!(metric::ATTEMPTS, "end" => ended.label()).increment(1);
             let failed = ended.is_failure();
@@ -458,6 +458,7 @@
                 Event::AttemptEnded,
                 id = self.request.inbound.id,
                 replica = replica,
+                version = version,
                 ended = format_args!("{ended:?}"),
                 expected_us = choice.expected_us,
             );
