--- a/crates/core/tests/origins.rs
+++ b/crates/core/tests/origins.rs
@@ -58,7 +58,7 @@
     assert_eq!(known(&[ready("a"), ready("b")]).single(START, SERVICE), Some("v1"));
     assert_eq!(known(&[]).single(START, SERVICE), None, "a service without replicas");
     let unnamed = replica("a", "", ReplicaStatus::Ready);
-    assert_eq!(known(&[unnamed.clone()]).single(START, SERVICE), Some(""));
+    assert_eq!(known(std::slice::from_ref(&unnamed)).single(START, SERVICE), Some(""));
     assert_eq!(known(&[unnamed, ready("b")]).single(START, SERVICE), None);
 }
 
@@ -294,6 +294,5 @@
             }
         }
     }
-    println!("{found} found, {lost} lost");
     assert!(found * 100 >= (found + lost) * min_found_percent, "{found} found, {lost} lost");
 }
