Log the parts of prompts in flight at replicas that ended

Event 430 named requests by their fingerprint only, so that the logs could not tell requests that have one part of their prompts in common from requests that have nothing in common. It names the ids of all parts but the last now. No decision changes.

--- a/crates/router/src/gateway/dialect.rs
+++ b/crates/router/src/gateway/dialect.rs
@@ -19,6 +19,8 @@
     pub max_output: Tokens,
     /// Cumulative prefixes of the prompt, from its parts.
     pub prefixes: PromptPrefixes,
+    /// Distinct ids of its parts without the last, which is the request's own.
+    pub shared_parts: Vec<u64>,
 }
 
 /// The parsed headers of a caller's request.
--- a/crates/router/src/gateway/native.rs
+++ b/crates/router/src/gateway/native.rs
@@ -2,6 +2,8 @@
 //!
 //! The functions that parse and set headers are also used by other dialects.
 
+use std::collections::HashSet;
+
 use actix_http::header::{
     AUTHORIZATION, DATE, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
 };
@@ -134,8 +136,18 @@
     let count = |s: &str| s.trim().parse().map_err(|_| Code::HeaderBad);
     let parts = parts.unwrap_or_default().split(',').filter(|p| !p.is_empty());
     let parts: Option<Vec<_>> = parts.map(parse_part).collect();
-    let prefixes = PromptPrefixes::from_sized_parts(parts.ok_or(Code::HeaderBad)?);
-    Ok(Some(PromptSize { tokens: count(prompt)?, max_output: count(max_output)?, prefixes }))
+    let parts = parts.ok_or(Code::HeaderBad)?;
+    let shared_parts = shared_parts(&parts);
+    let prefixes = PromptPrefixes::from_sized_parts(parts);
+    let (tokens, max_output) = (count(prompt)?, count(max_output)?);
+    Ok(Some(PromptSize { tokens, max_output, prefixes, shared_parts }))
+}
+
+/// Returns the distinct ids of all parts of a prompt but the last.
+fn shared_parts(parts: &[(u64, u64)]) -> Vec<u64> {
+    let mut known = HashSet::new();
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|(id, _)| *id).filter(|id| known.insert(*id)).collect()
 }
 
 /// Parses a hexadecimal id and a token count.
--- a/crates/router/src/gateway/routed_request.rs
+++ b/crates/router/src/gateway/routed_request.rs
@@ -96,6 +96,11 @@
         self.inbound.prompt.clone().unwrap_or_default()
     }
 
+    /// Returns the ids of the parts that its prompt may share with other requests.
+    pub fn shared_parts(&self) -> &[u64] {
+        self.inbound.prompt.as_ref().map_or(&[], |p| &p.shared_parts)
+    }
+
     /// Returns the tokens of its prompt that are charged to it.
     pub fn prompt_charge(&self) -> Tokens {
         let tokens = self.inbound.prompt.as_ref().map_or(0, |p| p.tokens);
--- a/crates/router/src/gateway/witness.rs
+++ b/crates/router/src/gateway/witness.rs
@@ -5,6 +5,7 @@
 //! changes of its registration whether the replica has ended.
 
 use std::cell::RefCell;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +37,9 @@
 /// closes each new one.
 const MAX_PROBES: u32 = 5;
 
+/// Maximum number of a prompt's parts that a log line names.
+const MAX_LOGGED_PARTS: usize = 32;
+
 /// Delay before the second probe, doubled before each further one.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
 
@@ -49,10 +53,25 @@
     pub hash: u64,
     /// The client account.
     pub account: Option<String>,
+    /// Ids of the parts that its prompt may share with other requests.
+    pub parts: Vec<u64>,
     /// Time from sending the request to the loss of the connection.
     pub age: Millis,
 }
 
+/// Writes the ids of a prompt's parts for log lines.
+struct PartIds<'a>(&'a [u64]);
+
+impl fmt::Display for PartIds<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for (n, id) in self.0.iter().take(MAX_LOGGED_PARTS).enumerate() {
+            let separator = if n > 0 { "," } else { "" };
+            write!(f, "{separator}{id:x}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Lost connections to replicas, until it is known whether the replicas have ended.
 #[derive(Default)]
 pub struct LostConnections {
@@ -73,6 +92,7 @@
         fingerprint: fingerprint(&request.identity()),
         hash: gw.quarantines.request_hash(request),
         account: request.account.clone(),
+        parts: request.shared_parts().to_vec(),
         age: Millis(sent.elapsed().as_millis() as u64),
     };
     let mut losses = gw.lost_connections.losses.borrow_mut();
@@ -160,6 +180,7 @@
         id = r.id,
         fingerprint = r.fingerprint,
         account = r.account.as_deref().unwrap_or_default(),
+        parts = PartIds(&r.parts),
         replica = l.replica,
         address = l.address,
         age_ms = r.age.0,
