--- a/crates/cypressfork/tests/support/mod.rs
+++ b/crates/cypressfork/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod control;
 pub mod crashing;
+pub mod crashing_parts;
 pub mod gateways;
 mod http;
 pub mod limited;
