--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -21,10 +21,11 @@
 };
 use cypressfork_core::state::State;
 use cypressfork_core::unit::{Index, LeaseId, Time};
-use cypressfork_node::emit;
 use cypressfork_node::event::Event;
+use cypressfork_node::{emit, metric};
 use cypressfork_store::Error;
 use cypressfork_wire::{Ask, Founders, body};
+use metrics::counter;
 
 use crate::disk::{CompactedLog, Storage};
 use crate::leader_tasks::LeaderTasks;
@@ -438,6 +439,7 @@
     fn log_quarantine_changes(&mut self) {
         for (f, change) in self.state.take_quarantine_changes() {
             let q = self.state.quarantine().iter().find(|(known, _)| **known == f).map(|(_, q)| q);
+            counter!(metric::QUARANTINE_CHANGES, "change" => change.name()).increment(1);
             emit!(
                 Event::QuarantineChanged,
                 fingerprint = f,
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -54,7 +54,8 @@
     UNSHARED_PROMPTS = "cypressfork_untold_prompts_total", "counter", "", "long prompts not announced to other gateways because of the rate limit of announcements";
     EVACUATED = "cypressfork_evacuated_data_centres", "gauge", "", "data centres that an operator has evacuated";
     LOST_CONNECTIONS = "cypressfork_lost_connections_total", "counter", "replica", "connections to replicas lost with a request in flight, by whether the replica is alive";
-    QUARANTINED = "cypressfork_quarantined_requests", "gauge", "", "requests in quarantine: sent to no replica because they end the replicas that run them";
+    QUARANTINED = "cypressfork_quarantined_requests", "gauge", "", "requests and parts of prompts in quarantine: sent to no replica because they end the replicas that run them";
+    QUARANTINE_CHANGES = "cypressfork_quarantine_changes_total", "counter", "change", "requests and parts of prompts that control processes quarantined or released, by reason";
     LIMITED = "cypressfork_limited_replicas", "gauge", "", "replicas with a rate limit, as far as this process has received reports";
     PERMITS = "cypressfork_permits_total", "counter", "end", "permits needed for requests to rate-limited replicas, by outcome";
     PERMITS_GIVEN = "cypressfork_permits_given_total", "counter", "", "permits issued by a gateway, those for itself included";
