--- a/crates/core/src/fleet/quarantine/attribution.rs
+++ b/crates/core/src/fleet/quarantine/attribution.rs
@@ -6,8 +6,8 @@
 
 use std::collections::{BTreeMap, BinaryHeap};
 
-use super::Quarantined;
 use super::suspect::{STRIKES_IF_AMBIGUOUS, Subject, Suspect};
+use super::{LastTermination, Quarantined};
 use crate::fleet::fingerprint::Fingerprint;
 use crate::unit::Time;
 
@@ -60,9 +60,10 @@
         }
     }
 
-    /// Returns whether it may be the cause although others have the same strikes.
-    fn may_be_ambiguous(&self) -> bool {
-        let is_certain = self.others_survive || !self.suspect.subject.is_part();
+    /// Returns whether it may be the cause although others may have caused all of its strikes; `is_shared` if
+    /// others have the same strikes.
+    fn may_be_ambiguous(&self, is_shared: bool) -> bool {
+        let is_certain = self.others_survive || !is_shared || !self.suspect.subject.is_part();
         is_certain && self.strikes.len() >= STRIKES_IF_AMBIGUOUS
     }
 
@@ -110,12 +111,18 @@
         &self.states[(number - self.first) as usize]
     }
 
+    fn is_explained(&self, number: u64) -> bool {
+        let state = number.checked_sub(self.first).and_then(|n| self.states.get(n as usize));
+        state.is_some_and(|s| s.is_explained)
+    }
+
     fn get_mut(&mut self, number: u64) -> &mut TerminationState {
         &mut self.states[(number - self.first) as usize]
     }
 }
 
 struct Attribution<'a> {
+    evidence: &'a Evidence<'a>,
     candidates: Vec<Candidate<'a>>,
     terminations: Terminations,
     /// Candidates that may reach their threshold, by their last count of strikes. The count is an upper
@@ -129,6 +136,8 @@
 pub(super) struct Evidence<'a> {
     /// When a request to each service last survived that was suspected.
     pub survivals: &'a BTreeMap<String, Time>,
+    /// The last termination of each replica.
+    pub replicas: &'a BTreeMap<String, LastTermination>,
     /// What is quarantined.
     pub quarantined: &'a BTreeMap<Fingerprint, Quarantined>,
 }
@@ -161,7 +170,10 @@
 }
 
 impl<'a> Attribution<'a> {
-    fn new(suspects: &'a BTreeMap<Fingerprint, Suspect>, evidence: &Evidence) -> Attribution<'a> {
+    fn new(
+        suspects: &'a BTreeMap<Fingerprint, Suspect>,
+        evidence: &'a Evidence,
+    ) -> Attribution<'a> {
         // Others have too few strikes, and a single strike makes no other candidate ambiguous.
         let is_relevant = |f: &Fingerprint, s: &Suspect| {
             s.ends.len() > 1 || s.may_reach_threshold() || evidence.is_quarantined_part(f, s)
@@ -187,7 +199,7 @@
         }
         let eligible = candidates.iter().enumerate().filter(|(_, c)| c.reaches_threshold());
         let queue = eligible.map(|(n, c)| c.rank(n)).collect();
-        Attribution { candidates, terminations, queue, round: 0 }
+        Attribution { evidence, candidates, terminations, queue, round: 0 }
     }
 
     /// Recounts the strikes of candidate `n` if terminations were explained since its last count.
@@ -221,8 +233,10 @@
                 break Some((n, Vec::new()));
             }
             let equivalent = self.equivalent(n);
-            let is_unambiguous = equivalent.is_empty() && self.has_unshared_strike(n);
-            if is_unambiguous || self.candidates[n].may_be_ambiguous() {
+            let is_shared = !equivalent.is_empty();
+            let is_unambiguous =
+                !is_shared && self.has_unshared_strike(n) && !self.has_others_in_span(n);
+            if is_unambiguous || self.candidates[n].may_be_ambiguous(is_shared) {
                 break Some((n, equivalent));
             }
             ambiguous.push(rank);
@@ -249,9 +263,25 @@
         others
     }
 
+    /// Returns whether `n` is a part whose strikes do not include all terminations at its service from the first
+    /// to the last of them, so that replicas also terminate for another reason.
+    fn has_others_in_span(&self, n: usize) -> bool {
+        let s = self.candidates[n].suspect;
+        let Subject::Part { service, .. } = &s.subject else { return false };
+        let span = s.first_termination()..=s.last_termination();
+        let is_own = |number: u64| s.ends.iter().any(|e| e.number == number);
+        self.evidence.replicas.values().any(|t| {
+            t.service == *service
+                && span.contains(&t.at)
+                && !is_own(t.number)
+                && !self.terminations.is_explained(t.number)
+        })
+    }
+
     /// Returns whether candidate `n` has a strike that it shares with no independent candidate. Another
     /// candidate is independent if it has several strikes, at least one of them not among those of `n`,
-    /// whether or not a third one explains it.
+    /// whether or not a third one explains it. Parts that were harmless before are in flight at most
+    /// terminations, and are not considered.
     fn has_unshared_strike(&self, n: usize) -> bool {
         let strikes = &self.candidates[n].strikes;
         let is_independent = |m: &usize| {
@@ -260,6 +290,7 @@
             *m != n
                 && other.is_open
                 && several
+                && !other.suspect.is_harmless_part()
                 && other.all_strikes.iter().any(|e| !strikes.contains(e))
         };
         let is_shared = |number: &u64| {
--- a/crates/core/src/fleet/quarantine/mod.rs
+++ b/crates/core/src/fleet/quarantine/mod.rs
@@ -99,9 +99,10 @@
 const MAX_LISTED_SUSPECTS: usize = 128;
 
 /// The last termination of a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct LastTermination {
     number: u64,
+    service: String,
     at: Time,
     /// When the first report arrived.
     heard: Time,
@@ -186,7 +187,7 @@
         let mut may_change = false;
         for r in reports {
             let at = Time(now.0.saturating_sub(r.ago.0));
-            let number = self.termination_number(now, &r.replica, at);
+            let number = self.termination_number(now, r, at);
             for u in &r.under_way {
                 may_change |= self.record_in_flight(number, at, u, pos);
                 may_change |= self.record_parts(number, at, r, u, pos);
@@ -196,14 +197,15 @@
     }
 
     /// Returns the number of a replica's termination: that of an earlier report, or a new one.
-    fn termination_number(&mut self, now: Time, replica: &str, at: Time) -> u64 {
-        let known = self.replicas.get(replica);
+    fn termination_number(&mut self, now: Time, r: &TerminationReport, at: Time) -> u64 {
+        let known = self.replicas.get(&r.replica);
         if let Some(known) = known.filter(|k| at.0.abs_diff(k.at.0) <= SAME_TERMINATION_WINDOW.0) {
             return known.number;
         }
         self.next_number += 1;
-        let last = LastTermination { number: self.next_number, at, heard: now };
-        self.replicas.insert(replica.to_owned(), last);
+        let (number, service) = (self.next_number, r.service.clone());
+        let last = LastTermination { number, service, at, heard: now };
+        self.replicas.insert(r.replica.clone(), last);
         self.next_number
     }
 
@@ -273,7 +275,11 @@
     /// Quarantines the requests and parts that explain the terminations of replicas, and releases those that
     /// no longer do.
     fn attribute(&mut self, now: Time, pos: Index) -> Vec<(Fingerprint, QuarantineChange)> {
-        let evidence = Evidence { survivals: &self.survivals, quarantined: &self.quarantined };
+        let evidence = Evidence {
+            survivals: &self.survivals,
+            replicas: &self.replicas,
+            quarantined: &self.quarantined,
+        };
         let causes = find_causes(&self.suspects, &evidence);
         self.quarantine(now, pos, &causes)
     }
--- a/crates/router/src/gateway/quarantine.rs
+++ b/crates/router/src/gateway/quarantine.rs
@@ -186,6 +186,14 @@
         parts.any(|f| self.suspects.borrow().contains_key(&f) || local.has_several_strikes(&f))
     }
 
+    /// Returns whether the prompt has a part that no replica has lately survived, as far as this gateway knows.
+    pub fn has_new_part(&self, request: &RoutedRequest) -> bool {
+        let (brief, completed) = (request.part_scope().brief(), self.completed_parts.borrow());
+        let is_known =
+            |id: &u64| completed.contains(self.hasher.hash_one(Fingerprint { brief, digest: *id }));
+        !request.shared_parts().iter().take(MAX_PARTS).all(is_known)
+    }
+
     /// Returns whether the group has not confirmed a report in time.
     fn is_report_overdue(&self) -> bool {
         self.report_started.get().is_some_and(|since| since.elapsed() >= REPORT_OVERDUE_AFTER)
@@ -197,7 +205,6 @@
         let identity = request.identity();
         self.completed.borrow_mut().record(self.hasher.hash_one(identity));
         self.record_working(&request.service);
-        self.record_completed_parts(&request.part_scope(), request.shared_parts());
         if self.briefs.borrow().contains(&identity.brief()) {
             self.report_completion(fingerprint(&identity));
         }
@@ -247,6 +254,7 @@
     /// Records that a replica survives a request that was sent at `sent`, and reports that if a part of its
     /// prompt was a suspect by then.
     pub fn record_survival(&self, request: &RoutedRequest, sent: Instant) {
+        self.record_completed_parts(&request.part_scope(), request.shared_parts());
         if self.suspects.borrow().is_empty() && self.local.borrow().has_no_suspects() {
             return;
         }
--- a/crates/router/src/gateway/witness.rs
+++ b/crates/router/src/gateway/witness.rs
@@ -38,7 +38,7 @@
 const MAX_PROBES: u32 = 5;
 
 /// Minimum interval between probes after responses that ended with their connections, unless a request is
-/// suspected.
+/// suspected or has a part that no replica has survived before.
 const END_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum number of a prompt's parts that a log line names.
@@ -132,7 +132,9 @@
     answering: Option<Duration>,
 ) {
     let gw = &request.gw;
-    let probes = gw.quarantines.is_suspect(request) || gw.lost_connections.take_end_probe();
+    let probes = gw.quarantines.is_suspect(request)
+        || gw.quarantines.has_new_part(request)
+        || gw.lost_connections.take_end_probe();
     let lost = LostRequest { may_be_complete: true, ..LostRequest::new(request, sent, answering) };
     let mut losses = gw.lost_connections.losses.borrow_mut();
     count_alive(losses.expire(gw.now()));
