Control processes that founded their group vouch for versions at once

Cause: without the origin of a stream, a gateway goes by control processes that have followed the fleet for 30 s.

Change: a process that has founded its group since its start counts as having followed the fleet from its beginning. Members that join later, and all after a restart, still need 30 s.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -13,6 +13,7 @@
 use cypressfork_core::fleet::rollout::evidence::Reports;
 use cypressfork_core::fleet::router_directory::{NOT_WANTED, RouterDirectory};
 use cypressfork_core::fleet::router_heartbeats::RouterHeartbeats;
+use cypressfork_core::fleet::software::RESUME_WINDOW;
 use cypressfork_core::fleet::transfer::PackedDocuments;
 use cypressfork_core::fleet::watch::{
     Announce, FeedCursor, RouterStatus, Watch, WatchResponse, controls_digest,
@@ -81,6 +82,8 @@
     pub quarantine: &'a Quarantine,
     /// The rollouts of all services.
     pub rollouts: &'a Rollouts,
+    /// Whether this process has run since before its group was founded: nothing in the fleet is older.
+    pub since_founding: bool,
 }
 
 /// The fleet as seen by one control process, and the watches that wait for changes of it. `T` identifies
@@ -426,7 +429,10 @@
             && w.watch.hears.is_some()
             && !w.watch.without_replicas
             && changes.position >= self.registry.newest_change();
-        let followed_for = self.followed_since.map(|at| now.since(at));
+        let followed_for = self.followed_since.map(|at| match state.since_founding {
+            true => now.since(at).max(RESUME_WINDOW),
+            false => now.since(at),
+        });
         let complete_for = followed_for.filter(|_| has_all_replicas);
         WatchResponse {
             complete_for,
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -85,6 +85,8 @@
     seed: u64,
     snapshot: SnapshotMeta,
     compacted_log: CompactedLog,
+    /// Whether this process has founded its group, since its start.
+    has_founded: bool,
     stopped: bool,
 }
 
@@ -124,6 +126,7 @@
             seed,
             snapshot,
             compacted_log,
+            has_founded: false,
             stopped: false,
         })
     }
@@ -192,6 +195,11 @@
         Some(Leader { term: self.raft.term(), address })
     }
 
+    /// Returns whether this process has run since before its group was founded.
+    pub fn has_founded(&self) -> bool {
+        self.has_founded
+    }
+
     /// Sets the members whose acceptance a rejoin needs, as received from the group's leader.
     pub fn set_rejoin_members(&mut self, at: ClockReading, members: Members) {
         self.raft.set_rejoin_members(at.now, members);
@@ -344,6 +352,7 @@
         self.compacted_log.entries.clear();
         self.snapshot = meta;
         self.raft = Raft::new(at.now, me, self.settings.raft, restored, self.seed);
+        self.has_founded = true;
         emit!(Event::GroupFounded, members = self.raft.members().voters.len());
         Ok(Vec::new())
     }
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -200,6 +200,7 @@
             evacuations,
             quarantine,
             rollouts,
+            since_founding: self.member.has_founded(),
         };
         let responses = f.view.due_responses(now, &state);
         for (to, response) in responses {
--- a/crates/control/tests/leaves.rs
+++ b/crates/control/tests/leaves.rs
@@ -81,6 +81,7 @@
             evacuations: &evacuations,
             quarantine: &quarantine,
             rollouts: &rollouts,
+            since_founding: false,
         };
         all.extend(view.due_responses(Time(now), &f).into_iter().map(|(_, response)| response));
     }
--- a/crates/cypressfork/tests/support/control.rs
+++ b/crates/cypressfork/tests/support/control.rs
@@ -111,6 +111,7 @@
             evacuations: &evacuations,
             quarantine: &quarantine,
             rollouts: &rollouts,
+            since_founding: false,
         };
         for (to, response) in view.due_responses(clock.now(), &watched) {
             let bytes = body::pack(&response);
