--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -23,6 +23,7 @@
 use crate::plan::SlowCallers;
 use crate::replica::{
     LONG_STREAM, MAX_EVENTS, POISON, VERSION_PREFIX, answer_body, event_count, event_text,
+    poison_part_id,
 };
 use crate::world::World;
 
@@ -56,6 +57,12 @@
 /// The result code, as quoted in the body, with which a gateway refuses a quarantined request.
 const QUARANTINED: &str = "\"CF1309\"";
 
+/// Id of the part that all prompts share.
+const SHARED_PART: u64 = 0x10;
+
+/// Parts that some prompts share.
+const SHARED_PARTS: u64 = 4;
+
 /// Interval between two copies of a poison request.
 const POISON_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -298,14 +305,34 @@
         self.resumes.as_ref().map_or(&self.id, |r| &r.first)
     }
 
+    /// Returns the parts of its prompt: one that all prompts share, one of a few, and one of its own. A poison part
+    /// stands between them.
+    fn parts(&self, poison: Option<usize>) -> String {
+        let own = self
+            .stream()
+            .bytes()
+            .fold(7u64, |h, b| h.wrapping_mul(0x0100_0000_01b3).wrapping_add(u64::from(b)));
+        let poison = poison.map(|n| format!(",{:x}:1", poison_part_id(n))).unwrap_or_default();
+        format!("{SHARED_PART:x}:1{poison},{:x}:1,{own:x}:1", SHARED_PART + 1 + own % SHARED_PARTS)
+    }
+
     fn headers(&self) -> HeaderMap {
         let mut all = vec![
             ("x-request-id", self.id.clone()),
             ("authorization", format!("Bearer {}", self.account.key)),
             ("x-timeout-ms", DEADLINE_MS.to_string()),
         ];
-        if self.kind == Kind::Stream {
-            all.push(("x-tokens", format!("{PROMPT_TOKENS},{MAX_EVENTS}")));
+        match (self.kind, self.kind.poison_part()) {
+            (Kind::Stream, _) => {
+                let tokens = format!("{PROMPT_TOKENS},{MAX_EVENTS}");
+                all.extend([("x-tokens", tokens), ("x-prompt-parts", self.parts(None))]);
+            }
+            (_, Some(poison)) => {
+                // Nothing is charged for it.
+                let tokens = "0,0".to_owned();
+                all.extend([("x-tokens", tokens), ("x-prompt-parts", self.parts(Some(poison)))]);
+            }
+            _ => {}
         }
         if let Some(r) = &self.resumes {
             all.push(("last-event-id", r.after.to_string()));
@@ -337,9 +364,11 @@
         Kind::Probe(version) => (Method::GET, probe_path(version)),
         // Stream requests carry the marker in the body, plain requests in the path.
         Kind::Poison(_) if kind.service() == "talk" => (Method::POST, "/talk/x".to_owned()),
+        Kind::Poison(_) if kind.poison_part().is_some() => (Method::GET, format!("/board/{id}")),
         Kind::Poison(n) => (Method::GET, format!("/board/{POISON}{n}")),
     };
     let body = match kind {
+        Kind::Poison(_) if kind.poison_part().is_some() => Bytes::from(id.to_owned()),
         Kind::Poison(n) if method == Method::POST => Bytes::from(format!("{POISON}{n}")),
         _ => Bytes::from(if method == Method::POST { "a body" } else { "" }),
     };
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -3,6 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::plan::FIRST_POISON_PART;
+
 /// A point in time, in milliseconds since the run's start.
 pub type Timestamp = u64;
 
@@ -18,11 +20,20 @@
     /// A request for the route that this acknowledged document version added. It succeeds only at a gateway
     /// that has this version or a later one in force.
     Probe(u64),
-    /// A copy of the poison request with this number, which crashes every replica that runs it.
+    /// A copy of the poison request with this number, or a request with the poison part with this number. It
+    /// crashes every replica that runs it.
     Poison(usize),
 }
 
 impl Kind {
+    /// Returns the number of the poison part that the request has.
+    pub fn poison_part(self) -> Option<usize> {
+        match self {
+            Kind::Poison(n) if n >= FIRST_POISON_PART => Some(n),
+            _ => None,
+        }
+    }
+
     /// Returns the service that the request is for. Poison requests with odd numbers are streams.
     pub fn service(self) -> &'static str {
         match self {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -101,7 +101,8 @@
 /// A request that crashes every replica that runs it and is sent repeatedly.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Poison {
-    /// Number of the request; odd numbers go to the streaming service.
+    /// Number of the request; odd numbers go to the streaming service. From [`FIRST_POISON_PART`] on, a part of
+    /// the prompt crashes replicas, and no two requests with it are alike.
     pub number: usize,
     /// Time of the first send, in milliseconds.
     pub at: u64,
@@ -259,7 +260,9 @@
         steps.extend(draw_rejections(seed, millis));
         steps.sort_by_key(|s| s.at);
         keep_first_emptied_disk(&mut steps);
-        let (poisons, limits) = (draw_poisons(seed, millis), draw_limits(seed, millis));
+        let limits = draw_limits(seed, millis);
+        let mut poisons = draw_poisons(seed, millis);
+        poisons.extend(draw_poison_part(seed, millis));
         let (retry_after_periods, header_drains) =
             (draw_retry_after_periods(seed, millis), draw_header_drains(seed, millis));
         Plan {
@@ -295,6 +298,23 @@
 /// Minimum and maximum time for which a poison request is sent, in milliseconds.
 const POISON_SPAN_MS: (u64, u64) = (1_500, 4_000);
 
+/// Number of the first poison part.
+pub const FIRST_POISON_PART: usize = 2 * MAX_POISONS;
+
+/// Percentage of seeds with a poison part.
+const POISON_PART_PERCENT: u32 = 50;
+
+/// Draws a poison part. A separate generator leaves the steps of a seed unchanged.
+fn draw_poison_part(seed: u64, millis: u64) -> Option<Poison> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x2f6b_83c5_90ed_417a);
+    if rng.random_range(0..100) >= POISON_PART_PERCENT {
+        return None;
+    }
+    let span = rng.random_range(POISON_SPAN_MS.0..=POISON_SPAN_MS.1).min(millis);
+    let at = rng.random_range(0..=millis - span);
+    Some(Poison { number: FIRST_POISON_PART + rng.random_range(0..2), at, span })
+}
+
 /// Draws the poison requests. A separate generator leaves the steps of a seed unchanged.
 fn draw_poisons(seed: u64, millis: u64) -> Vec<Poison> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x9e37_79b9_7f4a_7c15);
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -399,6 +399,7 @@
         Arrival { id: id.clone(), service: r.service, replica: r.id.clone(), at, account, run };
     w.history.borrow_mut().arrivals.push(arrival);
     let path = req.path().to_owned();
+    let poison_part = poison_part(header_text(h, "x-prompt-parts"));
     let body = read_all(req).await;
     if !addressed {
         return reject(&id, StatusCode::MISDIRECTED_REQUEST);
@@ -409,9 +410,10 @@
     if !run {
         return reject(&id, StatusCode::SERVICE_UNAVAILABLE);
     }
-    if let Some(poison) =
-        poison_number(&path).or_else(|| poison_number(&String::from_utf8_lossy(&body)))
-    {
+    let poison = poison_part
+        .or_else(|| poison_number(&path))
+        .or_else(|| poison_number(&String::from_utf8_lossy(&body)));
+    if let Some(poison) = poison {
         crash_on_poison(&r, &w, poison).await;
         return reject(&id, StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -440,6 +442,21 @@
     all
 }
 
+/// Id of the first poison part.
+const POISON_PARTS: u64 = 0xdead_0000;
+
+/// Returns the id of the poison part with this number.
+pub fn poison_part_id(number: usize) -> u64 {
+    POISON_PARTS + number as u64
+}
+
+/// Returns the number of the poison part among the parts of a prompt, if any.
+fn poison_part(parts: &str) -> Option<usize> {
+    let ids = parts.split(',').filter_map(|p| u64::from_str_radix(p.split_once(':')?.0, 16).ok());
+    let mut numbers = ids.filter_map(|id| id.checked_sub(POISON_PARTS));
+    numbers.find(|n| *n < 0x1_0000).map(|n| n as usize)
+}
+
 /// Returns the number of the poison request that `text` contains, if any.
 fn poison_number(text: &str) -> Option<usize> {
     let (_, number) = text.split_once(POISON)?;
