Attribution between requests and parts; evidence of survivors from complete responses

A request waits now while a new part that several different requests have explains its terminations; copies of such a request either survive or the part is the cause.

--- a/crates/core/src/fleet/quarantine/attribution.rs
+++ b/crates/core/src/fleet/quarantine/attribution.rs
@@ -4,7 +4,7 @@
 //! leader, so its cost must not grow with the square of the number of suspects. Strikes are recounted
 //! only where they can matter, and the requests in flight at a termination are indexed by its number.
 
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BinaryHeap};
 
 use super::suspect::{STRIKES_IF_AMBIGUOUS, Subject, Suspect};
 use super::{LastTermination, Quarantined};
@@ -60,13 +60,22 @@
         }
     }
 
-    /// Returns whether it may be the cause although others may have caused all of its strikes; `is_shared` if
-    /// others have the same strikes.
-    fn may_be_ambiguous(&self, is_shared: bool) -> bool {
-        let is_certain = self.others_survive || !is_shared || !self.suspect.subject.is_part();
+    /// Returns whether it may be the cause although others may have caused all of its strikes. `rivals` have the
+    /// same ones.
+    fn may_be_ambiguous(&self, rivals: &[&Candidate]) -> bool {
+        let has_rival_part = rivals.iter().any(|r| r.suspect.subject.is_part());
+        let is_certain = !self.suspect.subject.is_part()
+            || rivals.is_empty()
+            || (self.others_survive && (!has_rival_part || self.suspect.spans_survival()));
         is_certain && self.strikes.len() >= STRIKES_IF_AMBIGUOUS
     }
 
+    /// Returns whether it is a new part that several different requests have.
+    fn is_part_of_several(&self) -> bool {
+        let s = self.suspect;
+        self.is_open && s.subject.is_part() && s.has_several_requests && !s.was_harmless
+    }
+
     fn rank(&self, index: usize) -> Rank {
         Rank {
             is_new: !self.suspect.is_harmless_part(),
@@ -228,16 +237,21 @@
                 self.queue.push(c.rank(n));
                 continue;
             }
-            if c.is_quarantined_part {
+            let is_quarantined_part = c.is_quarantined_part;
+            let mut rivals = self.equivalent(n);
+            if is_quarantined_part {
                 // No request with it has run since, so no further strike can confirm it.
-                break Some((n, Vec::new()));
+                rivals.retain(|m| self.candidates[*m].is_quarantined_part);
+                break Some((n, rivals));
             }
-            let equivalent = self.equivalent(n);
-            let is_shared = !equivalent.is_empty();
             let is_unambiguous =
-                !is_shared && self.has_unshared_strike(n) && !self.has_others_in_span(n);
-            if is_unambiguous || self.candidates[n].may_be_ambiguous(is_shared) {
-                break Some((n, equivalent));
+                rivals.is_empty() && self.has_unshared_strike(n) && !self.has_others_in_span(n);
+            let others: Vec<_> = rivals.iter().map(|m| &self.candidates[*m]).collect();
+            let may_be_cause = is_unambiguous || self.candidates[n].may_be_ambiguous(&others);
+            if may_be_cause && !self.yields_to_part(n) {
+                let is_part = |n: usize| self.candidates[n].suspect.subject.is_part();
+                rivals.retain(|m| is_part(*m) == is_part(n));
+                break Some((n, rivals));
             }
             ambiguous.push(rank);
         };
@@ -263,6 +277,20 @@
         others
     }
 
+    /// Returns whether `n` is a request, and a part of several requests has all of its strikes. Requests with the
+    /// part either survive and clear it, or it is the cause.
+    fn yields_to_part(&self, n: usize) -> bool {
+        let c = &self.candidates[n];
+        let Some(first) = c.strikes.first().filter(|_| !c.suspect.subject.is_part()) else {
+            return false;
+        };
+        self.terminations.get(*first).candidates.iter().any(|m| {
+            let part = &self.candidates[*m];
+            part.is_part_of_several()
+                && c.strikes.iter().all(|number| part.all_strikes.contains(number))
+        })
+    }
+
     /// Returns whether `n` is a part whose strikes do not include all terminations at its service from the first
     /// to the last of them, so that replicas also terminate for another reason.
     fn has_others_in_span(&self, n: usize) -> bool {
@@ -284,23 +312,18 @@
     /// terminations, and are not considered.
     fn has_unshared_strike(&self, n: usize) -> bool {
         let strikes = &self.candidates[n].strikes;
-        let own: HashSet<u64> = strikes.iter().copied().collect();
-        let is_independent = |m: usize| {
-            let other = &self.candidates[m];
+        let is_independent = |m: &usize| {
+            let other = &self.candidates[*m];
             let several = other.suspect.ends.len() > 1 && other.all_strikes.len() > 1;
-            m != n
+            *m != n
                 && other.is_open
                 && several
                 && !other.suspect.is_harmless_part()
-                && other.all_strikes.iter().any(|e| !own.contains(e))
+                && other.all_strikes.iter().any(|e| !strikes.contains(e))
         };
-        // Most candidates share several strikes.
-        let mut independent = HashMap::new();
-        let mut is_shared = |number: &u64| {
-            self.terminations.get(*number).candidates.iter().any(|m| {
-                *independent.entry(*m).or_insert_with(|| is_independent(*m))
-                    && self.candidates[*m].all_strikes.contains(number)
-            })
+        let is_shared = |number: &u64| {
+            let mut others = self.terminations.get(*number).candidates.iter();
+            others.any(|m| is_independent(m) && self.candidates[*m].all_strikes.contains(number))
         };
         strikes.iter().any(|number| !is_shared(number))
     }
--- a/crates/core/src/fleet/quarantine/message.rs
+++ b/crates/core/src/fleet/quarantine/message.rs
@@ -39,8 +39,8 @@
     pub replica: String,
     /// Its service.
     pub service: String,
-    /// Whether the gateway has lately received complete responses from the service.
-    pub service_completes: bool,
+    /// Time since the gateway last received a complete response from the service; `None` if that is long ago.
+    pub completed_ago: Option<Millis>,
     /// Time since the termination.
     pub ago: Millis,
     /// The requests from this gateway that were in flight.
--- a/crates/core/src/fleet/quarantine/mod.rs
+++ b/crates/core/src/fleet/quarantine/mod.rs
@@ -21,7 +21,8 @@
 //!   continues for [`SURVIVAL_TIME`] or ends completely.
 //! - Something at the service has to survive without the part. A total failure quarantines no part.
 //! - A part that was harmless before is considered after all others.
-//! - Of a request and a part with the same strikes, the request is quarantined.
+//! - Of a request and a part with the same strikes, the request is quarantined if it is the only one with the
+//!   part. Otherwise it waits until the part is quarantined or cleared.
 //!
 //! The state is replicated, so it survives the loss of all gateways and a power failure of all data
 //! centres. A gateway that reaches no control process uses a local state of the terminations that it
@@ -150,7 +151,7 @@
     former: BTreeMap<Fingerprint, PastQuarantine>,
     /// Suspects that were released as answered completely, and until when they get no strikes.
     sound: BTreeMap<Fingerprint, Time>,
-    /// When a suspect part of each service last survived.
+    /// When a replica of each service last survived a request, as far as that is reported.
     survivals: BTreeMap<String, Time>,
 }
 
@@ -188,6 +189,9 @@
         for r in reports {
             let at = Time(now.0.saturating_sub(r.ago.0));
             let number = self.termination_number(now, r, at);
+            if let Some(ago) = r.completed_ago {
+                self.record_survival(now.before(ago), &r.service);
+            }
             for u in &r.under_way {
                 may_change |= self.record_in_flight(number, at, u, pos);
                 may_change |= self.record_parts(number, at, r, u, pos);
@@ -253,7 +257,9 @@
             }
             let Some(s) = self.suspects.get_mut(&f) else { continue };
             s.was_harmless |= part.completed;
-            s.service_completes |= r.service_completes;
+            s.service_completes |= r.completed_ago.is_some();
+            s.has_several_requests |= s.request.is_some_and(|known| known != u.fingerprint);
+            s.request.get_or_insert(u.fingerprint);
             s.record(Termination { number, at, sent });
             self.revision = pos;
             may_change |= s.may_reach_threshold();
@@ -416,13 +422,19 @@
             return false;
         };
         self.sound.insert(f, now.after(PART_EXEMPTION));
-        self.survivals.insert(service, now);
+        self.record_survival(now, &service);
+        true
+    }
+
+    /// Records that a replica of a service survived a request.
+    fn record_survival(&mut self, at: Time, service: &str) {
+        let last = self.survivals.entry(service.to_owned()).or_default();
+        *last = at.max(*last);
         while self.survivals.len() > MAX_SURVIVALS {
             let oldest = self.survivals.iter().min_by_key(|(_, at)| **at);
             let Some(oldest) = oldest.map(|(service, _)| service.clone()) else { break };
             self.survivals.remove(&oldest);
         }
-        true
     }
 
     /// Returns whether a part got its first strike at `at` or before, and has not been cleared since.
--- a/crates/core/src/fleet/quarantine/suspect.rs
+++ b/crates/core/src/fleet/quarantine/suspect.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::fingerprint::Fingerprint;
 use crate::unit::{Millis, Time};
 
 /// Strikes at which a suspect is quarantined. More would cost a further replica per suspect; fewer could
@@ -86,6 +87,10 @@
     pub service_completes: bool,
     /// Whether the part is quarantined in another account.
     pub has_precedent: bool,
+    /// The request that gave the part its strikes; the first of several.
+    pub request: Option<Fingerprint>,
+    /// Whether several different requests gave the part its strikes.
+    pub has_several_requests: bool,
 }
 
 impl Suspect {
--- a/crates/core/tests/quarantine_cost.rs
+++ b/crates/core/tests/quarantine_cost.rs
@@ -77,7 +77,7 @@
             let report = TerminationReport {
                 replica,
                 service: "talk".to_owned(),
-                service_completes: true,
+                completed_ago: Some(Millis(0)),
                 under_way,
                 ..TerminationReport::default()
             };
--- a/crates/core/tests/quarantine_parts.rs
+++ b/crates/core/tests/quarantine_parts.rs
@@ -60,7 +60,7 @@
         let report = TerminationReport {
             replica: of.to_owned(),
             service: SERVICE.to_owned(),
-            service_completes: verb == "ends",
+            completed_ago: (verb == "ends").then_some(Millis(30_000)),
             ago: Millis(0),
             under_way: words.map(request).collect(),
         };
@@ -100,6 +100,17 @@
     "1000 ends r1 a+P:50 / 2000 ends r2 a+P:50 / 3000 ends r3 a+P:50",
     ""
 )]
+#[case::many_requests_that_are_alike_are_in_flight_as_often(
+    "1000 ends r1 a+SP:50 same+S:9 / 1100 ends r2 b+SP:50 same+S:9 / 1200 ends r3 c+SP:50 same+S:9 / \
+     1300 ends r4 d+SP:50 same+S:9 / 1400 ends r5 e+SP:50 same+S:9 / 1500 ends r6 f+SP:50 same+S:9 / \
+     1900 lives s / 2000 ends r7 g+SP:50 same+S:9",
+    "p"
+)]
+#[case::all_requests_with_parts_have_both_and_others_have_none(
+    "1000 ends r1 a+SP:50 x:9 / 1600 ends r2 b+SP:50 y:9 / 2200 ends r3 c+SP:50 z:9 / 2800 ends r4 d+SP:50 / \
+     31500 ends r5 e+SP:50 / 32000 ends r6 f+SP:50",
+    "ps"
+)]
 #[case::sent_before_the_previous_termination(
     "1000 ends r1 a+P:900 / 1500 ends r2 b+P:900 / 1900 ends r3 c+P:1200",
     ""
@@ -165,6 +176,8 @@
     let (q, _) = replay(steps);
     let quarantined: String = ('a'..='z').filter(|c| q.contains(&part(*c))).collect();
     assert_eq!(quarantined, expected);
+    let alike = request("same:0").fingerprint;
+    assert!(!q.contains(&alike), "sound requests are quarantined");
 }
 
 /// Guards against a part that has to crash three replicas anew for each account.
--- a/crates/core/tests/quarantine_parts_storm.rs
+++ b/crates/core/tests/quarantine_parts_storm.rs
@@ -81,6 +81,7 @@
     suspects: HashMap<Fingerprint, u64>,
     reported: HashSet<(usize, Fingerprint)>,
     completed: HashSet<(usize, u64)>,
+    last_completions: HashMap<usize, u64>,
     next_number: u64,
     log_index: u64,
     outcome: Outcome,
@@ -125,6 +126,7 @@
             suspects: HashMap::new(),
             reported: HashSet::new(),
             completed: HashSet::new(),
+            last_completions: HashMap::new(),
             next_number: 0,
             log_index: 0,
             outcome: Outcome::default(),
@@ -218,6 +220,7 @@
                     self.survive(now, &r);
                 }
                 if is_complete {
+                    self.last_completions.insert(r.gateway, now);
                     self.outcome.sound_served += u64::from(r.sent >= QUIET_MS);
                 } else {
                     self.replicas[n].running.push(r);
@@ -245,7 +248,7 @@
             let report = TerminationReport {
                 replica: format!("r{n}-{now}"),
                 service: "talk".to_owned(),
-                service_completes: self.completed.iter().any(|(g, _)| *g == gateway),
+                completed_ago: self.last_completions.get(&gateway).map(|at| Millis(now - at)),
                 ago: Millis(0),
                 under_way: own.map(|r| self.in_flight(now, r)).collect(),
             };
--- a/crates/router/src/gateway/quarantine.rs
+++ b/crates/router/src/gateway/quarantine.rs
@@ -41,7 +41,7 @@
 const REPORT_OVERDUE_AFTER: Duration = Duration::from_millis(200);
 
 /// How long after a complete response a service counts as working.
-const SERVICE_WORKS_FOR: Duration = Duration::from_secs(60);
+const SERVICE_WORKS_FOR: Millis = Millis::seconds(60);
 
 /// Delay per gateway of the fleet over which reports on survived suspects are spread: the first report clears a
 /// suspect, and the others are not sent.
@@ -55,7 +55,7 @@
 struct PendingTermination {
     replica: String,
     service: String,
-    service_completes: bool,
+    last_completion: Option<Time>,
     at: Time,
     in_flight: Vec<InFlightRequest>,
 }
@@ -65,7 +65,7 @@
         TerminationReport {
             replica: self.replica.clone(),
             service: self.service.clone(),
-            service_completes: self.service_completes,
+            completed_ago: self.last_completion.map(|at| now.since(at)),
             ago: now.since(self.at),
             under_way: self.in_flight.clone(),
         }
@@ -281,9 +281,11 @@
         }
     }
 
-    /// Returns whether this gateway lately received complete responses from a service.
-    fn is_working(&self, service: &str) -> bool {
-        self.services.borrow().get(service).is_some_and(|at| at.elapsed() < SERVICE_WORKS_FOR)
+    /// Returns when this gateway last received a complete response from a service, unless that is long ago.
+    fn last_completion(&self, gw: &Gateway, service: &str) -> Option<Time> {
+        let ago = self.services.borrow().get(service)?.elapsed();
+        let ago = Millis(ago.as_millis() as u64);
+        (ago < SERVICE_WORKS_FOR).then(|| gw.now().before(ago))
     }
 
     /// Returns the per-process hash of a request, for [`QuarantineState::has_completed`].
@@ -312,9 +314,9 @@
         if in_flight.is_empty() {
             return;
         }
-        let service_completes = self.is_working(&service);
+        let last_completion = self.last_completion(gw, &service);
         let replica = replica.to_owned();
-        let termination = PendingTermination { replica, service, service_completes, at, in_flight };
+        let termination = PendingTermination { replica, service, last_completion, at, in_flight };
         let report = termination.report(gw.now());
         self.local.borrow_mut().record_terminations(gw.now(), self.local_position.get(), &[report]);
         self.local_position.set(self.local_position.get() + 1);
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -512,8 +512,11 @@
 /// Number of replica crashes after which a request has to be quarantined.
 const QUARANTINE_AFTER: usize = 3;
 
+/// Number of replica crashes after which a part of prompts has to be quarantined.
+const QUARANTINE_PART_AFTER: usize = 5;
+
 /// Checks that few copies of a poison request run at replicas once it has crashed [`QUARANTINE_AFTER`] of
-/// them. Copies that run shortly after any other disruption are not counted.
+/// them, and few requests with a poison part after [`QUARANTINE_PART_AFTER`]. Copies that run shortly after any other disruption are not counted.
 fn poison_requests_are_quarantined(h: &History, b: &Bounds) -> Vec<BrokenPromise> {
     let requests = requests_by_id(h);
     let disturbed = |from: Timestamp, to: Timestamp| {
@@ -523,16 +526,20 @@
     let mut all = Vec::new();
     for poison in numbers {
         let mut crashes = h.poison_crashes.iter().filter(|c| c.poison == poison);
-        let Some(third) = crashes.nth(QUARANTINE_AFTER - 1) else { continue };
+        let after = match Kind::Poison(poison).poison_part() {
+            Some(_) => QUARANTINE_PART_AFTER,
+            None => QUARANTINE_AFTER,
+        };
+        let Some(decisive) = crashes.nth(after - 1) else { continue };
         let is_copy = |id: &str| requests.get(id).is_some_and(|r| r.kind == Kind::Poison(poison));
-        let late = h.arrivals.iter().filter(|a| a.run && a.at > third.at + b.quarantine_ms);
+        let late = h.arrivals.iter().filter(|a| a.run && a.at > decisive.at + b.quarantine_ms);
         let late = late.filter(|a| is_copy(&a.id));
         let late: Vec<_> =
             late.filter(|a| !disturbed(a.at.saturating_sub(b.undisturbed_ms), a.at)).collect();
         if late.len() > b.max_late_poison_runs {
             let why = format!(
                 "poison request {poison}, due to be quarantined at {} ms, ran {} times after that",
-                third.at + b.quarantine_ms,
+                decisive.at + b.quarantine_ms,
                 late.len()
             );
             let last = late[late.len() - 1];
