An unframed rejection is no complete response

A response with neither a length nor chunks that says that the request was not run opened a case like a complete one, which would clear the parts of a prompt that no replica has run. Found on reading the change; no run showed it.

--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -451,10 +451,10 @@
             Ok(Ok((connection, body))) => {
                 let gw = &self.request.gw;
                 let unframed = connection.is_unframed();
-                if unframed {
-                    self.record_response_end();
-                } else if !not_run {
-                    gw.quarantines.record_completion(self.request, self.sent);
+                match (not_run, unframed) {
+                    (true, _) => {}
+                    (false, true) => self.record_response_end(),
+                    (false, false) => gw.quarantines.record_completion(self.request, self.sent),
                 }
                 gw.keep_connection(
                     &self.request.service,
