--- a/crates/core/src/fleet/quarantine/attribution.rs
+++ b/crates/core/src/fleet/quarantine/attribution.rs
@@ -15,9 +15,10 @@
 struct Candidate<'a> {
     fingerprint: Fingerprint,
     suspect: &'a Suspect,
-    /// Strikes that no other request explains, as of round `counted_in`.
+    /// Strikes that no other request explains, as of the last count.
     strikes: Vec<u64>,
-    counted_in: usize,
+    /// Whether terminations were explained since that count.
+    is_outdated: bool,
     /// All strikes, explained or not.
     all_strikes: Vec<u64>,
     /// Whether it has not been identified as a cause.
@@ -137,8 +138,6 @@
     /// Candidates that may reach their threshold, by their last count of strikes. The count is an upper
     /// bound, as explained terminations only reduce the strikes of others.
     queue: BinaryHeap<Rank>,
-    /// Number of times that terminations were marked as explained.
-    round: usize,
 }
 
 /// What is known besides the terminations.
@@ -172,8 +171,7 @@
             causes.push((a.candidates[n].fingerprint, strikes.len()));
         }
         // The remaining strikes may no longer be ambiguous.
-        strikes.iter().for_each(|number| a.terminations.get_mut(*number).is_explained = true);
-        a.round += 1;
+        strikes.iter().for_each(|number| a.explain(*number));
     }
     causes
 }
@@ -194,7 +192,7 @@
                 fingerprint: *f,
                 suspect: s,
                 strikes: all_strikes.clone(),
-                counted_in: 0,
+                is_outdated: false,
                 all_strikes,
                 is_open: true,
                 is_quarantined_part: evidence.is_quarantined_part(f, s),
@@ -208,17 +206,24 @@
         }
         let eligible = candidates.iter().enumerate().filter(|(_, c)| c.reaches_threshold());
         let queue = eligible.map(|(n, c)| c.rank(n)).collect();
-        Attribution { evidence, candidates, terminations, queue, round: 0 }
+        Attribution { evidence, candidates, terminations, queue }
     }
 
-    /// Recounts the strikes of candidate `n` if terminations were explained since its last count.
+    /// Marks a termination as explained.
+    fn explain(&mut self, number: u64) {
+        let termination = self.terminations.get_mut(number);
+        termination.is_explained = true;
+        termination.candidates.iter().for_each(|n| self.candidates[*n].is_outdated = true);
+    }
+
+    /// Recounts the strikes of candidate `n` if some of its terminations were explained since its last count.
     fn recount(&mut self, n: usize) {
-        if self.candidates[n].counted_in == self.round {
+        if !self.candidates[n].is_outdated {
             return;
         }
         let strikes = self.candidates[n].suspect.strikes(|e| self.terminations.get(e).is_explained);
         let c = &mut self.candidates[n];
-        (c.strikes, c.counted_in) = (strikes, self.round);
+        (c.strikes, c.is_outdated) = (strikes, false);
     }
 
     /// Returns the next cause and the candidates with the same strikes: the one with the highest rank
@@ -244,10 +249,11 @@
                 rivals.retain(|m| self.candidates[*m].is_quarantined_part);
                 break Some((n, rivals));
             }
-            let is_unambiguous =
-                rivals.is_empty() && self.has_unshared_strike(n) && !self.has_others_in_span(n);
             let others: Vec<_> = rivals.iter().map(|m| &self.candidates[*m]).collect();
-            let may_be_cause = is_unambiguous || self.candidates[n].may_be_ambiguous(&others);
+            let is_unambiguous =
+                || rivals.is_empty() && self.has_unshared_strike(n) && !self.has_others_in_span(n);
+            // The cheap check comes first.
+            let may_be_cause = self.candidates[n].may_be_ambiguous(&others) || is_unambiguous();
             if may_be_cause && !self.yields_to_part(n) {
                 let is_part = |n: usize| self.candidates[n].suspect.subject.is_part();
                 rivals.retain(|m| is_part(*m) == is_part(n));
