--- /dev/null
+++ b/review/standin/src/proxy.rs
@@ -0,0 +1,143 @@
+//! A proxy that carries connections unchanged, and can reset the open ones or let them fall silent.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+extern "C" {
+    fn connect(socket: i32, address: *const core::ffi::c_void, len: u32) -> i32;
+}
+
+/// Resets a connection at once, whoever else reads it: to connect a socket to no address ends its connection so.
+fn reset(stream: &TcpStream) {
+    let unspecified = [0u8; 16];
+    // SAFETY: the address lives during the call and has the length that is told.
+    unsafe { connect(stream.as_raw_fd(), unspecified.as_ptr().cast(), 16) };
+}
+
+/// One connection that the proxy carries.
+struct Carried {
+    caller: TcpStream,
+    server: TcpStream,
+    silent: AtomicBool,
+}
+
+#[derive(Clone, Default)]
+pub struct Proxy {
+    open: Arc<Mutex<Vec<Arc<Carried>>>>,
+}
+
+impl Proxy {
+    /// Carries the connections of `listener` to the server at `to`.
+    pub fn serve(&self, listener: TcpListener, to: String) {
+        let open = self.open.clone();
+        std::thread::spawn(move || {
+            for caller in listener.incoming().flatten() {
+                let Ok(server) = TcpStream::connect(&to) else {
+                    reset(&caller);
+                    continue;
+                };
+                let _ = caller.set_nodelay(true);
+                let _ = server.set_nodelay(true);
+                let carried = Arc::new(Carried { caller, server, silent: AtomicBool::new(false) });
+                open.lock().unwrap().push(carried.clone());
+                let other = carried.clone();
+                std::thread::spawn(move || copy(&carried, &carried.caller, &carried.server));
+                std::thread::spawn(move || copy(&other, &other.server, &other.caller));
+            }
+        });
+    }
+
+    /// Resets both sides of all open connections. Returns how many there were.
+    pub fn reset_all(&self) -> usize {
+        let all = std::mem::take(&mut *self.open.lock().unwrap());
+        for c in &all {
+            reset(&c.caller);
+            reset(&c.server);
+        }
+        all.len()
+    }
+
+    /// Lets all open connections fall silent for good: no byte and no end is passed on any more. New ones work.
+    pub fn silence_all(&self) -> Silenced {
+        let all = std::mem::take(&mut *self.open.lock().unwrap());
+        let is_open = |c: &Arc<Carried>| c.caller.peer_addr().is_ok() && c.server.peer_addr().is_ok();
+        let all: Vec<_> = all.into_iter().filter(is_open).collect();
+        all.iter().for_each(|c| c.silent.store(true, Ordering::SeqCst));
+        Silenced(all)
+    }
+}
+
+/// Connections that have fallen silent.
+pub struct Silenced(Vec<Arc<Carried>>);
+
+impl Silenced {
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Does what the systems of the two ends would: the proxy's own system answers keep-alive probes, so the proxy
+    /// resets each connection towards an end that has set them. Returns how many ends had.
+    pub fn end_probed(&self) -> usize {
+        let probed = sockets_with_probes();
+        let mut ended = 0;
+        for c in &self.0 {
+            for near in [&c.caller, &c.server] {
+                let (Ok(own), Ok(peer)) = (near.local_addr(), near.peer_addr()) else { continue };
+                if probed.contains(&(peer, own)) {
+                    reset(near);
+                    ended += 1;
+                }
+            }
+        }
+        ended
+    }
+}
+
+/// Returns the sockets of this machine with a keep-alive timer, each by its own and its peer's address.
+fn sockets_with_probes() -> Vec<(SocketAddr, SocketAddr)> {
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let address = |s: &str| {
+        let (ip, port) = s.split_once(':')?;
+        let ip = u32::from_str_radix(ip, 16).ok()?.to_le_bytes();
+        Some(SocketAddr::from((ip, u16::from_str_radix(port, 16).ok()?)))
+    };
+    let rows = table.lines().skip(1).filter_map(|line| {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        let has_probes = fields.get(5)?.starts_with("02:");
+        has_probes.then_some((address(fields[1])?, address(fields[2])?))
+    });
+    rows.collect()
+}
+
+fn copy(c: &Carried, mut from: &TcpStream, mut to: &TcpStream) {
+    let mut part = [0; 16 * 1024];
+    loop {
+        let read = from.read(&mut part);
+        if c.silent.load(Ordering::SeqCst) {
+            match read {
+                Ok(1..) => continue,
+                _ => return,
+            }
+        }
+        match read {
+            Ok(n @ 1..) => {
+                if to.write_all(&part[..n]).is_err() {
+                    reset(from);
+                    return;
+                }
+            }
+            Ok(0) => {
+                let _ = to.shutdown(Shutdown::Write);
+                return;
+            }
+            Err(_) => {
+                reset(to);
+                return;
+            }
+        }
+    }
+}
