--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod platform;
 mod proxy;
+mod quota;
 mod replica;
 mod silent;
 mod template;
@@ -29,6 +30,7 @@
     let result = match case.as_str() {
         "drain" => drain::run(&root, record.clone(), trouble),
         "unframed" => unframed::run(&root, record.clone(), trouble),
+        "quota" => quota::run(&root, record.clone(), trouble),
         "silent" => silent::run(&root, record.clone(), trouble),
         _ => 2,
     };
--- a/review/standin/src/platform.rs
+++ b/review/standin/src/platform.rs
@@ -13,6 +13,12 @@
 pub const HOST: &str = "ficu95.example";
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
+/// The engines of the service `loom`.
+const ENGINE: &str = ",\"engine\":{\"slots\":64,\"kvCapacityTokens\":515867,\"kvTokenBytes\":327680,\"linkMbps\":250000.0,\"moves\":true,\"backups\":true,\"stride\":3,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":5.0,\"models\":[{\"name\":\"m\"}]}";
+
+/// Tokens of one event of a stream of that service.
+pub const STRIDE: u64 = 3;
+
 /// What was seen, with times since the start of the case.
 pub struct Record {
     file: Mutex<File>,
@@ -73,7 +79,8 @@
         let comma = if n > 0 { "," } else { "" };
         let _ = write!(
             s,
-            "{comma}{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}}"
+            "{comma}{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false{}}}",
+            if *name == "loom" { ENGINE } else { "" }
         );
     }
     let _ = write!(
--- a/review/standin/src/proxy.rs
+++ b/review/standin/src/proxy.rs
@@ -6,6 +6,7 @@
 use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 extern "C" {
     fn connect(socket: i32, address: *const core::ffi::c_void, len: u32) -> i32;
@@ -23,17 +24,31 @@
     caller: TcpStream,
     server: TcpStream,
     silent: AtomicBool,
+    /// Whether a gateway has opened it: the first bytes of a link hold the name of the process that opens it.
+    of_gateway: AtomicBool,
+    /// Whether gateways are cut off.
+    cut: Arc<AtomicBool>,
+}
+
+impl Carried {
+    /// Holds back what is to be passed on while its gateway is cut off.
+    fn wait_for_way(&self) {
+        while self.of_gateway.load(Ordering::SeqCst) && self.cut.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
 }
 
 #[derive(Clone, Default)]
 pub struct Proxy {
     open: Arc<Mutex<Vec<Arc<Carried>>>>,
+    cut: Arc<AtomicBool>,
 }
 
 impl Proxy {
     /// Carries the connections of `listener` to the server at `to`.
     pub fn serve(&self, listener: TcpListener, to: String) {
-        let open = self.open.clone();
+        let (open, cut) = (self.open.clone(), self.cut.clone());
         std::thread::spawn(move || {
             for caller in listener.incoming().flatten() {
                 let Ok(server) = TcpStream::connect(&to) else {
@@ -42,11 +57,12 @@
                 };
                 let _ = caller.set_nodelay(true);
                 let _ = server.set_nodelay(true);
-                let carried = Arc::new(Carried { caller, server, silent: AtomicBool::new(false) });
+                let (silent, of_gateway) = (AtomicBool::new(false), AtomicBool::new(false));
+                let carried = Arc::new(Carried { caller, server, silent, of_gateway, cut: cut.clone() });
                 open.lock().unwrap().push(carried.clone());
                 let other = carried.clone();
-                std::thread::spawn(move || copy(&carried, &carried.caller, &carried.server));
-                std::thread::spawn(move || copy(&other, &other.server, &other.caller));
+                std::thread::spawn(move || copy(&carried, &carried.caller, &carried.server, true));
+                std::thread::spawn(move || copy(&other, &other.server, &other.caller, false));
             }
         });
     }
@@ -61,6 +77,11 @@
         all.len()
     }
 
+    /// Cuts the gateways off, or joins them again. What a cut holds up arrives once it heals.
+    pub fn cut_gateways(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+    }
+
     /// Lets all open connections fall silent for good: no byte and no end is passed on any more. New ones work.
     pub fn silence_all(&self) -> Silenced {
         let all = std::mem::take(&mut *self.open.lock().unwrap());
@@ -113,10 +134,17 @@
     rows.collect()
 }
 
-fn copy(c: &Carried, mut from: &TcpStream, mut to: &TcpStream) {
+fn copy(c: &Carried, mut from: &TcpStream, mut to: &TcpStream, from_caller: bool) {
     let mut part = [0; 16 * 1024];
+    let mut is_first = from_caller;
     loop {
         let read = from.read(&mut part);
+        if let (true, Ok(n)) = (is_first, &read) {
+            let names_gateway = part[..*n].windows(7).any(|w| w == b"router-");
+            c.of_gateway.store(names_gateway, Ordering::SeqCst);
+            is_first = false;
+        }
+        c.wait_for_way();
         if c.silent.load(Ordering::SeqCst) {
             match read {
                 Ok(1..) => continue,
