--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod fleet;
 mod http;
+mod late;
 mod platform;
 mod proxy;
 mod quota;
@@ -30,6 +31,7 @@
     let result = match case.as_str() {
         "drain" => drain::run(&root, record.clone(), trouble),
         "unframed" => unframed::run(&root, record.clone(), trouble),
+        "late" => late::run(&root, record.clone(), trouble),
         "quota" => quota::run(&root, record.clone(), trouble),
         "silent" => silent::run(&root, record.clone(), trouble),
         _ => 2,
--- a/review/standin/src/quota.rs
+++ b/review/standin/src/quota.rs
@@ -20,7 +20,7 @@
 /// The most that the lowered total leaves beyond what was received until then.
 const REST: u64 = 1_500_000;
 
-const CUT: Duration = Duration::from_millis(8_700);
+const CUT: Duration = Duration::from_millis(8_600);
 
 /// What the tenant's clients have received.
 #[derive(Default)]
