Members of a control group probe the links that they only write to

Cause: a link to another member is written to and never read. Nothing ended a silent one: there was no timeout for an answer, no probe of the operating system, and small messages fit into the send buffer. Once each member has been restarted, all pairs have such a link, so not even votes pass.

Evidence: watches and group calls time out with their links and recover; only links between members stay.

Why this works: the member sends a call that every process answers by itself, also one of an earlier release, and opens another link if no answer comes; this does not depend on who acknowledges bytes in between. All links, and connections to upstreams, have probes of the operating system as well, so that silent ones with no call on them end too.

--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -1,16 +1,20 @@
 //! The links of a control process: accepted ones, and those to the other members.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cypressfork_core::keep_alive::{Action, KeepAlive, TICK_INTERVAL};
 use cypressfork_core::raft::Message;
-use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::link::{self, Credentials, Link, Writer};
-use cypressfork_wire::{Frame, from_raft, into_raft};
+use cypressfork_node::time::Clock;
+use cypressfork_node::{emit, metric, silence};
+use cypressfork_wire::{Ask, Call, Frame, from_raft, into_raft};
+use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::server::{Input, MAX_QUEUED_MESSAGES, ReplyTo};
 
@@ -32,6 +36,8 @@
 
 /// Reads the messages of one accepted link into `tx` until the link breaks or the server stops.
 async fn serve_link(stream: TcpStream, from: SocketAddr, me: Credentials, tx: mpsc::Sender<Input>) {
+    // Without the options, the link of a peer that is gone occupies memory for longer.
+    let _ = silence::RELAXED.apply(&stream);
     let link = match link::accept(stream, &me).await {
         Ok(link) => link,
         Err(e) => return emit!(Event::LinkRefused, address = from, why = e),
@@ -70,18 +76,25 @@
     }
 }
 
-/// Sends messages to the member at `address` until `rx` is closed, and reconnects when the link breaks.
-/// `own` is the address under which the member reaches this process.
+/// Sends messages to the member at `address` until `rx` is closed, and reconnects when the link breaks or falls
+/// silent. `own` is the address under which the member reaches this process.
 pub(crate) async fn send_messages(
     address: String,
     own: String,
     me: Credentials,
+    clock: Clock,
     mut rx: mpsc::Receiver<Message>,
 ) {
     let Ok(to) = address.parse::<SocketAddr>() else { return };
     while !rx.is_closed() {
         match link::connect(to, &me).await {
-            Ok(mut link) => forward(&mut link.writer, &own, &mut rx).await,
+            Ok(link) => match forward(link, &own, clock, &mut rx).await {
+                Broken::Failed => {}
+                Broken::Silent => {
+                    counter!(metric::SILENT_LINKS).increment(1);
+                    emit!(Event::LinkSilent, address = to);
+                }
+            },
             Err(e) => emit!(Event::LinkFailed, address = to, why = e),
         }
         sleep(RETRY_DELAY).await;
@@ -90,11 +103,59 @@
     }
 }
 
-/// Sends messages on one link until it breaks or `rx` is closed.
-async fn forward(writer: &mut Writer, own: &str, rx: &mut mpsc::Receiver<Message>) {
-    while let Some(m) = rx.recv().await {
-        if writer.send(&Frame::Raft(from_raft(&m, own))).await.is_err() {
-            return;
+/// Why messages are no longer sent on a link.
+enum Broken {
+    /// It has ended, or the process stops.
+    Failed,
+    /// The peer has not answered a probe.
+    Silent,
+}
+
+/// Sends messages on one link until it breaks, falls silent or `rx` is closed.
+async fn forward(link: Link, own: &str, clock: Clock, rx: &mut mpsc::Receiver<Message>) -> Broken {
+    let Link { mut reader, mut writer, .. } = link;
+    let keep_alive = RefCell::new(KeepAlive::new(clock.now()));
+    let probe_due = Notify::new();
+    let send = async {
+        loop {
+            let f = tokio::select! {
+                m = rx.recv() => match m {
+                    Some(m) => Frame::Raft(from_raft(&m, own)),
+                    None => return,
+                },
+                () = probe_due.notified() => probe(),
+            };
+            if writer.send(&f).await.is_err() {
+                return;
+            }
+        }
+    };
+    let receive = async {
+        while reader.next().await.is_ok() {
+            keep_alive.borrow_mut().record_answer();
         }
+    };
+    let watch = async {
+        let mut ticks = interval(Duration::from_millis(TICK_INTERVAL.0));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let action = keep_alive.borrow_mut().tick(clock.now());
+            match action {
+                Action::Wait => {}
+                Action::Probe => probe_due.notify_one(),
+                Action::GiveUp => return,
+            }
+        }
+    };
+    tokio::select! {
+        () = send => Broken::Failed,
+        () = receive => Broken::Failed,
+        () = watch => Broken::Silent,
     }
 }
+
+/// Returns a call that every process answers by itself, those of earlier releases too.
+fn probe() -> Frame {
+    Frame::Call(Call::new(0, Ask::Identify(true), None))
+}
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -422,7 +422,8 @@
         if !is_connected {
             let (tx, rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
             let own = self.address.clone();
-            actix_rt::spawn(send_messages(address.clone(), own, self.credentials.clone(), rx));
+            let (credentials, clock) = (self.credentials.clone(), self.clock);
+            actix_rt::spawn(send_messages(address.clone(), own, credentials, clock, rx));
             self.peers.insert(m.to, Peer { address, tx });
         }
         // A message for a full queue is dropped: Raft tolerates message loss.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod fleet;
 mod hash;
+pub mod keep_alive;
 pub mod member;
 pub mod query;
 pub mod raft;
--- a/crates/cypressfork/tests/support/gateways.rs
+++ b/crates/cypressfork/tests/support/gateways.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+use super::silent_links::SilentLinks;
 use super::{Process, free_addresses, own_ip, program, wait_for};
 
 /// Host name of the route in the document.
@@ -24,6 +25,9 @@
 
 /// A control process with its addresses.
 pub struct Control {
+    /// Address on which it listens for links.
+    pub listen: SocketAddr,
+    /// Address under which other processes reach it, which may be that of a proxy.
     pub link: SocketAddr,
     pub api: SocketAddr,
     pub metrics: SocketAddr,
@@ -97,7 +101,7 @@
         let free = free_socket_addrs(&own_ip(), 4 + 3 * controls);
         let control = |n: usize| {
             let own = &free[4 + 3 * n..];
-            Control { link: own[0], api: own[1], metrics: own[2], process: None }
+            Control { listen: own[0], link: own[0], api: own[1], metrics: own[2], process: None }
         };
         let controls = (0..controls).map(control).collect();
         let (listen, link, operators, metrics) = (free[0], free[1], free[2], free[3]);
@@ -136,14 +140,24 @@
         )
     }
 
+    /// Puts a proxy that can let links fall silent in front of each control process, before any is started.
+    pub fn proxy_controls(&mut self) -> SilentLinks {
+        let links = SilentLinks::default();
+        for (n, c) in self.controls.iter_mut().enumerate() {
+            c.link = links.serve(&format!("control-{n}"), c.listen);
+        }
+        links
+    }
+
     /// Starts control process `n`; `found` allows it to found the control group.
     pub fn start_control(&mut self, n: usize, found: bool) {
         let data = self.dir.path().join(format!("data-{n}"));
         fs::create_dir_all(&data).unwrap();
         let c = &self.controls[n];
         let text = format!(
-            "{}listen: \"{}\"\ndata_folder: {}\nmetrics: \"{}\"\nreserve: false\nheartbeat_ms: 20\nelection_ms: 150\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  found: {found}\n",
+            "{}listen: \"{}\"\nadvertise: \"{}\"\ndata_folder: {}\nmetrics: \"{}\"\nreserve: false\nheartbeat_ms: 20\nelection_ms: 150\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  found: {found}\n",
             self.common_settings(&format!("control-{n}")),
+            c.listen,
             c.link,
             data.display(),
             c.metrics,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -21,7 +21,7 @@
 mod open_error;
 mod transport;
 
-pub use dial::{detect_silence, dial};
+pub use dial::dial;
 pub use open_error::OpenError;
 pub use transport::Transport;
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -7,6 +7,7 @@
 
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory};
+use cypressfork_node::silence;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
@@ -42,6 +43,8 @@
             Ok((stream, _)) => {
                 // Small chunks of a stream must be sent without delay.
                 let _: io::Result<()> = stream.set_nodelay(true);
+                // Without the options, a connection of a client that is gone stays open for longer.
+                let _: io::Result<()> = silence::RELAXED.apply(&stream);
                 let service = service.clone();
                 actix_rt::spawn(async move {
                     // An error of one connection does not affect the others.
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::metric;
+use crate::silence;
 
 /// Timeout for a connection and its handshake.
 pub const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -146,6 +147,7 @@
 pub async fn connect(address: SocketAddr, credentials: &Credentials) -> Result<Link, Error> {
     let opened = async {
         let stream = connect_tcp(address).await?;
+        silence::PROMPT.apply(&stream)?;
         open(stream, credentials, Side::Client).await
     };
     timeout(OPEN_TIMEOUT, opened).await.unwrap_or(Err(Error::TimedOut))
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -83,5 +83,6 @@
     LINK_SENT = "cypressfork_link_sent_bytes_total", "counter", "purpose", "bytes sent to other processes of the system, by purpose of the last call on the link";
     WATCH_REQUESTS = "cypressfork_watch_questions_total", "counter", "", "watch requests sent to control processes";
     REPLIES_DROPPED = "cypressfork_replies_dropped_total", "counter", "", "responses of a control process dropped because the receiver reads too slowly";
+    SILENT_LINKS = "cypressfork_silent_links_total", "counter", "", "links to other members of the control group that were given up because the member no longer answered";
     LINK_RECEIVED = "cypressfork_link_received_bytes_total", "counter", "purpose", "bytes received from other processes of the system, by purpose of the last call on the link";
 }
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -15,12 +15,12 @@
     Loans, PeerReply, PeerRequest, Placement, Shortfall, choose_lenders,
 };
 use cypressfork_core::unit::{Millis, Time, Tokens};
-use cypressfork_http::client::detect_silence;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
 use cypressfork_node::link::{self, Credentials, Link};
 use cypressfork_node::metric;
+use cypressfork_node::silence;
 use cypressfork_wire::{Ask, Call, Frame, Return, body};
 use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
@@ -501,7 +501,7 @@
 /// Serves the requests of another gateway on one link, until the link ends.
 async fn serve_peer(gw: Rc<Gateway>, stream: TcpStream, from: SocketAddr) {
     // Without the options, a peer that fell silent is noticed later.
-    let _ = detect_silence(&stream);
+    let _ = silence::PROMPT.apply(&stream);
     let mut link = match link::accept(stream, &gw.credentials).await {
         Ok(link) => link,
         Err(e) => return emit!(Event::LinkRefused, address = from, why = e),
--- a/crates/router/src/unpooled.rs
+++ b/crates/router/src/unpooled.rs
@@ -13,6 +13,7 @@
 use actix_http::header::{HOST, HeaderMap, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, Uri};
 use bytes::{Bytes, BytesMut};
+use cypressfork_node::silence;
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -83,6 +84,7 @@
     let stream = connect(address).await?;
     // An error here is harmless: it only delays small requests.
     let _ = stream.set_nodelay(true);
+    silence::PROMPT.apply(&stream).map_err(|e| ExchangeError::NotSent(e.to_string()))?;
     let mut framed = Framed::new(stream, ClientCodec::default());
     let size = BodySize::Sized(r.body.len() as u64);
     let item = Message::Item((RequestHeadType::Owned(head), size));
