Tell callers the end of responses that end with their connection

Cause: such a response was passed on in the form in which it came. The gateway noticed the reset and then closed the caller's connection regularly, whatever had happened; a killed process has its sockets closed regularly by the system.

Why this works: streams go to callers of HTTP/1.1 in chunks, and responses that were received whole with a length, so that nothing but the gateway's last bytes completes them. For HTTP/1.0 the socket is set to reset when it is closed before the head is sent, and back once all was sent; it is no longer split into halves that end it regularly when dropped. A stream that an earlier attempt began may now be completed by a response without framing.

--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -447,11 +447,10 @@
             result = timeout_at(self.request.deadline, read_body(connection)) => result,
             () = client.closed() => return AttemptOutcome::Left,
         };
-        let (body, unframed) = match result {
+        let body = match result {
             Ok(Ok((connection, body))) => {
                 let gw = &self.request.gw;
-                let unframed = connection.is_unframed();
-                match (not_run, unframed) {
+                match (not_run, connection.is_unframed()) {
                     (true, _) => {}
                     (false, true) => self.record_response_end(),
                     (false, false) => gw.quarantines.record_completion(self.request, self.sent),
@@ -462,7 +461,7 @@
                     self.replica,
                     connection,
                 );
-                (body, unframed)
+                body
             }
             Ok(Err(_)) if not_run => return AttemptOutcome::NotRun,
             Ok(Err(error)) => return error.into(),
@@ -478,11 +477,7 @@
         if let Err(ended) = progress.begin(self.request, client).await {
             return ended;
         }
-        let sent = match unframed {
-            true => client.send_unframed_response(head.status, headers, body).await,
-            false => client.send_response(head.status, headers, body).await,
-        };
-        match sent {
+        match client.send_response(head.status, headers, body).await {
             Ok(()) => AttemptOutcome::Answered,
             Err(_) => AttemptOutcome::Left,
         }
--- a/crates/router/src/gateway/client.rs
+++ b/crates/router/src/gateway/client.rs
@@ -9,16 +9,16 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
 use actix_http::header::HeaderMap;
-use actix_http::{Request, Response, ServiceConfig, StatusCode};
+use actix_http::{Request, Response, ServiceConfig, StatusCode, Version};
 use bytes::{Buf, Bytes, BytesMut};
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::Limits;
 use cypressfork_core::fleet::output_buffer;
 use cypressfork_node::metric;
 use metrics::counter;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::caller_buffers::HeldOutput;
@@ -46,11 +46,19 @@
     Bad(Code),
 }
 
+/// Whether a response that ends with its connection is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// More of it follows.
+    Partial,
+    /// All of it was buffered.
+    Complete,
+}
+
 /// A caller's connection. Responses are written to a buffer and sent by [`Client::flush`], or by
 /// [`Client::forward`] where bytes that the caller does not accept at once may be held.
 pub struct Client {
-    reader: OwnedReadHalf,
-    writer: OwnedWriteHalf,
+    stream: TcpStream,
     buf: BytesMut,
     out: BytesMut,
     codec: Codec,
@@ -58,8 +66,10 @@
     closing: bool,
     /// Whether a part of the current response was sent.
     started: bool,
-    /// Whether the end of the connection marks the end of the current response.
-    unframed: bool,
+    /// Version of HTTP in the current request.
+    version: Version,
+    /// The end of a response that only the end of the connection marks.
+    connection_end: Option<ConnectionEnd>,
     /// Bytes received from and sent to all callers of this process.
     bytes_served: Rc<Cell<u64>>,
     /// Accounts for bytes held in `out`; none if responses are sent without holding any.
@@ -85,16 +95,15 @@
     ) -> Client {
         // Failure only delays small writes.
         let _ = stream.set_nodelay(true);
-        let (reader, writer) = stream.into_split();
         Client {
-            reader,
-            writer,
+            stream,
             buf: BytesMut::new(),
             out: BytesMut::new(),
             codec: Codec::new(config.clone()),
             closing: false,
             started: false,
-            unframed: false,
+            version: Version::HTTP_11,
+            connection_end: None,
             bytes_served,
             held,
             held_since: None,
@@ -110,7 +119,7 @@
     /// Reads more input into the buffer. Returns whether there was any.
     async fn fill(&mut self) -> io::Result<bool> {
         self.buf.reserve(READ_BYTES);
-        let n = self.reader.read_buf(&mut self.buf).await?;
+        let n = self.stream.read_buf(&mut self.buf).await?;
         self.count_bytes("from_callers", n);
         Ok(n > 0)
     }
@@ -144,7 +153,10 @@
                 Ok(Some(Message::Item(_))) if before - self.buf.len() > limits.head => {
                     return NextRequest::Bad(Code::HeadTooLarge);
                 }
-                Ok(Some(Message::Item(req))) => return NextRequest::Request(req),
+                Ok(Some(Message::Item(req))) => {
+                    self.version = req.head().version;
+                    return NextRequest::Request(req);
+                }
                 Ok(Some(Message::Chunk(_))) => return NextRequest::Bad(Code::RequestBad),
                 Ok(None) if self.buf.len() > limits.head => {
                     return NextRequest::Bad(Code::HeadTooLarge);
@@ -216,11 +228,6 @@
         !self.closing && self.codec.keep_alive()
     }
 
-    /// Returns whether the current response has started with framing that marks its end.
-    pub fn is_framed(&self) -> bool {
-        self.started && !self.unframed
-    }
-
     /// Returns whether a part of the current response was sent.
     pub fn has_started(&self) -> bool {
         self.started
@@ -241,15 +248,16 @@
         self.codec.encode(Message::Item((r, size)), &mut self.out)
     }
 
-    /// Buffers the head of a response that ends with the connection. It is not sent as chunked, because the
-    /// gateway cannot detect whether it is complete.
-    pub fn write_unframed_head(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-    ) -> io::Result<()> {
+    /// Buffers the head of a response whose length is not known. Its end is marked by the last chunk; for a caller
+    /// of HTTP/1.0 it is the regular end of the connection, which is reset if the response is incomplete.
+    pub fn write_stream_head(&mut self, status: StatusCode, headers: HeaderMap) -> io::Result<()> {
+        if self.version >= Version::HTTP_11 {
+            return self.write_head(status, headers, BodySize::Stream);
+        }
         self.closing = true;
-        self.unframed = true;
+        // Set in advance, because the system closes the sockets of a process that is killed.
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+        self.connection_end = Some(ConnectionEnd::Partial);
         let mut r = Response::new(status).drop_body();
         *r.headers_mut() = headers;
         r.head_mut().no_chunking(true);
@@ -265,6 +273,9 @@
 
     /// Buffers the end of the body.
     pub fn write_end(&mut self) -> io::Result<()> {
+        if let Some(end) = &mut self.connection_end {
+            *end = ConnectionEnd::Complete;
+        }
         self.grow_output(CHUNK_FRAMING);
         self.codec.encode(Message::Chunk(None), &mut self.out)
     }
@@ -299,7 +310,7 @@
             return Ok(());
         }
         self.started = true;
-        match self.writer.try_write(&self.out) {
+        match self.stream.try_write(&self.out) {
             Ok(n) => self.remove_sent(n),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.remove_sent(0),
             Err(e) => return Err(e),
@@ -327,7 +338,8 @@
     async fn send_some(&mut self) -> io::Result<()> {
         let may_read = self.buf.len() <= MAX_READ_AHEAD_BYTES;
         self.buf.reserve(READ_BYTES);
-        let Client { reader, writer, buf, out, held, .. } = self;
+        let Client { stream, buf, out, held, .. } = self;
+        let (mut reader, mut writer) = stream.split();
         tokio::select! {
             biased;
             () = wait_cut(held.as_ref()) => Err(self.discard_output()),
@@ -398,7 +410,7 @@
             return self.drain_to(0).await;
         }
         self.count_bytes("to_callers", self.out.len());
-        self.writer.write_all(&self.out).await?;
+        self.stream.write_all(&self.out).await?;
         self.out.clear();
         Ok(())
     }
@@ -418,29 +430,23 @@
         self.forward().await
     }
 
-    /// Sends a response whose end the replica marked only by closing its connection. Bytes of it may be held.
-    pub async fn send_unframed_response(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        body: Bytes,
-    ) -> io::Result<()> {
-        self.write_unframed_head(status, headers)?;
-        if !body.is_empty() {
-            self.write_chunk(body)?;
-        }
-        self.write_end()?;
-        self.forward().await
-    }
-
     /// Shuts the connection down for writing, and reads and discards input for up to `within`. Unread input
-    /// at the close would reset the connection and could lose the last response.
+    /// at the close would reset the connection and could lose the last response. Resets it at once if a regular
+    /// end would make an incomplete response look complete.
     pub async fn close(mut self, within: Duration) {
+        match self.connection_end {
+            Some(ConnectionEnd::Complete) if self.out.is_empty() => {
+                // If this fails, the caller sees a reset and may repeat the request.
+                let _ = SockRef::from(&self.stream).set_linger(None);
+            }
+            Some(_) => return,
+            None => {}
+        }
         // Errors do not matter on a connection that is closed anyway.
-        let _ = self.writer.shutdown().await;
+        let _ = self.stream.shutdown().await;
         let until = Instant::now() + within;
         let mut discarded = BytesMut::with_capacity(READ_BYTES);
-        while let Ok(Ok(n)) = timeout_at(until, self.reader.read_buf(&mut discarded)).await {
+        while let Ok(Ok(n)) = timeout_at(until, self.stream.read_buf(&mut discarded)).await {
             if n == 0 {
                 return;
             }
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -1,7 +1,6 @@
 //! Forwards a stream of events from a replica to the caller.
 
 use actix_http::ResponseHead;
-use actix_http::body::BodySize;
 use bytes::Bytes;
 use cypressfork_http::client::ExchangeError;
 use tokio::time::{Instant, timeout_at};
@@ -96,12 +95,6 @@
                     false => AttemptOutcome::Broken(why),
                 });
             }
-            // An earlier attempt sent a head with framing, and this unframed response may be truncated.
-            ReadOutcome::End if connection.is_unframed() && client.is_framed() => {
-                attempt.record_response_end();
-                let why = "the answer does not tell whether it is whole";
-                return Some(AttemptOutcome::Broken(why.to_owned()));
-            }
             ReadOutcome::End => return None,
             ReadOutcome::Lost(why) => return Some(AttemptOutcome::Lost(why)),
             ReadOutcome::Silent(why) => return Some(AttemptOutcome::Silent(why)),
@@ -130,9 +123,8 @@
             }
         }
         attempt.record_survival();
-        let unframed = connection.is_unframed();
         let mut begun = Instant::now();
-        let sent = send_events(client, head, unframed, complete, request.deadline).await;
+        let sent = send_events(client, head, complete, request.deadline).await;
         if client.may_hold() {
             // So far, nothing was waited for.
             begun = Instant::now();
@@ -165,11 +157,10 @@
 async fn send_events(
     client: &mut Client,
     head: &ResponseHead,
-    unframed: bool,
     events: Bytes,
     until: Instant,
 ) -> bool {
-    if start_response(client, head, unframed).is_err() || client.write_chunk(events).is_err() {
+    if start_response(client, head).is_err() || client.write_chunk(events).is_err() {
         return false;
     }
     matches!(timeout_at(until, client.forward()).await, Ok(Ok(())))
@@ -182,14 +173,11 @@
 }
 
 /// Buffers the head of the response unless it was sent before.
-fn start_response(client: &mut Client, head: &ResponseHead, unframed: bool) -> std::io::Result<()> {
+fn start_response(client: &mut Client, head: &ResponseHead) -> std::io::Result<()> {
     if client.has_started() {
         return Ok(());
     }
-    if unframed {
-        return client.write_unframed_head(head.status, end_to_end_headers(head));
-    }
-    client.write_head(head.status, end_to_end_headers(head), BodySize::Stream)
+    client.write_stream_head(head.status, end_to_end_headers(head))
 }
 
 /// Ends the response after the replica's stream has ended regularly, and returns the outcome. Bytes of the
@@ -201,8 +189,7 @@
     head: &ResponseHead,
 ) -> AttemptOutcome {
     let gw = &attempt.request.gw;
-    let unframed = connection.is_unframed();
-    if unframed {
+    if connection.is_unframed() {
         attempt.record_response_end();
     } else {
         gw.quarantines.record_completion(attempt.request, attempt.sent);
@@ -213,7 +200,7 @@
         attempt.replica,
         connection,
     );
-    if start_response(client, head, unframed).is_err() || client.write_end().is_err() {
+    if start_response(client, head).is_err() || client.write_end().is_err() {
         return AttemptOutcome::Left;
     }
     match timeout_at(attempt.request.deadline, client.forward()).await {
