Commit leaves and draining notices before acknowledging them

Cause: the leave was answered with 200 as soon as the registry in the memory of that process had it. The others learn of it by their next poll; by then the process was gone.

Evidence: no other process and no gateway logs the leave (event 317).

Why this works: a departure is a command of the replicated log, so that a 2xx means that a quorum has it on disk. Every control process applies it to its registry when it applies the log. It holds the registration, because after a kill of all control processes gateways still know the replica and the control processes do not. Without a commit the caller gets 503 and asks another process.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer as Committed, Command};
+use cypressfork_core::fleet::registry::{Registration, ReplicaStatus};
 use cypressfork_core::query::{Query, Reply};
 use cypressfork_http::Body;
 use cypressfork_node::event::Event;
@@ -39,7 +40,25 @@
     /// The call: one that needs no committed command and no confirmed read.
     pub call: Call,
     /// Receives the answer.
-    pub to: oneshot::Sender<CallAnswer>,
+    pub to: oneshot::Sender<LocalAnswer>,
+}
+
+/// The answer to a [`LocalCall`].
+pub enum LocalAnswer {
+    /// The call was carried out or refused.
+    Done(CallAnswer),
+    /// The call may be acknowledged once the group has committed this.
+    Commit(Departing),
+}
+
+/// A replica that drains or has left.
+pub struct Departing {
+    /// The replica's id.
+    pub replica: String,
+    /// Its last registration, if it is known.
+    pub registration: Option<Registration>,
+    /// Draining or left.
+    pub standing: ReplicaStatus,
 }
 
 /// State shared by all requests.
@@ -139,6 +158,26 @@
     }
 }
 
+/// Has the departure of a replica committed, so that it does not depend on this process any more.
+async fn commit_departure(api: &Api, d: Departing) -> CallAnswer {
+    let Departing { replica, registration, standing } = d;
+    let is_known = registration.is_some();
+    let received = Instant::now();
+    let command = Command::Depart { replica: replica.clone(), registration, standing };
+    let answer = run_command(api, command).await;
+    if answer == CallAnswer::Accepted {
+        let ms = received.elapsed().as_millis();
+        emit!(
+            Event::DepartureCommitted,
+            replica = replica,
+            standing = format!("{standing:?}"),
+            known = is_known,
+            ms = ms
+        );
+    }
+    answer
+}
+
 async fn current_document(api: &Api) -> CallAnswer {
     match api.group.query(&Query::Published, READ_TIMEOUT).await {
         Ok(Reply::Published(Some(source))) => CallAnswer::Document(source),
@@ -164,5 +203,9 @@
     if api.local.try_send(LocalCall { call, to }).is_err() {
         return busy();
     }
-    answer.await.unwrap_or_else(|_| busy())
+    match answer.await {
+        Ok(LocalAnswer::Done(answer)) => answer,
+        Ok(LocalAnswer::Commit(departing)) => commit_departure(api, departing).await,
+        Err(_) => busy(),
+    }
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -17,7 +17,7 @@
 use cypressfork_core::fleet::watch::{FeedCursor, WatchResponse};
 use cypressfork_core::query::{Query, Reply};
 use cypressfork_core::raft::{Members, Message};
-use cypressfork_core::unit::{Millis, NodeId, Time};
+use cypressfork_core::unit::{Index, Millis, NodeId, Time};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
@@ -146,6 +146,8 @@
     disk_retry_at: Option<Time>,
     /// The encoded query for limits.
     limits_query: Vec<u8>,
+    /// Log index of the last departure of a replica that was applied to the fleet view.
+    applied_departure: Index,
     loop_stats: LoopStats,
 }
 
@@ -188,6 +190,7 @@
             clocks: Clocks::default(),
             disk_retry_at: None,
             limits_query: body::pack(&Query::Limits),
+            applied_departure: 0,
             loop_stats: LoopStats::new(),
         }
     }
@@ -353,6 +356,7 @@
         self.loop_stats.record_work(Work::Answer);
         let at = self.read_clocks();
         let outputs = self.member.finish(at);
+        self.apply_departures();
         self.loop_stats.record_work(Work::Log);
         for out in outputs {
             match out {
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use cypressfork_core::code::Code;
+use cypressfork_core::fleet::departure::DEPARTURE_TTL;
 use cypressfork_core::fleet::evacuation;
 use cypressfork_core::fleet::heard::HeardControls;
 use cypressfork_core::fleet::registry::{RecordSource, Registration, ReplicaStatus};
@@ -23,7 +24,7 @@
 use tokio::sync::mpsc;
 
 use super::{FleetContext, Input, MAX_BATCH, ReplyTo, Server};
-use crate::api::LocalCall;
+use crate::api::{Departing, LocalAnswer, LocalCall};
 use crate::dialect::{Call, CallAnswer};
 use crate::fleet_view::WatchedState;
 use crate::machine::ClockReading;
@@ -78,7 +79,7 @@
         }
     }
 
-    /// Answers an HTTP call from this process's own state.
+    /// Answers an HTTP call from this process's own state, or returns what the group has to commit first.
     pub(super) fn handle_http_call(&mut self, local: LocalCall) {
         let now = self.read_clocks().now;
         let has_leader = self.member.raft().leader().is_some();
@@ -107,22 +108,49 @@
             }
             Call::Heartbeat(r) if r.standing < ReplicaStatus::Draining || has_leader => {
                 let id = r.registration.id.clone();
+                let (registration, standing) = (r.registration.clone(), r.standing);
                 if f.view.registry.apply(now, r, RecordSource::Replica) {
                     emit!(Event::ReplicaChanged, replica = id);
                 }
+                let is_departure = standing >= ReplicaStatus::Draining;
+                let departures = self.member.state().departures();
+                if is_departure && !departures.has(&id, registration.born, standing) {
+                    // The send fails only if the caller has gone.
+                    let departing =
+                        Departing { replica: id, registration: Some(registration), standing };
+                    let _ = local.to.send(LocalAnswer::Commit(departing));
+                    return;
+                }
                 CallAnswer::Accepted
             }
             Call::Leave(id) if has_leader => {
                 if f.view.registry.mark_left(now, &id) {
                     emit!(Event::ReplicaChanged, replica = id);
                 }
-                CallAnswer::Accepted
+                let registration = f.view.registry.get(&id).map(|r| r.registration.clone());
+                let departing =
+                    Departing { replica: id, registration, standing: ReplicaStatus::Left };
+                let _ = local.to.send(LocalAnswer::Commit(departing));
+                return;
             }
             // Without a leader this process may be cut off and unable to inform all routers.
             _ => CallAnswer::Refused(Code::NoQuorum, "this process knows no leader".to_owned()),
         };
-        // The send fails only if the caller has gone.
-        let _ = local.to.send(answer);
+        let _ = local.to.send(LocalAnswer::Done(answer));
+    }
+
+    /// Applies the departures of replicas that the group has committed since the last call.
+    pub(super) fn apply_departures(&mut self) {
+        let at = self.read_clocks();
+        let Some(f) = &mut self.fleet else { return };
+        for (index, d) in self.member.state().departures().since(self.applied_departure) {
+            // After a restart, the state may hold expired ones, whose replicas may have returned.
+            let is_recent = at.wall.since(d.at) <= DEPARTURE_TTL;
+            if is_recent && f.view.registry.apply_departure(at.now, d) {
+                emit!(Event::ReplicaChanged, replica = d.replica, by = "group");
+            }
+            self.applied_departure = index;
+        }
     }
 
     /// Runs the periodic work of the fleet side: expires old records, watches the other control
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -9,6 +9,7 @@
 use crate::config::{Change, Refusal};
 use crate::fleet::fingerprint::Fingerprint;
 use crate::fleet::quarantine::TerminationReport;
+use crate::fleet::registry::{Registration, ReplicaStatus};
 use crate::fleet::rollout::Step;
 use crate::unit::{HolderId, LeaseId, Millis, RequestId, Tokens, Version};
 
@@ -128,6 +129,15 @@
         /// Whether the evacuation starts; false ends it.
         evacuate: bool,
     },
+    /// Records that a replica drains or has left.
+    Depart {
+        /// The replica's id.
+        replica: String,
+        /// Its last registration; none if no heartbeat of it has arrived.
+        registration: Option<Registration>,
+        /// Draining or left.
+        standing: ReplicaStatus,
+    },
     /// Starts a rollout, which moves a service's requests to replicas of a version.
     StartRollout {
         /// The service.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod connection_loss;
 pub mod contacts;
 pub mod demand;
+pub mod departure;
 pub mod document;
 pub mod document_wait;
 pub mod evacuation;
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -14,11 +14,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::departure::{DEPARTURE_TTL, Departure};
 use crate::unit::{Millis, Time};
 
-/// Time for which the record of a draining or departed replica is kept after its last heartbeat.
-const DEPARTED_TTL: Millis = Millis::seconds(120);
-
 /// Minimum interval between relayed heartbeats of one replica, in heartbeat intervals, if they come
 /// from another control process. Each process sends its own replicas' heartbeats to all others. The
 /// relayed ones keep a process that it cannot reach from marking these replicas silent.
@@ -368,7 +366,8 @@
         was_silent
     }
 
-    /// Records that a replica has left. Returns whether that is a change for routers.
+    /// Records that a replica has left, by its own announcement to this process. Returns whether that is a change
+    /// for routers.
     pub fn mark_left(&mut self, now: Time, id: &str) -> bool {
         let Some(e) = self.entries.get(id) else { return false };
         let registration = e.record.registration.clone();
@@ -379,6 +378,17 @@
         )
     }
 
+    /// Applies a departure that the control group has committed. Returns whether that is a change for routers.
+    pub fn apply_departure(&mut self, now: Time, d: &Departure) -> bool {
+        let known = self.entries.get(d.replica.as_str()).map(|e| &e.record.registration);
+        if known.is_some_and(|r| !d.concerns(r.born)) {
+            return false;
+        }
+        // Routers may know a replica that has sent this process no heartbeat since its start.
+        let Some(registration) = known.or(d.registration.as_ref()).cloned() else { return false };
+        self.apply(now, Record { registration, standing: d.standing }, RecordSource::Peer)
+    }
+
     /// Marks a replica as draining that announced to a router, in a response, that it leaves. Returns
     /// whether that is new for this incarnation.
     pub fn apply_leaving(&mut self, now: Time, l: &Leaving) -> bool {
@@ -405,7 +415,7 @@
                 ReplicaStatus::Ready => e.last_heartbeat.after(silent_after),
                 ReplicaStatus::Silent => return true,
                 ReplicaStatus::Draining | ReplicaStatus::Left => {
-                    e.last_heartbeat.after(DEPARTED_TTL)
+                    e.last_heartbeat.after(DEPARTURE_TTL)
                 }
             };
             if now < due {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -12,9 +12,11 @@
 use crate::code::Code;
 use crate::command::{Answer, Command};
 use crate::config::{Change, Config, Object, ObjectName};
+use crate::fleet::departure::{Departure, Departures};
 use crate::fleet::evacuation::Evacuations;
 use crate::fleet::fingerprint::Fingerprint;
 use crate::fleet::quarantine::{Quarantine, QuarantineChange};
+use crate::fleet::registry::ReplicaStatus;
 use crate::fleet::rollout::Rollouts;
 use crate::member::{Reserves, Router, Routers};
 use crate::query::{BudgetStatus, LeaseStatus};
@@ -45,6 +47,8 @@
     #[serde(default)]
     evacuations: Evacuations,
     #[serde(default)]
+    departures: Departures,
+    #[serde(default)]
     rollouts: Rollouts,
     #[serde(default)]
     quarantine: Quarantine,
@@ -164,6 +168,15 @@
                 self.evacuations.apply(pos.index, data_centre, *evacuate);
                 Answer::Done
             }
+            Command::Depart { standing, .. } if *standing < ReplicaStatus::Draining => {
+                Answer::Refused(Code::MessageBad)
+            }
+            Command::Depart { replica, registration, standing } => {
+                let (replica, registration) = (replica.clone(), registration.clone());
+                let d = Departure { replica, registration, standing: *standing, at: now };
+                self.departures.record(pos.index, d);
+                Answer::Done
+            }
             Command::StartRollout { service, version, within } => {
                 self.start_rollout(now, pos.index, service, version, *within)
             }
@@ -346,6 +359,11 @@
         self.published.services.is_empty() || self.published.services.contains(service)
     }
 
+    /// Returns the replicas that have recently announced that they drain or leave.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// Returns the evacuated data centres.
     pub fn evacuations(&self) -> &Evacuations {
         &self.evacuations
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -85,6 +85,7 @@
     LoopWork = 333, Info, "what the event loop spent its time on in the last seconds";
     DocumentStored = 334, Info, "a control process applied a newer document and can send it to routers";
     DocumentInForce = 335, Info, "a document is in force at all routers that a control process hears from";
+    DepartureCommitted = 336, Info, "the group committed that a replica drains or has left";
     RouterRegistered = 401, Info, "this router registered with the control group";
     RouterReady = 402, Info, "this router is ready to serve callers";
     ControlUnreachable = 403, Warn, "the control group is out of reach";
