Keep leaves of replicas that no control process knows yet

Cause: the registry ignored the leave of an id that it did not know, and the call was acknowledged all the same. The heartbeat that was sent before the leave was taken for the first one of a new replica.

Why this works: the committed departure reaches every control process, which keeps it for a replica without a record and applies it to the first record that arrives.

--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -270,6 +270,8 @@
     /// Replicas that announced to this process directly that they leave, by the position of that
     /// change.
     direct_leaves: BTreeMap<u64, Arc<str>>,
+    /// Departures of replicas of which no heartbeat has arrived, and when this process learned of each.
+    unregistered: BTreeMap<String, (Departure, Time)>,
     /// Time before which no replica becomes silent and no record expires.
     next_scan: Time,
     /// Heartbeat interval of the replicas.
@@ -300,7 +302,12 @@
         self.merge_record(now, r, source)
     }
 
-    fn merge_record(&mut self, now: Time, r: Record, source: RecordSource) -> bool {
+    fn merge_record(&mut self, now: Time, mut r: Record, source: RecordSource) -> bool {
+        if let Some((d, _)) = self.unregistered.remove(&r.registration.id)
+            && d.concerns(r.registration.born)
+        {
+            r.standing = r.standing.max(d.standing);
+        }
         let known = self.entries.get(r.registration.id.as_str());
         let Some(merged) = merge(known, &r) else { return false };
         let same = known.is_some_and(|e| is_same_for_routers(&e.record, &merged));
@@ -369,7 +376,12 @@
     /// Records that a replica has left, by its own announcement to this process. Returns whether that is a change
     /// for routers.
     pub fn mark_left(&mut self, now: Time, id: &str) -> bool {
-        let Some(e) = self.entries.get(id) else { return false };
+        let Some(e) = self.entries.get(id) else {
+            // Until the departure is committed, with its time, it concerns all incarnations.
+            let (replica, standing, at) = (id.to_owned(), ReplicaStatus::Left, Time(u64::MAX));
+            self.keep_unregistered(now, Departure { replica, registration: None, standing, at });
+            return false;
+        };
         let registration = e.record.registration.clone();
         self.apply(
             now,
@@ -385,10 +397,18 @@
             return false;
         }
         // Routers may know a replica that has sent this process no heartbeat since its start.
-        let Some(registration) = known.or(d.registration.as_ref()).cloned() else { return false };
+        let Some(registration) = known.or(d.registration.as_ref()).cloned() else {
+            self.keep_unregistered(now, d.clone());
+            return false;
+        };
         self.apply(now, Record { registration, standing: d.standing }, RecordSource::Peer)
     }
 
+    /// Keeps the departure of a replica that is not registered.
+    fn keep_unregistered(&mut self, now: Time, d: Departure) {
+        self.unregistered.insert(d.replica.clone(), (d, now));
+    }
+
     /// Marks a replica as draining that announced to a router, in a response, that it leaves. Returns
     /// whether that is new for this incarnation.
     pub fn apply_leaving(&mut self, now: Time, l: &Leaving) -> bool {
@@ -430,6 +450,7 @@
             feed.remove(e);
             false
         });
+        self.unregistered.retain(|_, (_, since)| now.since(*since) < DEPARTURE_TTL);
         self.next_scan = next_due.max(now.after(MIN_SCAN_INTERVAL));
         let entries = &self.entries;
         self.direct_leaves.retain(|_, id| entries.contains_key(id));
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -37,8 +37,8 @@
     r.get("i-1").map(|r| r.standing)
 }
 
-/// Guards against replicas that get requests after a leave or a draining notice, and against ones that are kept out
-/// after a restart.
+/// Guards against replicas that get requests after a leave or a draining notice which a control process learned of
+/// before the first heartbeat, and against ones that are kept out after a restart.
 #[rstest]
 #[case::no_start_times(0, 0, true)]
 #[case::started_before_the_leave(0, LEFT_AT - 700, true)]
@@ -51,10 +51,13 @@
     #[case] born: u64,
     #[case] is_departed: bool,
     #[values(ReplicaStatus::Draining, ReplicaStatus::Left)] announced: ReplicaStatus,
+    #[values(true, false)] heartbeat_first: bool,
     #[values(RecordSource::Replica, RecordSource::Peer)] source: RecordSource,
 ) {
     let mut r = Registry::default();
-    r.apply(Time(0), heartbeat(born, 1, ReplicaStatus::Ready), source);
+    if heartbeat_first {
+        r.apply(Time(0), heartbeat(born, 1, ReplicaStatus::Ready), source);
+    }
     r.apply_departure(Time(100), &departure(departed, announced));
     r.apply(Time(3_000), heartbeat(born, 2, ReplicaStatus::Ready), source);
     let expected = if is_departed { announced } else { ReplicaStatus::Ready };
@@ -70,6 +73,19 @@
     assert_eq!(r.changes(0, 10).records, [heartbeat(70, 1, ReplicaStatus::Left)]);
 }
 
+/// Guards against notes of departures that are kept for ever.
+#[test]
+fn the_departure_of_an_unregistered_replica_expires() {
+    let mut r = Registry::default();
+    r.apply_departure(Time(0), &departure(0, ReplicaStatus::Left));
+    for now in (0..=DEPARTURE_TTL.0 + 10_000).step_by(100) {
+        r.tick(Time(now), Millis(1_000));
+    }
+    let now = Time(DEPARTURE_TTL.0 + 10_000);
+    r.apply(now, heartbeat(0, 1, ReplicaStatus::Ready), RecordSource::Replica);
+    assert_eq!(standing(&r), Some(ReplicaStatus::Ready));
+}
+
 fn depart(state: &mut State, at: u64, index: Index, c: (&str, u64, ReplicaStatus)) -> Answer {
     let (replica, born, standing) = c;
     let registration = departure(born, standing).registration;
--- a/crates/cypressfork/tests/acknowledged_leaves.rs
+++ b/crates/cypressfork/tests/acknowledged_leaves.rs
@@ -47,11 +47,13 @@
     KillAll,
 }
 
-/// What the replica announces.
+/// What the replica announces, and what control processes know of it by then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Announcement {
-    /// It leaves.
+    /// It leaves, and its heartbeats have arrived.
     Leave,
+    /// It leaves, and its first heartbeat arrives at another control process afterwards.
+    LeaveBeforeHeartbeat,
     /// It drains.
     Draining,
 }
@@ -148,7 +150,8 @@
 /// after it, before it has told anyone.
 #[rstest]
 fn an_acknowledged_departure_survives_the_process_that_acknowledged_it(
-    #[values(Announcement::Leave, Announcement::Draining)] announcement: Announcement,
+    #[values(Announcement::Leave, Announcement::LeaveBeforeHeartbeat, Announcement::Draining)]
+    announcement: Announcement,
     #[values(Fault::Kill, Fault::Stop, Fault::Freeze, Fault::KillAll)] fault: Fault,
 ) {
     let mut f = Fleet::new(CONTROLS);
@@ -164,8 +167,10 @@
     wait_for_leader(&f, 1);
     let stop = Arc::<AtomicBool>::default();
     let callers = [f.listen, others[0].listen].map(|g| send_requests(g, stop.clone()));
-    assert!(register(&f, 2, address, false, 1));
-    wait_for("a request to the replica", || !leaver.arrivals.lock().unwrap().is_empty());
+    if announcement != Announcement::LeaveBeforeHeartbeat {
+        assert!(register(&f, 2, address, false, 1));
+        wait_for("a request to the replica", || !leaver.arrivals.lock().unwrap().is_empty());
+    }
     let is_acknowledged = match announcement {
         Announcement::Draining => register(&f, 1, address, true, 2),
         _ => leave(&f, 1, "leaver"),
@@ -173,6 +178,9 @@
     assert!(is_acknowledged);
     let acknowledged = Instant::now();
     fail(&mut f, 1, fault);
+    if announcement == Announcement::LeaveBeforeHeartbeat {
+        wait_for("the late heartbeat to arrive", || register(&f, 2, address, false, 1));
+    }
     sleep(SERVES_ON.saturating_sub(acknowledged.elapsed()));
     stop.store(true, Ordering::Relaxed);
     callers.into_iter().for_each(|c| c.join().unwrap());
