Limit chunk sizes, extensions and trailers of responses and requests

Callers saw: 504 after the route's timeout although sound replicas were free, if one replica sent a chunk size of zeros, a chunk extension or trailers without end; 34 MB were read for each.

Cause: the library's decoder skips these without a limit, and hands nothing over that the limit of the body could count. Request bodies of callers were read in the same way, for 10 s each.

Evidence: at the reader, the cases of chunk sizes, extensions, white space and trailers go on until the test's server closes, and heads and noise do not.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -17,6 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::framing::FramingLimit;
+
 mod dial;
 mod open_error;
 mod transport;
@@ -98,7 +100,7 @@
     /// Between messages, or reading a head.
     Head(ClientCodec),
     /// Reading a body with a length or in chunks.
-    Body(ClientPayloadCodec),
+    Body(ClientPayloadCodec, FramingLimit),
     /// Reading a body that ends with the connection.
     UntilClose,
 }
@@ -122,6 +124,8 @@
     used: bool,
     /// The body ends with the connection.
     until_close: bool,
+    /// Length of the body by the current response's head, if it has one.
+    content_length: Option<u64>,
     /// The server closes the connection after this response.
     closes_after: bool,
     /// Maximum time between two exchanges.
@@ -156,6 +160,7 @@
             codec: Some(Codec::Head(ClientCodec::default())),
             used: false,
             until_close: false,
+            content_length: None,
             closes_after: false,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             idle_since: Instant::now(),
@@ -248,6 +253,7 @@
     fn begin_body(&mut self, head: &ResponseHead) {
         let Some(Codec::Head(codec)) = self.codec.take() else { return };
         self.closes_after = !codec.keep_alive();
+        self.content_length = content_length(head);
         // The library treats a response without a length as one without a body.
         self.until_close = codec.message_type() == MessageType::None && may_have_body(head);
         if let Some(timeout) = idle_timeout(head) {
@@ -256,16 +262,27 @@
         self.codec = Some(match codec.message_type() {
             MessageType::None if self.until_close => Codec::UntilClose,
             MessageType::None => Codec::Head(codec),
-            _ => Codec::Body(codec.into_payload_codec()),
+            _ => Codec::Body(codec.into_payload_codec(), FramingLimit::default()),
         });
     }
 
+    /// Returns the length of the current response's body, if its head has one.
+    pub fn content_length(&self) -> Option<u64> {
+        self.content_length
+    }
+
     /// Reads the next chunk of the response body. Returns `None` at its end.
     pub async fn read_chunk(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         loop {
             match &mut self.codec {
-                Some(Codec::Body(codec)) => {
-                    match codec.decode(&mut self.buf).map_err(protocol_error)? {
+                Some(Codec::Body(codec, framing)) => {
+                    let before = self.buf.len();
+                    let decoded = codec.decode(&mut self.buf).map_err(protocol_error)?;
+                    let body = decoded.iter().flatten().map(Bytes::len).sum();
+                    if !framing.record(before - self.buf.len(), body) {
+                        return Err(protocol_error("the chunk framing of the answer is too large"));
+                    }
+                    match decoded {
                         Some(Some(chunk)) => return Ok(Some(chunk)),
                         Some(None) => {
                             self.end_body();
@@ -311,7 +328,7 @@
 
     /// Returns to decoding heads after the end of a body.
     fn end_body(&mut self) {
-        if let Some(Codec::Body(codec)) = self.codec.take() {
+        if let Some(Codec::Body(codec, _)) = self.codec.take() {
             self.codec = Some(Codec::Head(codec.into_message_codec()));
         }
     }
@@ -342,6 +359,10 @@
     !bodiless && !head.headers.contains_key(CONTENT_LENGTH)
 }
 
+fn content_length(head: &ResponseHead) -> Option<u64> {
+    head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+}
+
 /// Fraction of the server's keep-alive timeout in which a connection is reused. The remainder is a
 /// margin for requests in transit.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 pub mod client;
+pub mod framing;
 pub mod operators;
 mod server;
 
--- a/crates/router/src/gateway/client.rs
+++ b/crates/router/src/gateway/client.rs
@@ -14,6 +14,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::Limits;
 use cypressfork_core::fleet::output_buffer;
+use cypressfork_http::framing::FramingLimit;
 use cypressfork_node::metric;
 use metrics::counter;
 use socket2::SockRef;
@@ -180,8 +181,17 @@
         }
         let until = Instant::now() + within;
         let mut body = BytesMut::new();
+        let mut framing = FramingLimit::default();
         loop {
-            match self.codec.decode(&mut self.buf) {
+            let before = self.buf.len();
+            let decoded = self.codec.decode(&mut self.buf);
+            let consumed = before - self.buf.len();
+            let within_limit = match &decoded {
+                Ok(Some(Message::Chunk(Some(chunk)))) => framing.record(consumed, chunk.len()),
+                _ => framing.record(consumed, 0),
+            };
+            match decoded {
+                _ if !within_limit => return Err(Code::RequestBad),
                 Ok(Some(Message::Chunk(Some(chunk)))) => body.extend_from_slice(&chunk),
                 Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
                 Ok(Some(Message::Item(_))) => return Err(Code::RequestBad),
