Bound what a gateway holds of all responses, and of skipped ones

Callers saw: 502 after up to 1.6 s, and the memory of their gateway grew from 8 to 156 MB, while four replicas sent bodies without end at 150 requests a second. A response to another request whose body had no end was read until the deadline (504).

Cause: each body was limited to 8 MiB and all of them together were not; buffers doubled beyond that. The body of a response to another request is skipped, and had no limit at all. A length above the maximum was found out by reading.

Why this works: every response that is received before it is sent, and every incomplete event of a stream, records the size of its buffer. Over a sixteenth of the memory (8 MiB at least) the one that holds most is given up, which one without end is soon. Its request goes elsewhere if it may.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 pub mod relay;
 pub mod repair;
 pub mod replicas;
+pub mod response_buffer;
 pub mod retry;
 pub mod rollout;
 pub mod router_directory;
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -80,6 +80,8 @@
     COMMITTED = "cypressfork_group_committed", "gauge", "", "index of the last committed log entry";
     COMMIT = "cypressfork_commit_seconds", "histogram", "", "time from a proposal at the leader to its commit";
     SYNC = "cypressfork_sync_seconds", "histogram", "", "duration of a sync of the log to disk";
+    HELD_RESPONSES = "cypressfork_held_response_bytes", "gauge", "", "bytes that a gateway holds of responses that it has not received in full";
+    RESPONSES_GIVEN_UP = "cypressfork_responses_given_up_total", "counter", "", "responses that a gateway gave up because they held the most memory and there was too little";
     LINK_SENT = "cypressfork_link_sent_bytes_total", "counter", "purpose", "bytes sent to other processes of the system, by purpose of the last call on the link";
     WATCH_REQUESTS = "cypressfork_watch_questions_total", "counter", "", "watch requests sent to control processes";
     REPLIES_DROPPED = "cypressfork_replies_dropped_total", "counter", "", "responses of a control process dropped because the receiver reads too slowly";
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use actix_http::{ResponseHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cypressfork_core::fleet::document::RouteKind;
 use cypressfork_core::fleet::quarantine::SURVIVAL_TIME;
 use cypressfork_core::route::{Choice, backoff};
@@ -19,15 +19,13 @@
 use super::dialect::{Dialect, ForwardHeaders};
 use super::notices::{SendKind, SendTarget};
 use super::request::ResponseProgress;
+use super::response_buffers::{HeldResponse, read_body, skip_body};
 use super::routed_request::RoutedRequest;
 use super::state::PickedReplica;
 use super::stream;
 use super::upstream::ReplicaConnection;
 use super::witness::{self, record_connection_loss};
 
-/// Maximum size of the body of a response that is not a stream.
-const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_SKIPPED_RESPONSES: usize = 4;
 
@@ -43,6 +41,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// The account of the body's bytes.
+    pub _held: HeldResponse,
 }
 
 /// The outcome of an attempt.
@@ -413,7 +413,7 @@
             if response.wrong_replica && response.id.is_none() {
                 return Ok((connection, head));
             }
-            while connection.read_chunk().await?.is_some() {}
+            skip_body(&mut connection).await?;
         }
         Err(AttemptOutcome::Broken("the connection brings answers to other requests".to_owned()))
     }
@@ -423,7 +423,7 @@
         &mut self,
         client: &mut Client,
         progress: &mut ResponseProgress,
-        connection: ReplicaConnection,
+        mut connection: ReplicaConnection,
         head: ResponseHead,
     ) -> AttemptOutcome {
         let response = D::parse_response(&head);
@@ -443,12 +443,13 @@
         if !not_run {
             self.answering_since = Some(Instant::now());
         }
+        let held = self.request.gw.response_memory.register();
         let result = tokio::select! {
-            result = timeout_at(self.request.deadline, read_body(connection)) => result,
+            result = timeout_at(self.request.deadline, read_body(&mut connection, &held)) => result,
             () = client.closed() => return AttemptOutcome::Left,
         };
         let body = match result {
-            Ok(Ok((connection, body))) => {
+            Ok(Ok(body)) => {
                 let gw = &self.request.gw;
                 match (not_run, connection.is_unframed()) {
                     (true, _) => {}
@@ -472,7 +473,12 @@
         }
         let headers = end_to_end_headers(&head);
         if head.status.is_server_error() {
-            return AttemptOutcome::Failed(Box::new(Answer { status: head.status, headers, body }));
+            return AttemptOutcome::Failed(Box::new(Answer {
+                status: head.status,
+                headers,
+                body,
+                _held: held,
+            }));
         }
         if let Err(ended) = progress.begin(self.request, client).await {
             return ended;
@@ -493,17 +499,3 @@
     }
     headers
 }
-
-/// Reads a whole body. Returns it with its connection.
-async fn read_body(
-    mut connection: ReplicaConnection,
-) -> Result<(ReplicaConnection, Bytes), ExchangeError> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = connection.read_chunk().await? {
-        if body.len() + chunk.len() > MAX_BODY_BYTES {
-            return Err(ExchangeError::Protocol("the answer is too large".to_owned()));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok((connection, body.freeze()))
-}
--- a/crates/router/src/gateway/caller_buffers.rs
+++ b/crates/router/src/gateway/caller_buffers.rs
@@ -11,13 +11,33 @@
 use metrics::{counter, gauge};
 use tokio::sync::Notify;
 
-/// Tells one caller's connection that it is cut.
+/// Tells the owner of buffered bytes that they have to be freed.
 #[derive(Default)]
-struct CutSignal {
-    is_cut: Cell<bool>,
+pub struct CutSignal {
+    is_set: Cell<bool>,
     changed: Notify,
 }
 
+impl CutSignal {
+    /// Sets the signal for good.
+    pub fn set(&self) {
+        self.is_set.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Returns whether it is set.
+    pub fn is_set(&self) -> bool {
+        self.is_set.get()
+    }
+
+    /// Waits until it is set.
+    pub async fn wait(&self) {
+        while !self.is_set() {
+            self.changed.notified().await;
+        }
+    }
+}
+
 /// The bytes held for all callers of the process.
 pub struct CallerBuffers {
     clock: Clock,
@@ -54,8 +74,7 @@
                 emit!(Event::CallerCut, held = cut.held, pace = pace, total = buffers.total());
             }
             if let Some(signal) = self.signals.borrow().get(&cut.caller) {
-                signal.is_cut.set(true);
-                signal.changed.notify_one();
+                signal.set();
             }
         }
         gauge!(metric::HELD_FOR_CALLERS).set(buffers.total() as f64);
@@ -85,14 +104,12 @@
 
     /// Returns whether the caller is cut.
     pub fn is_cut(&self) -> bool {
-        self.signal.is_cut.get()
+        self.signal.is_set()
     }
 
     /// Waits until the caller is cut.
     pub async fn wait_cut(&self) {
-        while !self.is_cut() {
-            self.signal.changed.notified().await;
-        }
+        self.signal.wait().await;
     }
 }
 
--- a/crates/router/src/gateway/events.rs
+++ b/crates/router/src/gateway/events.rs
@@ -45,6 +45,11 @@
         self.count
     }
 
+    /// Returns the number of bytes buffered of an incomplete event.
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether no incomplete event is buffered.
     pub fn is_at_boundary(&self) -> bool {
         self.buf.is_empty()
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod quarantine;
 mod relay;
 mod request;
+mod response_buffers;
 mod rollouts;
 mod routed_request;
 pub mod run;
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -5,6 +5,7 @@
 
 use cypressfork_core::fleet::admission;
 use cypressfork_core::fleet::output_buffer::CALLER_BOUND;
+use cypressfork_core::fleet::response_buffer;
 use cypressfork_core::fleet::retry::RetryLimit;
 use cypressfork_core::unit::Millis;
 use cypressfork_node::settings::{
@@ -128,6 +129,8 @@
     pub max_active_requests: u64,
     /// Maximum number of bytes held for all callers; none if answers are read only as fast as callers read.
     pub caller_buffer: Option<u64>,
+    /// Bytes held of all responses that are not received in full, at most.
+    pub response_buffer: u64,
     /// Capacity of the machine's network link in bytes per second and direction; 0 if unknown.
     pub link_capacity: u64,
     /// Maximum duration of a graceful shutdown.
@@ -219,6 +222,7 @@
             max_active_requests: admission::max_active_requests(
                 (memory * BYTES_PER_MEBIBYTE).floor() as u64,
             ),
+            response_buffer: response_buffer::bound((memory * BYTES_PER_MEBIBYTE).floor() as u64),
             caller_buffer: caller_buffer.map(|n| (n * BYTES_PER_MEBIBYTE).floor() as u64),
             link_capacity: (link * BYTES_PER_MEGABIT).floor() as u64,
             stop_within: duration_from_secs(stop),
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -48,6 +48,7 @@
 use super::origins::StreamOrigins;
 use super::quarantine::QuarantineState;
 use super::relay::RelayedCount;
+use super::response_buffers::ResponseMemory;
 use super::rollouts::RolloutTracker;
 use super::settings::Settings;
 use super::share::Peers;
@@ -133,6 +134,8 @@
     pub bytes_served: Rc<Cell<u64>>,
     /// Bytes held for callers; none if answers are read only as fast as callers read.
     pub caller_buffers: Option<Rc<CallerBuffers>>,
+    /// The bytes held of responses that are not received in full.
+    pub response_memory: Rc<ResponseMemory>,
     /// Whether a planned stop is in progress.
     pub stopping: Cell<bool>,
     /// Number of connections with an active request.
@@ -157,6 +160,7 @@
         group: GroupClient,
     ) -> Gateway {
         let dialer = Dialer::new(clock, credentials.clone(), settings.replica_source);
+        let response_memory = Rc::new(ResponseMemory::new(settings.response_buffer));
         let caller_buffers =
             settings.caller_buffer.map(|limit| Rc::new(CallerBuffers::new(clock, limit)));
         Gateway {
@@ -184,6 +188,7 @@
             load_monitor: RefCell::default(),
             bytes_served: Rc::default(),
             caller_buffers,
+            response_memory,
             stopping: Cell::new(false),
             active_connections: Cell::new(0),
             replicas: RefCell::default(),
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -70,6 +70,7 @@
     head: &ResponseHead,
 ) -> Option<AttemptOutcome> {
     let request = attempt.request;
+    let held = request.gw.response_memory.register();
     let mut is_first = true;
     loop {
         let before = progress.events.count();
@@ -77,16 +78,21 @@
         let read = tokio::select! {
             biased;
             read = read_next(connection, request.deadline) => read,
+            error = held.wait_given_up() => ReadOutcome::Broken(format!("{error:?}")),
             () = client.closed() => ReadOutcome::CallerClosed,
         };
         let complete = match read {
             ReadOutcome::Bytes(bytes) => {
                 let (service, address) = (&request.service, attempt.choice.address);
                 request.gw.dialer.record_response(service, address, connection);
-                match progress.events.feed(&bytes) {
+                let complete = match progress.events.feed(&bytes) {
                     Ok(complete) => complete,
                     Err(error) => return Some(AttemptOutcome::Broken(format!("{error:?}"))),
+                };
+                if let Err(error) = held.record(progress.events.buffered()) {
+                    return Some(error.into());
                 }
+                complete
             }
             ReadOutcome::End if !progress.events.is_at_boundary() => {
                 let why = "it ends inside an event".to_owned();
