Count refused connections apart from attempts that take time

Callers saw: 503 (CF1303, not run) within milliseconds although replicas were free, right after several others had ended.

Cause: a request gave up after four attempts that reached no replica, whether each took 0.6 s or was refused at once. Replicas that have just ended look idle and are chosen first.

Why this works: a refused connection takes one round trip and sends nothing, so that 32 of them cost less than one timeout. Each ejects its replica, so that the next requests do not meet it.

--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -55,6 +55,8 @@
     /// The replica was not reached, or a permit for a second send was denied after an idle connection
     /// turned out to be closed.
     NotSent(String),
+    /// The replica's host refused the connection at once.
+    Refused(String),
     /// The replica left or requested a backoff after it was picked, or the request was quarantined, so nothing
     /// more was sent.
     Withheld,
@@ -93,7 +95,7 @@
         match self {
             AttemptOutcome::Answered => "answered",
             AttemptOutcome::Left => "caller_left",
-            AttemptOutcome::NotSent(_) => "not_sent",
+            AttemptOutcome::NotSent(_) | AttemptOutcome::Refused(_) => "not_sent",
             AttemptOutcome::Withheld => "withheld",
             AttemptOutcome::OverBudget => "over_budget",
             AttemptOutcome::NotRun => "not_run",
@@ -122,7 +124,10 @@
 
 impl From<OpenError> for AttemptOutcome {
     fn from(error: OpenError) -> AttemptOutcome {
-        AttemptOutcome::NotSent(error.to_string())
+        match error {
+            OpenError::Refused => AttemptOutcome::Refused(error.to_string()),
+            _ => AttemptOutcome::NotSent(error.to_string()),
+        }
     }
 }
 
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -52,6 +52,10 @@
 /// Attempts that reach no replica before the request fails.
 const MAX_UNREACHED: usize = 4;
 
+/// Refused connections before the request fails. Each takes a round trip, and several replicas may have ended since
+/// they were last used.
+const MAX_REFUSED: usize = 32;
+
 /// Attempts that replicas reject without running the request before it fails.
 const MAX_REJECTED: usize = 3;
 
@@ -374,6 +378,8 @@
     /// Whether a replica's complete response was received and forwarded.
     is_complete: bool,
     unreached: usize,
+    /// Attempts whose connection was refused.
+    refused: usize,
     /// Attempts that a replica rejected without running it.
     rejected: usize,
     /// Rejected attempts whose replica requested a backoff.
@@ -400,6 +406,7 @@
             ran: 0,
             is_complete: false,
             unreached: 0,
+            refused: 0,
             rejected: 0,
             backed_off: 0,
             blocked: None,
@@ -544,6 +551,11 @@
                 self.ran += 1;
                 Some(Outcome::CallerClosed)
             }
+            AttemptOutcome::Refused(why) => {
+                self.refused += 1;
+                let try_next = self.refused < MAX_REFUSED;
+                (!try_next).then(|| self.give_up(&why, client))
+            }
             AttemptOutcome::NotSent(why) => {
                 self.unreached += 1;
                 let try_next = self.unreached < MAX_UNREACHED;
--- a/crates/router/src/gateway/rollouts.rs
+++ b/crates/router/src/gateway/rollouts.rs
@@ -210,6 +210,7 @@
             // No evidence on the version.
             AttemptOutcome::Left
             | AttemptOutcome::NotSent(_)
+            | AttemptOutcome::Refused(_)
             | AttemptOutcome::Silent(_)
             | AttemptOutcome::Withheld
             | AttemptOutcome::OverBudget
