Soak: silent links, and leaves at processes that are killed

Seeds now also draw up to two times at which all links, or those of one control process, fall silent for good, and up to two replicas that leave at a control process which is killed once it has acknowledged. Separate generators leave the other steps of a seed as they are.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -56,6 +56,19 @@
     Delay(usize, u64),
     /// Resets the open links between all processes.
     Reset,
+    /// Lets the open links between all processes fall silent for good. New ones work.
+    Silence,
+    /// Lets the open links from and to a control process fall silent for good. New ones work.
+    SilenceControl(usize),
+    /// Starts a replica, then lets another leave at a control process, which is killed once it has acknowledged.
+    LeaveAndKill {
+        /// Whether the replica belongs to `talk`; otherwise to `board`.
+        talk: bool,
+        /// The replica.
+        replica: usize,
+        /// The control process.
+        control: usize,
+    },
     /// Crashes a `talk` replica and starts one at another address.
     CrashTalk(usize),
     /// Crashes a `board` replica and starts one at another address.
@@ -258,6 +271,8 @@
         let mut steps: Vec<_> = (0..n).map(|_| draw_step(&mut rng, &size, millis)).collect();
         steps.extend(draw_seeds_away(seed, &size, millis));
         steps.extend(draw_rejections(seed, millis));
+        steps.extend(draw_silences(seed, &size, millis));
+        steps.extend(draw_leaves_and_kills(seed, &size, millis));
         steps.sort_by_key(|s| s.at);
         keep_first_emptied_disk(&mut steps);
         let limits = draw_limits(seed, millis);
@@ -525,6 +540,38 @@
     ]
 }
 
+/// Time within which processes have to replace silent links, in milliseconds.
+const SILENCE_SPAN_MS: u64 = 3_000;
+
+/// Draws up to two times at which open links fall silent. A separate generator leaves the other steps unchanged.
+fn draw_silences(seed: u64, size: &Size, millis: u64) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x4d1c_6e0b_a357_92f8);
+    let latest = millis.saturating_sub(SILENCE_SPAN_MS).max(QUIET_START_MS + 1);
+    let draw = |rng: &mut SmallRng| {
+        let fault = match rng.random() {
+            true => Fault::Silence,
+            false => Fault::SilenceControl(rng.random_range(0..size.controls)),
+        };
+        Step { at: rng.random_range(QUIET_START_MS..latest), span: SILENCE_SPAN_MS, fault }
+    };
+    (0..rng.random_range(0..=2)).map(|_| draw(&mut rng)).collect()
+}
+
+/// Draws up to two leaves that are acknowledged by a control process which is killed right after it. A separate
+/// generator leaves the other steps unchanged.
+fn draw_leaves_and_kills(seed: u64, size: &Size, millis: u64) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x71b9_05d6_3ce8_4fa2);
+    let latest = millis.max(QUIET_START_MS + 1);
+    let draw = |rng: &mut SmallRng| {
+        let talk = rng.random();
+        let replica = rng.random_range(0..if talk { size.talk } else { size.board });
+        let control = rng.random_range(0..size.controls);
+        let fault = Fault::LeaveAndKill { talk, replica, control };
+        Step { at: rng.random_range(QUIET_START_MS..latest), span: 0, fault }
+    };
+    (0..rng.random_range(0..=2)).map(|_| draw(&mut rng)).collect()
+}
+
 fn draw_step(rng: &mut SmallRng, size: &Size, millis: u64) -> Step {
     let at = rng.random_range(QUIET_START_MS..millis.max(QUIET_START_MS + 1));
     let span = rng.random_range(STEP_SPAN_MS.0..=STEP_SPAN_MS.1).min(millis - at);
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -60,7 +60,23 @@
     delays: RefCell<Vec<(u64, String, Duration)>>,
     last_id: Cell<u64>,
     changed: Notify,
-    links: RefCell<Vec<AbortHandle>>,
+    links: RefCell<Vec<ProxiedLink>>,
+}
+
+/// A link between two processes.
+struct ProxiedLink {
+    task: AbortHandle,
+    state: Rc<LinkState>,
+}
+
+/// What a link's task and the faults share.
+struct LinkState {
+    /// Name of the process that opened the link; empty until its first frame.
+    from: RefCell<String>,
+    /// Name of the process that accepted it.
+    to: String,
+    /// Whether bytes and ends are dropped, in both directions.
+    is_silent: Cell<bool>,
 }
 
 impl Net {
@@ -90,7 +106,16 @@
 
     /// Closes all open links between the processes.
     pub fn reset(&self) {
-        self.links.borrow_mut().drain(..).for_each(|l| l.abort());
+        self.links.borrow_mut().drain(..).for_each(|l| l.task.abort());
+    }
+
+    /// Lets the open links from and to the processes of `side` fall silent for good.
+    pub fn silence(&self, side: &Side) {
+        for l in self.links.borrow().iter().map(|l| &l.state) {
+            if side.contains(&l.from.borrow()) || side.contains(&l.to) {
+                l.is_silent.set(true);
+            }
+        }
     }
 
     /// Returns whether traffic in this direction is held back by a partition.
@@ -108,25 +133,28 @@
     /// Forwards connections accepted by `listener` to the process `name` at address `to`.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, name: String, to: SocketAddr) {
         while let Ok((client, _)) = listener.accept().await {
-            let (net, name) = (self.clone(), name.clone());
+            let (from, is_silent) = (RefCell::default(), Cell::new(false));
+            let state = Rc::new(LinkState { from, to: name.clone(), is_silent });
+            let (net, own) = (self.clone(), state.clone());
             let link = actix_rt::spawn(async move {
                 // The processes under test handle broken links.
-                let _ = forward_link(net, client, name, to).await;
+                let _ = forward_link(net, client, &own, to).await;
             });
             let mut links = self.links.borrow_mut();
-            links.retain(|l| !l.is_finished());
-            links.push(link.abort_handle());
+            links.retain(|l| !l.task.is_finished());
+            links.push(ProxiedLink { task: link.abort_handle(), state });
         }
     }
 }
 
-/// Forwards one link to the process `name` at `to` until either side closes it.
+/// Forwards one link to the process at `to` until either side closes it.
 async fn forward_link(
     net: Rc<Net>,
     client: TcpStream,
-    name: String,
+    state: &LinkState,
     to: SocketAddr,
 ) -> io::Result<()> {
+    let name = &state.to;
     client.set_nodelay(true)?;
     let (mut client_rx, client_tx) = client.into_split();
     let mut head = [0; LENGTH_PREFIX_LEN];
@@ -138,16 +166,17 @@
         Ok(Frame::Hello(h)) => h.name,
         _ => String::new(),
     };
+    state.from.replace(from.clone());
     let server = TcpStream::connect(to).await?;
     server.set_nodelay(true)?;
     let (server_rx, mut server_tx) = server.into_split();
-    while net.is_cut(&from, &name) {
+    while net.is_cut(&from, name) {
         net.changed.notified().await;
     }
     server_tx.write_all(&head).await?;
     server_tx.write_all(&hello).await?;
-    let to_server = forward(&net, client_rx, server_tx, &from, &name);
-    let to_client = forward(&net, server_rx, client_tx, &name, &from);
+    let to_server = forward(&net, state, client_rx, server_tx, (&from, name));
+    let to_client = forward(&net, state, server_rx, client_tx, (name, &from));
     // When one direction ends, both are closed.
     tokio::select! {
         result = to_server => result,
@@ -158,10 +187,10 @@
 /// Forwards one direction of a link until it ends, applying the faults for that direction.
 async fn forward(
     net: &Net,
+    state: &LinkState,
     mut rx: OwnedReadHalf,
     mut tx: OwnedWriteHalf,
-    from: &str,
-    to: &str,
+    (from, to): (&str, &str),
 ) -> io::Result<()> {
     let mut buf = vec![0; BUFFER_SIZE];
     loop {
@@ -169,6 +198,12 @@
         while net.is_cut(from, to) {
             net.changed.notified().await;
         }
+        if state.is_silent.get() {
+            match n {
+                0 => return std::future::pending().await,
+                _ => continue,
+            }
+        }
         if n == 0 {
             return Ok(());
         }
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -322,6 +322,29 @@
         self.crash();
     }
 
+    /// Sends no more heartbeats, and leaves at the control process with this API address. Returns whether that was
+    /// acknowledged.
+    pub async fn announce_leave(&self, w: &World, api: SocketAddr) -> bool {
+        if let Some(task) = self.heartbeat_task.take() {
+            task.abort();
+        }
+        self.end_life(w);
+        let path = format!("/v1/replicas/{}", self.id);
+        let answer = call(api, Method::DELETE, &path, Bytes::new(), HEARTBEAT_TIMEOUT).await;
+        let is_acked = answer.is_some_and(|(status, _)| status == 200);
+        if is_acked {
+            let acked = AckedDrain { replica: self.id.clone(), acked: w.now() };
+            w.history.borrow_mut().acked_drains.push(acked);
+        }
+        is_acked
+    }
+
+    /// Goes on serving for a while, then crashes.
+    pub async fn serve_then_crash(self: Rc<Self>) {
+        sleep(DRAIN_TIME).await;
+        self.crash();
+    }
+
     /// Sends one heartbeat. Returns whether it was acknowledged.
     async fn send_heartbeat(&self, w: &World) -> bool {
         self.heartbeats.set(self.heartbeats.get() + 1);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -534,6 +534,12 @@
             }
             Fault::Delay(n, ms) => self.delay(n, Duration::from_millis(ms), span).await,
             Fault::Reset => self.fleet.net.reset(),
+            Fault::Silence => self.fleet.net.silence(&Side::All),
+            Fault::SilenceControl(n) => self.fleet.net.silence(&process_side("control", n)),
+            Fault::LeaveAndKill { talk, replica, control } => {
+                let all = if talk { &self.talk } else { &self.board };
+                self.leave_and_kill(all, replica, control).await;
+            }
             Fault::CrashTalk(n) => self.crash(&self.talk, n).await,
             Fault::CrashBoard(n) => self.crash(&self.board, n).await,
             Fault::LeaveTalk(n) => self.drain_by_heartbeat(&self.talk, n).await,
@@ -664,6 +670,16 @@
         }
     }
 
+    /// Starts a replica, lets another leave at a control process, and kills that once it has acknowledged.
+    async fn leave_and_kill(&self, all: &RefCell<Replicas>, n: usize, control: usize) {
+        self.add_replica(all).await.expect("a replica can be started");
+        let Some(removed) = self.remove_replica(all, n) else { return };
+        if removed.announce_leave(&self.w, self.w.apis[control]).await {
+            self.kill(vec![&self.fleet.controls[control].process], None).await;
+        }
+        removed.serve_then_crash().await;
+    }
+
     fn remove_replica(&self, all: &RefCell<Replicas>, n: usize) -> Option<Rc<Replica>> {
         let mut all = all.borrow_mut();
         let n = n % all.running.len().max(1);
