Do not send requests on whose callers have left before they were read

Cause: a gateway that was held up read the requests together with the ends of their connections. It looks at the caller while it opens a connection to a replica or waits for a response; on an idle connection a request is sent without waiting, so nothing looked before it. Waits for tokens are not cancelled either.

Why this works: before each attempt the gateway polls the caller's connection once.

--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -443,6 +443,10 @@
             if self.request.time_left() == Duration::ZERO {
                 return self.deadline_passed(client);
             }
+            // The caller may have left before its request was read, or while it waited for tokens.
+            if client.is_closed().await {
+                return Outcome::CallerClosed;
+            }
             if let Some(f) = self.request.gw.quarantines.find(self.request) {
                 return self.fail_quarantined(f, client);
             }
