--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -175,6 +175,11 @@
         &self.stream
     }
 
+    /// Returns true if the connection has carried an earlier exchange.
+    pub fn is_reused(&self) -> bool {
+        self.used
+    }
+
     /// Returns true if an idle connection has received no bytes, was not closed, and is within its idle
     /// timeout.
     pub fn is_fresh(&self, now: Instant) -> bool {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -137,6 +137,7 @@
     RejectionsLimited = 451, Info, "a replica that bears few rejections rejected a request; this gateway and its peers back off";
     StreamContinued = 452, Info, "a stream continues at a replica after events that its caller has received";
     StreamNotResumed = 453, Info, "a stream is not resumed, because its origin is unknown or takes no requests";
+    ForeignResponse = 454, Warn, "a replica sent a response to another request, which was skipped";
     CallerCut = 465, Warn, "a caller was cut because too many bytes are held for slow callers";
     ClientsClosed = 466, Warn, "connections of clients were closed to make room for others";
 }
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -13,6 +13,10 @@
 use cypressfork_core::unit::Millis;
 use cypressfork_http::client::{ExchangeError, OpenError, OutboundRequest};
 use cypressfork_http::server::client::Client;
+use cypressfork_node::emit;
+use cypressfork_node::event::Event;
+use cypressfork_node::metric;
+use metrics::counter;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::dial::Target;
@@ -153,6 +157,7 @@
         born,
         sent,
         relay: None,
+        is_reused: false,
         time_to_first: None,
         answering_since: None,
         has_survived: false,
@@ -186,6 +191,8 @@
     pub sent: Instant,
     /// The gateway that relays the connection to the replica; none if it is direct.
     relay: Option<SocketAddr>,
+    /// Whether the connection has carried an earlier exchange.
+    is_reused: bool,
     /// Time from sending to the first event or, before that, to the head of the response.
     pub time_to_first: Option<Duration>,
     /// When the response began: a stream with its first event, any other with its head.
@@ -245,7 +252,7 @@
         let gw = &self.request.gw;
         self.check_replica()?;
         let mut connection = gw.connect(&self.target()).await?;
-        self.relay = connection.transport().relay();
+        self.set_connection(&connection);
         if let Err(outcome) = self.check_replica().and_then(|()| self.take_retry()) {
             gw.keep_connection(
                 &self.request.service,
@@ -275,7 +282,7 @@
                         return Err(error.into());
                     }
                 };
-                self.relay = connection.transport().relay();
+                self.set_connection(&connection);
                 self.check_replica()?;
                 gw.signals.record_send(self.request, &self.send_target(), SendKind::Resend);
                 self.send::<D>(&mut connection, last_event).await?;
@@ -303,6 +310,12 @@
         allowed.then_some(()).ok_or(AttemptOutcome::OverBudget)
     }
 
+    /// Records the connection on which the request is sent.
+    fn set_connection(&mut self, connection: &ReplicaConnection) {
+        self.relay = connection.transport().relay();
+        self.is_reused = connection.is_reused();
+    }
+
     /// Returns the replica to connect to.
     fn target(&self) -> Target<'_> {
         let (replica, address) = (self.replica, self.choice.address);
@@ -418,11 +431,25 @@
             if response.wrong_replica && response.id.is_none() {
                 return Ok((connection, head));
             }
+            self.record_foreign_response(response.id);
             skip_body(&mut connection).await?;
         }
         Err(AttemptOutcome::Broken("the connection brings answers to other requests".to_owned()))
     }
 
+    /// Records a response to another request, with the id that it names.
+    fn record_foreign_response(&self, found: Option<&str>) {
+        let kind = if found.is_some() { "other_request" } else { "no_id" };
+        counter!(metric::FOREIGN_RESPONSES, "kind" => kind).increment(1);
+        emit!(
+            Event::ForeignResponse,
+            id = self.request.inbound.id,
+            found = found.unwrap_or_default(),
+            replica = self.replica,
+            kept = self.is_reused,
+        );
+    }
+
     /// Reads the rest of the response, forwards it and returns the outcome.
     async fn forward_response<D: Dialect>(
         &mut self,
--- a/crates/router/src/gateway/origins.rs
+++ b/crates/router/src/gateway/origins.rs
@@ -58,6 +58,28 @@
     }
 }
 
+/// What shows where a resumed stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginGround {
+    /// This gateway stored its origin.
+    Own,
+    /// Another gateway stored its origin.
+    Keeper,
+    /// Its service has a single version.
+    SingleVersion,
+}
+
+impl OriginGround {
+    /// Returns its label in metrics and log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            OriginGround::Own => "own",
+            OriginGround::Keeper => "keeper",
+            OriginGround::SingleVersion => "single_version",
+        }
+    }
+}
+
 /// The origin of a stream that this gateway forwards.
 #[derive(Clone, Debug)]
 pub struct ForwardedStream {
@@ -166,8 +188,8 @@
             return Ok(());
         }
         let gw = request.gw.clone();
-        let origin = match self.find(request).await {
-            Ok(origin) => origin,
+        let (origin, ground) = match self.find(request).await {
+            Ok(found) => found,
             Err(why) => return Err(self.refuse(request, Code::OriginUnknown, why)),
         };
         if origin.route != route.name {
@@ -182,11 +204,13 @@
             return Err(self.refuse(request, Code::VersionGone, "no replica of its version"));
         }
         request.version = Some(origin.version);
+        request.origin_ground = Some(ground);
+        counter!(metric::STREAMS_RESUMED, "ground" => ground.label()).increment(1);
         Ok(())
     }
 
     /// Returns the origin of the stream that a request resumes, or the reason why it is unknown.
-    async fn find(&self, request: &RoutedRequest) -> Result<Origin, &'static str> {
+    async fn find(&self, request: &RoutedRequest) -> Result<(Origin, OriginGround), &'static str> {
         let now = request.gw.now();
         let single = || {
             let versions = self.versions.borrow();
@@ -196,15 +220,17 @@
             Some(Origin { route, service, version: version.to_owned() })
         };
         let Some(stream) = request.stream_id() else {
-            return single().ok_or("the caller does not name its first attempt");
+            let single = single().map(|origin| (origin, OriginGround::SingleVersion));
+            return single.ok_or("the caller does not name its first attempt");
         };
         if let Some(origin) = self.get(now, &stream) {
-            return Ok(origin);
+            return Ok((origin, OriginGround::Own));
         }
         let single = single();
         let found = ask_keepers(request, &stream, single.is_some()).await;
         match (found, single) {
-            (Found::Origin(origin), _) | (Found::Unknown, Some(origin)) => Ok(origin),
+            (Found::Origin(origin), _) => Ok((origin, OriginGround::Keeper)),
+            (Found::Unknown, Some(origin)) => Ok((origin, OriginGround::SingleVersion)),
             (Found::Unknown, None) => Err("no gateway knows the attempt that it names"),
             // A gateway that is cut off does not hear of a second version.
             (Found::NoAnswer, _) => Err("no gateway that may know the attempt answers"),
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -30,7 +30,7 @@
 use super::dialect::{CallerRequest, Dialect};
 use super::events::EventSplitter;
 use super::notices::SendKind;
-use super::origins::ForwardedStream;
+use super::origins::{ForwardedStream, OriginGround};
 use super::receive::{overloaded_refusal, unroutable_refusal};
 use super::rollouts::AttemptObservation;
 use super::routed_request::RoutedRequest;
@@ -235,6 +235,7 @@
         tokens_per_event: 1,
         has_one_service: route.targets.iter().filter(|t| t.weight > 0).count() == 1,
         version: None,
+        origin_ground: None,
         latency_objective: LatencyObjective {
             first_event: to_duration(route.objective),
             max_pause: route.gap.map(to_duration),
@@ -413,6 +414,7 @@
             after = after,
             replica = at.replica,
             version = at.version,
+            ground = self.request.origin_ground.map_or("forwarded", OriginGround::label),
         );
     }
 
--- a/crates/router/src/gateway/routed_request.rs
+++ b/crates/router/src/gateway/routed_request.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use super::dialect::{CallerRequest, PromptSize};
+use super::origins::OriginGround;
 use super::state::Gateway;
 
 /// A request whose route and account have been resolved, with everything that its attempts need.
@@ -59,6 +60,8 @@
     pub has_one_service: bool,
     /// The software version that began the stream that it resumes, if that is known.
     pub version: Option<String>,
+    /// What shows where the stream that it resumes began.
+    pub origin_ground: Option<OriginGround>,
     /// Its deadline.
     pub deadline: Instant,
 }
