Read bodies whose framing is unusual but allowed

Callers got 200 with an empty body, framed as whole, where a replica offered an upgrade beside a length, and 502 for responses of HTTP/1.0 without a length or with a length of 0. Cause: the library's codec reports neither as a body that it can decode, and the client took 'nothing to decode' for 'no body' or waited for more than the connection brings. Class: absence of a frame read as absence of a body. Why it works: the length and the version decide; the codec is used for chunks and for lengths that it knows. An offer to upgrade concerns one connection and is no longer passed on.

--- a/crates/cypressfork/tests/response_heads.rs
+++ b/crates/cypressfork/tests/response_heads.rs
@@ -412,3 +412,34 @@
         }
     });
 }
+
+/// Guards against a body that is taken for empty, or for cut, where its head frames it in a form that is unusual but
+/// allowed.
+#[rstest]
+#[case::old_version_with_a_length("HTTP/1.0 200 OK\r\n", "Content-Length: 4\r\n", "body")]
+#[case::old_version_without_a_body("HTTP/1.0 200 OK\r\n", "Content-Length: 0\r\n", "")]
+#[case::old_version_without_a_length("HTTP/1.0 200 OK\r\n", "", "body")]
+#[case::upgrade_offered(
+    "HTTP/1.1 200 OK\r\n",
+    "Upgrade: websocket\r\nContent-Length: 4\r\n",
+    "body"
+)]
+fn a_body_in_unusual_framing_is_not_taken_for_empty(
+    #[case] first_line: &'static str,
+    #[case] fields: &'static str,
+    #[case] body: &str,
+) {
+    let f = start(&[start_replica(move |text, id, _| {
+        if text.contains("/ready") {
+            return Script { parts: vec![sound(text, id)], end: End::Keep };
+        }
+        let body = if fields.contains(": 0") { "" } else { "body" };
+        let parts = vec![format!("{first_line}X-Request-Id: {id}\r\n{fields}\r\n{body}")];
+        Script { parts, end: End::Close }
+    })]);
+    let mut s = connect(&f);
+    send(&mut s, "GET", "/move/x", "u-1");
+    let text = receive(&mut s, false);
+    let received = text.split_once("\r\n\r\n").unwrap().1;
+    assert_eq!((status(&text), received), (200, body), "{text}");
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -12,7 +12,7 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, HeaderName};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri, Version};
 use bytes::{Bytes, BytesMut};
 use cypressfork_node::metric;
 use metrics::counter;
@@ -109,6 +109,8 @@
     Head(ClientCodec),
     /// Reading a body with a length or in chunks.
     Body(ClientPayloadCodec, FramingLimit),
+    /// Reading a body of which this many bytes are left.
+    Length(u64),
     /// Reading a body that ends with the connection.
     UntilClose,
 }
@@ -312,18 +314,19 @@
         self.closes_after = !codec.keep_alive();
         self.content_length = content_length(head);
         self.has_no_body = self.answers_head || is_bodiless(head.status);
-        // The library treats a response without a length as one without a body.
-        self.until_close = !self.has_no_body
-            && codec.message_type() == MessageType::None
-            && self.content_length.is_none();
+        // The library knows neither a body that ends with the connection nor one beside an offer to upgrade, and takes
+        // a length for none in HTTP/1.0 if it is 0.
+        let has_framing = codec.message_type() != MessageType::None;
+        let is_old = head.version < Version::HTTP_11;
+        self.until_close =
+            !self.has_no_body && self.content_length.is_none() && (is_old || !has_framing);
         if let Some(timeout) = idle_timeout(head) {
             self.idle_timeout = timeout;
         }
-        self.codec = Some(match codec.message_type() {
-            _ if self.until_close => Codec::UntilClose,
-            MessageType::None => Codec::Head(codec),
-            // The library expects a body of the length that the head names.
+        self.codec = Some(match self.content_length {
             _ if self.has_no_body => Codec::Head(ClientCodec::default()),
+            None if self.until_close => Codec::UntilClose,
+            Some(length) if is_old || !has_framing => Codec::Length(length),
             _ => Codec::Body(codec.into_payload_codec(), FramingLimit::default()),
         });
     }
@@ -359,6 +362,16 @@
                         None => {}
                     }
                 }
+                Some(Codec::Length(0)) => {
+                    self.codec = Some(Codec::Head(ClientCodec::default()));
+                    return Ok(None);
+                }
+                Some(Codec::Length(left)) if !self.buf.is_empty() => {
+                    let chunk = self.buf.split_to(self.buf.len().min(*left as usize));
+                    *left -= chunk.len() as u64;
+                    return Ok(Some(chunk.freeze()));
+                }
+                Some(Codec::Length(_)) => {}
                 Some(Codec::UntilClose) if !self.buf.is_empty() => {
                     return Ok(Some(self.buf.split().freeze()));
                 }
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -4,7 +4,9 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use actix_http::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING, UPGRADE,
+};
 use actix_http::{Method, ResponseHead, StatusCode};
 use cypressfork_core::fleet::document::RouteKind;
 use cypressfork_core::fleet::quarantine::SURVIVAL_TIME;
@@ -537,7 +539,7 @@
 pub fn end_to_end_headers(head: &ResponseHead) -> HeaderMap {
     let mut headers = head.headers.clone();
     let keep_alive = HeaderName::from_static("keep-alive");
-    for name in [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, keep_alive] {
+    for name in [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE, keep_alive] {
         headers.remove(name);
     }
     headers
