One HTTP client for upstreams of both kinds of router

Callers of plain services at cypressfork-router got 200 with an empty body where an upstream ended its body with the connection or offered an upgrade, nothing at all after an interim response, and 502 for HTTP/1.0 without a length. Cause: 'unpooled' framed responses by the library's codec alone; the client for replicas had been mended, this second one had not. Class: logic that stands twice. Evidence: engines.rs, a_body_arrives_whole_however_it_is_framed: 4 of 4 cases fail before, 26 of 26 of the file pass. Why it works: there is one client now. Responses without a body keep their length here, too. Measured: the tests; the users' platform does not run this router.

--- a/crates/cypressfork/tests/engines.rs
+++ b/crates/cypressfork/tests/engines.rs
@@ -242,6 +242,25 @@
     support::wait_for("the outcome", || send().code() == "CF1403");
 }
 
+/// Guards against an empty body in place of one that ends with the connection, against an interim response taken for the
+/// final one, and against a body taken for empty beside an offer to upgrade.
+#[rstest]
+#[case::unframed(b"HTTP/1.1 200 OK\r\n\r\nmove")]
+#[case::old_version(b"HTTP/1.0 200 OK\r\n\r\nmove")]
+#[case::interim(
+    b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmove"
+)]
+#[case::upgrade_offered(b"HTTP/1.1 200 OK\r\nUpgrade: websocket\r\nContent-Length: 4\r\n\r\nmove")]
+fn a_body_arrives_whole_however_it_is_framed(#[case] answer: &'static [u8]) {
+    let f = Fleet::start(Plan { routers: 1, ..Plan::default() });
+    let text = f.example().replace(&f.boards[0].1, &truncating_upstream(8, answer));
+    assert!(f.apply("framing.yaml", &text).status.success());
+    f.wait_until_ready(0, 2);
+    let r = f.call(0).header("x-not-repeatable", "true").header("idempotency-key", "m1");
+    let a = r.send("e2e4");
+    assert_eq!((a.status, a.body.as_str()), (200, "move"));
+}
+
 /// Guards against an idempotency key that stays in use after its caller disconnects from the queue.
 #[test]
 fn a_key_is_free_again_after_its_caller_disconnects_from_the_queue() {
--- a/crates/http/src/server/client.rs
+++ b/crates/http/src/server/client.rs
@@ -378,8 +378,8 @@
         self.closing = true;
     }
 
-    /// Sends a complete response. Bytes of it may be held, see [`Client::forward`].
-    pub async fn send_response(
+    /// Buffers a complete response.
+    pub fn write_response(
         &mut self,
         status: StatusCode,
         mut headers: HeaderMap,
@@ -395,7 +395,17 @@
         if !body.is_empty() {
             self.write_chunk(body)?;
         }
-        self.write_end()?;
+        self.write_end()
+    }
+
+    /// Sends a complete response. Bytes of it may be held, see [`Client::forward`].
+    pub async fn send_response(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: ResponseBody,
+    ) -> io::Result<()> {
+        self.write_response(status, headers, body)?;
         self.forward().await
     }
 
--- a/crates/http/src/server/mod.rs
+++ b/crates/http/src/server/mod.rs
@@ -11,7 +11,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use actix_http::body::{BodySize, MessageBody};
+use actix_http::body::MessageBody;
 use actix_http::{Request, Response, ServiceConfig, StatusCode};
 use bytes::Bytes;
 use cypressfork_core::code::Code;
@@ -23,7 +23,7 @@
 use tokio::time::sleep;
 
 use crate::Body;
-use client::{Client, NextRequest};
+use client::{Client, NextRequest, ResponseBody};
 use clients::{ACCEPTED_IN_ROW, ClientListener, Clients, ConnectionAccount};
 
 /// Limits on the heads of requests, and on idle connections. Bodies have a limit by request.
@@ -193,12 +193,9 @@
     let (mut head, body) = response.into_parts();
     let (status, headers) = (head.status(), std::mem::take(head.headers_mut()));
     match body {
-        Body::Full(bytes) => {
-            client.write_head(status, headers, BodySize::Sized(bytes.len() as u64))?;
-            if !bytes.is_empty() {
-                client.write_chunk(bytes)?;
-            }
-            client.write_end()?;
+        Body::Full(bytes) => client.write_response(status, headers, ResponseBody::Whole(bytes))?,
+        Body::Omitted(length) => {
+            client.write_response(status, headers, ResponseBody::Omitted(length))?;
         }
         Body::Stream(_) => {
             client.write_stream_head(status, headers)?;
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -12,6 +12,7 @@
 use cypressfork_core::route::RequestProfile;
 use cypressfork_core::unit::Millis;
 use cypressfork_http::Body;
+use cypressfork_http::server::client::ResponseBody;
 use cypressfork_node::digest::{body_digest, request_id};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -193,12 +194,15 @@
 fn stored_outcome(buffered: &BufferedResponse) -> Outcome {
     let kind = buffered.head.headers.get(header::CONTENT_TYPE);
     let kind = kind.and_then(|k| k.to_str().ok()).unwrap_or_default().to_owned();
-    let body = (buffered.body.len() <= MAX_STORED_BODY).then(|| buffered.body.to_vec());
+    let body = match &buffered.body {
+        ResponseBody::Whole(body) => (body.len() <= MAX_STORED_BODY).then(|| body.to_vec()),
+        ResponseBody::Omitted(_) => Some(Vec::new()),
+    };
     Outcome { status: buffered.head.status.as_u16(), kind, body }
 }
 
 fn response(buffered: BufferedResponse) -> Response<Body> {
-    let mut r = Response::with_body(buffered.head.status, Body::Full(buffered.body));
+    let mut r = Response::with_body(buffered.head.status, Body::from(buffered.body));
     if let Some(content_type) = buffered.head.headers.get(header::CONTENT_TYPE) {
         r.headers_mut().insert(header::CONTENT_TYPE, content_type.clone());
     }
--- a/crates/router/src/unpooled.rs
+++ b/crates/router/src/unpooled.rs
@@ -7,14 +7,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_codec::Framed;
-use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, Message, MessageType};
 use actix_http::header::{HOST, HeaderMap, HeaderValue};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, Uri};
+use actix_http::{Method, ResponseHead, Uri};
 use bytes::{Bytes, BytesMut};
+use cypressfork_http::client::{self, Connection, OutboundRequest};
+use cypressfork_http::server::client::ResponseBody;
 use cypressfork_node::silence;
-use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -29,6 +27,18 @@
     MaybeSent(String),
 }
 
+impl From<client::ExchangeError> for ExchangeError {
+    fn from(error: client::ExchangeError) -> ExchangeError {
+        match error {
+            client::ExchangeError::NotSent(why) => ExchangeError::NotSent(why),
+            client::ExchangeError::Stale => maybe_sent("the connection was closed"),
+            client::ExchangeError::Closed(why)
+            | client::ExchangeError::Silent(why)
+            | client::ExchangeError::Protocol(why) => ExchangeError::MaybeSent(why),
+        }
+    }
+}
+
 /// An HTTP request.
 pub struct Request {
     /// HTTP method.
@@ -46,31 +56,26 @@
     /// Status and headers.
     pub head: ResponseHead,
     /// Response body.
-    pub body: Bytes,
+    pub body: ResponseBody,
 }
 
 fn maybe_sent(e: impl ToString) -> ExchangeError {
     ExchangeError::MaybeSent(e.to_string())
 }
 
-fn request_head(address: SocketAddr, r: &Request) -> Result<RequestHead, ExchangeError> {
-    let not_sent = |e: String| ExchangeError::NotSent(e);
-    let mut head = RequestHead::default();
-    head.method = r.method.clone();
-    head.uri = r.path.parse::<Uri>().map_err(|e| not_sent(e.to_string()))?;
-    head.headers = r.headers.clone();
-    let host = HeaderValue::from_str(&address.to_string()).map_err(|e| not_sent(e.to_string()))?;
-    head.headers.insert(HOST, host);
-    head.set_connection_type(actix_http::ConnectionType::Close);
-    Ok(head)
+fn not_sent(e: impl ToString) -> ExchangeError {
+    ExchangeError::NotSent(e.to_string())
 }
 
-async fn connect(address: SocketAddr) -> Result<TcpStream, ExchangeError> {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => Ok(stream),
-        Ok(Err(e)) => Err(ExchangeError::NotSent(e.to_string())),
-        Err(_) => Err(ExchangeError::NotSent("connect timed out".into())),
-    }
+async fn connect(address: SocketAddr) -> Result<Connection, ExchangeError> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(opened) => opened.map_err(not_sent)?,
+        Err(_) => return Err(not_sent("connect timed out")),
+    };
+    // An error here is harmless: it only delays small requests.
+    let _ = stream.set_nodelay(true);
+    silence::PROMPT.apply(&stream).map_err(not_sent)?;
+    Ok(Connection::new(stream))
 }
 
 /// Sends a request to `address` over a new connection and returns the complete response. Fails if
@@ -80,50 +85,28 @@
     r: Request,
     cap: usize,
 ) -> Result<BufferedResponse, ExchangeError> {
-    let head = request_head(address, &r)?;
-    let stream = connect(address).await?;
-    // An error here is harmless: it only delays small requests.
-    let _ = stream.set_nodelay(true);
-    silence::PROMPT.apply(&stream).map_err(|e| ExchangeError::NotSent(e.to_string()))?;
-    let mut framed = Framed::new(stream, ClientCodec::default());
-    let size = BodySize::Sized(r.body.len() as u64);
-    let item = Message::Item((RequestHeadType::Owned(head), size));
-    framed.feed(item).await.map_err(maybe_sent)?;
-    if !r.body.is_empty() {
-        framed.feed(Message::Chunk(Some(r.body))).await.map_err(maybe_sent)?;
-    }
-    framed.feed(Message::Chunk(None)).await.map_err(maybe_sent)?;
-    framed.flush().await.map_err(maybe_sent)?;
-    let head = match framed.next().await {
-        Some(Ok(head)) => head,
-        Some(Err(e)) => return Err(maybe_sent(e)),
-        None => return Err(maybe_sent("the connection closed before an answer")),
-    };
-    let body = match framed.codec_ref().message_type() {
-        MessageType::None => Bytes::new(),
-        _ => read_body(framed, cap).await?,
+    let uri: Uri = r.path.parse().map_err(not_sent)?;
+    let mut headers = r.headers;
+    headers.insert(HOST, HeaderValue::from_str(&address.to_string()).map_err(not_sent)?);
+    let mut connection = connect(address).await?;
+    let outbound = OutboundRequest { method: &r.method, uri: &uri, headers, body: &r.body };
+    connection.send(outbound).await?;
+    let head = connection.read_head().await?;
+    let body = read_body(&mut connection, cap).await?;
+    let body = match connection.has_no_body() {
+        true => ResponseBody::Omitted(connection.content_length()),
+        false => ResponseBody::Whole(body),
     };
     Ok(BufferedResponse { head, body })
 }
 
-async fn read_body(
-    framed: Framed<TcpStream, ClientCodec>,
-    cap: usize,
-) -> Result<Bytes, ExchangeError> {
-    // Without a length or chunked encoding, the body ends when the connection is closed.
-    let until_close = framed.codec_ref().message_type() == MessageType::Stream;
-    let mut framed = framed.into_map_codec(ClientCodec::into_payload_codec);
+async fn read_body(connection: &mut Connection, cap: usize) -> Result<Bytes, ExchangeError> {
     let mut all = BytesMut::new();
-    loop {
-        match framed.next().await {
-            Some(Ok(Some(chunk))) if all.len() + chunk.len() > cap => {
-                return Err(maybe_sent("the answer is too large"));
-            }
-            Some(Ok(Some(chunk))) => all.extend_from_slice(&chunk),
-            Some(Ok(None)) => return Ok(all.freeze()),
-            Some(Err(e)) => return Err(maybe_sent(e)),
-            None if until_close => return Ok(all.freeze()),
-            None => return Err(maybe_sent("the connection closed before the answer was whole")),
+    while let Some(chunk) = connection.read_chunk().await? {
+        if all.len() + chunk.len() > cap {
+            return Err(maybe_sent("the answer is too large"));
         }
+        all.extend_from_slice(&chunk);
     }
+    Ok(all.freeze())
 }
