Infer a stream's version only from what holds when its caller asks

Callers of a gateway that was out of step while a new version joined had streams of the new version continued at the old one, where the streams' origins were lost: 200, with events of two versions. Class: a belief with an age is dated by its arrival. Why it works: a gateway sends its time with each watch, the control process answers with that time plus how long it held the request, and the word holds as of then. A resumed stream whose origin nobody knows needs a word that holds as of the arrival of its request: the gateway asks its sources at once, all waiting requests share the answer. Without one within 500 ms the stream is refused, not run, with a time to come back. Control processes have to be upgraded before gateways.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -16,7 +16,7 @@
 use cypressfork_core::fleet::software::RESUME_WINDOW;
 use cypressfork_core::fleet::transfer::PackedDocuments;
 use cypressfork_core::fleet::watch::{
-    Announce, FeedCursor, RouterStatus, Watch, WatchResponse, controls_digest,
+    Announce, Confirmation, FeedCursor, RouterStatus, Watch, WatchResponse, controls_digest,
 };
 use cypressfork_core::member::Routers as Registered;
 use cypressfork_core::unit::{Millis, Time, Version};
@@ -249,7 +249,7 @@
                 emit!(Event::ReplicaChanged, replica = l.replica, by = "answer");
             }
         }
-        if watch.fetch.is_some() {
+        if watch.fetch.is_some() || watch.confirm.is_some_and(|c| c.at_once) {
             self.next_poll = now;
         }
         let (replica_position, leave_position, limit_position) = match watch.feed.boot == self.boot
@@ -366,6 +366,7 @@
         let relays_heartbeats = w.watch.router.is_none() && waited >= HEARTBEAT_BATCH_DELAY;
         has_newer_version
             || w.is_behind(state.version)
+            || w.watch.confirm.is_some_and(|c| c.at_once)
             || state.evacuations.revision > w.watch.evacuations
             || state.quarantine.quarantined_revision() > w.watch.quarantine
             || state.rollouts.revision > w.watch.rollouts
@@ -434,8 +435,14 @@
             false => now.since(at),
         });
         let complete_for = followed_for.filter(|_| has_all_replicas);
+        let confirm = w.watch.confirm.filter(|_| complete_for.is_some());
+        let confirmed = confirm.map(|c| Confirmation {
+            // The router's clock has advanced by at least as much since it sent the request.
+            as_of: c.sent_at.after(now.since(w.received)),
+        });
         WatchResponse {
             complete_for,
+            confirmed,
             feed: FeedCursor {
                 boot: self.boot,
                 position: changes.position,
--- a/crates/control/src/server/fleet.rs
+++ b/crates/control/src/server/fleet.rs
@@ -289,6 +289,7 @@
             few: NOT_WANTED,
             leaving: Vec::new(),
             without_replicas: false,
+            confirm: None,
             hears: self.names_heard.get().then(|| self.heard.borrow().boots(self.clock.now())),
         })
     }
--- a/crates/control/tests/leaves.rs
+++ b/crates/control/tests/leaves.rs
@@ -61,6 +61,7 @@
         few: 0,
         leaving: Vec::new(),
         hears: None,
+        confirm: None,
     }
 }
 
--- a/crates/core/src/fleet/software.rs
+++ b/crates/core/src/fleet/software.rs
@@ -1,11 +1,14 @@
 //! The software versions of each service's replicas, as far as one router knows them.
 //!
 //! A service has a single version if no replica of another one has served for as long as a stream may be
-//! resumed, and if a control process that knows all replicas for so long has told this router recently.
+//! resumed, as far as this router and a control process know that has followed the fleet for so long and has told
+//! this router recently. What was told counts from when it held, not from when it arrived: a router that stood
+//! still reads old messages.
 
 use std::collections::{BTreeMap, HashMap};
 
 use super::registry::{Record, ReplicaStatus};
+use super::watch::Confirmation;
 use crate::unit::{Millis, Time};
 
 /// Longest time from a stream's first event until its caller resumes it for the last time.
@@ -23,15 +26,22 @@
     ended_at: Time,
 }
 
+impl VersionUse {
+    /// Returns whether streams of the version may still be resumed.
+    fn is_current(&self, now: Time) -> bool {
+        self.replicas > 0 || now.since(self.ended_at) < RESUME_WINDOW
+    }
+}
+
 /// The versions of all services.
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareVersions {
     by_service: HashMap<String, BTreeMap<String, VersionUse>>,
     /// Service and version of each replica at which streams may begin.
     replicas: HashMap<String, (String, String)>,
-    /// When a control process last reported that it has sent all replicas that it knows.
+    /// When this router last had all replicas that a control process knew.
     complete_at: Option<Time>,
-    /// The same of one that has followed the fleet for [`RESUME_WINDOW`].
+    /// The same of one that had followed the fleet for [`RESUME_WINDOW`].
     confirmed_at: Option<Time>,
 }
 
@@ -63,27 +73,31 @@
         self.by_service.entry(service).or_default().entry(version).or_default()
     }
 
-    /// Records that a control process that has followed the fleet for `followed_for` has sent all replicas
-    /// that it knows.
-    pub fn record_complete(&mut self, now: Time, followed_for: Millis) {
-        self.complete_at = Some(now);
+    /// Records the confirmation of a control process that has followed the fleet for `followed_for`.
+    pub fn record_confirmation(&mut self, c: &Confirmation, followed_for: Millis) {
+        self.complete_at = self.complete_at.max(Some(c.as_of));
         if followed_for >= RESUME_WINDOW {
-            self.confirmed_at = Some(now);
+            self.confirmed_at = self.confirmed_at.max(Some(c.as_of));
         }
     }
 
-    /// Returns whether this router knows all replicas that a control process knows.
+    /// Returns whether this router has all replicas that a control process knew recently.
     pub fn is_complete(&self, now: Time) -> bool {
         is_recent(now, self.complete_at)
     }
 
+    /// Returns whether a control process that had followed the fleet for [`RESUME_WINDOW`] confirmed all replicas
+    /// as of `since` or later.
+    pub fn is_confirmed_since(&self, since: Time) -> bool {
+        self.confirmed_at >= Some(since)
+    }
+
     /// Returns the only version of a service, or `None` if there are others or this router cannot tell.
     pub fn single(&self, now: Time, service: &str) -> Option<&str> {
         if !is_recent(now, self.confirmed_at) {
             return None;
         }
-        let is_current = |u: &VersionUse| u.replicas > 0 || now.since(u.ended_at) < RESUME_WINDOW;
-        let mut current = self.by_service.get(service)?.iter().filter(|(_, u)| is_current(u));
+        let mut current = self.by_service.get(service)?.iter().filter(|(_, u)| u.is_current(now));
         let (version, _) = current.next()?;
         current.next().is_none().then_some(version)
     }
@@ -91,7 +105,7 @@
     /// Removes versions whose streams can no longer be resumed.
     pub fn expire(&mut self, now: Time) {
         for versions in self.by_service.values_mut() {
-            versions.retain(|_, u| u.replicas > 0 || now.since(u.ended_at) < RESUME_WINDOW);
+            versions.retain(|_, u| u.is_current(now));
         }
         self.by_service.retain(|_, versions| !versions.is_empty());
     }
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -14,7 +14,7 @@
 use super::router_directory::DataCentreRouters;
 use super::transfer::{Part, PartRequest};
 use crate::hash::Fnv;
-use crate::unit::{Index, Millis, Version};
+use crate::unit::{Index, Millis, Time, Version};
 
 /// The position up to which a watcher has followed one control process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,6 +107,26 @@
     /// which refuses responses with fields that it does not know.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hears: Option<Vec<u64>>,
+    /// Request for a [`Confirmation`], if the watcher is a router that knows these. Not `None` only if `hears`
+    /// is not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub confirm: Option<ConfirmRequest>,
+}
+
+/// A router's request to confirm that it has all replica records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfirmRequest {
+    /// When the request was sent, by the router's clock.
+    pub sent_at: Time,
+    /// Whether to answer at once, even without changes.
+    pub at_once: bool,
+}
+
+/// The confirmation of a control process that a router has all of its replica records.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Time by the router's clock for which it holds. The time of receipt may be later by any delay.
+    pub as_of: Time,
 }
 
 /// The response to a watch request.
@@ -167,6 +187,9 @@
     /// replica records with this response; `None` otherwise.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub complete_for: Option<Millis>,
+    /// The confirmation that the watcher requested; not `None` only if `complete_for` is not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub confirmed: Option<Confirmation>,
 }
 
 /// Announcement of a control process that belongs to no group.
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -97,6 +97,7 @@
             heard: if without_replicas { Vec::new() } else { gw.limits.take_due_reports(gw.now()) },
             leaving: if without_replicas { Vec::new() } else { gw.signals.pending_reports() },
             hears: Some(Vec::new()),
+            confirm: (!without_replicas).then(|| gw.origins.confirm_request(gw.now())),
             few: gw.limits.small_data_centres_digest(gw.peers.homes.digest_for(to)),
         })
     }
@@ -143,8 +144,10 @@
         if let Some(packed) = &response.packed {
             apply_packed_records(gw, from, packed);
         }
-        if let Some(followed_for) = response.complete_for.filter(|_| response.lead.is_some()) {
-            gw.origins.record_complete(gw.now(), followed_for);
+        if response.lead.is_some()
+            && let (Some(c), Some(followed_for)) = (&response.confirmed, response.complete_for)
+        {
+            gw.origins.record_confirmation(c, followed_for);
         }
         gw.origins.send_due(gw);
         gw.limits.apply_reports(gw, &response.limits);
--- a/crates/router/src/gateway/origins.rs
+++ b/crates/router/src/gateway/origins.rs
@@ -1,9 +1,10 @@
 //! The origins of streams at a gateway: stores where its own streams began, keeps the origins of other
 //! gateways' streams, and finds those of streams that callers resume. `core::fleet::origin` says why.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use cypressfork_core::code::Code;
@@ -13,12 +14,14 @@
 use cypressfork_core::fleet::registry::Record;
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::fleet::software::SoftwareVersions;
+use cypressfork_core::fleet::watch::{ConfirmRequest, Confirmation};
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_node::event::Event;
 use cypressfork_node::{emit, metric};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use metrics::counter;
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use super::routed_request::RoutedRequest;
@@ -37,7 +40,13 @@
 /// Time for which further keepers are awaited where the stream may continue without its origin.
 const SHORT_FIND_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// `Retry-After` while this gateway does not know all replicas.
+/// Time within which a control process confirms that this gateway has all replicas.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which a confirmation is requested again.
+const CONFIRM_RETRY_INTERVAL: Millis = Millis(100);
+
+/// `Retry-After` while this gateway does not know all replicas, or nobody confirms that it does.
 const INCOMPLETE_RETRY_AFTER: Millis = Millis(400);
 
 /// The origins that this gateway knows, and the software versions by which it decides who has to know them.
@@ -46,6 +55,10 @@
     versions: RefCell<SoftwareVersions>,
     /// Services with origins that the keepers do not have, because the service had a single version.
     unsent_services: RefCell<HashSet<String>>,
+    /// When a confirmation was last requested that has not arrived yet.
+    requested_at: Cell<Option<Time>>,
+    /// Notified when a confirmation has arrived.
+    confirmed: Notify,
 }
 
 impl Default for StreamOrigins {
@@ -54,6 +67,8 @@
             known: RefCell::new(Origins::new(MAX_STREAMS)),
             versions: RefCell::default(),
             unsent_services: RefCell::default(),
+            requested_at: Cell::default(),
+            confirmed: Notify::new(),
         }
     }
 }
@@ -80,6 +95,19 @@
     }
 }
 
+/// Why the origin of a resumed stream is not known.
+struct UnknownOrigin {
+    why: &'static str,
+    /// Whether it may be known a little later.
+    may_change: bool,
+}
+
+impl From<&'static str> for UnknownOrigin {
+    fn from(why: &'static str) -> UnknownOrigin {
+        UnknownOrigin { why, may_change: false }
+    }
+}
+
 /// The origin of a stream that this gateway forwards.
 #[derive(Clone, Debug)]
 pub struct ForwardedStream {
@@ -101,10 +129,49 @@
         self.versions.borrow_mut().record(now, r);
     }
 
-    /// Records the word of a control process that it has sent all replicas, see
-    /// [`SoftwareVersions::record_complete`].
-    pub fn record_complete(&self, now: Time, followed_for: Millis) {
-        self.versions.borrow_mut().record_complete(now, followed_for);
+    /// Returns the request for a confirmation that goes with a watch sent at `now`.
+    pub fn confirm_request(&self, now: Time) -> ConfirmRequest {
+        ConfirmRequest { sent_at: now, at_once: self.is_awaiting_confirmation(now) }
+    }
+
+    /// Records the confirmation of a control process, see [`SoftwareVersions::record_confirmation`].
+    pub fn record_confirmation(&self, c: &Confirmation, followed_for: Millis) {
+        self.versions.borrow_mut().record_confirmation(c, followed_for);
+        if self.requested_at.get().is_some_and(|at| c.as_of >= at) {
+            self.requested_at.set(None);
+        }
+        self.confirmed.notify_waiters();
+    }
+
+    fn is_awaiting_confirmation(&self, now: Time) -> bool {
+        self.requested_at.get().is_some_and(|at| now.since(at) < CONFIRM_RETRY_INTERVAL)
+    }
+
+    /// Asks the control processes that send replica records for a confirmation, unless one is awaited already.
+    fn request_confirmation(&self, gw: &Gateway) {
+        let now = gw.now();
+        if !self.is_awaiting_confirmation(now) {
+            self.requested_at.set(Some(now));
+            gw.poll_sources_now();
+        }
+    }
+
+    /// Waits until a control process confirms that this gateway has all replicas as of `since` or later. Returns
+    /// false if none does by `until`.
+    async fn wait_confirmed(&self, gw: &Gateway, since: Time, until: Instant) -> bool {
+        loop {
+            let mut confirmed = pin!(self.confirmed.notified());
+            confirmed.as_mut().enable();
+            if self.versions.borrow().is_confirmed_since(since) {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            self.request_confirmation(gw);
+            let retry = Instant::now() + Duration::from_millis(CONFIRM_RETRY_INTERVAL.0);
+            let _ = timeout_at(until.min(retry), confirmed).await;
+        }
     }
 
     /// Returns whether the origins of a service's streams may be found out without asking.
@@ -121,7 +188,7 @@
         let (route, service) = (request.route.clone(), request.service.clone());
         let origin = Origin { route, service, version: version.to_owned() };
         let record = OriginRecord { stream, origin };
-        let stays = request.has_one_service
+        let stays = request.infers_origin
             && !request.gw.stopping.get()
             && self.has_single_version(now, &request.service);
         if !self.known.borrow_mut().store(now, record.clone(), stays) {
@@ -190,7 +257,13 @@
         let gw = request.gw.clone();
         let (origin, ground) = match self.find(request).await {
             Ok(found) => found,
-            Err(why) => return Err(self.refuse(request, Code::OriginUnknown, why)),
+            Err(UnknownOrigin { why, may_change }) => {
+                let refusal = self.refuse(request, Code::OriginUnknown, why);
+                return Err(match may_change {
+                    true => refusal.retry_after(INCOMPLETE_RETRY_AFTER),
+                    false => refusal,
+                });
+            }
         };
         if origin.route != route.name {
             return Err(self.refuse(request, Code::OriginUnknown, "it began on another route"));
@@ -210,33 +283,53 @@
     }
 
     /// Returns the origin of the stream that a request resumes, or the reason why it is unknown.
-    async fn find(&self, request: &RoutedRequest) -> Result<(Origin, OriginGround), &'static str> {
-        let now = request.gw.now();
-        let single = || {
-            let versions = self.versions.borrow();
-            let version =
-                versions.single(now, &request.service).filter(|_| request.has_one_service)?;
-            let (route, service) = (request.route.clone(), request.service.clone());
-            Some(Origin { route, service, version: version.to_owned() })
-        };
+    async fn find(&self, request: &RoutedRequest) -> Result<(Origin, OriginGround), UnknownOrigin> {
+        let gw = &request.gw;
+        let (arrived, until) = (gw.now(), Instant::now() + CONFIRM_TIMEOUT);
+        let is_single = request.infers_origin && self.has_single_version(arrived, &request.service);
         let Some(stream) = request.stream_id() else {
-            let single = single().map(|origin| (origin, OriginGround::SingleVersion));
-            return single.ok_or("the caller does not name its first attempt");
+            let unknown = UnknownOrigin::from("the caller does not name its first attempt");
+            return if is_single {
+                self.infer(request, arrived, until).await
+            } else {
+                Err(unknown)
+            };
         };
-        if let Some(origin) = self.get(now, &stream) {
+        if let Some(origin) = self.get(arrived, &stream) {
             return Ok((origin, OriginGround::Own));
         }
-        let single = single();
-        let found = ask_keepers(request, &stream, single.is_some()).await;
-        match (found, single) {
-            (Found::Origin(origin), _) => Ok((origin, OriginGround::Keeper)),
-            (Found::Unknown, Some(origin)) => Ok((origin, OriginGround::SingleVersion)),
-            (Found::Unknown, None) => Err("no gateway knows the attempt that it names"),
+        if is_single {
+            self.request_confirmation(gw);
+        }
+        match ask_keepers(request, &stream, is_single).await {
+            Found::Origin(origin) => Ok((origin, OriginGround::Keeper)),
+            Found::Unknown if is_single => self.infer(request, arrived, until).await,
+            Found::Unknown => Err("no gateway knows the attempt that it names".into()),
             // A gateway that is cut off does not hear of a second version.
-            (Found::NoAnswer, _) => Err("no gateway that may know the attempt answers"),
+            Found::NoAnswer => Err("no gateway that may know the attempt answers".into()),
         }
     }
 
+    /// Infers the origin of a stream from the only version of its service. That must be known as of the time at
+    /// which the request arrived, because another version may have begun the stream just before.
+    async fn infer(
+        &self,
+        request: &RoutedRequest,
+        arrived: Time,
+        until: Instant,
+    ) -> Result<(Origin, OriginGround), UnknownOrigin> {
+        let gw = &request.gw;
+        if !self.wait_confirmed(gw, arrived, until.min(request.deadline)).await {
+            let why = "no control process confirms that its service has a single version";
+            return Err(UnknownOrigin { why, may_change: true });
+        }
+        let versions = self.versions.borrow();
+        let single = versions.single(gw.now(), &request.service);
+        let version = single.ok_or("its service has several versions")?.to_owned();
+        let (route, service) = (request.route.clone(), request.service.clone());
+        Ok((Origin { route, service, version }, OriginGround::SingleVersion))
+    }
+
     /// Returns the refusal of a request that resumes a stream, counts and logs it.
     fn refuse(&self, request: &RoutedRequest, code: Code, why: &'static str) -> Refusal {
         let is_complete = self.versions.borrow().is_complete(request.gw.now());
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -14,6 +14,7 @@
 use cypressfork_core::fleet::document::{ClientAccount, Route, RouteKind};
 use cypressfork_core::fleet::fingerprint::Fingerprint;
 use cypressfork_core::fleet::routes::{Routes, request_hash};
+use cypressfork_core::fleet::software::RESUME_WINDOW;
 use cypressfork_core::route::lateness::LatencyObjective;
 use cypressfork_core::route::{BlockReason, Blocked, RequestProfile};
 use cypressfork_core::unit::{Millis, Tokens};
@@ -233,7 +234,8 @@
         regions: allowed_regions(route, account)?,
         account: account.map(|a| a.name.clone()),
         tokens_per_event: 1,
-        has_one_service: route.targets.iter().filter(|t| t.weight > 0).count() == 1,
+        infers_origin: route.targets.iter().filter(|t| t.weight > 0).count() == 1
+            && route.timeout <= RESUME_WINDOW,
         version: None,
         origin_ground: None,
         latency_objective: LatencyObjective {
--- a/crates/router/src/gateway/routed_request.rs
+++ b/crates/router/src/gateway/routed_request.rs
@@ -56,8 +56,9 @@
     pub tokens_per_event: Tokens,
     /// The latency objective of its route.
     pub latency_objective: LatencyObjective,
-    /// Whether its route has a single service.
-    pub has_one_service: bool,
+    /// Whether the only version of its service shows where its stream began: its route has a single service, and no
+    /// stream runs for longer than its version is remembered.
+    pub infers_origin: bool,
     /// The software version that began the stream that it resumes, if that is known.
     pub version: Option<String>,
     /// What shows where the stream that it resumes began.
--- a/crates/soak/examples/control_load.rs
+++ b/crates/soak/examples/control_load.rs
@@ -110,6 +110,7 @@
             few: NOT_WANTED,
             leaving: Vec::new(),
             hears: None,
+            confirm: None,
         })
     }
 
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -11,10 +11,12 @@
 use cypressfork_core::fleet::limit::rate_limits::LimitReport;
 use cypressfork_core::fleet::peer::{PeerReply, PeerRequest};
 use cypressfork_core::fleet::transfer::{Part, PartRequest};
-use cypressfork_core::fleet::watch::{RouterStatus, Watch, WatchResponse};
+use cypressfork_core::fleet::watch::{
+    ConfirmRequest, Confirmation, RouterStatus, Watch, WatchResponse,
+};
 use cypressfork_core::query::{Query, Reply};
 use cypressfork_core::raft::Members;
-use cypressfork_core::unit::Millis;
+use cypressfork_core::unit::{Millis, Time};
 use cypressfork_wire::{body, compression};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -73,6 +75,7 @@
         few: 11,
         leaving: Vec::new(),
         hears: Some(vec![12]),
+        confirm: None,
         without_replicas: false,
     }
 }
@@ -154,6 +157,8 @@
     const ARRAY_OF_14: u8 = 0x9e;
     const ARRAY_16: u8 = 0xdc;
     let plain = Watch { hears: None, ..watch() };
+    let confirm = Some(ConfirmRequest { sent_at: Time(7), at_once: true });
+    let confirming = Watch { confirm, ..watch() };
     assert_eq!(body::pack(&plain)[0], ARRAY_OF_14);
     let response = body::pack(&watch_response());
     assert_eq!(response[..3], [ARRAY_16, 0, 18]);
@@ -162,7 +167,11 @@
         complete_for: Some(Millis(9)),
         ..watch_response()
     };
+    let confirmed = Some(Confirmation { as_of: Time(7) });
+    let confirmed = WatchResponse { confirmed, ..complete.clone() };
     assert_eq!(body::unpack::<WatchResponse>(&body::pack(&complete)), Ok(complete));
+    assert_eq!(body::unpack::<WatchResponse>(&body::pack(&confirmed)), Ok(confirmed));
     assert_eq!(body::unpack::<Watch>(&body::pack(&plain)), Ok(plain));
     assert_eq!(body::unpack::<Watch>(&body::pack(&watch())), Ok(watch()));
+    assert_eq!(body::unpack::<Watch>(&body::pack(&confirming)), Ok(confirming));
 }
