Control processes remember versions that were replaced

After the replicas of one version had been replaced by another's under the same ids and all gateways had been killed at once, streams of the first version went on at the second: 200, whole, joined from two versions. Cause: a registration replaces the former one of its id at control processes, and so in what a new gateway is sent. The gateways of before had seen both versions and are gone; new ones saw one. Class: absence of evidence read as evidence of absence, by a process younger than the window for which it answers. Why it works: a control process notes, as gateways did, when each version of a service was last served, and names services with several versions in the last 30 s in its confirmation. One that has followed the fleet for less than 30 s confirms no single version, so whoever answers has seen the whole window. The word that there are several outweighs that of another process for 3 s. A changed version is a change for routers. Some bytes a service in confirmations while versions differ; one entry a replica at each control process.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -439,6 +439,7 @@
         let confirmed = confirm.map(|c| Confirmation {
             // The router's clock has advanced by at least as much since it sent the request.
             as_of: c.sent_at.after(now.since(w.received)),
+            several_versions: self.registry.services_with_several_versions(now),
         });
         WatchResponse {
             complete_for,
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::departure::{DEPARTURE_TTL, Departure};
+use crate::fleet::software::SoftwareVersions;
 use crate::unit::{Millis, Time};
 
 /// Minimum interval between relayed heartbeats of one replica, in heartbeat intervals, if they come
@@ -290,6 +291,8 @@
     next_scan: Time,
     /// Heartbeat interval of the replicas.
     heartbeat: Millis,
+    /// The versions of all services, also those whose replicas were replaced under their ids.
+    versions: SoftwareVersions,
 }
 
 impl Registry {
@@ -342,6 +345,7 @@
             receiver,
         };
         self.feed.publish(now, &mut entry, !same, source);
+        self.versions.record(now, &entry.record);
         let id = entry.id.clone();
         if entry.record.standing >= ReplicaStatus::Draining
             && !same
@@ -353,6 +357,12 @@
         !same
     }
 
+    /// Returns the services of which replicas of several software versions have served within
+    /// [`RESUME_WINDOW`](crate::fleet::software::RESUME_WINDOW).
+    pub fn services_with_several_versions(&self, now: Time) -> Vec<String> {
+        self.versions.several(now)
+    }
+
     /// Returns the total slots of a service's ready replicas, by software version.
     pub fn ready_slots(&self, service: &str) -> BTreeMap<String, u64> {
         let mut all: BTreeMap<String, u64> = BTreeMap::new();
@@ -382,6 +392,9 @@
         e.record.standing = ReplicaStatus::Ready;
         e.last_heartbeat = now;
         e.receiver = receiver;
+        if was_silent {
+            self.versions.record(now, &e.record);
+        }
         self.feed.publish(now, e, was_silent, RecordSource::Peer);
         was_silent
     }
@@ -435,7 +448,8 @@
         let silent_after = interval.scale(MAX_MISSED_HEARTBEATS, 1);
         // A replica that registers after this scan is silent no earlier than this.
         let mut next_due = now.after(silent_after);
-        let feed = &mut self.feed;
+        let (feed, versions) = (&mut self.feed, &mut self.versions);
+        versions.expire(now);
         self.entries.retain(|_, e| {
             let due = match e.record.standing {
                 ReplicaStatus::Ready => e.last_heartbeat.after(silent_after),
@@ -450,6 +464,7 @@
             }
             if e.record.standing == ReplicaStatus::Ready {
                 e.record.standing = ReplicaStatus::Silent;
+                versions.record(now, &e.record);
                 feed.move_to_end(e, true);
                 return true;
             }
@@ -617,6 +632,7 @@
     a.standing == b.standing
         && x.born == y.born
         && x.service == y.service
+        && x.version == y.version
         && x.address == y.address
         && x.slots == y.slots
         && (x.cold == Millis(0)) == (y.cold == Millis(0))
--- a/crates/core/src/fleet/software.rs
+++ b/crates/core/src/fleet/software.rs
@@ -3,7 +3,8 @@
 //! A service has a single version if no replica of another one has served for as long as a stream may be
 //! resumed, as far as this router and a control process know that has followed the fleet for so long and has told
 //! this router recently. What was told counts from when it held, not from when it arrived: a router that stood
-//! still reads old messages.
+//! still reads old messages. Control processes keep the versions of their replicas in the same way, because a
+//! router that has started since has not seen those that were replaced.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -18,6 +19,9 @@
 /// requests within a second.
 const CONTACT_TIMEOUT: Millis = Millis(1_500);
 
+/// Time for which the word of one control process that a service has several versions outweighs that of others.
+const SEVERAL_TTL: Millis = Millis::seconds(3);
+
 /// The replicas of one version of a service at which streams may begin.
 #[derive(Clone, Copy, Debug, Default)]
 struct VersionUse {
@@ -43,6 +47,8 @@
     complete_at: Option<Time>,
     /// The same of one that had followed the fleet for [`RESUME_WINDOW`].
     confirmed_at: Option<Time>,
+    /// When a control process last reported several versions of a service.
+    several_at: HashMap<String, Time>,
 }
 
 impl SoftwareVersions {
@@ -79,6 +85,10 @@
         if followed_for >= RESUME_WINDOW {
             self.confirmed_at = self.confirmed_at.max(Some(c.as_of));
         }
+        for service in &c.several_versions {
+            let at = self.several_at.entry(service.clone()).or_insert(c.as_of);
+            *at = c.as_of.max(*at);
+        }
     }
 
     /// Returns whether this router has all replicas that a control process knew recently.
@@ -94,7 +104,9 @@
 
     /// Returns the only version of a service, or `None` if there are others or this router cannot tell.
     pub fn single(&self, now: Time, service: &str) -> Option<&str> {
-        if !is_recent(now, self.confirmed_at) {
+        let has_several =
+            self.several_at.get(service).is_some_and(|at| now.since(*at) < SEVERAL_TTL);
+        if has_several || !is_recent(now, self.confirmed_at) {
             return None;
         }
         let mut current = self.by_service.get(service)?.iter().filter(|(_, u)| u.is_current(now));
@@ -102,12 +114,22 @@
         current.next().is_none().then_some(version)
     }
 
+    /// Returns the services of which several versions have served within [`RESUME_WINDOW`].
+    pub fn several(&self, now: Time) -> Vec<String> {
+        let has_several = |versions: &BTreeMap<String, VersionUse>| {
+            versions.values().filter(|u| u.is_current(now)).nth(1).is_some()
+        };
+        let services = self.by_service.iter().filter(|(_, versions)| has_several(versions));
+        services.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Removes versions whose streams can no longer be resumed.
     pub fn expire(&mut self, now: Time) {
         for versions in self.by_service.values_mut() {
             versions.retain(|_, u| u.is_current(now));
         }
         self.by_service.retain(|_, versions| !versions.is_empty());
+        self.several_at.retain(|_, at| now.since(*at) < SEVERAL_TTL);
     }
 }
 
--- a/crates/core/src/fleet/watch.rs
+++ b/crates/core/src/fleet/watch.rs
@@ -127,6 +127,10 @@
 pub struct Confirmation {
     /// Time by the router's clock for which it holds. The time of receipt may be later by any delay.
     pub as_of: Time,
+    /// Services of which replicas of several software versions have served within
+    /// [`RESUME_WINDOW`](super::software::RESUME_WINDOW). A router that has started since cannot know all of
+    /// them from the records, where a version may have replaced another one.
+    pub several_versions: Vec<String>,
 }
 
 /// The response to a watch request.
--- a/crates/core/tests/origins.rs
+++ b/crates/core/tests/origins.rs
@@ -47,15 +47,16 @@
     Record { registration, standing }
 }
 
-fn confirmation(as_of: Time) -> Confirmation {
-    Confirmation { as_of }
+fn confirmation(as_of: Time, several: &[&str]) -> Confirmation {
+    let several_versions = several.iter().map(|s| (*s).to_owned()).collect();
+    Confirmation { as_of, several_versions }
 }
 
 /// Versions as a router knows them whose control process has followed the fleet for long.
 fn known(records: &[Record]) -> SoftwareVersions {
     let mut versions = SoftwareVersions::default();
     records.iter().for_each(|r| versions.record(START, r));
-    versions.record_confirmation(&confirmation(START), RESUME_WINDOW);
+    versions.record_confirmation(&confirmation(START, &[]), RESUME_WINDOW);
     versions
 }
 
@@ -80,7 +81,7 @@
         let mut versions = known(&[replica("a", "v1", first), new.clone()]);
         versions.record(START, &replica("a", "v1", ended));
         let later = START.after(Millis(RESUME_WINDOW.0 - 1));
-        versions.record_confirmation(&confirmation(later), RESUME_WINDOW);
+        versions.record_confirmation(&confirmation(later, &[]), RESUME_WINDOW);
         assert_eq!(versions.single(later, SERVICE), None);
         let over = START.after(RESUME_WINDOW);
         assert_eq!(versions.single(over, SERVICE), Some("v2"));
@@ -96,7 +97,7 @@
     versions.expire(START);
     let over = START.after(RESUME_WINDOW);
     versions.expire(over);
-    versions.record_confirmation(&confirmation(over), RESUME_WINDOW);
+    versions.record_confirmation(&confirmation(over, &[]), RESUME_WINDOW);
     assert_eq!(versions.single(over, SERVICE), Some("v2"));
 }
 
@@ -107,30 +108,66 @@
     let mut versions = SoftwareVersions::default();
     versions.record(START, &replica("a", "v1", ReplicaStatus::Ready));
     assert!(!versions.is_complete(START));
-    versions.record_confirmation(&confirmation(START), Millis(RESUME_WINDOW.0 - 1));
+    versions.record_confirmation(&confirmation(START, &[]), Millis(RESUME_WINDOW.0 - 1));
     assert!(versions.is_complete(START));
     assert_eq!(versions.single(START, SERVICE), None, "it has just started");
-    versions.record_confirmation(&confirmation(START), RESUME_WINDOW);
+    versions.record_confirmation(&confirmation(START, &[]), RESUME_WINDOW);
     assert_eq!(versions.single(START, SERVICE), Some("v1"));
     assert_eq!(versions.single(START.after(Millis::seconds(3)), SERVICE), None, "cut off");
 }
 
+/// Guards against a router that has started since a version was replaced and knows only the one that replaced it, and
+/// against one of two control processes that has not seen the earlier version.
+#[test]
+fn a_control_process_knows_versions_that_were_replaced() {
+    let mut versions = known(&[replica("a", "v2", ReplicaStatus::Ready)]);
+    versions.record_confirmation(&confirmation(START, &[SERVICE]), RESUME_WINDOW);
+    assert_eq!(versions.single(START, SERVICE), None);
+    let next = START.after(Millis(1_000));
+    versions.record_confirmation(&confirmation(next, &[]), RESUME_WINDOW);
+    assert_eq!(versions.single(next, SERVICE), None, "the word of another process");
+    let later = START.after(Millis::seconds(4));
+    versions.record_confirmation(&confirmation(later, &[]), RESUME_WINDOW);
+    assert_eq!(versions.single(later, SERVICE), Some("v2"));
+}
+
 /// Guards against messages that a router reads late, after it stood still or was cut off: they hold as of the time at
 /// which the router asked, not as of the time at which it reads them.
 #[test]
 fn a_confirmation_holds_as_of_the_time_at_which_it_was_requested() {
     let mut versions = known(&[replica("a", "v1", ReplicaStatus::Ready)]);
     let woken = START.after(Millis::seconds(3));
-    versions.record_confirmation(&confirmation(START.after(Millis(900))), RESUME_WINDOW);
+    versions.record_confirmation(&confirmation(START.after(Millis(900)), &[]), RESUME_WINDOW);
     assert_eq!(versions.single(woken, SERVICE), None);
     assert!(!versions.is_confirmed_since(woken));
-    versions.record_confirmation(&confirmation(woken), RESUME_WINDOW);
+    versions.record_confirmation(&confirmation(woken, &[]), RESUME_WINDOW);
     // A response that was overtaken does not take the newer one back.
-    versions.record_confirmation(&confirmation(START), RESUME_WINDOW);
+    versions.record_confirmation(&confirmation(START, &[]), RESUME_WINDOW);
     assert!(versions.is_confirmed_since(woken));
     assert_eq!(versions.single(woken, SERVICE), Some("v1"));
 }
 
+/// Guards against a registry that forgets a version when a replica registers anew under its id.
+#[rstest]
+#[case::with_start_times(1, 2)]
+#[case::without_start_times(0, 0)]
+fn a_registry_remembers_versions_that_were_replaced(#[case] old: u64, #[case] new: u64) {
+    let mut registry = Registry::default();
+    let ready = |version, born, sequence| {
+        let mut r = replica("a", version, ReplicaStatus::Ready);
+        (r.registration.born, r.registration.sequence) = (born, sequence);
+        r
+    };
+    registry.apply(START, ready("v1", old, 1), RecordSource::Replica);
+    assert!(registry.services_with_several_versions(START).is_empty());
+    let is_change = registry.apply(START, ready("v2", new, 2), RecordSource::Replica);
+    assert!(is_change, "routers learn of the version");
+    let later = START.after(Millis(RESUME_WINDOW.0 - 1));
+    assert_eq!(registry.services_with_several_versions(later), [SERVICE]);
+    let over = START.after(RESUME_WINDOW);
+    assert!(registry.services_with_several_versions(over).is_empty());
+}
+
 #[test]
 fn an_origin_is_found_by_account_and_attempt() {
     let mut origins = Origins::new(10);
--- a/crates/cypressfork/tests/stream_versions.rs
+++ b/crates/cypressfork/tests/stream_versions.rs
@@ -563,6 +563,78 @@
     });
 }
 
+/// How replicas of another version take the place of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Replacement {
+    /// They keep the ids and addresses of those before.
+    SameIds,
+    /// They have ids and addresses of their own, and those before leave.
+    NewIds,
+}
+
+impl Replacement {
+    /// Replaces all replicas by those of another version.
+    fn apply(self, f: &mut Setup, version: &'static str) {
+        let old = match self {
+            Replacement::SameIds => {
+                f.replicas.iter().for_each(|r| r.restart_silently_as(version));
+                f.replicas.iter().for_each(|r| r.resume());
+                return;
+            }
+            Replacement::NewIds => std::mem::take(&mut f.replicas),
+        };
+        let control = f.fleet.controls[0].api;
+        let start = |n| {
+            let name = format!("{version}-{n}");
+            Replica::start("talk", &name, version, control, f.stop.clone())
+        };
+        f.replicas = (0..old.len()).map(start).collect();
+        for r in old {
+            r.running.store(false, Ordering::Relaxed);
+            let left = f.fleet.call(0, "DELETE", &format!("/v1/replicas/{}", r.name), "");
+            assert_eq!(left.map(|(status, _)| status), Some(200));
+        }
+    }
+}
+
+impl Setup {
+    /// Kills all gateways at once and starts them again.
+    fn restart_gateways(&mut self) {
+        self.gateways.iter_mut().for_each(|g| g.process.kill());
+        let Setup { fleet, gateways, .. } = self;
+        gateways.iter_mut().for_each(|g| fleet.restart_extra_gateway(g));
+        for g in gateways {
+            wait_for("the gateway to serve", || TcpStream::connect(g.listen).is_ok());
+        }
+    }
+}
+
+/// Guards against streams that are joined from two versions after the death of all gateways: those that start again know
+/// only the version that replaced the one before, which has begun the streams.
+#[rstest]
+#[case(Replacement::SameIds)]
+#[case(Replacement::NewIds)]
+fn streams_of_a_replaced_version_do_not_continue_after_the_death_of_all_gateways(
+    #[case] replacement: Replacement,
+) {
+    let mut f = Setup::new(2, &[("talk", "v1"); 3], &["talk"]);
+    let first = f.run_callers(|n| {
+        Response::read(send(f.gateway(n), "club-key", "x", &format!("s-{n}"), None), Some(BREAK))
+    });
+    replacement.apply(&mut f, "v2");
+    f.wait_until_known();
+    f.restart_gateways();
+    let first = Mutex::new(first.into_iter().map(Some).collect::<Vec<_>>());
+    let streams = f.run_callers(|n| {
+        let first = first.lock().unwrap()[n].take().unwrap();
+        let id = header(&first.text, "x-request-id").to_owned();
+        let resume = Resume { last: BREAK, id: Some(&id) };
+        let s = send(f.gateway(n), "club-key", "x", &format!("r-{n}"), Some(resume));
+        [first, Response::read(s, None)]
+    });
+    assert_eq!(mixed(&streams), 0, "of {STREAMS} streams");
+}
+
 /// Guards against a gateway that infers the version of a stream from a list that no longer holds: while its links to control
 /// processes are silent, another version joins and begins streams at other gateways, whose origins are lost.
 #[test]
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -167,7 +167,8 @@
         complete_for: Some(Millis(9)),
         ..watch_response()
     };
-    let confirmed = Some(Confirmation { as_of: Time(7) });
+    let several_versions = vec!["talk".to_owned()];
+    let confirmed = Some(Confirmation { as_of: Time(7), several_versions });
     let confirmed = WatchResponse { confirmed, ..complete.clone() };
     assert_eq!(body::unpack::<WatchResponse>(&body::pack(&complete)), Ok(complete));
     assert_eq!(body::unpack::<WatchResponse>(&body::pack(&confirmed)), Ok(confirmed));
