Ask the system whether a kept connection has received bytes

A request was sent on a kept connection that had received a surplus response, or had been closed, where the runtime had not polled the socket since: the surplus was then told from the own response by its id alone, and a request that may run once was lost on a closed connection. Cause: whether a connection is silent was asked of the runtime, which answers by its last poll. Class: a belief with an age. Evidence: crates/http/tests/client.rs, bytes_that_the_runtime_has_not_seen_yet_are_noticed: both cases (bytes, the end) fail before, pass after. Why it works: the check is a peek at the socket. What arrives between it and the send is still told by its id.

--- a/crates/http/src/client/transport.rs
+++ b/crates/http/src/client/transport.rs
@@ -1,8 +1,10 @@
 //! Byte streams that carry HTTP/1.1 connections.
 
 use std::io;
+use std::mem::MaybeUninit;
 
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -36,7 +38,9 @@
     }
 
     fn is_silent(&self) -> bool {
-        let mut byte = [0];
-        matches!(self.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        // Asks the system, because the runtime only knows what it has polled.
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(self).peek(&mut byte);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -3,7 +3,7 @@
 #![allow(missing_docs)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use actix_http::{Method, Uri};
 use bytes::Bytes;
 use cypressfork_http::client::{Connection, ExchangeError, OutboundRequest};
+use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
 /// Larger than the buffers of a connection, so that the server reads a part before all of it is sent.
@@ -76,3 +77,39 @@
         assert_eq!(error, ExchangeError::Stale);
     });
 }
+
+/// Guards against a request on a connection that has received bytes, or has been closed, since the runtime last polled it.
+#[rstest]
+#[case::bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")]
+#[case::the_end(b"")]
+fn bytes_that_the_runtime_has_not_seen_yet_are_noticed(#[case] surplus: &'static [u8]) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (send_surplus, surplus_wanted) = channel();
+    let (surplus_sent, sent) = channel();
+    thread::spawn(move || {
+        let (mut s, _) = listener.accept().unwrap();
+        assert!(s.read(&mut [0; 4096]).unwrap() > 0);
+        s.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        surplus_wanted.recv().unwrap();
+        s.write_all(surplus).unwrap();
+        if surplus.is_empty() {
+            s.shutdown(Shutdown::Both).unwrap();
+        }
+        surplus_sent.send(()).unwrap();
+        let _ = surplus_wanted.recv();
+    });
+    actix_rt::System::new().block_on(async {
+        let mut c = Connection::open(address).await.unwrap();
+        send(&mut c, &Bytes::from_static(b"first")).await.unwrap();
+        c.read_head().await.unwrap();
+        while c.read_chunk().await.unwrap().is_some() {}
+        c.mark_idle(Instant::now());
+        assert!(c.is_fresh(Instant::now()));
+        // Blocks the runtime, so that it does not poll the socket.
+        send_surplus.send(()).unwrap();
+        sent.recv().unwrap();
+        thread::sleep(Duration::from_millis(50));
+        assert!(!c.is_fresh(Instant::now()));
+    });
+}
