Soak: replicas that stutter

In half of the seeds the proxies in front of replicas send an interim head with the request's id before 30 in 100 responses, and 20 in 100 responses a second time, up to 40 ms later. A separate generator leaves the steps of each seed as they were. No check names the interim response itself, because the callers of the soak read with the client that now skips it: what shows is that nothing else arrives.

--- a/crates/cypressfork/tests/response_heads.rs
+++ b/crates/cypressfork/tests/response_heads.rs
@@ -77,8 +77,7 @@
     let f = start(&[start_scripted_replica(move |text, id| {
         let head = |s: &&str| format!("HTTP/1.1 {s}\r\nX-Request-Id: {id}\r\n\r\n");
         let is_ready_check = text.contains("/ready");
-        let mut parts: Vec<_> =
-            interim.iter().filter(|_| !is_ready_check).map(|s| head(s)).collect();
+        let mut parts: Vec<_> = interim.iter().filter(|_| !is_ready_check).map(head).collect();
         parts.push(sound(text, id));
         let parts = if at_once { vec![parts.concat()] } else { parts };
         Script::new(parts, End::Keep)
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -132,7 +132,7 @@
     codec: Option<Codec>,
     /// The connection has carried an earlier exchange.
     used: bool,
-    /// The request is one for a head.
+    /// The request is HEAD.
     answers_head: bool,
     /// The current response has no body.
     has_no_body: bool,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod proxy;
 pub mod replica;
 pub mod run;
+pub mod stutter;
 pub mod world;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -251,6 +251,8 @@
     pub healed: u64,
     /// Number of software versions that the replicas of `talk` run side by side.
     pub versions: u64,
+    /// Whether replicas send interim heads, and responses a second time.
+    pub stutters: bool,
     /// The faults, ordered by start.
     pub steps: Vec<Step>,
     /// Requests that crash their replicas.
@@ -313,6 +315,7 @@
             size,
             healed: millis,
             versions: draw_versions(seed),
+            stutters: draw_stutters(seed),
             steps,
             poisons,
             limits,
@@ -333,6 +336,15 @@
     SmallRng::seed_from_u64(seed ^ 0x7a3f_91c4_d2b8_605e).random_range(1..=MAX_VERSIONS)
 }
 
+/// Percentage of seeds with replicas that stutter.
+const STUTTER_PERCENT: u32 = 50;
+
+/// Draws whether replicas stutter. A separate generator leaves the steps of a seed unchanged.
+fn draw_stutters(seed: u64) -> bool {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x51d2_8ab3_07c4_9f6e);
+    rng.random_range(0..100) < STUTTER_PERCENT
+}
+
 /// Percentage of seeds with poison requests.
 const POISONED_PERCENT: u32 = 50;
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -13,7 +13,7 @@
 use cypressfork_wire::frame::{self, LENGTH_PREFIX_LEN, MAX_HANDSHAKE_FRAME};
 use cypressfork_wire::{Frame, decode};
 use socket2::{SockFilter, SockRef};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 
 use crate::plan::OpenConnections;
+use crate::stutter;
 
 /// Buffer size for forwarding, in bytes.
 const BUFFER_SIZE: usize = 16 * 1024;
@@ -235,24 +236,32 @@
 }
 
 impl ReplicaProxy {
-    /// Listens on a free port and forwards connections to `to`. Drops the packets from `cut_off`.
+    /// Listens on a free port and forwards connections to `to`, which may stutter. Drops the packets from `cut_off`.
     ///
     /// # Errors
     /// Fails if no port can be bound.
-    pub async fn start(to: SocketAddr, cut_off: &[Ipv4Addr]) -> io::Result<ReplicaProxy> {
+    pub async fn start(
+        to: SocketAddr,
+        cut_off: &[Ipv4Addr],
+        stutters: bool,
+    ) -> io::Result<ReplicaProxy> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let socket = listener.as_fd().try_clone_to_owned()?;
         let connections: Rc<RefCell<Vec<Forwarded>>> = Rc::default();
         let all = connections.clone();
         let accept_task = actix_rt::spawn(async move {
-            while let Ok((mut client, from)) = listener.accept().await {
+            for seed in 0.. {
+                let Ok((mut client, from)) = listener.accept().await else { return };
                 let Ok(socket) = client.as_fd().try_clone_to_owned() else { continue };
                 let open = all.clone();
                 let connection = actix_rt::spawn(async move {
                     if let Ok(mut server) = TcpStream::connect(to).await {
                         // The processes under test handle broken connections.
-                        let _ = tokio::io::copy_bidirectional(&mut client, &mut server).await;
+                        let _ = match stutters {
+                            true => stutter::forward(&mut client, &mut server, seed).await,
+                            false => copy_bidirectional(&mut client, &mut server).await.map(drop),
+                        };
                     }
                     // The socket is closed with its last handle.
                     open.borrow_mut().retain(|c: &Forwarded| c.from != from);
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -140,7 +140,7 @@
         w.end_announcements(&id);
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let cut_off = w.cut_off.borrow().clone();
-        let proxy = ReplicaProxy::start(listener.local_addr()?, &cut_off).await?;
+        let proxy = ReplicaProxy::start(listener.local_addr()?, &cut_off, w.stutters.get()).await?;
         let born = w.next_born();
         let version = match service {
             "talk" => format!("v{}", born % w.versions.get()),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -177,6 +177,7 @@
     let operators = fleet.gateways.iter().map(|g| g.operators).collect();
     let w = Rc::new(World::new(plan.seed, apis, gateways, operators));
     w.versions.set(plan.versions);
+    w.stutters.set(plan.stutters);
     let replicas = |service| RefCell::new(Replicas { service, started: 0, running: Vec::new() });
     let (talk, board) = (replicas("talk"), replicas("board"));
     let run = Rc::new(Run { w, fleet, talk, board, tasks: RefCell::default() });
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -35,6 +35,8 @@
     pub crashed: RefCell<Vec<String>>,
     /// Number of software versions that the replicas of `talk` run side by side.
     pub versions: Cell<u64>,
+    /// Whether replicas stutter.
+    pub stutters: Cell<bool>,
     /// Start time of the last replica, in milliseconds since the Unix epoch.
     born: Cell<u64>,
     rng: RefCell<SmallRng>,
@@ -62,6 +64,7 @@
             cut_off: RefCell::default(),
             crashed: RefCell::default(),
             versions: Cell::new(1),
+            stutters: Cell::new(false),
             born: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         }
