Log each signal of a planned stop, and what is under way when it ends

What callers saw: streams closed around the stop of a gateway.

Event 102 names the signal, 105 its repetition and the time since the first one, and the new event 467 the requests that were being served and received at the end of the drain. No logic changes.

--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -149,7 +149,7 @@
     }
     let opened = tokio::select! {
         opened = open_disk(&s) => opened,
-        () = stop_signal() => return Ok(()),
+        _ = stop_signal() => return Ok(()),
     };
     let (disk, restored) = opened.map_err(disk_failure)?;
     let node = disk.node();
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -206,7 +206,7 @@
         tokio::pin!(stop);
         loop {
             tokio::select! {
-                () = &mut stop => break,
+                _ = &mut stop => break,
                 Some(input) = rx.recv() => {
                     self.loop_stats.start_iteration();
                     self.handle_batch(input, &mut rx);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -140,6 +140,7 @@
     ForeignResponse = 454, Warn, "a replica sent a response to another request, which was skipped";
     CallerCut = 465, Warn, "a caller was cut because too many bytes are held for slow callers";
     ClientsClosed = 466, Warn, "connections of clients were closed to make room for others";
+    DrainEnded = 467, Info, "a planned stop no longer waits for requests";
 }
 
 /// Logs an event at its level, with fields written as `key = value`.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -178,8 +178,8 @@
     }
 }
 
-/// Waits for `SIGTERM` or `SIGINT`, which request a planned stop (graceful shutdown).
-pub async fn stop_signal() {
+/// Waits for `SIGTERM` or `SIGINT`, which request a planned stop (graceful shutdown). Returns the signal's name.
+pub async fn stop_signal() -> &'static str {
     let (Ok(mut term), Ok(mut int)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
     else {
@@ -187,7 +187,7 @@
         return std::future::pending().await;
     };
     tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+        _ = term.recv() => "TERM",
+        _ = int.recv() => "INT",
     }
 }
--- a/crates/router/src/gateway/drain.rs
+++ b/crates/router/src/gateway/drain.rs
@@ -26,7 +26,6 @@
 pub async fn drain(gw: Rc<Gateway>, closed: watch::Sender<bool>) {
     let start = Instant::now();
     let within = gw.settings.stop_within;
-    emit!(Event::Stopping);
     gw.stopping.set(true);
     gw.origins.send_all(&gw);
     actix_rt::spawn(announce_leave(gw.clone()));
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -109,11 +109,19 @@
     actix_rt::spawn(probe_issuers_forever(gw.clone()));
     let g = gw.clone();
     actix_rt::spawn(reload_forever(move || load(&file), move |s| reload::<D>(&g, s)));
-    stop_signal().await;
-    tokio::select! {
-        () = drain(gw, closed_tx) => {}
-        () = stop_signal() => emit!(Event::StopForced),
+    let signal = stop_signal().await;
+    emit!(Event::Stopping, signal = signal);
+    let (g, started) = (gw.clone(), Instant::now());
+    let again = tokio::select! {
+        () = drain(gw, closed_tx) => None,
+        again = stop_signal() => Some(again),
+    };
+    let after = started.elapsed().as_millis();
+    if let Some(signal) = again {
+        emit!(Event::StopForced, signal = signal, after_ms = after);
     }
+    let (active, receiving) = (g.active_connections.get(), g.receiving.get());
+    emit!(Event::DrainEnded, after_ms = after, active = active, receiving = receiving);
     emit!(Event::Stopped);
     Ok(())
 }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -87,7 +87,7 @@
     stop_signal().await;
     tokio::select! {
         () = drain(app) => {}
-        () = stop_signal() => emit!(Event::StopForced),
+        signal = stop_signal() => emit!(Event::StopForced, signal = signal),
     }
     emit!(Event::Stopped);
     Ok(())
