A stop is requested once, however many signals ask for it

What callers saw: streams and other requests whose connections were closed without a whole response while their gateway was being stopped.

Cause: SIGTERM or SIGINT during the drain ended the process at once, in gateways and in routers. One event that is told twice was taken for another order. Supervisors repeat their signal, a process group gets one beside the process itself, and a rollout may overlap a stop.

Handlers stand before a process listens, so that a stop or a reload during the start does not kill it. SIGQUIT, which has no handler, and SIGKILL end a process at once, so that an operator can still cut a stop short.

--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -16,8 +16,9 @@
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
 use cypressfork_node::link::Credentials;
-use cypressfork_node::process::{Failure, listen, reload_forever, stop_signal};
+use cypressfork_node::process::{Failure, listen};
 use cypressfork_node::settings::{ClientBounds, load};
+use cypressfork_node::signals::{Reload, StopSignals};
 use cypressfork_node::time::{Clock, unix_time};
 use cypressfork_node::{emit, logging};
 use cypressfork_store::{Error, Folder, set_aside};
@@ -138,6 +139,7 @@
 /// Serves until a stop signal arrives, with the HTTP API of `D`. Returns the result code and the
 /// reason if the process cannot start or continue. A reload signal rereads the settings from `file`.
 pub async fn serve<D: Dialect>(s: Settings, file: PathBuf) -> Result<(), Failure> {
+    let (mut stop, reload) = (StopSignals::new(), Reload::new());
     logging::start(s.base.log_level, s.base.log_form);
     let clock = Clock::start();
     let clients = Clients::new(clock, max_held_bytes(s.clients.memory));
@@ -149,7 +151,7 @@
     }
     let opened = tokio::select! {
         opened = open_disk(&s) => opened,
-        _ = stop_signal() => return Ok(()),
+        _ = stop.requested() => return Ok(()),
     };
     let (disk, restored) = opened.map_err(disk_failure)?;
     let node = disk.node();
@@ -183,18 +185,18 @@
         None => None,
     };
     let reloaded_group = group.clone();
-    actix_rt::spawn(reload_forever(
-        move || load_settings(&file),
-        move |s| reloaded_group.set_addresses(s.base.control),
-    ));
+    actix_rt::spawn(
+        reload.run(
+            move || load_settings(&file),
+            move |s| reloaded_group.set_addresses(s.base.control),
+        ),
+    );
     let server = Server::new(member, clock, me, s.advertise, reserve, group, fleet);
-    let ended = server.run(listener).await;
+    let ended = server.run(listener, stop).await;
     if let (Err((Code::FolderForeign, _)), Some(_)) = (&ended, &s.fleet) {
         // The next start joins the group as a new member, which replaces this one.
         set_aside(&s.data_folder).map_err(disk_failure)?;
         emit!(Event::FolderSetAside, node = format_args!("{node:016x}"));
     }
-    ended?;
-    emit!(Event::Stopped);
-    Ok(())
+    ended
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -23,7 +23,8 @@
 use cypressfork_node::group::GroupClient;
 use cypressfork_node::link::Credentials;
 use cypressfork_node::metric;
-use cypressfork_node::process::{Failure, stop_signal};
+use cypressfork_node::process::Failure;
+use cypressfork_node::signals::StopSignals;
 use cypressfork_node::time::{Clock, unix_time};
 use cypressfork_store::Error;
 use cypressfork_wire::{Ask, Frame, Return, body};
@@ -196,17 +197,19 @@
     }
 
     /// Serves until a stop signal arrives. Returns an error if the member cannot continue.
-    pub async fn run(mut self, listener: TcpListener) -> Result<(), Failure> {
+    pub async fn run(
+        mut self,
+        listener: TcpListener,
+        mut stop: StopSignals,
+    ) -> Result<(), Failure> {
         let (tx, mut rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
         actix_rt::spawn(accept_links(listener, self.credentials.clone(), tx.clone()));
         let heartbeat = Duration::from_millis(self.member.settings.raft.heartbeat.0);
         let mut ticks = interval((heartbeat / 5).clamp(TICK_RANGE.0, TICK_RANGE.1));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-        let stop = stop_signal();
-        tokio::pin!(stop);
-        loop {
+        let signal = loop {
             tokio::select! {
-                _ = &mut stop => break,
+                signal = stop.requested() => break signal,
                 Some(input) = rx.recv() => {
                     self.loop_stats.start_iteration();
                     self.handle_batch(input, &mut rx);
@@ -231,12 +234,14 @@
             }
             self.finish()?;
             self.loop_stats.end_iteration();
-        }
-        emit!(Event::Stopping);
-        self.member.transfer_leadership();
-        self.finish()?;
-        sleep(TRANSFER_TIMEOUT).await;
-        Ok(())
+        };
+        let stopped = async {
+            self.member.transfer_leadership();
+            self.finish()?;
+            sleep(TRANSFER_TIMEOUT).await;
+            Ok(())
+        };
+        stop.run_stop(signal, stopped).await
     }
 
     /// Reads the monotonic clock, and the wall clock as agreed with the other control processes.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -39,10 +39,10 @@
     Stopping = 102, Info, "a signal requested a planned stop";
     Stopped = 103, Info, "the process ends";
     StartFailed = 104, Error, "the process cannot start or continue";
-    StopForced = 105, Warn, "a second signal ended the process at once";
     Panicked = 106, Error, "a task panicked; the request that it served is lost";
     LinesDropped = 107, Warn, "log lines were dropped because the reader was too slow";
     BootClockUnavailable = 108, Warn, "this system has no clock that counts suspensions; the monotonic clock is used";
+    StopRepeated = 109, Info, "a signal requested a stop that is in progress";
     LinkOpened = 201, Debug, "a link to a peer is open";
     LinkClosed = 202, Debug, "a link to a peer has closed";
     LinkRefused = 203, Warn, "a link from a peer was refused";
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod poll_trigger;
 pub mod process;
 pub mod settings;
+pub mod signals;
 pub mod silence;
 pub mod time;
 pub mod tunnel;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,4 +1,4 @@
-//! Command line, signals and exit status of the daemons.
+//! Command line, listening sockets and exit status of the daemons.
 
 use std::io;
 use std::net::SocketAddr;
@@ -9,7 +9,6 @@
 use getopts::Options;
 use nix::sys::resource::{Resource, getrlimit};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::event::Event;
 use crate::{emit, logging};
@@ -136,58 +135,3 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
-
-/// Receives `SIGHUP`, which requests a reload of the settings. Create it before the process starts to
-/// serve: without a handler the signal terminates the process.
-pub struct Reload(Option<Signal>);
-
-impl Reload {
-    /// Installs the signal handler.
-    pub fn new() -> Reload {
-        Reload(signal(SignalKind::hangup()).ok())
-    }
-
-    /// Waits for the next signal. Never returns if the handler could not be installed.
-    pub async fn requested(&mut self) {
-        let Some(signals) = &mut self.0 else { return std::future::pending().await };
-        if signals.recv().await.is_none() {
-            std::future::pending().await
-        }
-    }
-}
-
-impl Default for Reload {
-    fn default() -> Reload {
-        Reload::new()
-    }
-}
-
-/// Reloads the settings at each `SIGHUP` and passes them to `apply`. If `read` fails, the failure is
-/// logged and the current settings stay in force. Never returns.
-pub async fn reload_forever<S>(read: impl Fn() -> Result<S, Failure>, apply: impl Fn(S)) {
-    let mut reload = Reload::new();
-    loop {
-        reload.requested().await;
-        match read() {
-            Ok(s) => {
-                apply(s);
-                emit!(Event::SettingsReloaded);
-            }
-            Err((code, why)) => emit!(Event::SettingsReloadFailed, code = code.number(), why = why),
-        }
-    }
-}
-
-/// Waits for `SIGTERM` or `SIGINT`, which request a planned stop (graceful shutdown). Returns the signal's name.
-pub async fn stop_signal() -> &'static str {
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        // Without handlers these signals terminate the process.
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => "TERM",
-        _ = int.recv() => "INT",
-    }
-}
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -24,7 +24,6 @@
 /// have expired, waits for active requests, returns all slices, and ends the registration. Waits at most
 /// the configured drain time for requests and slices.
 pub async fn drain(app: Rc<App>) {
-    emit!(Event::Stopping);
     app.draining.set(true);
     let Some(token_store) = app.token_store() else { return };
     announce_leaving(&app, &token_store).await;
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -13,8 +13,9 @@
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
 use cypressfork_node::link::Credentials;
-use cypressfork_node::process::{Failure, listen, reload_forever, stop_signal};
+use cypressfork_node::process::{Failure, listen};
 use cypressfork_node::settings::load;
+use cypressfork_node::signals::{Reload, StopSignals};
 use cypressfork_node::time::Clock;
 use cypressfork_node::{emit, logging, metric};
 use metrics::gauge;
@@ -64,12 +65,13 @@
 }
 
 /// Runs a gateway with the dialect `D` until the process is asked to stop. `file` is read again with `load`
-/// to reload the settings. A second stop signal ends the process without waiting for requests.
+/// to reload the settings.
 pub async fn serve<D: Dialect>(
     s: Settings,
     file: PathBuf,
     load: impl Fn(&Path) -> Result<Settings, Failure> + 'static,
 ) -> Result<(), Failure> {
+    let (mut stop, reload) = (StopSignals::new(), Reload::new());
     logging::start(s.base.log_level, s.base.log_form);
     let metrics = operators::start_metrics()
         .map_err(|e| (Code::SettingsValue, format!("could not start metrics: {e}")))?;
@@ -108,26 +110,14 @@
     actix_rt::spawn(report_survivals_forever(gw.clone()));
     actix_rt::spawn(probe_issuers_forever(gw.clone()));
     let g = gw.clone();
-    actix_rt::spawn(reload_forever(move || load(&file), move |s| reload::<D>(&g, s)));
-    let signal = stop_signal().await;
-    emit!(Event::Stopping, signal = signal);
-    let (g, started) = (gw.clone(), Instant::now());
-    let again = tokio::select! {
-        () = drain(gw, closed_tx) => None,
-        again = stop_signal() => Some(again),
-    };
-    let after = started.elapsed().as_millis();
-    if let Some(signal) = again {
-        emit!(Event::StopForced, signal = signal, after_ms = after);
-    }
-    let (active, receiving) = (g.active_connections.get(), g.receiving.get());
-    emit!(Event::DrainEnded, after_ms = after, active = active, receiving = receiving);
-    emit!(Event::Stopped);
+    actix_rt::spawn(reload.run(move || load(&file), move |s| apply_reload::<D>(&g, s)));
+    let signal = stop.requested().await;
+    stop.run_stop(signal, drain(gw, closed_tx)).await;
     Ok(())
 }
 
 /// Applies the settings that may change while the process runs: the addresses of the control processes.
-fn reload<D: Dialect>(gw: &Rc<Gateway>, s: Settings) {
+fn apply_reload<D: Dialect>(gw: &Rc<Gateway>, s: Settings) {
     gw.group.set_addresses(s.base.control.clone());
     watch_all::<D>(gw, s.base.control);
 }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -11,8 +11,9 @@
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
 use cypressfork_node::link::Credentials;
-use cypressfork_node::process::{Failure, listen, reload_forever, stop_signal};
+use cypressfork_node::process::{Failure, listen};
 use cypressfork_node::settings::load;
+use cypressfork_node::signals::{Reload, StopSignals};
 use cypressfork_node::time::Clock;
 use cypressfork_node::{emit, logging};
 
@@ -44,9 +45,9 @@
     })
 }
 
-/// Serves until a stop signal, then drains. A second signal ends the drain. `file` is the settings
-/// file, whose control addresses can be reloaded.
+/// Serves until a stop signal, then drains. `file` is the settings file, whose control addresses can be reloaded.
 pub async fn run(s: Settings, file: PathBuf) -> Result<(), Failure> {
+    let (mut stop, reload) = (StopSignals::new(), Reload::new());
     logging::start(s.base.log_level, s.base.log_form);
     let metrics = operators::start_metrics()
         .map_err(|e| (Code::SettingsValue, format!("could not start metrics: {e}")))?;
@@ -80,15 +81,10 @@
     }
     actix_rt::spawn(register_and_watch(app.clone()));
     let group = app.group.clone();
-    actix_rt::spawn(reload_forever(
-        move || load_settings(&file),
-        move |s| group.set_addresses(s.base.control),
-    ));
-    stop_signal().await;
-    tokio::select! {
-        () = drain(app) => {}
-        signal = stop_signal() => emit!(Event::StopForced, signal = signal),
-    }
-    emit!(Event::Stopped);
+    actix_rt::spawn(
+        reload.run(move || load_settings(&file), move |s| group.set_addresses(s.base.control)),
+    );
+    let signal = stop.requested().await;
+    stop.run_stop(signal, drain(app)).await;
     Ok(())
 }
