A planned stop waits for whole exchanges, and answers those that it cuts

What callers saw: around the stop of a gateway, connections closed without any response for requests that were waiting for a document or whose body was arriving, and at the end of a stop for all requests in progress.

Cause: the end of a drain asked counters that cover a part of a request's life: not the wait for a document, not a body later than a second after the last connection was accepted, neither the sending of refusals nor the time in which a closing connection takes in what its caller has sent. What was left at the end of the stop was dropped with the process.

Each connection now holds a guard from the first byte of a request until the last byte of its response was accepted, or until it is closed, and the drain waits for these guards. The stages of a stop are one value that connections follow: requests that have not arrived a second after the listener closed are refused as not run (CF1315), so that clients that never finish one do not prolong the stop. At the end, requests without a response get 502, or 503 if they were sent to no replica, are logged with their ids, and settle their tokens; streams end without their last chunk. An idle connection is closed only if nothing has arrived on it, instead of by chance.

--- a/crates/cypressfork/tests/planned_stops.rs
+++ b/crates/cypressfork/tests/planned_stops.rs
@@ -5,7 +5,8 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::thread::{self, JoinHandle, sleep};
 use std::time::{Duration, Instant};
 
@@ -170,4 +171,141 @@
     let seen: usize = field(ended, "signals").parse().unwrap();
     // The system may tell two signals that arrive at once as one.
     assert!((1 + usize::from(repeated > 0)..=1 + repeated).contains(&seen), "{ended}");
+    let drained =
+        log.lines().find(|l| l.contains(" CFE467 ")).expect("the end of the drain is logged");
+    assert_eq!(field(drained, "under_way"), "0", "{drained}");
+}
+
+/// Sends a request with a body in chunks up to its last chunk, and returns the connection.
+fn begin_body(to: SocketAddr, id: &str) -> TcpStream {
+    let mut s = connect(to);
+    s.set_read_timeout(Some(STOP * 2)).unwrap();
+    let head = format!(
+        "POST /board/ready HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nAuthorization: Bearer club-key\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+    );
+    s.write_all(head.as_bytes()).unwrap();
+    s
+}
+
+/// Guards against connections that are closed without a response because the process ends while bodies are arriving.
+#[rstest]
+#[case::while_new_requests_are_served(SERVE / 2, 200)]
+#[case::soon_after(SERVE + Duration::from_millis(500), 200)]
+#[case::too_late(SERVE + Duration::from_millis(2_500), 503)]
+fn a_request_whose_body_arrives_during_a_stop_is_answered(
+    #[case] rest_after: Duration,
+    #[case] expected: u16,
+) {
+    let mut f = start(&settings(SERVE, STOP), RUN);
+    let mut s = begin_body(f.listen, "b-1");
+    sleep(Duration::from_millis(100));
+    gateway(&mut f).signal("TERM");
+    sleep(rest_after);
+    // Fails if the connection was closed.
+    let _ = s.write_all(b"0\r\n\r\n");
+    let text = receive(&mut s, false);
+    assert_eq!(status(&text), expected, "{text}");
+    assert_eq!(gateway(&mut f).wait(), Some(0));
+}
+
+/// Guards against requests that a stop closes without a response because they wait for a document.
+#[test]
+fn a_request_that_waits_for_a_document_is_answered_during_a_stop() {
+    let mut f = Fleet::new(1);
+    f.start_gateway_with(&settings(Duration::ZERO, STOP));
+    wait_for("the gateway", || TcpStream::connect(f.listen).is_ok());
+    let caller = call(f.listen, "/board/x", "d-1");
+    sleep(Duration::from_millis(100));
+    gateway(&mut f).signal("TERM");
+    let text = caller.join().unwrap().text;
+    assert_eq!(status(&text), 503, "{text}");
+    assert_eq!(gateway(&mut f).wait(), Some(0));
+}
+
+/// Guards against clients that prolong a stop with requests that they never finish.
+#[test]
+fn unfinished_requests_do_not_prolong_a_stop() {
+    let mut f = start(&settings(SERVE, STOP), RUN);
+    let _bodies: Vec<_> = (0..20).map(|n| begin_body(f.listen, &format!("b-{n}"))).collect();
+    let mut heads: Vec<_> = (0..20).map(|_| connect(f.listen)).collect();
+    heads.iter_mut().for_each(|s| s.write_all(b"GET /board/x HTTP/1.1\r\nHost: ").unwrap());
+    sleep(Duration::from_millis(100));
+    let started = Instant::now();
+    gateway(&mut f).signal("TERM");
+    assert_eq!(gateway(&mut f).wait(), Some(0));
+    // Requests have a second to arrive after the last connection was accepted, and half of one to be refused.
+    assert!(started.elapsed() < SERVE + Duration::from_secs(1) + EXIT, "{:?}", started.elapsed());
+}
+
+/// Guards against callers that are told nothing when a stop ends before their request.
+#[rstest]
+fn a_request_that_outlasts_a_stop_gets_a_response(#[values("/board/x", "/move/x")] path: &str) {
+    let stop = Duration::from_secs(2);
+    let mut f = start(&settings(SERVE, stop), STOP);
+    let caller = call(f.listen, path, "o-1");
+    sleep(Duration::from_millis(100));
+    let started = Instant::now();
+    gateway(&mut f).signal("TERM");
+    let got = caller.join().unwrap();
+    assert_eq!(status(&got.text), 502, "{}", got.text);
+    assert!(got.at - started < stop, "{:?}", got.at - started);
+    assert_eq!(gateway(&mut f).wait(), Some(0));
+    assert!(started.elapsed() < stop, "{:?}", started.elapsed());
+    let log = gateway(&mut f).log();
+    assert!(log.lines().any(|l| l.contains(" CFE420 ") && l.contains("id=o-1 ")), "{log}");
+}
+
+/// Guards against a stream that looks complete, or that no other gateway continues, because a stop ended before it.
+#[test]
+fn a_stream_that_outlasts_a_stop_is_continued_at_another_gateway() {
+    let stop = Duration::from_secs(2);
+    let mut f = start(&settings(SERVE, stop), STOP);
+    let others = f.start_extra_gateways(2);
+    for g in &others {
+        wait_for("another gateway", || {
+            exchange(g.listen, "GET", "/board/ready", CALLER_HEADERS, "")
+                .is_some_and(|a| a.0 == 200)
+        });
+    }
+    // The gateways learn of each other before the stream begins.
+    sleep(Duration::from_secs(1));
+    let caller = call(f.listen, "/talk/x", "s-1");
+    sleep(Duration::from_millis(800));
+    gateway(&mut f).signal("TERM");
+    let cut = caller.join().unwrap().text;
+    assert_eq!(gateway(&mut f).wait(), Some(0));
+    assert!(!cut.ends_with("0\r\n\r\n"), "{cut}");
+    let last = cut.matches("id: ").count();
+    assert!(last > 0 && last < LONG, "{cut}");
+    let mut s = connect(others[0].listen);
+    let head = format!(
+        "GET /talk/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: s-2\r\nResumes: s-1\r\nLast-Event-Id: {last}\r\nAuthorization: Bearer club-key\r\n\r\n"
+    );
+    s.set_read_timeout(Some(STOP * 2)).unwrap();
+    s.write_all(head.as_bytes()).unwrap();
+    let rest = receive(&mut s, false);
+    assert!(rest.contains(&format!("id: {}\n", last + 1)), "{rest}");
+    assert!(rest.ends_with("0\r\n\r\n") && rest.contains(&format!("id: {LONG}\n")), "{rest}");
+}
+
+/// Guards against a response that is lost because its connection is reset: what the caller sent ahead is not read.
+#[test]
+fn a_response_reaches_a_caller_that_sent_more_ahead() {
+    let mut f = start(&settings(SERVE, STOP), RUN);
+    let mut s = connect(f.listen);
+    s.set_read_timeout(Some(STOP * 2)).unwrap();
+    send(&mut s, "GET", "/move/x", "a-1");
+    sleep(Duration::from_millis(100));
+    gateway(&mut f).signal("TERM");
+    // More than the gateway reads ahead.
+    let ahead = vec![b'x'; 200 * 1024];
+    let mut writer = s.try_clone().unwrap();
+    thread::spawn(move || writer.write_all(&ahead));
+    sleep(RUN + Duration::from_millis(300));
+    let mut text = Vec::new();
+    let _ = s.read_to_end(&mut text);
+    let text = String::from_utf8_lossy(&text);
+    // What was sent ahead is no request, which may be told behind the response.
+    assert!(text.starts_with("HTTP/1.1 200") && text.contains("\r\n\r\na-1"), "{text}");
+    assert_eq!(gateway(&mut f).wait(), Some(0));
 }
--- a/crates/http/src/server/client/input.rs
+++ b/crates/http/src/server/client/input.rs
@@ -183,14 +183,17 @@
             self.buf = BytesMut::new();
             self.out = BytesMut::new();
             self.account.record_held(0);
+            self.account.end_exchange();
             let readable = tokio::select! {
-                readable = timeout(millis(limits.idle), self.stream.readable()) => readable,
+                biased;
                 () = self.account.wait_closed() => return NextRequest::Closed,
+                readable = timeout(millis(limits.idle), self.stream.readable()) => readable,
                 () = stop => return NextRequest::Closed,
             };
             if !matches!(readable, Ok(Ok(()))) {
                 return NextRequest::Closed;
             }
+            self.account.begin_exchange();
             if !std::mem::replace(&mut self.is_configured, true) {
                 // Failure only delays small writes, or keeps the connection of a client that is gone for longer.
                 let _ = self.stream.set_nodelay(true);
--- a/crates/http/src/server/clients.rs
+++ b/crates/http/src/server/clients.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep};
 
+use super::exchanges::{ExchangeGuard, Exchanges};
 use super::signal::CutSignal;
 
 /// Receive buffer of a client's connection in bytes. Bytes that have arrived use memory of the process before they
@@ -84,7 +85,7 @@
     /// Adds a listener that may have `max_connections` at once.
     pub fn add_listener(self: &Rc<Self>, max_connections: usize) -> ClientListener {
         let id = self.table.borrow_mut().add_listener(max_connections);
-        ClientListener { clients: self.clone(), id }
+        ClientListener { clients: self.clone(), id, exchanges: Rc::default() }
     }
 
     fn close(&self, closed: Closed) {
@@ -158,6 +159,7 @@
 pub struct ClientListener {
     clients: Rc<Clients>,
     id: ListenerId,
+    exchanges: Rc<Exchanges>,
 }
 
 impl ClientListener {
@@ -169,6 +171,11 @@
         SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER)
     }
 
+    /// Returns the exchanges under way on the listener's connections.
+    pub fn exchanges(&self) -> Rc<Exchanges> {
+        self.exchanges.clone()
+    }
+
     /// Returns the account of a connection that was accepted, and closes another one for it if there are too many.
     ///
     /// # Errors
@@ -182,7 +189,13 @@
         }
         let close = Rc::<CloseSignal>::default();
         clients.signals.borrow_mut().insert(id, close.clone());
-        Ok(ConnectionAccount { clients: clients.clone(), id, close })
+        Ok(ConnectionAccount {
+            clients: clients.clone(),
+            id,
+            close,
+            exchanges: self.exchanges.clone(),
+            exchange: None,
+        })
     }
 }
 
@@ -207,9 +220,22 @@
     clients: Rc<Clients>,
     id: ConnectionId,
     close: Rc<CloseSignal>,
+    exchanges: Rc<Exchanges>,
+    exchange: Option<ExchangeGuard>,
 }
 
 impl ConnectionAccount {
+    /// Records that a request has begun to arrive.
+    pub fn begin_exchange(&mut self) {
+        let exchanges = &self.exchanges;
+        self.exchange.get_or_insert_with(|| exchanges.begin());
+    }
+
+    /// Records that the connection is idle: no request has begun to arrive since the last response was sent.
+    pub fn end_exchange(&mut self) {
+        self.exchange = None;
+    }
+
     /// Waits for the turn to decode a long head, which takes much of the processor.
     pub async fn long_head_turn(&self) -> LongHeadTurn {
         // The semaphore is never closed.
--- a/crates/http/src/server/mod.rs
+++ b/crates/http/src/server/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod clients;
+pub mod exchanges;
 mod head;
 pub mod output;
 pub mod signal;
--- a/crates/router/src/gateway/drain.rs
+++ b/crates/router/src/gateway/drain.rs
@@ -4,47 +4,82 @@
 use std::time::Duration;
 
 use cypressfork_core::command::Command;
+use cypressfork_http::server::exchanges::Exchanges;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
-use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::state::Gateway;
+use super::stop::StopStage;
 
-/// Percentage of the shutdown time after which requests in flight are no longer waited for.
-const DRAIN_PERCENT: u32 = 94;
+/// Percentage of the shutdown time after which requests in flight are cut.
+const CUT_PERCENT: u32 = 94;
 
-/// How long bodies of requests are waited for after the last connection was accepted.
+/// Percentage of the shutdown time after which the process ends, whatever is left.
+const END_PERCENT: u32 = 97;
+
+/// Time in which requests have to arrive whole after the last connection was accepted.
 const RECEIVE_TIME: Duration = Duration::from_secs(1);
 
-/// Interval between checks for remaining requests and tokens.
+/// Interval between checks for relayed connections and tokens.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Drains the gateway: leaves the list of gateway addresses, continues to serve callers that still have
-/// this address, stops accepting connections through `closed`, waits for requests in flight and returns
-/// unused tokens.
-pub async fn drain(gw: Rc<Gateway>, closed: watch::Sender<bool>) {
+/// Drains the gateway: leaves the list of gateway addresses, continues to serve callers that still have this address,
+/// stops accepting connections, waits for the exchanges with callers and returns unused tokens.
+pub async fn drain(gw: Rc<Gateway>, exchanges: Rc<Exchanges>) {
     let start = Instant::now();
     let within = gw.settings.stop_within;
-    gw.stopping.set(true);
+    let (cut, end) = (start + within * CUT_PERCENT / 100, start + within * END_PERCENT / 100);
+    gw.stop.advance(StopStage::Leaving);
     gw.origins.send_all(&gw);
     actix_rt::spawn(announce_leave(gw.clone()));
     sleep(gw.settings.stop_serve).await;
-    emit!(Event::DrainWaiting, active = gw.active_connections.get());
-    // Fails only if no receiver is left.
-    let _ = closed.send(true);
-    let end = start + within * DRAIN_PERCENT / 100;
-    let received = Instant::now() + RECEIVE_TIME;
-    let is_busy = || {
-        let receives = gw.receiving.get() > 0 && Instant::now() < received;
-        receives || gw.active_connections.get() > 0 || gw.relayed.get() > 0
-    };
-    while (is_busy() || !gw.peers.is_settled()) && Instant::now() < end {
-        sleep(POLL_INTERVAL).await;
+    emit!(
+        Event::DrainWaiting,
+        exchanges = exchanges.count(),
+        active = gw.active_connections.get(),
+        relayed = gw.relayed.get()
+    );
+    gw.stop.advance(StopStage::Closed);
+    tokio::select! {
+        () = wait_idle(&gw, &exchanges, cut) => {}
+        () = end_receiving(&gw) => {}
     }
+    if exchanges.count() > 0 {
+        gw.stop.advance(StopStage::Ended);
+        // Fails if callers do not accept what they are told.
+        let _ = timeout_at(end, exchanges.none_left()).await;
+    }
+    let (left, relayed) = (exchanges.count(), gw.relayed.get());
+    let after = start.elapsed().as_millis();
+    emit!(Event::DrainEnded, under_way = left, relayed = relayed, after_ms = after);
     return_tokens(&gw, end).await;
 }
 
+/// Ends the time for requests to arrive. Never returns.
+async fn end_receiving(gw: &Gateway) {
+    sleep(RECEIVE_TIME).await;
+    gw.stop.advance(StopStage::Received);
+    std::future::pending().await
+}
+
+/// Waits until no caller, gateway or loan of tokens needs this gateway, until `end` at most.
+async fn wait_idle(gw: &Gateway, exchanges: &Exchanges, end: Instant) {
+    let idle = async {
+        loop {
+            exchanges.none_left().await;
+            if gw.relayed.get() == 0 && gw.peers.is_settled() {
+                return;
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        () = idle => {}
+        () = sleep_until(end) => {}
+    }
+}
+
 /// Reports to the control group that this gateway is leaving.
 async fn announce_leave(gw: Rc<Gateway>) {
     let Some(token_store) = gw.token_store() else { return };
--- a/crates/router/src/gateway/origins.rs
+++ b/crates/router/src/gateway/origins.rs
@@ -189,7 +189,7 @@
         let origin = Origin { route, service, version: version.to_owned() };
         let record = OriginRecord { stream, origin };
         let stays = request.infers_origin
-            && !request.gw.stopping.get()
+            && !request.gw.stop.is_requested()
             && self.has_single_version(now, &request.service);
         if !self.known.borrow_mut().store(now, record.clone(), stays) {
             counter!(metric::ORIGINS_DROPPED).increment(1);
--- a/crates/router/src/gateway/receive.rs
+++ b/crates/router/src/gateway/receive.rs
@@ -20,8 +20,9 @@
 use super::answer::send_refusal;
 use super::dialect::{CallerRequest, Dialect};
 use super::documents::depends_on_document;
-use super::request::{self, Outcome};
-use super::state::{CountGuard, Gateway};
+use super::request::{self, Outcome, stopped_outcome};
+use super::state::{ActiveGuard, Gateway};
+use super::stop::StopStage;
 use crate::reply::Refusal;
 
 /// `Retry-After` of a gateway without a current document.
@@ -30,6 +31,9 @@
 /// `Retry-After` of an overloaded gateway.
 const OVERLOADED_RETRY_AFTER: Millis = Millis::seconds(1);
 
+/// `Retry-After` of a gateway that stops. Others may serve the request at once.
+const STOPPING_RETRY_AFTER: Millis = Millis(0);
+
 /// Time in which a caller has to accept a refusal.
 pub const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -44,7 +48,12 @@
     let (id, outcome) = match D::parse_request(req.head()) {
         Ok(inbound) => {
             let id = inbound.id.clone();
-            (id, receive_and_run::<D>(gw, client, req, inbound, max_body).await)
+            let outcome = tokio::select! {
+                biased;
+                outcome = receive_and_run::<D>(gw, client, req, inbound, max_body) => Some(outcome),
+                () = gw.stop.reached(StopStage::Ended) => None,
+            };
+            (id, outcome.unwrap_or_else(|| stopped_outcome(client)))
         }
         Err(code) => (String::new(), Outcome::Refused(Refusal::from(code))),
     };
@@ -108,8 +117,11 @@
             if let Err(code) = check_routable(&routes, &req, &inbound) {
                 return Outcome::Refused(unroutable_refusal(gw, code));
             }
-            let _receiving = CountGuard::new(gw, |gw| &gw.receiving);
-            let body = client.read_body(&mut req.head_mut().headers, max_body).await;
+            let body = tokio::select! {
+                biased;
+                body = client.read_body(&mut req.head_mut().headers, max_body) => body,
+                () = gw.stop.reached(StopStage::Received) => Err(Code::Stopping),
+            };
             // Another document may be in force by now.
             routes = match routes_for(gw, &req, &inbound).await {
                 Ok(routes) => routes,
@@ -128,8 +140,8 @@
     if client.begin_request(0).is_err() {
         return Outcome::Refused(overloaded_refusal());
     }
-    let _active = CountGuard::new(gw, |gw| &gw.active_connections);
-    if gw.stopping.get() {
+    let _active = ActiveGuard::new(gw);
+    if gw.stop.is_requested() {
         client.close_after_response();
     }
     // Boxed, so that a request whose body is being received takes no space for it.
@@ -142,6 +154,7 @@
 pub fn unreceived_refusal(code: Code) -> Refusal {
     match code {
         Code::Overloaded => overloaded_refusal(),
+        Code::Stopping => Refusal::from(code).retry_after(STOPPING_RETRY_AFTER),
         code => Refusal::from(code),
     }
 }
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -150,7 +150,7 @@
     let active = gw.active_connections.get() as u64;
     // The request itself is counted.
     let relayed = gw.relayed.get() - 1;
-    !gw.stopping.get()
+    !gw.stop.is_requested()
         && may_relay(active, relayed, gw.settings.max_active_requests)
         && !gw.is_busy()
         && gw.may_send(service, *address, replica)
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -32,10 +32,11 @@
 use super::events::EventSplitter;
 use super::notices::SendKind;
 use super::origins::{ForwardedStream, OriginGround};
-use super::receive::{overloaded_refusal, unroutable_refusal};
+use super::receive::{overloaded_refusal, unreceived_refusal, unroutable_refusal};
 use super::rollouts::AttemptObservation;
 use super::routed_request::RoutedRequest;
 use super::state::{Gateway, PickedReplica};
+use super::stop::StopStage;
 use super::timing::StreamTiming;
 use crate::reply::Refusal;
 
@@ -137,6 +138,21 @@
     }
 }
 
+/// Why a request failed that outlasted a planned stop.
+const STOPPED: &str = "the gateway stops";
+
+/// Returns the outcome of a request that outlasts a planned stop and was sent to no replica, or of which a part of the
+/// response was sent.
+pub fn stopped_outcome(client: &mut Client) -> Outcome {
+    client.close_after_response();
+    if client.has_started() {
+        // What is buffered may have been sent in part.
+        client.abandon_output();
+        return Outcome::Interrupted(STOPPED.to_owned());
+    }
+    Outcome::Refused(unreceived_refusal(Code::Stopping))
+}
+
 /// Resolves the route of a request, reserves its tokens, runs it and settles the reservation.
 pub async fn run<D: Dialect>(
     gw: &Rc<Gateway>,
@@ -340,7 +356,12 @@
 
     /// Runs the request. If it fails after a replica returned a server error, forwards that.
     async fn run<D: Dialect>(&mut self, client: &mut Client) -> Outcome {
-        let outcome = self.try_replicas::<D>(client).await;
+        let request = self.request;
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.try_replicas::<D>(client) => outcome,
+            () = request.gw.stop.reached(StopStage::Ended) => self.cut_by_stop(client),
+        };
         if !matches!(outcome, Outcome::Refused(_)) {
             return outcome;
         }
@@ -550,6 +571,16 @@
         self.request.gw.quarantines.is_suspect(self.request)
     }
 
+    /// Returns the outcome of a request that outlasts a planned stop.
+    fn cut_by_stop(&self, client: &mut Client) -> Outcome {
+        if self.tried.is_empty() || client.has_started() {
+            return stopped_outcome(client);
+        }
+        client.close_after_response();
+        let failure = Refusal::from(Code::UpstreamFailed).ran(Ran::Unknown);
+        Outcome::Refused(failure.detail(STOPPED))
+    }
+
     /// Returns whether a replica may have received the request.
     fn is_sent(&self) -> bool {
         self.ran > 0 || self.rejected > 0
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -20,7 +20,6 @@
 use cypressfork_node::{emit, logging, metric};
 use metrics::gauge;
 use serde_json::json;
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use super::activity;
@@ -83,11 +82,11 @@
     let group = GroupClient::new(credentials.clone(), base.control.clone());
     emit!(Event::Started, listen = s.listen, operators = s.operators);
     let gw = Rc::new(Gateway::new(s, Clock::start(), credentials, group));
-    let (closed_tx, closed) = watch::channel(false);
     let bounds = gw.settings.clients;
     let clients = Clients::new(gw.clock, max_held_bytes(bounds.memory));
     let callers = clients.add_listener(bounds.connections(CALLER_FILES_DIVISOR));
-    actix_rt::spawn(accept::<D>(gw.clone(), caller_listener, callers, closed));
+    let exchanges = callers.exchanges();
+    actix_rt::spawn(accept::<D>(gw.clone(), caller_listener, callers));
     let g = gw.clone();
     if let Some(address) = gw.settings.metrics {
         let listener = listen(address).await?;
@@ -112,7 +111,7 @@
     let g = gw.clone();
     actix_rt::spawn(reload.run(move || load(&file), move |s| apply_reload::<D>(&g, s)));
     let signal = stop.requested().await;
-    stop.run_stop(signal, drain(gw, closed_tx)).await;
+    stop.run_stop(signal, drain(gw, exchanges)).await;
     Ok(())
 }
 
@@ -184,6 +183,6 @@
     let open = gw.is_open();
     let status = if open { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     let version = gw.documents.version();
-    let v = json!({ "ready": open, "stopping": gw.stopping.get(), "document": version });
+    let v = json!({ "ready": open, "stopping": gw.stop.is_requested(), "document": version });
     json_response(status, &v)
 }
--- a/crates/router/src/gateway/server.rs
+++ b/crates/router/src/gateway/server.rs
@@ -1,6 +1,7 @@
 //! Accepts connections of callers and serves their requests, one at a time per connection.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,6 @@
 use cypressfork_node::{emit, metric};
 use metrics::counter;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
@@ -22,6 +22,7 @@
 use super::dialect::Dialect;
 use super::receive::{self, REFUSAL_TIMEOUT};
 use super::state::Gateway;
+use super::stop::StopStage;
 use cypressfork_http::server::client::{Client, NextRequest};
 
 /// Delay after a failed accept.
@@ -43,13 +44,14 @@
     idle: Millis::seconds(15),
 };
 
-/// Accepts connections until `closed` becomes true or its sender is dropped.
+/// Accepts connections until a planned stop closes the listener.
 pub async fn accept<D: Dialect>(
     gw: Rc<Gateway>,
     mut listener: TcpListener,
     clients: ClientListener,
-    mut closed: watch::Receiver<bool>,
 ) {
+    let stopped = gw.clone();
+    let mut closed = pin!(stopped.stop.reached(StopStage::Closed));
     let config = ServiceConfig::default();
     let mut accepted_in_row = 0_usize;
     // Without the options, more bytes may arrive before they are read.
@@ -57,7 +59,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closed.wait_for(|c| *c) => return,
+            () = &mut closed => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -65,7 +67,7 @@
                 let held = gw.caller_buffers.as_ref().map(|b| b.register());
                 let bytes_served = Some(gw.bytes_served.clone());
                 let client = Client::new(stream, account, &config, bytes_served, held);
-                actix_rt::spawn(serve::<D>(gw.clone(), client, closed.clone()));
+                actix_rt::spawn(serve::<D>(gw.clone(), client));
                 accepted_in_row += 1;
                 if accepted_in_row.is_multiple_of(ACCEPTED_IN_ROW) {
                     yield_now().await;
@@ -86,7 +88,7 @@
         );
         let reopened = tokio::select! {
             reopened = reopen(gw.settings.listen) => reopened,
-            _ = closed.wait_for(|c| *c) => return,
+            () = &mut closed => return,
         };
         listener = reopened;
         let _ = ClientListener::configure(&listener);
@@ -105,14 +107,15 @@
 }
 
 /// Serves the requests on one connection until it is closed.
-async fn serve<D: Dialect>(gw: Rc<Gateway>, mut client: Client, mut closed: watch::Receiver<bool>) {
+async fn serve<D: Dialect>(gw: Rc<Gateway>, mut client: Client) {
     loop {
         let limits = gw.documents.in_force().map_or(DEFAULT_LIMITS, |r| *r.limits());
-        let stop = async {
-            // Fails if the sender was dropped, which also means closed.
-            let _ = closed.wait_for(|c| *c).await;
+        let next = tokio::select! {
+            biased;
+            next = client.next_request(&limits, gw.stop.reached(StopStage::Closed)) => next,
+            () = gw.stop.reached(StopStage::Received) => NextRequest::Closed,
         };
-        let req = match client.next_request(&limits, stop).await {
+        let req = match next {
             NextRequest::Request(req) => req,
             NextRequest::Closed if client.has_input() => break,
             NextRequest::Closed => return,
@@ -131,7 +134,14 @@
             break;
         }
     }
-    client.close(LINGER_TIMEOUT).await;
+    let linger_end = async {
+        gw.stop.reached(StopStage::Received).await;
+        sleep(LINGER_TIMEOUT).await;
+    };
+    tokio::select! {
+        () = client.close(LINGER_TIMEOUT) => {}
+        () = linger_end => {}
+    }
 }
 
 /// Refuses a request whose head could not be read, and marks the connection for closing.
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -432,7 +432,7 @@
         let (Some(prepaid), Some(token_store)) = (prepaid, gw.token_store()) else {
             return PeerReply::Held(0, Some(Shortfall::Closed));
         };
-        if gw.stopping.get() {
+        if gw.stop.is_requested() {
             return PeerReply::Held(0, Some(Shortfall::Closed));
         }
         let budget = budget_name(account);
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -52,6 +52,7 @@
 use super::rollouts::RolloutTracker;
 use super::settings::Settings;
 use super::share::Peers;
+use super::stop::StopProgress;
 use super::upstream::{ConnectionPool, ReplicaConnection};
 use super::witness::{LostConnections, record_replica_event};
 use crate::token_store::TokenStore;
@@ -136,12 +137,10 @@
     pub caller_buffers: Option<Rc<CallerBuffers>>,
     /// The bytes held of responses that are not received in full.
     pub response_memory: Rc<ResponseMemory>,
-    /// Whether a planned stop is in progress.
-    pub stopping: Cell<bool>,
+    /// How far a planned stop has come.
+    pub stop: StopProgress,
     /// Number of requests that are being served.
     pub active_connections: Cell<usize>,
-    /// Number of requests whose body is being received.
-    pub receiving: Cell<usize>,
     replicas: RefCell<ReplicaTable>,
     pools: RefCell<HashMap<String, Pool>>,
     retries: RefCell<HashMap<String, RetryBudget>>,
@@ -153,24 +152,20 @@
     rng: RefCell<SmallRng>,
 }
 
-/// Adds one to a count of a gateway until dropped.
-pub struct CountGuard {
-    gw: Rc<Gateway>,
-    count: fn(&Gateway) -> &Cell<usize>,
-}
+/// Counts a request as being served until dropped.
+pub struct ActiveGuard(Rc<Gateway>);
 
-impl CountGuard {
-    /// Adds one to the count that `count` returns.
-    pub fn new(gw: &Rc<Gateway>, count: fn(&Gateway) -> &Cell<usize>) -> CountGuard {
-        count(gw).set(count(gw).get() + 1);
-        CountGuard { gw: gw.clone(), count }
+impl ActiveGuard {
+    /// Counts a request.
+    pub fn new(gw: &Rc<Gateway>) -> ActiveGuard {
+        gw.active_connections.set(gw.active_connections.get() + 1);
+        ActiveGuard(gw.clone())
     }
 }
 
-impl Drop for CountGuard {
+impl Drop for ActiveGuard {
     fn drop(&mut self) {
-        let count = (self.count)(&self.gw);
-        count.set(count.get() - 1);
+        self.0.active_connections.set(self.0.active_connections.get() - 1);
     }
 }
 
@@ -212,9 +207,8 @@
             bytes_served: Rc::default(),
             caller_buffers,
             response_memory,
-            stopping: Cell::new(false),
+            stop: StopProgress::default(),
             active_connections: Cell::new(0),
-            receiving: Cell::new(0),
             replicas: RefCell::default(),
             pools: RefCell::default(),
             retries: RefCell::default(),
@@ -242,7 +236,7 @@
 
     /// Returns whether the gateway accepts callers: it has a document and is not stopping.
     pub fn is_open(&self) -> bool {
-        !self.stopping.get() && self.documents.version() > 0
+        !self.stop.is_requested() && self.documents.version() > 0
     }
 
     /// Measures one pass of the process's task queue. Returns whether the process is too slow to accept
