Tell a link that has ended from a peer that reads too slowly

What operators saw: each time a gateway ended, every control process logged that a peer reads too slowly and that its link is closed (CFE205).

Cause: a gateway keeps a watch open at each control process, and a call for recalls at the leader. Their answers are due up to some time after the gateway has ended, and a send that failed because the link had ended counted as one to a full queue.

Evidence: ended_links.rs on the code before: one stopped or killed gateway leaves two lines at the only control process, 0.15 s apart, 2 of 2 cases.

Now CFE205 is logged, and replies counted as dropped, only if the queue of the link is full. An answer whose link has ended is CFE208, at debug level.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -30,6 +30,7 @@
 use cypressfork_wire::{Ask, Frame, Return, body};
 use metrics::{counter, gauge};
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -409,9 +410,13 @@
             _ => self.leader_address(),
         };
         let r = Return::new(to.id, code, bytes, leader);
-        if to.tx.try_send(Frame::Answer(r)).is_err() {
-            counter!(metric::REPLIES_DROPPED).increment(1);
-            emit!(Event::LinkSlow);
+        match to.tx.try_send(Frame::Answer(r)) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => {
+                counter!(metric::REPLIES_DROPPED).increment(1);
+                emit!(Event::LinkSlow, why = "too many answers wait");
+            }
+            Err(TrySendError::Closed(_)) => emit!(Event::ReplyUnread, call = to.id),
         }
     }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -50,6 +50,7 @@
     LinkSlow = 205, Warn, "a peer reads too slowly; its link is closed";
     MessageInvalid = 206, Warn, "a message could not be decoded";
     LinkSilent = 207, Warn, "a peer no longer answers on a link; another one is opened";
+    ReplyUnread = 208, Debug, "a link ended before the answer to a call on it";
     LeaderGained = 301, Info, "this member became the leader";
     LeaderLost = 302, Info, "this member is no longer the leader";
     FolderOutdated = 303, Error, "the data folder is an old copy; this process takes no part in the group";
