A server follows a planned stop, and answers what has arrived at it

What callers saw: servers other than the gateway's end with their process, whatever is under way on their connections.

Cause: serve_within had no way to stop. The stages of a stop were the gateway's own.

The stages move to the HTTP crate, and serve_until_stopped follows them: it closes its listener and idle connections, hands requests whose bodies do not arrive in time to the handler with CF1315, and ends streams that outlast the stop. Connections that had opened before are accepted first, and a connection is idle only if the system has no bytes of it: a stop may come before the event loop is told of them. The latter holds at gateways, too.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -98,7 +98,7 @@
     UpstreamsResting = 1312, 503, "rate_limit_error", "the upstreams that could run it have asked for rest";
     OriginUnknown = 1313, 503, "server_error", "it is not known at which version of its upstreams this stream began";
     VersionGone = 1314, 503, "server_error", "no upstream of the version at which this stream began takes requests";
-    Stopping = 1315, 503, "server_error", "this gateway stops; another one may serve the request at once";
+    Stopping = 1315, 503, "server_error", "this process stops; another one may serve the request at once";
     ClaimUnreachable = 1401, 503, "server_error", "the request is marked not repeatable and the control group is not in reach to claim it";
     ClaimRunning = 1402, 409, "conflict_error", "a request with this id is running";
     ClaimUnknown = 1403, 409, "conflict_error", "a request with this id was started and its outcome is not known; it ran at most once";
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,4 +8,4 @@
 pub mod server;
 
 pub use body::Body;
-pub use server::{BodyLimit, Received, serve, serve_within};
+pub use server::{BodyLimit, Received, serve, serve_until_stopped, serve_within};
--- a/crates/http/src/server/client/input.rs
+++ b/crates/http/src/server/client/input.rs
@@ -1,6 +1,7 @@
 //! Reading from a client's connection: heads and bodies of requests, within the limits of the process.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::time::Duration;
 
 use actix_http::h1::{Message, MessageType};
@@ -12,6 +13,7 @@
 use cypressfork_core::fleet::document::Limits;
 use cypressfork_core::unit::Millis;
 use cypressfork_node::silence;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -188,7 +190,11 @@
                 biased;
                 () = self.account.wait_closed() => return NextRequest::Closed,
                 readable = timeout(millis(limits.idle), self.stream.readable()) => readable,
-                () = stop => return NextRequest::Closed,
+                // The event loop may not have been told yet of what has arrived.
+                () = stop => match self.has_arrived() {
+                    true => Ok(Ok(())),
+                    false => return NextRequest::Closed,
+                },
             };
             if !matches!(readable, Ok(Ok(()))) {
                 return NextRequest::Closed;
@@ -258,6 +264,12 @@
         self.account.is_crowded_out()
     }
 
+    /// Returns whether bytes wait to be read.
+    fn has_arrived(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|n| n > 0)
+    }
+
     /// Returns whether bytes were read that belong to no complete request.
     pub fn has_input(&self) -> bool {
         !self.buf.is_empty()
--- a/crates/http/src/server/mod.rs
+++ b/crates/http/src/server/mod.rs
@@ -6,10 +6,12 @@
 mod head;
 pub mod output;
 pub mod signal;
+pub mod stop;
 
-use std::future::{pending, poll_fn};
+use std::future::poll_fn;
 use std::io;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::MessageBody;
@@ -25,7 +27,8 @@
 
 use crate::Body;
 use client::{Client, NextRequest, ResponseBody};
-use clients::{ACCEPTED_IN_ROW, ClientListener, Clients, ConnectionAccount};
+use clients::{ACCEPTED_IN_ROW, ClientListener, Clients};
+use stop::{StopProgress, StopStage};
 
 /// Limits on the heads of requests, and on idle connections. Bodies have a limit by request.
 const LIMITS: Limits = Limits {
@@ -90,18 +93,42 @@
     F: Fn(Received) -> R + Clone + 'static,
     R: Future<Output = Response<Body>> + 'static,
 {
+    serve_until_stopped(listener, clients, Rc::default(), limit, handle).await;
+}
+
+/// Like [`serve_within`], but follows a planned stop, and returns once that closes the listener. Requests whose bodies
+/// have not arrived by [`StopStage::Received`] get to `handle` with [`Code::Stopping`]. By [`StopStage::Ended`] `handle`
+/// has to answer; streamed bodies end without their last chunk.
+pub async fn serve_until_stopped<L, F, R>(
+    listener: TcpListener,
+    clients: ClientListener,
+    stop: Rc<StopProgress>,
+    limit: L,
+    handle: F,
+) where
+    L: Fn(&Request) -> BodyLimit + Clone + 'static,
+    F: Fn(Received) -> R + Clone + 'static,
+    R: Future<Output = Response<Body>> + 'static,
+{
+    let mut closed = pin!(stop.reached(StopStage::Closed));
     // Without the options, more bytes may arrive before they are read.
     let _ = ClientListener::configure(&listener);
     let config = ServiceConfig::default();
+    let accept = |stream| {
+        let Ok(account) = clients.register() else { return };
+        let client = Client::new(stream, account, &config, None, None);
+        let (limit, handle, stop) = (limit.clone(), handle.clone(), stop.clone());
+        actix_rt::spawn(async move { serve_connection(client, &stop, limit, handle).await });
+    };
     let mut accepted_in_row = 0_usize;
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut closed => break,
+        };
+        match accepted {
             Ok((stream, _)) => {
-                let Ok(account) = clients.register() else { continue };
-                let (limit, handle, config) = (limit.clone(), handle.clone(), config.clone());
-                actix_rt::spawn(async move {
-                    serve_connection(stream, account, &config, limit, handle).await;
-                });
+                accept(stream);
                 accepted_in_row += 1;
                 if accepted_in_row.is_multiple_of(ACCEPTED_IN_ROW) {
                     yield_now().await;
@@ -111,36 +138,46 @@
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
+    accept_opened(listener, accept);
+}
+
+/// Accepts the connections that have opened, whose requests may have arrived, and closes the listener.
+fn accept_opened(listener: TcpListener, accept: impl Fn(TcpStream)) {
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        stream.into_iter().for_each(&accept);
+    }
 }
 
 /// Serves the requests on one connection until it is closed.
-async fn serve_connection<L, F, R>(
-    stream: TcpStream,
-    account: ConnectionAccount,
-    config: &ServiceConfig,
-    limit: L,
-    handle: F,
-) where
+async fn serve_connection<L, F, R>(mut client: Client, stop: &StopProgress, limit: L, handle: F)
+where
     L: Fn(&Request) -> BodyLimit,
     F: Fn(Received) -> R,
     R: Future<Output = Response<Body>>,
 {
-    let mut client = Client::new(stream, account, config, None, None);
     loop {
-        let req = match client.next_request(&LIMITS, pending()).await {
+        let next = tokio::select! {
+            biased;
+            next = client.next_request(&LIMITS, stop.reached(StopStage::Closed)) => next,
+            () = stop.reached(StopStage::Received) => NextRequest::Closed,
+        };
+        let req = match next {
             NextRequest::Request(req) => req,
+            NextRequest::Closed if client.has_input() => break,
             NextRequest::Closed => return,
             NextRequest::Bad(code) => {
                 client.close_after_response();
                 let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_REQUEST);
                 let response = Response::with_body(status, Body::Full(Bytes::new()));
                 // A write error needs no handling: the connection is closed in any case.
-                let _ = send(&mut client, response).await;
+                let _ = send(&mut client, response, stop).await;
                 break;
             }
         };
         // Boxed, so that idle connections keep no space for it.
-        let served = Box::pin(serve_request(&mut client, req, &limit, &handle)).await;
+        let served = Box::pin(serve_request(&mut client, req, stop, &limit, &handle)).await;
         if served.is_err() {
             return;
         }
@@ -155,6 +192,7 @@
 async fn serve_request<L, F, R>(
     client: &mut Client,
     mut head: Request,
+    stop: &StopProgress,
     limit: &L,
     handle: &F,
 ) -> io::Result<()>
@@ -166,7 +204,11 @@
     let limit = limit(&head);
     let mut body = match limit.bytes {
         0 => Ok(Bytes::new()),
-        max => client.read_body(&mut head.head_mut().headers, max).await,
+        max => tokio::select! {
+            biased;
+            body = client.read_body(&mut head.head_mut().headers, max) => body,
+            () = stop.reached(StopStage::Received) => Err(Code::Stopping),
+        },
     };
     let extra = body.as_ref().map_or(0, Bytes::len) * limit.copies;
     if client.begin_request(extra).is_err() {
@@ -186,11 +228,18 @@
             () = client.reset() => return Err(io::ErrorKind::ConnectionReset.into()),
         }
     };
-    send(client, response).await
+    if stop.has_reached(StopStage::Closed) {
+        client.close_after_response();
+    }
+    send(client, response, stop).await
 }
 
 /// Sends a response.
-async fn send(client: &mut Client, response: Response<Body>) -> io::Result<()> {
+async fn send(
+    client: &mut Client,
+    response: Response<Body>,
+    stop: &StopProgress,
+) -> io::Result<()> {
     let (mut head, body) = response.into_parts();
     let (status, headers) = (head.status(), std::mem::take(head.headers_mut()));
     match body {
@@ -206,6 +255,9 @@
                 let next = tokio::select! {
                     next = poll_fn(|cx| body.as_mut().poll_next(cx)) => next,
                     () = client.reset() => return Err(io::ErrorKind::ConnectionReset.into()),
+                    () = stop.reached(StopStage::Ended) => {
+                        return Err(io::ErrorKind::ConnectionAborted.into());
+                    }
                 };
                 match next {
                     Some(Ok(chunk)) => client.write_chunk(chunk)?,
--- a/crates/router/src/gateway/stop.rs
+++ b/crates/http/src/server/stop.rs
@@ -1,4 +1,4 @@
-//! The stages of a planned stop, which the gateway's connections follow.
+//! The stages of a planned stop, which a server's connections follow.
 
 use tokio::sync::watch;
 
@@ -7,7 +7,7 @@
 pub enum StopStage {
     /// No stop was requested.
     Serving,
-    /// The gateway leaves the list of gateway addresses and still serves new requests.
+    /// The process leaves the lists of addresses and still serves new requests.
     Leaving,
     /// No connection is accepted any more, and idle ones are closed.
     Closed,
@@ -32,7 +32,12 @@
 
     /// Returns whether a stop was requested.
     pub fn is_requested(&self) -> bool {
-        *self.0.borrow() > StopStage::Serving
+        self.has_reached(StopStage::Leaving)
+    }
+
+    /// Returns whether the stop has come to a stage.
+    pub fn has_reached(&self, stage: StopStage) -> bool {
+        *self.0.borrow() >= stage
     }
 
     /// Returns once the stop has come to a stage.
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -4,6 +4,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::sync::{Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -12,7 +13,8 @@
 use bytes::Bytes;
 use cypressfork_core::fleet::client_table::max_held_bytes;
 use cypressfork_http::server::clients::Clients;
-use cypressfork_http::{Body, BodyLimit, Received, serve_within};
+use cypressfork_http::server::stop::{StopProgress, StopStage};
+use cypressfork_http::{Body, BodyLimit, Received, serve_until_stopped, serve_within};
 use cypressfork_node::time::Clock;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -343,3 +345,37 @@
         prop_assert_eq!(read_response(&mut s).map(|r| r.0), Some(200));
     }
 }
+
+/// Guards against a request that a stop closes without a response because the event loop was not told of it yet.
+#[rstest]
+#[case::on_a_connection_that_was_idle(true)]
+#[case::on_a_connection_that_was_not_accepted(false)]
+fn a_request_that_arrived_before_a_stop_is_answered(#[case] was_idle: bool) {
+    actix_rt::System::new().block_on(async move {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let clients = Clients::new(Clock::start(), max_held_bytes(64 * MIB)).add_listener(8);
+        let (exchanges, stop) = (clients.exchanges(), Rc::<StopProgress>::default());
+        let no_body = |_: &Request| BodyLimit::NONE;
+        let server = serve_until_stopped(listener, clients, stop.clone(), no_body, answer);
+        actix_rt::spawn(server);
+        let mut s = None;
+        if was_idle {
+            s = Some(connect(address));
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        // Blocks the event loop until the request has arrived.
+        let mut s = s.unwrap_or_else(|| connect(address));
+        s.write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+        thread::sleep(Duration::from_millis(50));
+        stop.advance(StopStage::Closed);
+        let read = tokio::task::spawn_blocking(move || {
+            let mut text = String::new();
+            s.read_to_string(&mut text).map(|_| text)
+        });
+        let text = read.await.unwrap().unwrap();
+        assert!(text.starts_with("HTTP/1.1 200 "), "{text}");
+        exchanges.none_left().await;
+        assert!(TcpStream::connect(address).is_err());
+    });
+}
--- a/crates/router/src/gateway/drain.rs
+++ b/crates/router/src/gateway/drain.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::state::Gateway;
-use super::stop::StopStage;
+use cypressfork_http::server::stop::StopStage;
 
 /// Percentage of the shutdown time after which requests in flight are cut.
 const CUT_PERCENT: u32 = 94;
--- a/crates/router/src/gateway/mod.rs
+++ b/crates/router/src/gateway/mod.rs
@@ -33,7 +33,6 @@
 mod share;
 mod stand_in;
 mod state;
-mod stop;
 mod stream;
 mod timing;
 mod upstream;
--- a/crates/router/src/gateway/receive.rs
+++ b/crates/router/src/gateway/receive.rs
@@ -22,8 +22,8 @@
 use super::documents::depends_on_document;
 use super::request::{self, Outcome, stopped_outcome};
 use super::state::{ActiveGuard, Gateway};
-use super::stop::StopStage;
 use crate::reply::Refusal;
+use cypressfork_http::server::stop::StopStage;
 
 /// `Retry-After` of a gateway without a current document.
 const NOT_READY_RETRY_AFTER: Millis = Millis::seconds(1);
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -36,9 +36,9 @@
 use super::rollouts::AttemptObservation;
 use super::routed_request::RoutedRequest;
 use super::state::{Gateway, PickedReplica};
-use super::stop::StopStage;
 use super::timing::StreamTiming;
 use crate::reply::Refusal;
+use cypressfork_http::server::stop::StopStage;
 
 /// `Retry-After` when no replica accepts the request.
 const NO_CAPACITY_RETRY_AFTER: Millis = Millis(400);
--- a/crates/router/src/gateway/server.rs
+++ b/crates/router/src/gateway/server.rs
@@ -22,8 +22,8 @@
 use super::dialect::Dialect;
 use super::receive::{self, REFUSAL_TIMEOUT};
 use super::state::Gateway;
-use super::stop::StopStage;
 use cypressfork_http::server::client::{Client, NextRequest};
+use cypressfork_http::server::stop::StopStage;
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -52,10 +52,10 @@
 use super::rollouts::RolloutTracker;
 use super::settings::Settings;
 use super::share::Peers;
-use super::stop::StopProgress;
 use super::upstream::{ConnectionPool, ReplicaConnection};
 use super::witness::{LostConnections, record_replica_event};
 use crate::token_store::TokenStore;
+use cypressfork_http::server::stop::StopProgress;
 
 /// Minimum number of uncached tokens of a prompt that is announced to other gateways. A shorter one
 /// is processed, in about 20 ms, before a peer could take it into account.
