A control process that stops answers the calls that it has read

What callers saw: around the stop of a control process, calls of operators and replicas that had arrived whole were closed without a response, those that waited for the group among them.

Cause: the event loop ended with the signal. For the 0.3 s of the hand-over nothing was served, neither calls over HTTP nor links nor the log, and then the process ended with all connections.

The loop now runs on while the leadership moves, so that calls are committed by the next leader, and links are served until the end.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -9,6 +9,7 @@
 use cypressfork_core::fleet::format;
 use cypressfork_core::fleet::registry::{Registration, ReplicaStatus};
 use cypressfork_core::query::{Query, Reply};
+use cypressfork_http::server::stop::{StopProgress, StopStage};
 use cypressfork_http::{Body, BodyLimit, Received};
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
@@ -60,14 +61,16 @@
     pub group: GroupClient,
     /// Calls to be answered from the process's own state.
     pub local: mpsc::Sender<LocalCall>,
+    /// How far a planned stop has come.
+    pub stop: Rc<StopProgress>,
     /// Permits for calls that submit or read a document.
     documents: Semaphore,
 }
 
 impl Api {
     /// Returns the state of a process without calls.
-    pub fn new(group: GroupClient, local: mpsc::Sender<LocalCall>) -> Api {
-        Api { group, local, documents: Semaphore::new(MAX_DOCUMENT_CALLS) }
+    pub fn new(group: GroupClient, local: mpsc::Sender<LocalCall>, stop: Rc<StopProgress>) -> Api {
+        Api { group, local, stop, documents: Semaphore::new(MAX_DOCUMENT_CALLS) }
     }
 }
 
@@ -102,7 +105,11 @@
             match D::parse_call(&Incoming { method, path, query, body: &bytes }) {
                 Ok(call) => {
                     drop(bytes);
-                    dispatch::<D>(&api, call).await
+                    tokio::select! {
+                        biased;
+                        answer = dispatch::<D>(&api, call) => answer,
+                        () = api.stop.reached(StopStage::Ended) => cut_by_stop(),
+                    }
                 }
                 Err(refused) => refused,
             }
@@ -210,6 +217,12 @@
     }
 }
 
+/// Returns the answer to a call that outlasts a planned stop. What it asked for may still be committed.
+fn cut_by_stop() -> CallAnswer {
+    let why = "this process stops; the group may still carry the call out";
+    CallAnswer::Refused(Code::NoQuorum, why.to_owned())
+}
+
 fn busy() -> CallAnswer {
     CallAnswer::Refused(Code::QueueFull, "too many calls wait".to_owned())
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 mod api;
 pub mod dialect;
 pub mod disk;
+mod drain;
 pub mod feed_cache;
 pub mod fleet_view;
 mod founding;
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -12,7 +12,8 @@
 use cypressfork_core::fleet::regions::Regions;
 use cypressfork_core::raft::PersistentState;
 use cypressfork_http::server::clients::Clients;
-use cypressfork_http::{operators, serve_within};
+use cypressfork_http::server::stop::StopProgress;
+use cypressfork_http::{operators, serve_until_stopped};
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
 use cypressfork_node::link::Credentials;
@@ -28,6 +29,7 @@
 use crate::api::{self, Api};
 use crate::dialect::Dialect;
 use crate::disk::{Disk, disk_failure};
+use crate::drain::Drain;
 use crate::fleet_view::FleetView;
 use crate::founding::maintain_membership;
 use crate::machine::{ClockReading, GroupMember};
@@ -95,13 +97,17 @@
     let (group_status, status_updates) = watch::channel(GroupStatus::default());
     let (members_tx, rejoin_members) = mpsc::channel(1);
     let membership_group = group.clone();
-    let api = Rc::new(Api::new(group, local));
+    let stop = Rc::<StopProgress>::default();
+    let api = Rc::new(Api::new(group, local, stop.clone()));
+    let mut exchanges = Vec::new();
     for address in BTreeSet::from([f.listen, f.entry]) {
         let api = api.clone();
         let listener = listen(address).await?;
         let divisor = if address == f.listen { API_FILES_DIVISOR } else { ENTRY_FILES_DIVISOR };
         let clients = clients.add_listener(bounds.connections(divisor));
-        actix_rt::spawn(serve_within(listener, clients, api::body_limit::<D>, move |req| {
+        exchanges.push(clients.exchanges());
+        let (stop, limit) = (stop.clone(), api::body_limit::<D>);
+        actix_rt::spawn(serve_until_stopped(listener, clients, stop, limit, move |req| {
             api::serve::<D>(api.clone(), req)
         }));
     }
@@ -120,6 +126,7 @@
     Ok(FleetContext {
         view,
         calls,
+        drain: Some(Drain { stop, exchanges }),
         group_status,
         rejoin_members,
         seeds: seeds.to_vec(),
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -31,10 +31,11 @@
 use metrics::{counter, gauge};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{Interval, MissedTickBehavior, interval, sleep};
 
 use crate::api::LocalCall;
 use crate::disk::{Disk, disk_failure};
+use crate::drain::Drain;
 use crate::fleet_view::FleetView;
 use crate::leaderless::LeaderlessTimer;
 use crate::links::{accept_links, send_messages};
@@ -96,6 +97,8 @@
     pub view: FleetView<ReplyTo>,
     /// Receives the calls that arrive over HTTP.
     pub calls: mpsc::Receiver<LocalCall>,
+    /// Ends the serving of HTTP calls at a planned stop.
+    pub drain: Option<Drain>,
     /// Publishes this process's membership in the group.
     pub group_status: watch::Sender<GroupStatus>,
     /// Receives the members that the leader reports while this process rejoins its group.
@@ -196,7 +199,8 @@
         }
     }
 
-    /// Serves until a stop signal arrives. Returns an error if the member cannot continue.
+    /// Serves until a stop signal arrives, then transfers the leadership and answers the calls under way. Returns an
+    /// error if the member cannot continue.
     pub async fn run(
         mut self,
         listener: TcpListener,
@@ -207,43 +211,77 @@
         let heartbeat = Duration::from_millis(self.member.settings.raft.heartbeat.0);
         let mut ticks = interval((heartbeat / 5).clamp(TICK_RANGE.0, TICK_RANGE.1));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-        let signal = loop {
-            tokio::select! {
-                signal = stop.requested() => break signal,
-                Some(input) = rx.recv() => {
-                    self.loop_stats.start_iteration();
-                    self.handle_batch(input, &mut rx);
-                }
-                Some(local) = next_call(&mut self.fleet) => {
-                    self.loop_stats.start_iteration();
-                    self.handle_http_calls(local);
-                    self.loop_stats.end_iteration();
-                    // Calls leave the replicated log unchanged; watch responses wait for a tick.
-                    continue;
-                }
-                _ = ticks.tick() => {
-                    self.loop_stats.record_tick();
-                    self.loop_stats.start_iteration();
-                    self.retry_disk()?;
-                    self.member.tick(self.read_clocks());
-                    self.update_metrics();
-                    self.send_reserve_commands(&tx);
-                    self.tick_fleet(&tx);
-                    self.loop_stats.record_work(Work::Tick);
-                }
+        let signal = tokio::select! {
+            signal = stop.requested() => signal,
+            failure = self.serve(&tx, &mut rx, &mut ticks) => return Err(failure),
+        };
+        let drain = self.fleet.as_mut().and_then(|f| f.drain.take());
+        let answered = async {
+            match drain {
+                Some(drain) => drain.run(TRANSFER_TIMEOUT).await,
+                None => sleep(TRANSFER_TIMEOUT).await,
             }
-            self.finish()?;
-            self.loop_stats.end_iteration();
         };
         let stopped = async {
             self.member.transfer_leadership();
             self.finish()?;
-            sleep(TRANSFER_TIMEOUT).await;
-            Ok(())
+            tokio::select! {
+                () = answered => Ok(()),
+                failure = self.serve(&tx, &mut rx, &mut ticks) => Err(failure),
+            }
         };
         stop.run_stop(signal, stopped).await
     }
 
+    /// Handles inputs, calls and ticks. Returns only if the member cannot continue.
+    async fn serve(
+        &mut self,
+        tx: &mpsc::Sender<Input>,
+        rx: &mut mpsc::Receiver<Input>,
+        ticks: &mut Interval,
+    ) -> Failure {
+        loop {
+            if let Err(failure) = self.serve_next(tx, rx, ticks).await {
+                return failure;
+            }
+        }
+    }
+
+    /// Waits for an input, a call or a tick and handles it.
+    async fn serve_next(
+        &mut self,
+        tx: &mpsc::Sender<Input>,
+        rx: &mut mpsc::Receiver<Input>,
+        ticks: &mut Interval,
+    ) -> Result<(), Failure> {
+        tokio::select! {
+            Some(input) = rx.recv() => {
+                self.loop_stats.start_iteration();
+                self.handle_batch(input, rx);
+            }
+            Some(local) = next_call(&mut self.fleet) => {
+                self.loop_stats.start_iteration();
+                self.handle_http_calls(local);
+                self.loop_stats.end_iteration();
+                // Calls leave the replicated log unchanged; watch responses wait for a tick.
+                return Ok(());
+            }
+            _ = ticks.tick() => {
+                self.loop_stats.record_tick();
+                self.loop_stats.start_iteration();
+                self.retry_disk()?;
+                self.member.tick(self.read_clocks());
+                self.update_metrics();
+                self.send_reserve_commands(tx);
+                self.tick_fleet(tx);
+                self.loop_stats.record_work(Work::Tick);
+            }
+        }
+        self.finish()?;
+        self.loop_stats.end_iteration();
+        Ok(())
+    }
+
     /// Reads the monotonic clock, and the wall clock as agreed with the other control processes.
     fn read_clocks(&self) -> ClockReading {
         let now = self.clock.now();
