A router that stops waits for whole exchanges, and answers those that it cuts

What callers saw: around the stop of a router, connections closed without a response for requests whose bodies were arriving and, at the end of the drain, for all that was under way. Slices of requests that were cut were not returned. A router that was never registered cut everything at once.

Cause: the drain asked for a counter that covers a request from its sending to an upstream to the end of the upstream's response, and returned at once without a registration. Requests used up the time for slices, too.

The drain follows the stages of a stop like a gateway's, and waits for the connections' guards and, as before, for calls whose callers have gone.

--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -11,6 +11,7 @@
 use cypressfork_core::fleet::retry::{RetryBudget, RetryShare};
 use cypressfork_core::query::Site;
 use cypressfork_core::route::{Choice, ListedState, Pool, RequestProfile, VmTracker};
+use cypressfork_http::server::stop::StopProgress;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
@@ -63,8 +64,8 @@
     /// close a reused connection while a request is being sent, which leaves unknown whether it
     /// ran.
     pub unpooled_client: Client,
-    /// Whether a graceful shutdown is in progress.
-    pub draining: Cell<bool>,
+    /// How far a planned stop has come.
+    pub stop: Rc<StopProgress>,
     /// Whether the control group has confirmed the configuration since this process started.
     pub ready: Cell<bool>,
     /// Number of active requests.
@@ -102,7 +103,7 @@
             sites: RefCell::default(),
             pooled_client: build_client(Duration::from_secs(15)),
             unpooled_client: build_client(Duration::ZERO),
-            draining: Cell::new(false),
+            stop: Rc::default(),
             ready: Cell::new(false),
             active: Cell::new(0),
             token_store: RefCell::default(),
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -39,7 +39,7 @@
         .iter()
         .map(|s| json!({ "address": s.address, "vm": s.vm, "data_centre": s.data_centre }))
         .collect();
-    if addresses.is_empty() && !app.draining.get() {
+    if addresses.is_empty() && !app.stop.is_requested() {
         let base = &app.settings.base;
         let local = json!({ "address": own, "vm": base.vm, "data_centre": base.data_centre });
         addresses.push(local);
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -26,7 +26,7 @@
 /// Registers and applies updates until the router drains. Registers again, with a new token store,
 /// whenever the registration is no longer valid.
 pub async fn register_and_watch(app: Rc<App>) {
-    while !app.draining.get() {
+    while !app.stop.is_requested() {
         let holder = register(&app).await;
         let token_store =
             Rc::new(TokenStore::new(holder, app.group.clone(), app.reserve.clone(), app.clock));
--- a/crates/router/src/model_handler.rs
+++ b/crates/router/src/model_handler.rs
@@ -11,6 +11,7 @@
 use cypressfork_core::route::RequestProfile;
 use cypressfork_core::unit::{RequestId, Tokens};
 use cypressfork_http::Body;
+use cypressfork_http::server::stop::StopStage;
 use cypressfork_node::digest::{body_digest, request_id};
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
@@ -145,7 +146,13 @@
         drop(permit);
         drop(active);
     });
-    match response_rx.await {
+    let response = tokio::select! {
+        biased;
+        response = response_rx => response,
+        // The exchange settles its tokens, as it does for a caller that has gone.
+        () = app.stop.reached(StopStage::Ended) => return Err(Refusal::cut_by_stop()),
+    };
+    match response {
         Ok(Ok(ResponseStart::Streaming)) => {
             debug_assert!(stream);
             Ok(streaming_response(chunk_rx))
--- a/crates/router/src/ops.rs
+++ b/crates/router/src/ops.rs
@@ -43,11 +43,11 @@
 }
 
 fn readiness(app: &App) -> Response<Body> {
-    let ready = app.ready.get() && !app.draining.get();
+    let ready = app.ready.get() && !app.stop.is_requested();
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     let v = json!({
         "ready": ready,
-        "draining": app.draining.get(),
+        "draining": app.stop.is_requested(),
         "configuration": app.config.borrow().version(),
         "active": app.active.get(),
     });
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -13,6 +13,7 @@
 use cypressfork_core::unit::Millis;
 use cypressfork_http::Body;
 use cypressfork_http::server::client::ResponseBody;
+use cypressfork_http::server::stop::StopStage;
 use cypressfork_node::digest::{body_digest, request_id};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -99,7 +100,7 @@
     let can_resend = is_safe && claim.is_none();
     let (app, head, service) = (app.clone(), head.clone(), service.name.clone());
     let pending = PendingCall { id: head.id.clone(), call, can_resend, deadline };
-    let trace = trace.clone();
+    let (trace, stop) = (trace.clone(), app.stop.clone());
     // Runs in its own task, so that the outcome is recorded even if the caller disconnects.
     let active = ActiveRequest::new(&app);
     let running = actix_rt::spawn(async move {
@@ -108,7 +109,12 @@
         drop(active);
         result
     });
-    running.await.unwrap_or_else(|_| Err(Refusal::from(Code::UpstreamFailed).ran(Ran::Unknown)))
+    let result = tokio::select! {
+        biased;
+        result = running => result,
+        () = stop.reached(StopStage::Ended) => return Err(Refusal::cut_by_stop()),
+    };
+    result.unwrap_or_else(|_| Err(Refusal::from(Code::UpstreamFailed).ran(Ran::Unknown)))
 }
 
 async fn run_and_record(
--- a/crates/router/src/reply.rs
+++ b/crates/router/src/reply.rs
@@ -27,7 +27,20 @@
     pub retry_after: Option<Millis>,
 }
 
+/// `Retry-After` of a router that stops. Others may serve the request at once.
+const STOPPING_RETRY_AFTER: Millis = Millis(0);
+
 impl Refusal {
+    /// Returns the refusal of a request that was sent to no replica because the router stops.
+    pub fn stopping() -> Refusal {
+        Refusal::from(Code::Stopping).retry_after(STOPPING_RETRY_AFTER)
+    }
+
+    /// Returns the failure of a request that may have been sent to a replica and outlasts a planned stop.
+    pub fn cut_by_stop() -> Refusal {
+        Refusal::from(Code::UpstreamFailed).ran(Ran::Unknown).detail("the router stops")
+    }
+
     /// Creates a refusal of a request that was not executed.
     pub fn not_run(code: Code) -> Refusal {
         Refusal { code, ran: Ran::No, detail: None, retry_after: None }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -7,7 +7,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::client_table::max_held_bytes;
 use cypressfork_http::server::clients::Clients;
-use cypressfork_http::{BodyLimit, operators, serve_within};
+use cypressfork_http::{BodyLimit, operators, serve_until_stopped, serve_within};
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
 use cypressfork_node::link::Credentials;
@@ -63,9 +63,10 @@
     let app = Rc::new(App::new(s, Clock::start(), group, reserve, exporter));
     let clients = Clients::new(app.clock, max_held_bytes(bounds.memory));
     let callers = clients.add_listener(bounds.connections(CALLER_FILES_DIVISOR));
+    let (exchanges, stopping) = (callers.exchanges(), app.stop.clone());
     let (a, l) = (app.clone(), app.clone());
     let limit = move |req: &Request| body_limit(&l, req);
-    actix_rt::spawn(serve_within(caller_listener, callers, limit, move |req| {
+    actix_rt::spawn(serve_until_stopped(caller_listener, callers, stopping, limit, move |req| {
         let app = a.clone();
         async move { serve(app, req).await }
     }));
@@ -85,6 +86,6 @@
         reload.run(move || load_settings(&file), move |s| group.set_addresses(s.base.control)),
     );
     let signal = stop.requested().await;
-    stop.run_stop(signal, drain(app)).await;
+    stop.run_stop(signal, drain(app, exchanges)).await;
     Ok(())
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cypressfork_core::code::Code;
 use cypressfork_core::unit::Millis;
+use cypressfork_http::server::stop::StopStage;
 use cypressfork_http::{Body, BodyLimit, Received};
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
@@ -41,7 +42,13 @@
     let path = req.path().to_owned();
     let traceparent = head.as_ref().ok().and_then(|h| h.traceparent.as_deref());
     let trace = Trace::begin(app.exporter.clone(), traceparent);
-    let mut response = match route(&app, req, head, body, &trace).await {
+    let served = tokio::select! {
+        // Tells itself what may have run.
+        biased;
+        served = route(&app, req, head, body, &trace) => served,
+        () = app.stop.reached(StopStage::Ended) => Err(Refusal::stopping()),
+    };
+    let mut response = match served {
         Ok(r) => {
             counter!(metric::REQUESTS, "code" => "0").increment(1);
             emit!(Event::RequestDone, status = r.status().as_u16(), path = path, id = id);
@@ -161,6 +168,7 @@
             Refusal::from(code).detail(format!("the cap is {} bytes", app.settings.body_cap))
         }
         Code::Overloaded => Refusal::from(code).retry_after(NO_MEMORY_RETRY_AFTER),
+        Code::Stopping => Refusal::stopping(),
         code => Refusal::from(code),
     })
 }
