A stop that ends requests settles them as a deadline does

The end of a stop now passes through the waits of an attempt like its deadline, so that events are counted, tokens settled and buffered bytes kept. Connections are closed some time after that, whatever is left. Each response that begins during a stop announces the close, and what has been sent ahead of that is refused as not run. Connections have a turn after the listener has closed, and those that have opened are accepted.

--- a/crates/http/src/server/client.rs
+++ b/crates/http/src/server/client.rs
@@ -167,6 +167,7 @@
     ) -> io::Result<()> {
         let mut r = Response::new(status).drop_body();
         *r.headers_mut() = headers;
+        self.closing |= self.account.is_closing();
         if self.closing {
             r.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
--- a/crates/http/src/server/clients.rs
+++ b/crates/http/src/server/clients.rs
@@ -225,6 +225,11 @@
 }
 
 impl ConnectionAccount {
+    /// Returns whether the connection closes after its response.
+    pub fn is_closing(&self) -> bool {
+        self.exchanges.is_closing()
+    }
+
     /// Records that a request has begun to arrive.
     pub fn begin_exchange(&mut self) {
         let exchanges = &self.exchanges;
--- a/crates/http/src/server/exchanges.rs
+++ b/crates/http/src/server/exchanges.rs
@@ -11,9 +11,20 @@
 pub struct Exchanges {
     count: Cell<usize>,
     ended: Notify,
+    closing: Cell<bool>,
 }
 
 impl Exchanges {
+    /// Announces in each response whose head is sent from now on that its connection closes after it.
+    pub fn close_after_responses(&self) {
+        self.closing.set(true);
+    }
+
+    /// Returns whether connections close after their responses.
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
     /// Begins an exchange, which ends when the guard is dropped.
     pub fn begin(self: &Rc<Self>) -> ExchangeGuard {
         self.count.set(self.count.get() + 1);
--- a/crates/http/src/server/stop.rs
+++ b/crates/http/src/server/stop.rs
@@ -15,6 +15,8 @@
     Received,
     /// Requests without a response are told that they get none, and responses in progress are cut.
     Ended,
+    /// Connections are closed, whatever is left of their responses.
+    Abandoned,
 }
 
 /// How far a planned stop has come.
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 use cypressfork_node::event::Event;
 use cypressfork_node::metric;
 use metrics::counter;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
 use super::dial::Target;
 use super::dialect::{Dialect, ForwardHeaders};
@@ -81,7 +81,7 @@
     Silent(String),
     /// The response is invalid. The replica may have run the request.
     Broken(String),
-    /// The request's deadline passed.
+    /// The request's deadline passed, or a planned stop ended it.
     Late,
 }
 
@@ -231,18 +231,18 @@
         client: &mut Client,
         progress: &mut ResponseProgress,
     ) -> AttemptOutcome {
-        let until = self.request.deadline;
+        let request = self.request;
         // Returning early when the caller closes its connection drops the connection to the replica.
         // A head that was received is processed first: its backoff or rate limit affects other requests too.
         let result = tokio::select! {
             biased;
-            result = timeout_at(until, self.send_request::<D>(progress.events.last())) => result,
+            result = request.in_time(self.send_request::<D>(progress.events.last())) => result,
             () = client.closed() => return AttemptOutcome::Left,
         };
         let (connection, head) = match result {
-            Ok(Ok(started)) => started,
-            Ok(Err(outcome)) => return outcome,
-            Err(_) => return AttemptOutcome::Late,
+            Some(Ok(started)) => started,
+            Some(Err(outcome)) => return outcome,
+            None => return AttemptOutcome::Late,
         };
         self.time_to_first = Some(self.sent.elapsed());
         self.forward_response::<D>(client, progress, connection, head).await
@@ -508,11 +508,11 @@
         }
         let held = self.request.gw.response_memory.register();
         let result = tokio::select! {
-            result = timeout_at(self.request.deadline, read_body(&mut connection, &held)) => result,
+            result = self.request.in_time(read_body(&mut connection, &held)) => result,
             () = client.closed() => return AttemptOutcome::Left,
         };
         let body = match result {
-            Ok(Ok(body)) => {
+            Some(Ok(body)) => {
                 let body = match connection.has_no_body() {
                     true => ResponseBody::Omitted(connection.content_length()),
                     false => ResponseBody::Whole(body),
@@ -531,9 +531,9 @@
                 );
                 body
             }
-            Ok(Err(_)) if not_run => return AttemptOutcome::NotRun,
-            Ok(Err(error)) => return error.into(),
-            Err(_) => return AttemptOutcome::Late,
+            Some(Err(_)) if not_run => return AttemptOutcome::NotRun,
+            Some(Err(error)) => return error.into(),
+            None => return AttemptOutcome::Late,
         };
         if not_run {
             return AttemptOutcome::NotRun;
--- a/crates/router/src/gateway/receive.rs
+++ b/crates/router/src/gateway/receive.rs
@@ -6,11 +6,12 @@
 
 use actix_http::Request;
 use bytes::Bytes;
-use cypressfork_core::code::Code;
+use cypressfork_core::code::{Code, Ran};
 use cypressfork_core::fleet::document_wait;
 use cypressfork_core::fleet::routes::Routes;
 use cypressfork_core::unit::Millis;
 use cypressfork_http::server::client::Client;
+use cypressfork_http::server::stop::StopStage;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::metric;
@@ -23,7 +24,6 @@
 use super::request::{self, Outcome, stopped_outcome};
 use super::state::{ActiveGuard, Gateway};
 use crate::reply::Refusal;
-use cypressfork_http::server::stop::StopStage;
 
 /// `Retry-After` of a gateway without a current document.
 const NOT_READY_RETRY_AFTER: Millis = Millis::seconds(1);
@@ -51,9 +51,9 @@
             let outcome = tokio::select! {
                 biased;
                 outcome = receive_and_run::<D>(gw, client, req, inbound, max_body) => Some(outcome),
-                () = gw.stop.reached(StopStage::Ended) => None,
+                () = gw.stop.reached(StopStage::Abandoned) => None,
             };
-            (id, outcome.unwrap_or_else(|| stopped_outcome(client)))
+            (id, outcome.unwrap_or_else(|| stopped_outcome(client, Ran::Unknown)))
         }
         Err(code) => (String::new(), Outcome::Refused(Refusal::from(code))),
     };
@@ -141,9 +141,6 @@
         return Outcome::Refused(overloaded_refusal());
     }
     let _active = ActiveGuard::new(gw);
-    if gw.stop.is_requested() {
-        client.close_after_response();
-    }
     // Boxed, so that a request whose body is being received takes no space for it.
     let outcome = Box::pin(request::run::<D>(gw, client, req, inbound, body, &routes)).await;
     client.end_request();
@@ -175,6 +172,18 @@
     gw: &Gateway,
     req: &Request,
     inbound: &CallerRequest,
+) -> Result<Rc<Routes>, Refusal> {
+    tokio::select! {
+        biased;
+        routes = wait_for_routes(gw, req, inbound) => routes,
+        () = gw.stop.reached(StopStage::Ended) => Err(unreceived_refusal(Code::Stopping)),
+    }
+}
+
+async fn wait_for_routes(
+    gw: &Gateway,
+    req: &Request,
+    inbound: &CallerRequest,
 ) -> Result<Rc<Routes>, Refusal> {
     let wait = document_wait::first_document_wait(gw.now(), inbound.timeout);
     let until = Instant::now() + Duration::from_millis(wait.0);
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -38,7 +38,6 @@
 use super::state::{Gateway, PickedReplica};
 use super::timing::StreamTiming;
 use crate::reply::Refusal;
-use cypressfork_http::server::stop::StopStage;
 
 /// `Retry-After` when no replica accepts the request.
 const NO_CAPACITY_RETRY_AFTER: Millis = Millis(400);
@@ -141,16 +140,13 @@
 /// Why a request failed that outlasted a planned stop.
 const STOPPED: &str = "the gateway stops";
 
-/// Returns the outcome of a request that outlasts a planned stop and was sent to no replica, or of which a part of the
-/// response was sent.
-pub fn stopped_outcome(client: &mut Client) -> Outcome {
-    client.close_after_response();
-    if client.has_started() {
-        // What is buffered may have been sent in part.
-        client.abandon_output();
-        return Outcome::Interrupted(STOPPED.to_owned());
+/// Returns the outcome of a request that outlasts a planned stop; `ran` tells whether a replica may have run it.
+pub fn stopped_outcome(client: &Client, ran: Ran) -> Outcome {
+    match ran {
+        _ if client.has_started() => Outcome::Interrupted(STOPPED.to_owned()),
+        Ran::No => Outcome::Refused(unreceived_refusal(Code::Stopping)),
+        ran => Outcome::Refused(Refusal::from(Code::UpstreamFailed).ran(ran).detail(STOPPED)),
     }
-    Outcome::Refused(unreceived_refusal(Code::Stopping))
 }
 
 /// Resolves the route of a request, reserves its tokens, runs it and settles the reservation.
@@ -356,12 +352,7 @@
 
     /// Runs the request. If it fails after a replica returned a server error, forwards that.
     async fn run<D: Dialect>(&mut self, client: &mut Client) -> Outcome {
-        let request = self.request;
-        let outcome = tokio::select! {
-            biased;
-            outcome = self.try_replicas::<D>(client) => outcome,
-            () = request.gw.stop.reached(StopStage::Ended) => self.cut_by_stop(client),
-        };
+        let outcome = self.try_replicas::<D>(client).await;
         if !matches!(outcome, Outcome::Refused(_)) {
             return outcome;
         }
@@ -529,7 +520,9 @@
             }
             AttemptOutcome::Late => {
                 self.ran += 1;
-                Some(if client.has_started() {
+                Some(if self.request.is_stopped() {
+                    stopped_outcome(client, Ran::Unknown)
+                } else if client.has_started() {
                     Outcome::Interrupted("the deadline has passed".to_owned())
                 } else {
                     Outcome::Refused(Refusal::from(Code::UpstreamLate).ran(Ran::Unknown))
@@ -571,16 +564,6 @@
         self.request.gw.quarantines.is_suspect(self.request)
     }
 
-    /// Returns the outcome of a request that outlasts a planned stop.
-    fn cut_by_stop(&self, client: &mut Client) -> Outcome {
-        if self.tried.is_empty() || client.has_started() {
-            return stopped_outcome(client);
-        }
-        client.close_after_response();
-        let failure = Refusal::from(Code::UpstreamFailed).ran(Ran::Unknown);
-        Outcome::Refused(failure.detail(STOPPED))
-    }
-
     /// Returns whether a replica may have received the request.
     fn is_sent(&self) -> bool {
         self.ran > 0 || self.rejected > 0
@@ -641,12 +624,15 @@
         Refusal::from(code).retry_after(after).detail(why)
     }
 
-    /// Returns the outcome when the deadline passes before the next attempt.
+    /// Returns the outcome when the deadline passes, or a planned stop ends the request, before the next attempt.
     fn deadline_passed(&self, client: &Client) -> Outcome {
+        let ran = if self.ran > 0 { Ran::Unknown } else { Ran::No };
+        if self.request.is_stopped() {
+            return stopped_outcome(client, ran);
+        }
         if client.has_started() {
             return Outcome::Interrupted("the deadline has passed".to_owned());
         }
-        let ran = if self.ran > 0 { Ran::Unknown } else { Ran::No };
         Outcome::Refused(Refusal::from(Code::DeadlinePassed).ran(ran))
     }
 }
--- a/crates/router/src/gateway/routed_request.rs
+++ b/crates/router/src/gateway/routed_request.rs
@@ -14,7 +14,8 @@
 use cypressfork_core::route::RequestProfile;
 use cypressfork_core::route::lateness::LatencyObjective;
 use cypressfork_core::unit::Tokens;
-use tokio::time::Instant;
+use cypressfork_http::server::stop::StopStage;
+use tokio::time::{Instant, sleep_until};
 
 use super::dialect::{CallerRequest, PromptSize};
 use super::origins::OriginGround;
@@ -131,9 +132,27 @@
         }
     }
 
-    /// Returns the time until its deadline; zero if that has passed.
+    /// Returns the time until its deadline; zero if that has passed, or if a planned stop ends it.
     pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        match self.is_stopped() {
+            true => Duration::ZERO,
+            false => self.deadline.saturating_duration_since(Instant::now()),
+        }
+    }
+
+    /// Returns whether a planned stop ends the request.
+    pub fn is_stopped(&self) -> bool {
+        self.gw.stop.has_reached(StopStage::Ended)
+    }
+
+    /// Returns the output of `f`; none if the deadline passes, or a planned stop ends the request, before.
+    pub async fn in_time<T>(&self, f: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            output = f => Some(output),
+            () = sleep_until(self.deadline) => None,
+            () = self.gw.stop.reached(StopStage::Ended) => None,
+        }
     }
 
     /// Returns the parts that are the same in all copies of the request.
--- a/crates/router/src/gateway/server.rs
+++ b/crates/router/src/gateway/server.rs
@@ -9,7 +9,10 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::Limits;
 use cypressfork_core::unit::Millis;
+use cypressfork_http::server::accept_opened;
+use cypressfork_http::server::client::{Client, NextRequest};
 use cypressfork_http::server::clients::{ACCEPTED_IN_ROW, ClientListener};
+use cypressfork_http::server::stop::StopStage;
 use cypressfork_node::event::Event;
 use cypressfork_node::process::bind;
 use cypressfork_node::{emit, metric};
@@ -22,8 +25,6 @@
 use super::dialect::Dialect;
 use super::receive::{self, REFUSAL_TIMEOUT};
 use super::state::Gateway;
-use cypressfork_http::server::client::{Client, NextRequest};
-use cypressfork_http::server::stop::StopStage;
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -53,21 +54,24 @@
     let stopped = gw.clone();
     let mut closed = pin!(stopped.stop.reached(StopStage::Closed));
     let config = ServiceConfig::default();
+    let start = |stream| {
+        let Ok(account) = clients.register() else { return };
+        let held = gw.caller_buffers.as_ref().map(|b| b.register());
+        let bytes_served = Some(gw.bytes_served.clone());
+        let client = Client::new(stream, account, &config, bytes_served, held);
+        actix_rt::spawn(serve::<D>(gw.clone(), client));
+    };
     let mut accepted_in_row = 0_usize;
     // Without the options, more bytes may arrive before they are read.
     let _ = ClientListener::configure(&listener);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = &mut closed => return,
+            () = &mut closed => return accept_opened(listener, start),
         };
         match accepted {
             Ok((stream, _)) => {
-                let Ok(account) = clients.register() else { continue };
-                let held = gw.caller_buffers.as_ref().map(|b| b.register());
-                let bytes_served = Some(gw.bytes_served.clone());
-                let client = Client::new(stream, account, &config, bytes_served, held);
-                actix_rt::spawn(serve::<D>(gw.clone(), client));
+                start(stream);
                 accepted_in_row += 1;
                 if accepted_in_row.is_multiple_of(ACCEPTED_IN_ROW) {
                     yield_now().await;
@@ -113,7 +117,10 @@
         let next = tokio::select! {
             biased;
             next = client.next_request(&limits, gw.stop.reached(StopStage::Closed)) => next,
-            () = gw.stop.reached(StopStage::Received) => NextRequest::Closed,
+            () = gw.stop.reached(StopStage::Received) => match client.has_input() {
+                true => NextRequest::Bad(Code::Stopping),
+                false => NextRequest::Closed,
+            },
         };
         let req = match next {
             NextRequest::Request(req) => req,
--- a/crates/router/src/gateway/share.rs
+++ b/crates/router/src/gateway/share.rs
@@ -467,6 +467,9 @@
         if let Some(loan) = loans.get(id) {
             return Ok(PeerReply::Reserved(loan.reservation.amount()));
         }
+        if gw.stop.is_requested() {
+            return Ok(PeerReply::Reserved(0));
+        }
         let prepaid = gw.documents.in_force().and_then(|r| r.prepaid(account));
         let (Some(prepaid), Some(token_store)) = (prepaid, gw.token_store()) else {
             return Ok(PeerReply::Reserved(0));
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_http::client::OpenError;
 use cypressfork_http::server::output::CallerBuffers;
+use cypressfork_http::server::stop::StopProgress;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
@@ -55,7 +56,6 @@
 use super::upstream::{ConnectionPool, ReplicaConnection};
 use super::witness::{LostConnections, record_replica_event};
 use crate::token_store::TokenStore;
-use cypressfork_http::server::stop::StopProgress;
 
 /// Minimum number of uncached tokens of a prompt that is announced to other gateways. A shorter one
 /// is processed, in about 20 ms, before a peer could take it into account.
--- a/crates/router/src/gateway/stream.rs
+++ b/crates/router/src/gateway/stream.rs
@@ -8,6 +8,7 @@
 
 use super::attempt::{Attempt, AttemptOutcome, end_to_end_headers};
 use super::request::ResponseProgress;
+use super::routed_request::RoutedRequest;
 use super::upstream::ReplicaConnection;
 
 /// The result of one read from a replica's stream.
@@ -77,7 +78,7 @@
         // Received bytes are read before a closed caller ends the stream, so that their events count.
         let read = tokio::select! {
             biased;
-            read = read_next(connection, request.deadline) => read,
+            read = read_next(connection, request) => read,
             error = held.wait_given_up() => ReadOutcome::Broken(format!("{error:?}")),
             () = client.closed() => ReadOutcome::CallerClosed,
         };
@@ -130,13 +131,13 @@
         }
         attempt.record_survival();
         let mut begun = Instant::now();
-        let sent = send_events(client, head, complete, request.deadline).await;
+        let sent = send_events(client, head, complete, request).await;
         if client.may_hold() {
             // So far, nothing was waited for.
             begun = Instant::now();
             progress.timing.record_held(client.held_for());
         }
-        let sent = sent && wait_for_room(client, request.deadline).await;
+        let sent = sent && wait_for_room(client, request).await;
         progress.timing.record_forwarded(begun.elapsed());
         if !sent {
             return Some(AttemptOutcome::Left);
@@ -144,17 +145,17 @@
     }
 }
 
-async fn read_next(connection: &mut ReplicaConnection, until: Instant) -> ReadOutcome {
-    match timeout_at(until, connection.read_chunk()).await {
-        Ok(Ok(Some(bytes))) => ReadOutcome::Bytes(bytes),
-        Ok(Ok(None)) => ReadOutcome::End,
-        Ok(Err(ExchangeError::Protocol(why) | ExchangeError::NotSent(why))) => {
-            ReadOutcome::Broken(why)
-        }
-        Ok(Err(ExchangeError::Closed(why))) => ReadOutcome::Lost(why),
-        Ok(Err(ExchangeError::Silent(why))) => ReadOutcome::Silent(why),
-        Ok(Err(ExchangeError::Stale)) => ReadOutcome::Lost("the connection was closed".to_owned()),
-        Err(_) => ReadOutcome::DeadlinePassed,
+async fn read_next(connection: &mut ReplicaConnection, request: &RoutedRequest) -> ReadOutcome {
+    let Some(read) = request.in_time(connection.read_chunk()).await else {
+        return ReadOutcome::DeadlinePassed;
+    };
+    match read {
+        Ok(Some(bytes)) => ReadOutcome::Bytes(bytes),
+        Ok(None) => ReadOutcome::End,
+        Err(ExchangeError::Protocol(why) | ExchangeError::NotSent(why)) => ReadOutcome::Broken(why),
+        Err(ExchangeError::Closed(why)) => ReadOutcome::Lost(why),
+        Err(ExchangeError::Silent(why)) => ReadOutcome::Silent(why),
+        Err(ExchangeError::Stale) => ReadOutcome::Lost("the connection was closed".to_owned()),
     }
 }
 
@@ -164,18 +165,18 @@
     client: &mut Client,
     head: &ResponseHead,
     events: Bytes,
-    until: Instant,
+    request: &RoutedRequest,
 ) -> bool {
     if start_response(client, head).is_err() || client.write_chunk(events).is_err() {
         return false;
     }
-    matches!(timeout_at(until, client.forward()).await, Ok(Ok(())))
+    matches!(request.in_time(client.forward()).await, Some(Ok(())))
 }
 
 /// Waits until more may be read from the replica. Returns false if the caller's connection fails or does not
 /// accept enough in time.
-async fn wait_for_room(client: &mut Client, until: Instant) -> bool {
-    matches!(timeout_at(until, client.wait_for_room()).await, Ok(Ok(())))
+async fn wait_for_room(client: &mut Client, request: &RoutedRequest) -> bool {
+    matches!(request.in_time(client.wait_for_room()).await, Some(Ok(())))
 }
 
 /// Buffers the head of the response unless it was sent before.
