A gateway that closes its listener serves the connections that have opened

What callers saw: around the stop of a gateway, connections that were reset without a response although the whole request had been sent.

Cause: at the close of the listener the system resets connections that it has opened and the process has not accepted. The end of the time for new requests was chosen by chance before connections that were waiting, and a busy or paused process has many of them.

The listener now hands over what has opened before it closes, as those of the other processes do, and the drain lets these connections begin their exchanges before it counts them.

--- a/crates/cypressfork/tests/planned_stops.rs
+++ b/crates/cypressfork/tests/planned_stops.rs
@@ -309,3 +309,21 @@
     assert!(text.starts_with("HTTP/1.1 200") && text.contains("\r\n\r\na-1"), "{text}");
     assert_eq!(gateway(&mut f).wait(), Some(0));
 }
+
+/// Guards against requests that are reset because the listener closes before their connections are accepted.
+#[test]
+fn requests_that_arrive_as_the_listener_closes_are_answered() {
+    let mut f = start(&settings(SERVE, STOP), Duration::from_millis(50));
+    gateway(&mut f).signal("TERM");
+    sleep(SERVE / 2);
+    // The gateway finds the connections and the end of the time for new requests at once.
+    gateway(&mut f).signal("STOP");
+    let callers: Vec<_> = (0..16).map(|n| call(f.listen, "/move/x", &format!("q-{n}"))).collect();
+    sleep(SERVE);
+    gateway(&mut f).signal("CONT");
+    for (n, caller) in callers.into_iter().enumerate() {
+        let got = caller.join().unwrap();
+        assert_eq!(status(&got.text), 200, "{n}: {}", got.text);
+    }
+    assert_eq!(gateway(&mut f).wait(), Some(0));
+}
--- a/crates/http/src/server/mod.rs
+++ b/crates/http/src/server/mod.rs
@@ -142,7 +142,7 @@
 }
 
 /// Accepts the connections that have opened, whose requests may have arrived, and closes the listener.
-fn accept_opened(listener: TcpListener, accept: impl Fn(TcpStream)) {
+pub fn accept_opened(listener: TcpListener, accept: impl Fn(TcpStream)) {
     let Ok(listener) = listener.into_std() else { return };
     while let Ok((stream, _)) = listener.accept() {
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -60,7 +60,7 @@
 async fn end_exchanges(app: &App, exchanges: &Exchanges) {
     let (start, within) = (Instant::now(), app.settings.drain_timeout);
     app.stop.advance(StopStage::Closed);
-    // Tasks of connections that are accepted last begin their exchanges.
+    // Connections that are accepted last begin their exchanges.
     sleep(POLL_INTERVAL).await;
     tokio::select! {
         biased;
--- a/crates/router/src/gateway/drain.rs
+++ b/crates/router/src/gateway/drain.rs
@@ -41,6 +41,8 @@
         relayed = gw.relayed.get()
     );
     gw.stop.advance(StopStage::Closed);
+    // Connections that are accepted last begin their exchanges.
+    sleep(POLL_INTERVAL).await;
     tokio::select! {
         () = wait_idle(&gw, &exchanges, cut) => {}
         () = end_receiving(&gw) => {}
--- a/crates/router/src/gateway/server.rs
+++ b/crates/router/src/gateway/server.rs
@@ -9,6 +9,7 @@
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::Limits;
 use cypressfork_core::unit::Millis;
+use cypressfork_http::server::accept_opened;
 use cypressfork_http::server::clients::{ACCEPTED_IN_ROW, ClientListener};
 use cypressfork_node::event::Event;
 use cypressfork_node::process::bind;
@@ -56,18 +57,21 @@
     let mut accepted_in_row = 0_usize;
     // Without the options, more bytes may arrive before they are read.
     let _ = ClientListener::configure(&listener);
+    let accept = |stream| {
+        let Ok(account) = clients.register() else { return };
+        let held = gw.caller_buffers.as_ref().map(|b| b.register());
+        let bytes_served = Some(gw.bytes_served.clone());
+        let client = Client::new(stream, account, &config, bytes_served, held);
+        actix_rt::spawn(serve::<D>(gw.clone(), client));
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = &mut closed => return,
+            () = &mut closed => return accept_opened(listener, accept),
         };
         match accepted {
             Ok((stream, _)) => {
-                let Ok(account) = clients.register() else { continue };
-                let held = gw.caller_buffers.as_ref().map(|b| b.register());
-                let bytes_served = Some(gw.bytes_served.clone());
-                let client = Client::new(stream, account, &config, bytes_served, held);
-                actix_rt::spawn(serve::<D>(gw.clone(), client));
+                accept(stream);
                 accepted_in_row += 1;
                 if accepted_in_row.is_multiple_of(ACCEPTED_IN_ROW) {
                     yield_now().await;
