Test that a leave that is acknowledged during a stop holds at gateways

Two leaves of one replica arrive at the leader 0.1 s after its stop signal, and a late heartbeat at another process after them.

--- a/crates/cypressfork/tests/control_stops.rs
+++ b/crates/cypressfork/tests/control_stops.rs
@@ -217,3 +217,38 @@
     assert_eq!(process(&mut f, 0).wait(), Some(0));
     assert!(started.elapsed() < STOP, "{:?}", started.elapsed());
 }
+
+/// Guards against a leave that is acknowledged during a stop and does not hold at gateways.
+#[test]
+fn a_leave_that_is_acknowledged_during_a_stop_holds_at_gateways() {
+    let mut f = start(3);
+    f.start_gateway();
+    let replica = start_replica();
+    let stopped = leader(&f);
+    let heartbeat = |f: &Fleet, n: usize, sequence: usize| {
+        let body = json!({ "service": "board", "address": replica.to_string(),
+            "data_centre": "tamar-a", "sequence": sequence });
+        f.call(n, "PUT", "/v1/replicas/r-1", &body.to_string()).map(|a| a.0)
+    };
+    wait_for("a response", || {
+        assert_eq!(heartbeat(&f, stopped, 1), Some(200));
+        f.get("/board/x").is_some_and(|a| a.0 == 200)
+    });
+    let leaves: Vec<_> = (0..2).map(|_| begin(&f, stopped, "leave")).collect();
+    sleep(REST_AFTER);
+    process(&mut f, stopped).signal("TERM");
+    sleep(REST_AFTER);
+    for leave in leaves {
+        let text = leave.finish();
+        assert_eq!(status(&text), 200, "{text}");
+    }
+    let since = Instant::now();
+    assert_eq!(process(&mut f, stopped).wait(), Some(0));
+    // A heartbeat that was sent before the leave arrives late elsewhere.
+    assert_eq!(heartbeat(&f, (stopped + 1) % 3, 1), Some(200));
+    while since.elapsed() < Duration::from_secs(3) {
+        let is_served = f.get("/board/x").is_some_and(|a| a.0 == 200);
+        assert!(!is_served || since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
+        sleep(Duration::from_millis(20));
+    }
+}
