Test of slow callers: wait until the gateway has read the end of a stream

a_finished_stream_waits_for_its_caller_and_not_for_its_replica failed once in four runs beside builds (402 to a request for all tokens but those of the stream). The test asked as soon as the replica had sent the end. Until the gateway has read it, the stream counts with the most that it can use, and 402 is what callers are promised then. The test now waits for the end of the attempt, which the gateway counts in the step that settles the tokens; the check itself stays.

--- a/crates/cypressfork/tests/slow_callers.rs
+++ b/crates/cypressfork/tests/slow_callers.rs
@@ -295,11 +295,15 @@
     let rig = Rig::start(1.0);
     let (connections, finished) =
         (rig.replica.connections.load(Relaxed), rig.replica.finished.load(Relaxed));
+    let answered = || rig.metric("cypressfork_attempts_total{end=\"answered\"}");
+    let before = answered();
     let mut caller = rig.stall("/talk/endless");
     // Longer than a replica keeps an unread answer.
     sleep(UNREAD_TIMEOUT);
     rig.replica.finish.store(true, Relaxed);
     wait_for("the end of the stream", || rig.replica.finished.load(Relaxed) > finished);
+    // Until the gateway has read the end, the stream counts with the most that it can use.
+    wait_for("the end of the attempt", || answered() > before);
     let events = rig.replica.events.load(Relaxed);
     rig.assert_spent_at_most(PROMPT_TOKENS + events);
     assert_eq!(rig.replica.connections.load(Relaxed), connections, "the connection is reused");
