Connections to replicas rest until surplus bytes have shown

What callers saw: 502 and 504 for requests behind a torn copy: a replica sends a second copy of a response, up to 100 ms after the first, that stops at any byte.

Cause: a connection was used again as soon as its response was whole, the one used last first. The copy arrived after the next request was sent, and the own response was read as its rest, or as the rest of its head.

Why this works: the pool hands out a connection that has been idle for 250 ms, where a copy shows as unread bytes and the connection is closed. If none has, it hands out the one that has been idle longest, or, if a replica of the service has sent surplus bytes within 60 s, opens a new one. A connection on which a response to another request was read is not kept. Requests are not sent more often than before, so at most once still holds.

Ways weighed: finding the own response in the bytes behind the copy (a body of another caller's response may hold any text, so it isn't sound without an id that nobody can guess); waiting before unsafe requests (100 ms each, also at sound replicas); only rested or new connections at all replicas (new connections wherever load rises, not measured); closing connections that have shown surplus and nothing else (it is the copy that shows first that hits a request).

The first copies of a service that has sent none for 60 s may still hit a request each.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -132,6 +132,8 @@
     codec: Option<Codec>,
     /// The connection has carried an earlier exchange.
     used: bool,
+    /// Bytes that answer no request on the connection have arrived.
+    has_shown_surplus: bool,
     /// The request is HEAD.
     answers_head: bool,
     /// The current response has no body.
@@ -173,6 +175,7 @@
             buf: BytesMut::new(),
             codec: Some(Codec::Head(ClientCodec::default())),
             used: false,
+            has_shown_surplus: false,
             answers_head: false,
             has_no_body: false,
             until_close: false,
@@ -196,9 +199,22 @@
     /// Returns true if an idle connection has received no bytes, was not closed, and is within its idle
     /// timeout.
     pub fn is_fresh(&self, now: Instant) -> bool {
-        self.stream.is_silent()
-            && self.buf.is_empty()
-            && now.duration_since(self.idle_since) < self.idle_timeout
+        self.stream.is_silent() && self.buf.is_empty() && self.idle_for(now) < self.idle_timeout
+    }
+
+    /// Returns true if bytes have arrived since the end of the last response.
+    pub fn has_surplus(&self) -> bool {
+        self.is_between_messages() && (!self.buf.is_empty() || self.stream.has_unread())
+    }
+
+    /// Records that bytes on the connection answer no request, so that it is not reused.
+    pub fn mark_surplus(&mut self) {
+        self.has_shown_surplus = true;
+    }
+
+    /// Returns how long the connection has been idle.
+    pub fn idle_for(&self, now: Instant) -> Duration {
+        now.duration_since(self.idle_since)
     }
 
     /// Waits until the server closes a connection on which no request was sent.
@@ -430,9 +446,13 @@
     /// Returns true if the last response was complete and the connection can carry another exchange. One that has
     /// carried HEAD cannot: a late second response to it would take the next response for its body.
     pub fn is_reusable(&self) -> bool {
-        let between_messages = matches!(self.codec, Some(Codec::Head(_)));
-        let is_complete = between_messages && self.buf.is_empty();
-        is_complete && !self.closes_after && !self.until_close && !self.answers_head
+        let is_complete = self.is_between_messages() && self.buf.is_empty();
+        let may_continue = !self.closes_after && !self.until_close && !self.answers_head;
+        is_complete && may_continue && !self.has_shown_surplus
+    }
+
+    fn is_between_messages(&self) -> bool {
+        matches!(self.codec, Some(Codec::Head(_)))
     }
 }
 
--- a/crates/http/src/client/transport.rs
+++ b/crates/http/src/client/transport.rs
@@ -22,6 +22,9 @@
 
     /// Returns whether the stream is open and has no unread bytes.
     fn is_silent(&self) -> bool;
+
+    /// Returns whether the stream has unread bytes, as far as the system knows.
+    fn has_unread(&self) -> bool;
 }
 
 impl Transport for TcpStream {
@@ -38,9 +41,15 @@
     }
 
     fn is_silent(&self) -> bool {
-        // Asks the system, because the runtime only knows what it has polled.
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(self).peek(&mut byte);
-        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        matches!(peek(self), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn has_unread(&self) -> bool {
+        matches!(peek(self), Ok(n) if n > 0)
     }
 }
+
+/// Asks the system for the next byte, because the runtime only knows what it has polled.
+fn peek(stream: &TcpStream) -> io::Result<usize> {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+}
--- a/crates/http/tests/endless_responses.rs
+++ b/crates/http/tests/endless_responses.rs
@@ -65,6 +65,10 @@
     fn is_silent(&self) -> bool {
         false
     }
+
+    fn has_unread(&self) -> bool {
+        true
+    }
 }
 
 /// Reads a response until it ends, fails or has a body of more than [`MAX_BODY`]. Returns the bytes that the server has
--- a/crates/node/src/metric.rs
+++ b/crates/node/src/metric.rs
@@ -66,6 +66,7 @@
     STREAMS_NOT_RESUMED = "cypressfork_streams_not_resumed_total", "counter", "reason", "streams that callers could not resume, by reason";
     INTERIM_RESPONSES = "cypressfork_interim_responses_total", "counter", "", "interim responses (1xx) of upstreams, which are skipped";
     FOREIGN_RESPONSES = "cypressfork_foreign_responses_total", "counter", "kind", "responses of replicas that were skipped: to another request (other_request) or without an id (no_id)";
+    SURPLUS = "cypressfork_surplus_total", "counter", "", "times that bytes which are no response to the current request arrived on a kept connection to a replica";
     STREAMS_RESUMED = "cypressfork_streams_resumed_total", "counter", "ground", "streams that callers resumed, by what shows where they began: this gateway (own), another one (keeper) or the only version of the service (single_version)";
     ORIGINS_DROPPED = "cypressfork_stream_origins_dropped_total", "counter", "", "origins of streams that a gateway did not store because it had no room";
     ROLLOUT_ANSWERS = "cypressfork_rollout_answers_total", "counter", "service, version", "responses of the old and the new version of a service during a rollout, failures included";
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -415,7 +415,11 @@
         mut connection: ReplicaConnection,
     ) -> Result<(ReplicaConnection, ResponseHead), AttemptOutcome> {
         for _ in 0..MAX_SKIPPED_RESPONSES {
-            let head = self.read_head(&mut connection).await?;
+            let head = self.read_head(&mut connection).await.inspect_err(|e| {
+                if self.is_reused && matches!(e, ExchangeError::Protocol(_)) {
+                    self.record_surplus();
+                }
+            })?;
             let (service, address) = (&self.request.service, self.choice.address);
             self.request.gw.dialer.record_response(service, address, &connection);
             let response = D::parse_response(&head);
@@ -440,6 +444,8 @@
                 return Ok((connection, head));
             }
             self.record_foreign_response(response.id);
+            self.record_surplus();
+            connection.mark_surplus();
             self.skip_foreign_body(&mut connection).await?;
         }
         Err(AttemptOutcome::Broken("the connection brings answers to other requests".to_owned()))
@@ -464,6 +470,11 @@
         }
     }
 
+    /// Records that the replica sends bytes that answer no request.
+    fn record_surplus(&self) {
+        self.request.gw.connections.record_surplus(Instant::now(), &self.request.service);
+    }
+
     /// Records a response to another request, with the id that it names.
     fn record_foreign_response(&self, found: Option<&str>) {
         let kind = if found.is_some() { "other_request" } else { "no_id" };
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -599,7 +599,7 @@
     pub async fn connect(&self, to: &Target<'_>) -> Result<ReplicaConnection, OpenError> {
         if !self.dialer.may_reuse(to.address) {
             self.connections.close_all(to.address);
-        } else if let Some(c) = self.connections.take(Instant::now(), to.address) {
+        } else if let Some(c) = self.connections.take(Instant::now(), to.service, to.address) {
             return Ok(c);
         }
         self.open_connection(to).await
@@ -640,7 +640,7 @@
         let pools = self.pools.borrow();
         let current = pools.get(service).and_then(|p| p.get(address));
         if current.is_some_and(|r| r.upstream.vm.name == replica) {
-            self.connections.put(Instant::now(), address, c);
+            self.connections.put(Instant::now(), service, address, c);
         }
     }
 
