A head that stops on a reused connection is given up after 200 ms

What callers saw: 504 after the whole deadline, although another replica could have answered the request.

Cause: the time for skipping another request's response bounds its body only. A head that has begun and does not go on was waited for.

Why this works: on a connection that has carried a response, the rest of a begun head has to go on within 200 ms if the request may be sent elsewhere. Other requests wait as before: they may have run, and their response may still come behind these bytes.

Weighed: bounding it on new connections, too: no other response can be there, and a replica that stalls in its own head may go on.

--- a/crates/cypressfork/tests/torn_responses.rs
+++ b/crates/cypressfork/tests/torn_responses.rs
@@ -399,3 +399,24 @@
         assert!(is_own(&path, &id, &text), "{text}");
     }
 }
+
+/// Guards against a request that waits until its deadline for the rest of a head, although another replica could answer it.
+#[test]
+fn a_head_that_does_not_go_on_costs_no_repeatable_request() {
+    let has_stopped = Arc::new(AtomicBool::new(false));
+    let f = start_kept(move |text, id| {
+        let response = response(text.split(' ').nth(1).unwrap_or_default(), id);
+        let stops = !text.contains("/ready") && !has_stopped.swap(true, Ordering::Relaxed);
+        let parts = match stops {
+            true => vec![response[..20].to_owned(), String::new()],
+            false => vec![response],
+        };
+        Script { parts, pause: Duration::from_secs(3), end: End::Keep }
+    });
+    let mut s = connect(f.listen);
+    let sent = Instant::now();
+    send(&mut s, "GET", "/board/s-1", "s-1");
+    let text = receive(&mut s, false);
+    assert!(is_own("/board/s-1", "s-1", &text), "{text}");
+    assert!(sent.elapsed() < PROMPT, "{:?}", sent.elapsed());
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -138,6 +138,8 @@
     has_shown_surplus: bool,
     /// The first response on the connection, which can be no other's, has a status line in one of its fields.
     names_status_lines: bool,
+    /// Maximum time without further bytes inside a head, if there is one.
+    max_head_pause: Option<Duration>,
     /// The request is HEAD.
     answers_head: bool,
     /// The current response has no body.
@@ -181,6 +183,7 @@
             used: false,
             has_shown_surplus: false,
             names_status_lines: false,
+            max_head_pause: None,
             answers_head: false,
             has_no_body: false,
             until_close: false,
@@ -217,6 +220,11 @@
         self.has_shown_surplus = true;
     }
 
+    /// Sets the maximum time without further bytes inside the next heads, until the connection is idle.
+    pub fn limit_head_pause(&mut self, max: Duration) {
+        self.max_head_pause = Some(max);
+    }
+
     /// Returns how long the connection has been idle.
     pub fn idle_for(&self, now: Instant) -> Duration {
         now.duration_since(self.idle_since)
@@ -322,12 +330,22 @@
             if self.buf.len() > MAX_HEAD {
                 return Err(protocol_error("the head of the answer is too large"));
             }
-            if !self.fill().await? {
+            if !self.fill_head().await? {
                 return Err(closed("the connection closed before an answer"));
             }
         }
     }
 
+    /// Reads more bytes of a head. Returns false at the end of the connection.
+    async fn fill_head(&mut self) -> Result<bool, ExchangeError> {
+        match self.max_head_pause {
+            Some(max) if !self.buf.is_empty() => timeout(max, self.fill())
+                .await
+                .unwrap_or_else(|_| Err(protocol_error("the rest of a head does not arrive"))),
+            _ => self.fill().await,
+        }
+    }
+
     /// Returns whether the decoder expects a body after the head that it has returned.
     fn reads_body(&self) -> bool {
         let Some(Codec::Head(codec)) = &self.codec else { return false };
@@ -448,6 +466,7 @@
     /// Marks the connection as idle until the next exchange.
     pub fn mark_idle(&mut self, now: Instant) {
         self.used = true;
+        self.max_head_pause = None;
         // Frees the buffer, because many connections may be idle at once.
         self.buf = BytesMut::new();
         self.idle_since = now;
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -34,7 +34,8 @@
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_SKIPPED_RESPONSES: usize = 4;
 
-/// Time in which the rest of a response to another request has to arrive if the request may be sent elsewhere.
+/// Time in which the rest of a response to another request, and each part of a head on a reused connection, has to arrive
+/// if the request may be sent elsewhere.
 const MAX_SKIP_TIME: Duration = Duration::from_millis(200);
 
 /// Time without a response after which the path to the replica is checked, unless other replicas respond.
@@ -414,6 +415,9 @@
         &self,
         mut connection: ReplicaConnection,
     ) -> Result<(ReplicaConnection, ResponseHead), AttemptOutcome> {
+        if self.is_reused && self.request.is_repeatable() {
+            connection.limit_head_pause(MAX_SKIP_TIME);
+        }
         for _ in 0..MAX_SKIPPED_RESPONSES {
             let head = self.read_head(&mut connection).await.inspect_err(|e| {
                 if self.is_reused && matches!(e, ExchangeError::Protocol(_)) {
