Each listener takes the calls of its own job

What callers saw: at the directory (`fleet.entry`), where clients that the operator does not control ask for gateways, every call of the HTTP API worked without a key: PUT /v1/document published a configuration, GET returned it with all API keys, DELETE /v1/replicas/ID took a replica out.

Cause: both listeners of a control process handed every request to the same function, which knew paths and not where they were asked for.

A dialect now states its calls in one table of method and path, from which requests are parsed, bodies are admitted, and the pages are checked. A call outside a listener's part of the table gets 404 (CF1112). CFE337 tells once a second at most how many came, with excerpts of the last method and path. Paths in CFE316 are cut to the same length. The control address no longer answers the question for gateways; two tests and one of the platform asked it there, and now ask the directory.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix_http::{Request, Response};
+use bytes::Bytes;
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer as Committed, Command};
 use cypressfork_core::fleet::format;
@@ -17,7 +18,8 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::dialect::{Call, CallAnswer, Dialect, Incoming};
+use crate::dialect::{Call, CallAnswer, Dialect, Incoming, foreign_call};
+use crate::listener::{CallKind, ForeignCalls, Listener, excerpt};
 
 /// Time within which a document has to be committed.
 const PUBLISH_TIMEOUT: Duration = Duration::from_millis(3_500);
@@ -64,6 +66,20 @@
     documents: Semaphore,
 }
 
+/// A listener and the state of its requests.
+pub struct Door {
+    api: Rc<Api>,
+    listener: Listener,
+    foreign: ForeignCalls,
+}
+
+impl Door {
+    /// Returns a listener that has had no requests.
+    pub fn new(api: Rc<Api>, listener: Listener) -> Door {
+        Door { api, listener, foreign: ForeignCalls::default() }
+    }
+}
+
 impl Api {
     /// Returns the state of a process without calls.
     pub fn new(group: GroupClient, local: mpsc::Sender<LocalCall>) -> Api {
@@ -84,38 +100,52 @@
 /// Calls that submit or read a document at once; each holds several copies of it. Others wait.
 const MAX_DOCUMENT_CALLS: usize = 8;
 
-/// Returns how much of the body of a request is read in the dialect `D`.
-pub fn body_limit<D: Dialect>(req: &Request) -> BodyLimit {
-    match D::has_document(req.method(), req.path()) {
-        true => BodyLimit { bytes: MAX_DOCUMENT, copies: DOCUMENT_COPIES },
-        false => BodyLimit { bytes: MAX_BODY, copies: 0 },
+/// Returns how much of the body of a request is read in the dialect `D`: none if the listener does not take the call.
+pub fn body_limit<D: Dialect>(listener: Listener, req: &Request) -> BodyLimit {
+    match listener.find_call::<D>(req.method().as_str(), req.path()) {
+        Some((CallKind::Publish, _)) => BodyLimit { bytes: MAX_DOCUMENT, copies: DOCUMENT_COPIES },
+        Some(_) => BodyLimit { bytes: MAX_BODY, copies: 0 },
+        None => BodyLimit::NONE,
     }
 }
 
 /// Handles one request: reads it in the dialect `D`, carries out its call, and returns the response.
-pub async fn serve<D: Dialect>(api: Rc<Api>, req: Received) -> Response<Body> {
+pub async fn serve<D: Dialect>(door: Rc<Door>, req: Received) -> Response<Body> {
     let Received { head, body } = req;
     let answer = match body {
-        Ok(bytes) => {
-            let query = head.uri().query().unwrap_or_default();
-            let (method, path) = (head.method(), head.path());
-            match D::parse_call(&Incoming { method, path, query, body: &bytes }) {
-                Ok(call) => {
-                    drop(bytes);
-                    dispatch::<D>(&api, call).await
-                }
-                Err(refused) => refused,
-            }
-        }
+        Ok(bytes) => answer::<D>(&door, &head, bytes).await,
         Err(code) => CallAnswer::Refused(code, "the body was not received".to_owned()),
     };
     if let CallAnswer::Refused(code, why) = &answer {
         counter!(metric::CALLS_REFUSED, "code" => code.number().to_string()).increment(1);
-        emit!(Event::CallRefused, code = code.number(), path = head.path(), why = why);
+        match code {
+            Code::CallForeign => door.foreign.record(door.listener, &head),
+            _ => {
+                let path = excerpt(head.path());
+                emit!(Event::CallRefused, code = code.number(), path = path, why = why);
+            }
+        }
     }
     D::encode_answer(answer)
 }
 
+/// Carries out the call of a request, if the listener takes it, and returns the answer.
+async fn answer<D: Dialect>(door: &Door, head: &Request, body: Bytes) -> CallAnswer {
+    let query = head.uri().query().unwrap_or_default();
+    let (method, path) = (head.method(), head.path());
+    let incoming = Incoming { method, path, query, body: &body };
+    let Some((kind, name)) = door.listener.find_call::<D>(method.as_str(), path) else {
+        return foreign_call(&incoming);
+    };
+    match D::parse_kind(kind, name, &incoming) {
+        Ok(call) => {
+            drop(body);
+            dispatch::<D>(&door.api, call).await
+        }
+        Err(refused) => refused,
+    }
+}
+
 async fn dispatch<D: Dialect>(api: &Api, call: Call) -> CallAnswer {
     match call {
         Call::Publish(source) => publish::<D>(api, source).await,
--- a/crates/control/src/dialect.rs
+++ b/crates/control/src/dialect.rs
@@ -8,6 +8,8 @@
 use cypressfork_core::unit::{Millis, Version};
 use cypressfork_http::Body;
 
+use crate::listener::{CallKind, Listener, Route, excerpt};
+
 /// An HTTP request.
 pub struct Incoming<'a> {
     /// Method.
@@ -63,10 +65,27 @@
 
 /// A format of calls and answers over HTTP.
 pub trait Dialect: DocumentFormat {
-    /// Returns whether the body of a request is a document. Those of all other calls are small.
-    fn has_document(method: &Method, path: &str) -> bool;
-    /// Parses a request into a call. Returns the answer to send if it is refused.
-    fn parse_call(r: &Incoming) -> Result<Call, CallAnswer>;
+    /// The method and path of each call.
+    const ROUTES: &'static [Route];
+    /// Parses a request into a call of this kind. `name` is the rest of the path after that of the route. Returns the
+    /// answer to send if it is refused.
+    fn parse_kind(kind: CallKind, name: &str, r: &Incoming) -> Result<Call, CallAnswer>;
+    /// Parses a request into any call. Returns the answer to send if it is refused.
+    fn parse_call(r: &Incoming) -> Result<Call, CallAnswer>
+    where
+        Self: Sized,
+    {
+        match Listener::Shared.find_call::<Self>(r.method.as_str(), r.path) {
+            Some((kind, name)) => Self::parse_kind(kind, name, r),
+            None => Err(foreign_call(r)),
+        }
+    }
     /// Encodes an answer as an HTTP response.
     fn encode_answer(a: CallAnswer) -> Response<Body>;
 }
+
+/// Returns the answer to a call that the listener does not take.
+pub fn foreign_call(r: &Incoming) -> CallAnswer {
+    let call = format!("{} {}", excerpt(r.method.as_str()), excerpt(r.path));
+    CallAnswer::Refused(Code::CallForeign, call)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod leader_tasks;
 mod leaderless;
 mod links;
+pub mod listener;
 pub mod machine;
 pub mod native;
 mod read;
--- a/crates/control/src/native.rs
+++ b/crates/control/src/native.rs
@@ -1,7 +1,7 @@
 //! The project's own HTTP API: documents, registrations and router addresses as JSON.
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use actix_http::{Method, Response, StatusCode};
+use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::document::{Document, InvalidDocument};
@@ -12,20 +12,12 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::dialect::{Call, CallAnswer, Dialect, Incoming};
+use crate::dialect::{Call, CallAnswer, Dialect, Incoming, foreign_call};
+use crate::listener::{CallKind, Route};
 
 /// `Retry-After` of a control process without a quorum.
 const RETRY_DELAY: Millis = Millis::seconds(1);
 
-/// Path of the document in force.
-const DOCUMENT: &str = "/v1/document";
-
-/// Path prefix of evacuations; the data centre follows.
-const EVACUATIONS: &str = "/v1/evacuations/";
-
-/// Path prefix of rollouts; the service follows.
-const ROLLOUTS: &str = "/v1/rollouts/";
-
 /// The project's own HTTP API.
 pub struct Native;
 
@@ -60,29 +52,34 @@
 }
 
 impl Dialect for Native {
-    fn has_document(method: &Method, path: &str) -> bool {
-        method == Method::PUT && path == DOCUMENT
-    }
-
-    fn parse_call(r: &Incoming) -> Result<Call, CallAnswer> {
-        let text = || String::from_utf8(r.body.to_vec()).map_err(|e| invalid_json(e.to_string()));
-        match (r.method, r.path, r.path.strip_prefix("/v1/replicas/")) {
-            (&Method::PUT, DOCUMENT, _) => Ok(Call::Publish(text()?)),
-            (&Method::GET, DOCUMENT, _) => Ok(Call::Document),
-            (&Method::GET, "/v1/entry", _) => Ok(Call::Entry(query_field(r.query, "data_centre"))),
-            (&Method::PUT, path, _) if path.starts_with(EVACUATIONS) => {
-                parse_evacuation(r, EVACUATIONS, true)
-            }
-            (&Method::DELETE, path, _) if path.starts_with(EVACUATIONS) => {
-                parse_evacuation(r, EVACUATIONS, false)
-            }
-            (method, path, _) if path.starts_with(ROLLOUTS) => parse_rollout(method, r),
-            (&Method::PUT, _, Some(id)) if !id.is_empty() => parse_heartbeat(id, r.body),
-            (&Method::DELETE, _, Some(id)) if !id.is_empty() => Ok(Call::Leave(id.to_owned())),
-            _ => Err(CallAnswer::Refused(
-                Code::PathUnknown,
-                format!("no call {} {}", r.method, r.path),
-            )),
+    const ROUTES: &'static [Route] = &[
+        Route::new(CallKind::Publish, "PUT", "/v1/document"),
+        Route::new(CallKind::Document, "GET", "/v1/document"),
+        Route::new(CallKind::Heartbeat, "PUT", "/v1/replicas/"),
+        Route::new(CallKind::Leave, "DELETE", "/v1/replicas/"),
+        Route::new(CallKind::Evacuate, "PUT", "/v1/evacuations/"),
+        Route::new(CallKind::EndEvacuation, "DELETE", "/v1/evacuations/"),
+        Route::new(CallKind::StartRollout, "PUT", "/v1/rollouts/"),
+        Route::new(CallKind::AbortRollout, "DELETE", "/v1/rollouts/"),
+        Route::new(CallKind::Rollout, "GET", "/v1/rollouts/"),
+        Route::new(CallKind::Entry, "GET", "/v1/entry"),
+    ];
+
+    fn parse_kind(kind: CallKind, name: &str, r: &Incoming) -> Result<Call, CallAnswer> {
+        match kind {
+            CallKind::Publish => String::from_utf8(r.body.to_vec())
+                .map(Call::Publish)
+                .map_err(|e| invalid_json(e.to_string())),
+            CallKind::Document => Ok(Call::Document),
+            CallKind::Heartbeat | CallKind::Leave if name.is_empty() => Err(foreign_call(r)),
+            CallKind::Heartbeat => parse_heartbeat(name, r.body),
+            CallKind::Leave => Ok(Call::Leave(name.to_owned())),
+            CallKind::Evacuate => parse_evacuation(name, r, true),
+            CallKind::EndEvacuation => parse_evacuation(name, r, false),
+            CallKind::StartRollout => parse_rollout(service_name(name)?, r.body),
+            CallKind::AbortRollout => Ok(Call::AbortRollout(service_name(name)?)),
+            CallKind::Rollout => Ok(Call::Rollout(service_name(name)?)),
+            CallKind::Entry => Ok(Call::Entry(query_field(r.query, "data_centre"))),
         }
     }
 
@@ -102,14 +99,12 @@
     }
 }
 
-/// Returns the call that evacuates the data centre named in the path after `prefix`, or with `evacuate`
-/// false ends its evacuation.
+/// Returns the call that evacuates the data centre `name`, or with `evacuate` false ends its evacuation.
 ///
 /// # Errors
 ///
-/// Refuses a path without a data centre, and a request with a body.
-pub fn parse_evacuation(r: &Incoming, prefix: &str, evacuate: bool) -> Result<Call, CallAnswer> {
-    let name = r.path.strip_prefix(prefix).unwrap_or_default();
+/// Refuses an empty name, and a request with a body.
+pub fn parse_evacuation(name: &str, r: &Incoming, evacuate: bool) -> Result<Call, CallAnswer> {
     if name.is_empty() {
         let reason = "the path names no data centre".to_owned();
         return Err(CallAnswer::Refused(Code::DataCentreUnknown, reason));
@@ -128,21 +123,16 @@
     within_ms: u64,
 }
 
-fn parse_rollout(method: &Method, r: &Incoming) -> Result<Call, CallAnswer> {
-    let service = r.path.strip_prefix(ROLLOUTS).unwrap_or_default().to_owned();
-    if service.is_empty() {
+fn service_name(name: &str) -> Result<String, CallAnswer> {
+    if name.is_empty() {
         return Err(CallAnswer::Refused(Code::RolloutBad, "the path names no service".to_owned()));
     }
-    match *method {
-        Method::PUT => {
-            let o: RolloutOrder =
-                serde_json::from_slice(r.body).map_err(|e| invalid_json(e.to_string()))?;
-            Ok(Call::StartRollout(service, o.version, Millis(o.within_ms)))
-        }
-        Method::DELETE => Ok(Call::AbortRollout(service)),
-        Method::GET => Ok(Call::Rollout(service)),
-        _ => Err(CallAnswer::Refused(Code::PathUnknown, format!("no call {method} {}", r.path))),
-    }
+    Ok(name.to_owned())
+}
+
+fn parse_rollout(service: String, body: &[u8]) -> Result<Call, CallAnswer> {
+    let o: RolloutOrder = serde_json::from_slice(body).map_err(|e| invalid_json(e.to_string()))?;
+    Ok(Call::StartRollout(service, o.version, Millis(o.within_ms)))
 }
 
 fn invalid_json(reason: String) -> CallAnswer {
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -1,11 +1,11 @@
 //! Startup of a control process.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::Request;
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::client_table::max_held_bytes;
 use cypressfork_core::fleet::contacts::GroupStatus;
@@ -25,11 +25,12 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
-use crate::api::{self, Api};
+use crate::api::{self, Api, Door};
 use crate::dialect::Dialect;
 use crate::disk::{Disk, disk_failure};
 use crate::fleet_view::FleetView;
 use crate::founding::maintain_membership;
+use crate::listener::Listener;
 use crate::machine::{ClockReading, GroupMember};
 use crate::native::Native;
 use crate::reserve::Reserve;
@@ -96,13 +97,16 @@
     let (members_tx, rejoin_members) = mpsc::channel(1);
     let membership_group = group.clone();
     let api = Rc::new(Api::new(group, local));
-    for address in BTreeSet::from([f.listen, f.entry]) {
-        let api = api.clone();
-        let listener = listen(address).await?;
-        let divisor = if address == f.listen { API_FILES_DIVISOR } else { ENTRY_FILES_DIVISOR };
+    for (address, listener) in f.listeners() {
+        let divisor = match listener {
+            Listener::Control | Listener::Shared => API_FILES_DIVISOR,
+            Listener::Directory => ENTRY_FILES_DIVISOR,
+        };
         let clients = clients.add_listener(bounds.connections(divisor));
-        actix_rt::spawn(serve_within(listener, clients, api::body_limit::<D>, move |req| {
-            api::serve::<D>(api.clone(), req)
+        let limit = move |req: &Request| api::body_limit::<D>(listener, req);
+        let door = Rc::new(Door::new(api.clone(), listener));
+        actix_rt::spawn(serve_within(listen(address).await?, clients, limit, move |req| {
+            api::serve::<D>(door.clone(), req)
         }));
     }
     let is_founder = f.found && seeds.iter().min() == Some(&own);
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -11,6 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::listener::Listener;
 use crate::machine;
 
 /// The settings file.
@@ -99,7 +100,7 @@
 pub struct FleetSettings {
     /// Listening address of the HTTP API for operators and replicas.
     pub listen: SocketAddr,
-    /// Listening address at which callers request router addresses.
+    /// Listening address at which callers request router addresses; may be the same.
     pub entry: SocketAddr,
     /// Time for which callers may cache router addresses.
     pub entry_keep: Millis,
@@ -116,6 +117,16 @@
     pub rollout_share_permille: u64,
 }
 
+impl FleetSettings {
+    /// Returns the address of each listener of the HTTP API.
+    pub fn listeners(&self) -> Vec<(SocketAddr, Listener)> {
+        match self.listen == self.entry {
+            true => vec![(self.listen, Listener::Shared)],
+            false => vec![(self.listen, Listener::Control), (self.entry, Listener::Directory)],
+        }
+    }
+}
+
 impl FleetFile {
     fn check(self) -> Result<FleetSettings, Error> {
         let entry_keep = check_range("fleet.entry_keep_ms", self.entry_keep_ms, 100, 600_000)?;
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -80,6 +80,7 @@
     IdMissing = 1109, 400, "invalid_request_error", "a request marked not repeatable needs an Idempotency-Key";
     RouteUnknown = 1110, 404, "invalid_request_error", "no route has this host and path";
     RequestBad = 1111, 400, "invalid_request_error", "the request cannot be read";
+    CallForeign = 1112, 404, "invalid_request_error", "this address does not take this call";
     BudgetSpent = 1201, 429, "insufficient_quota", "the budget has too little left for this request";
     BudgetBusy = 1202, 429, "rate_limit_error", "the budget's tokens are being called back from elsewhere";
     BudgetUnreachable = 1203, 503, "rate_limit_error", "this site's share of the budget is used up and the control group is not in reach";
--- a/crates/cypressfork/tests/fleet.rs
+++ b/crates/cypressfork/tests/fleet.rs
@@ -66,7 +66,7 @@
     wait_for("an answer", || f.get("/board/x").unwrap().0 == 200);
     assert_eq!(f.get("/board/x").unwrap().1, json!({ "account": "club" }));
     assert_eq!(f.get("/elsewhere").unwrap().0, 404);
-    let (status, v) = f.call(0, "GET", "/v1/entry?data_centre=tamar-a", "").unwrap();
+    let (status, v) = f.ask_directory(0, "tamar-a").unwrap();
     assert_eq!((status, &v["addresses"]), (200, &json!([f.listen.to_string()])));
     let (status, v) = f.call(0, "PUT", "/v1/document", "{\"version\": 9}").unwrap();
     assert_eq!((status, &v["error"]["code"]), (400, &json!("CF2012")));
--- a/crates/cypressfork/tests/pages.rs
+++ b/crates/cypressfork/tests/pages.rs
@@ -5,9 +5,14 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
+use cypressfork_control::dialect::Dialect;
+use cypressfork_control::listener::{Listener, Route};
+use cypressfork_control::native::Native;
 use cypressfork_core::code::Code;
+use cypressfork_http::operators::METRICS_LISTENER_PATHS;
 use cypressfork_node::event::Event;
 use cypressfork_node::metric::{self, Metric};
+use cypressfork_router::gateway::run::OPERATOR_PATHS;
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -56,6 +61,34 @@
     assert_eq!(listed, rows, "the table should be:\n{}", rows.join("\n"));
 }
 
+/// Returns the calls of a listener as in the table of listeners.
+fn calls(name: &str, calls: impl Iterator<Item = String>) -> Vec<(String, String)> {
+    calls.map(|c| (name.to_owned(), format!("`{c}`"))).collect()
+}
+
+/// Guards against a listener that takes calls which the page for operators does not tell.
+#[test]
+fn every_call_of_a_listener_is_listed() {
+    let routes = |l: Listener| Native::ROUTES.iter().filter(move |r| l.takes(r.kind));
+    let gets = |paths: &'static [&str]| paths.iter().map(|p| format!("GET {p}"));
+    let expected = [
+        calls("control", routes(Listener::Control).map(Route::to_string)),
+        calls("directory", routes(Listener::Directory).map(Route::to_string)),
+        calls("metrics", gets(&METRICS_LISTENER_PATHS)),
+        calls("ready", gets(&OPERATOR_PATHS)),
+    ]
+    .concat();
+    let text = page("OPERATIONS.md");
+    let section = text.split("\n## Listeners\n").nth(1).unwrap().split("\n## ").next().unwrap();
+    let cells = |l: &str| l.split('|').map(|c| c.trim().to_owned()).collect::<Vec<_>>();
+    let rows = section.lines().filter(|l| l.starts_with("| ")).map(cells);
+    // The rows of the other listeners and the rest of the ready listener name no fixed path.
+    let is_fixed =
+        |c: &Vec<String>| c[3].starts_with('`') && c[3].ends_with('`') && c[3].contains('/');
+    let listed: Vec<_> = rows.filter(is_fixed).map(|c| (c[1].clone(), c[3].clone())).collect();
+    assert_eq!(listed, expected);
+}
+
 #[test]
 fn numbers_are_unique_and_ascending() {
     let codes: Vec<_> = Code::ALL.iter().map(|c| c.number()).collect();
--- a/crates/cypressfork/tests/regions.rs
+++ b/crates/cypressfork/tests/regions.rs
@@ -105,7 +105,7 @@
         c.link,
         data.display(),
         c.api,
-        c.api,
+        c.entry,
     );
     let process = fleet.start(&format!("control-{n}"), "control", &text);
     fleet.controls[n].process = Some(process);
@@ -124,7 +124,7 @@
         wait_for("the document in both regions", || f.fleet.version(n) == Some(3));
     }
     let listed = |dc: &str| {
-        let answer = f.fleet.call(0, "GET", &format!("/v1/entry?data_centre={dc}"), "");
+        let answer = f.fleet.ask_directory(0, dc);
         answer.and_then(|a| a.1["addresses"].as_array().map(Vec::len))
     };
     wait_for("both gateways to be listed", || listed("n1") == Some(2) && listed("s1") == Some(2));
--- a/crates/cypressfork/tests/support/gateways.rs
+++ b/crates/cypressfork/tests/support/gateways.rs
@@ -30,6 +30,8 @@
     /// Address under which other processes reach it, which may be that of a proxy.
     pub link: SocketAddr,
     pub api: SocketAddr,
+    /// Address at which callers ask for gateways.
+    pub entry: SocketAddr,
     pub metrics: SocketAddr,
     pub process: Option<Process>,
 }
@@ -98,10 +100,17 @@
 impl Fleet {
     /// Allocates the addresses and the folder; starts no process.
     pub fn new(controls: usize) -> Fleet {
-        let free = free_socket_addrs(&own_ip(), 4 + 3 * controls);
+        let free = free_socket_addrs(&own_ip(), 4 + 4 * controls);
         let control = |n: usize| {
-            let own = &free[4 + 3 * n..];
-            Control { listen: own[0], link: own[0], api: own[1], metrics: own[2], process: None }
+            let own = &free[4 + 4 * n..];
+            Control {
+                listen: own[0],
+                link: own[0],
+                api: own[1],
+                entry: own[2],
+                metrics: own[3],
+                process: None,
+            }
         };
         let controls = (0..controls).map(control).collect();
         let (listen, link, operators, metrics) = (free[0], free[1], free[2], free[3]);
@@ -162,7 +171,7 @@
             data.display(),
             c.metrics,
             c.api,
-            c.api,
+            c.entry,
         );
         let process = self.start(&format!("control-{n}"), "control", &text);
         self.controls[n].process = Some(process);
@@ -245,6 +254,12 @@
         exchange(self.controls[n].api, method, path, "", body)
     }
 
+    /// Asks control process `n` for gateways, as a caller in a data centre; returns `None` if there is no response.
+    pub fn ask_directory(&self, n: usize, data_centre: &str) -> Option<(u16, Value)> {
+        let path = format!("/v1/entry?data_centre={data_centre}");
+        exchange(self.controls[n].entry, "GET", &path, "", "")
+    }
+
     /// Publishes a document through any control process that accepts it.
     pub fn publish(&self, version: u64) {
         wait_for("the document to be accepted", || {
--- a/crates/http/src/operators.rs
+++ b/crates/http/src/operators.rs
@@ -14,6 +14,15 @@
 use crate::server::clients::ClientListener;
 use crate::{Body, BodyLimit, Received, serve_within};
 
+/// The path of liveness.
+pub const HEALTH_PATH: &str = "/healthz";
+
+/// The path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// The paths at the address for metrics.
+pub const METRICS_LISTENER_PATHS: [&str; 2] = [HEALTH_PATH, METRICS_PATH];
+
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 14] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
@@ -69,7 +78,7 @@
     Ok(Metrics { handle, last: Rc::default() })
 }
 
-/// Serves `/healthz` and `/metrics` within the bounds of `clients`, until the process ends.
+/// Serves [`METRICS_LISTENER_PATHS`] within the bounds of `clients`, until the process ends.
 pub async fn serve_metrics(listener: TcpListener, clients: ClientListener, metrics: Metrics) {
     let handle = move |r: Received| {
         let response = respond(&metrics, &r.head);
@@ -80,8 +89,10 @@
 
 fn respond(metrics: &Metrics, req: &Request) -> Response<Body> {
     match (req.method(), req.path()) {
-        (&Method::GET, "/healthz") => text_response(StatusCode::OK, "alive\n"),
-        (&Method::GET, "/metrics") => text_response(StatusCode::OK, metrics.render(Instant::now())),
+        (&Method::GET, HEALTH_PATH) => text_response(StatusCode::OK, "alive\n"),
+        (&Method::GET, METRICS_PATH) => {
+            text_response(StatusCode::OK, metrics.render(Instant::now()))
+        }
         _ => text_response(StatusCode::NOT_FOUND, "there are /healthz and /metrics\n"),
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -86,6 +86,7 @@
     DocumentStored = 334, Info, "a control process applied a newer document and can send it to routers";
     DocumentInForce = 335, Info, "a document is in force at all routers that a control process hears from";
     DepartureCommitted = 336, Info, "the group committed that a replica drains or has left";
+    CallsForeign = 337, Warn, "a listener got calls that it does not take";
     RouterRegistered = 401, Info, "this router registered with the control group";
     RouterReady = 402, Info, "this router is ready to serve callers";
     ControlUnreachable = 403, Warn, "the control group is out of reach";
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -7,7 +7,7 @@
 use actix_http::{Method, Request, Response, StatusCode};
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::client_table::max_held_bytes;
-use cypressfork_http::operators::Metrics;
+use cypressfork_http::operators::{HEALTH_PATH, METRICS_PATH, Metrics};
 use cypressfork_http::server::clients::Clients;
 use cypressfork_http::{Body, BodyLimit, operators, serve_within};
 use cypressfork_node::event::Event;
@@ -50,6 +50,9 @@
 /// Operators' path that lists the replicas without a direct path.
 const PATHS_PATH: &str = "/paths";
 
+/// The paths at the operators' address, besides that of the readiness check.
+pub const OPERATOR_PATHS: [&str; 4] = [HEALTH_PATH, BACKOFFS_PATH, PATHS_PATH, METRICS_PATH];
+
 /// Interval at which idle connections and expired state are removed.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -148,16 +151,16 @@
         return readiness(gw);
     }
     match (req.method(), path) {
-        (&Method::GET, "/healthz") => json_response(StatusCode::OK, &json!({ "alive": true })),
+        (&Method::GET, HEALTH_PATH) => json_response(StatusCode::OK, &json!({ "alive": true })),
         (&Method::GET, BACKOFFS_PATH) => list_backoffs(gw),
         (&Method::GET, PATHS_PATH) => list_lost_paths(gw),
-        (&Method::GET, "/metrics") => {
+        (&Method::GET, METRICS_PATH) => {
             operators::text_response(StatusCode::OK, metrics.render(Instant::now()))
         }
-        _ => json_response(
-            StatusCode::NOT_FOUND,
-            &json!({ "paths": [gw.settings.ready_path, "/healthz", BACKOFFS_PATH, PATHS_PATH, "/metrics"] }),
-        ),
+        _ => {
+            let paths = [&[gw.settings.ready_path.as_str()], &OPERATOR_PATHS[..]].concat();
+            json_response(StatusCode::NOT_FOUND, &json!({ "paths": paths }))
+        }
     }
 }
 
