One address for operators and callers has to be chosen

What callers saw: where `fleet.listen` and `fleet.entry` are one address, everybody who may ask for a gateway can make every call of operators and replicas, and no setting or page said so.

Cause: the same address in two settings was taken as a matter of course.

The soak fleet and the load example use one address and now say so; the platform's template has two and stays as it is.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -62,6 +62,9 @@
     pub listen: String,
     /// Listening address at which callers request router addresses.
     pub entry: String,
+    /// Whether `listen` and `entry` are one address, where callers can make the calls of operators and replicas.
+    #[serde(default)]
+    pub shared_address: bool,
     /// Milliseconds for which callers may cache router addresses.
     #[serde(default = "entry_keep_default")]
     pub entry_keep_ms: u64,
@@ -128,7 +131,27 @@
 }
 
 impl FleetFile {
+    /// Returns the listening addresses for operators and replicas, and for callers.
+    fn check_addresses(&self) -> Result<(SocketAddr, SocketAddr), Error> {
+        let listen = parse_address("fleet.listen", &self.listen)?;
+        let entry = parse_address("fleet.entry", &self.entry)?;
+        match (listen == entry, self.shared_address) {
+            (true, false) => Err(Error::value(
+                "fleet.entry",
+                entry,
+                "take another address than fleet.listen, or set fleet.shared_address, with which callers can make the calls of operators and replicas",
+            )),
+            (false, true) => Err(Error::value(
+                "fleet.shared_address",
+                true,
+                "take false, or give fleet.entry the address of fleet.listen",
+            )),
+            _ => Ok((listen, entry)),
+        }
+    }
+
     fn check(self) -> Result<FleetSettings, Error> {
+        let (listen, entry) = self.check_addresses()?;
         let entry_keep = check_range("fleet.entry_keep_ms", self.entry_keep_ms, 100, 600_000)?;
         let key = "fleet.replica_heartbeat_ms";
         let heartbeat = check_quantity(
@@ -144,8 +167,8 @@
             0.0..=1.0,
         )?;
         Ok(FleetSettings {
-            listen: parse_address("fleet.listen", &self.listen)?,
-            entry: parse_address("fleet.entry", &self.entry)?,
+            listen,
+            entry,
             entry_keep: Millis(entry_keep),
             // Rounded up, so that a heartbeat in time is never late.
             replica_heartbeat: Millis(heartbeat.ceil() as u64),
--- a/crates/cypressfork/tests/settings.rs
+++ b/crates/cypressfork/tests/settings.rs
@@ -53,6 +53,24 @@
     assert_eq!(check(daemon, &settings(daemon), 0o600), (0, String::new()));
 }
 
+/// Guards against callers that reach the calls of operators because two settings happen to be the same. Each case has the
+/// port of `entry`, a setting, and the words of the error; none if the settings are accepted.
+#[rstest]
+#[case::one_address("7002", "", &["CF3003", "fleet.entry", "127.0.0.1:7002", "fleet.shared_address"])]
+#[case::one_address_by_choice("7002", "  shared_address: true\n", &[])]
+#[case::two_addresses("7003", "  shared_address: false\n", &[])]
+#[case::two_addresses_called_one("7003", "  shared_address: true\n", &["CF3003", "fleet.shared_address", "fleet.entry"])]
+fn one_address_for_operators_and_callers_must_be_chosen(
+    #[case] port: &str,
+    #[case] setting: &str,
+    #[case] expected: &[&str],
+) {
+    let fleet = format!("fleet:\n  listen: 127.0.0.1:7002\n  entry: 127.0.0.1:{port}\n{setting}");
+    let (code, text) = check("control", &(settings("control") + &fleet), 0o600);
+    assert_eq!(code, if expected.is_empty() { 0 } else { 78 }, "{text}");
+    assert!(expected.iter().all(|w| text.contains(w)), "{text}");
+}
+
 /// Guards against errors that do not name the invalid setting. Each case has the daemon, the text to replace in a
 /// valid file, the replacement, and the words that the error must contain.
 #[rstest]
--- a/crates/soak/examples/control_load.rs
+++ b/crates/soak/examples/control_load.rs
@@ -67,7 +67,7 @@
     let data = dir.join(format!("data-{n}"));
     fs::create_dir_all(&data)?;
     let settings = format!(
-        "common:\n  cluster: load\n  region: accra\n  data_centre: {}\n  vm: control-{n}\n  open_links: true\n  log_form: json\n  control: {seeds:?}\nlisten: \"{link}\"\ndata_folder: {}\nreserve: false\nfleet:\n  listen: \"{http}\"\n  entry: \"{http}\"\n  found: true\n  voters: {CONTROLS}\n  replica_heartbeat_ms: 1200\n",
+        "common:\n  cluster: load\n  region: accra\n  data_centre: {}\n  vm: control-{n}\n  open_links: true\n  log_form: json\n  control: {seeds:?}\nlisten: \"{link}\"\ndata_folder: {}\nreserve: false\nfleet:\n  listen: \"{http}\"\n  entry: \"{http}\"\n  shared_address: true\n  found: true\n  voters: {CONTROLS}\n  replica_heartbeat_ms: 1200\n",
         DATA_CENTRES[n % DATA_CENTRES.len()],
         data.display(),
     );
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -276,7 +276,7 @@
 
     fn control_settings(&self, name: &str, p: &Addresses, found: bool) -> String {
         format!(
-            "{}listen: \"{}\"\nadvertise: \"{}\"\ndata_folder: {}\nreserve: false\nmemory_mb: {CONTROL_MEMORY_MB}\nsnapshot_every: 200\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  found: {found}\n  voters: {VOTERS}\n",
+            "{}listen: \"{}\"\nadvertise: \"{}\"\ndata_folder: {}\nreserve: false\nmemory_mb: {CONTROL_MEMORY_MB}\nsnapshot_every: 200\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  shared_address: true\n  found: {found}\n  voters: {VOTERS}\n",
             self.common_settings(name),
             p.link,
             p.proxy,
