Memory for a frame is taken as it arrives

What callers saw: nothing yet. A peer that completes the handshake, which with `open_links` is whoever knows the cluster's name, could have 8 MiB of address space set aside for each link by the length of a frame alone.

Cause: the buffer of a frame was allocated as a whole once its length had been read.

The buffer starts with at most 64 KiB and grows with what has arrived, so that frames of usual size are still read into one allocation. Lengths above the bound ended a link at once before, too, which the test now covers at the listeners of a control process and a gateway.

--- a/crates/cypressfork/tests/listeners.rs
+++ b/crates/cypressfork/tests/listeners.rs
@@ -4,8 +4,10 @@
 
 mod support;
 
+use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use cypressfork_control::dialect::Dialect;
@@ -13,9 +15,11 @@
 use cypressfork_control::native::Native;
 use cypressfork_http::operators::METRICS_LISTENER_PATHS;
 use cypressfork_router::gateway::run::OPERATOR_PATHS;
+use cypressfork_wire::auth::{Handshake, Key, NONCE_LEN, Side};
+use cypressfork_wire::frame::{LENGTH_PREFIX_LEN, MAX_FRAME, add_length_prefix};
 use serde_json::json;
 use support::gateways::*;
-use support::wait_for;
+use support::{Process, wait_for};
 
 /// The readiness check of a gateway whose settings do not name another.
 const READY_PATH: &str = "/readyz";
@@ -23,6 +27,9 @@
 /// Result code of a call that a listener of a control process does not take.
 const CALL_FOREIGN: &str = "CF1112";
 
+/// Number of links whose peers claim frames that they do not send.
+const CLAIMING_LINKS: usize = 40;
+
 /// A listener with the calls that it takes.
 struct Door {
     name: &'static str,
@@ -179,3 +186,60 @@
         }
     }
 }
+
+/// Performs the handshake of a link as a peer that knows the cluster's name.
+fn open_link(to: SocketAddr) -> TcpStream {
+    let mut s = TcpStream::connect(to).unwrap();
+    s.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let read = |s: &mut TcpStream| {
+        let mut length = [0; LENGTH_PREFIX_LEN];
+        s.read_exact(&mut length).unwrap();
+        let mut payload = vec![0; u32::from_be_bytes(length) as usize];
+        s.read_exact(&mut payload).unwrap();
+        payload
+    };
+    let nonce = [7; NONCE_LEN];
+    let mut hs = Handshake::new(Key::new(b"test"), Side::Client, "test", "stranger", nonce);
+    s.write_all(&add_length_prefix(&hs.hello())).unwrap();
+    let hello = read(&mut s);
+    let proof = hs.on_hello(&hello).unwrap();
+    s.write_all(&add_length_prefix(&proof)).unwrap();
+    let proof = read(&mut s);
+    assert!(hs.on_proof(&proof).is_ok());
+    s
+}
+
+/// Returns the address space of a process, in KiB.
+fn address_space(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|l| l.starts_with("VmSize:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+/// Guards against memory that a peer takes by the length of a frame that it never sends.
+#[test]
+fn a_claimed_length_takes_no_memory() {
+    let f = Fleet::serving();
+    let pid = |p: &Option<Process>| p.as_ref().unwrap().id();
+    let listeners =
+        [(f.controls[0].listen, pid(&f.controls[0].process)), (f.link, pid(&f.gateway))];
+    for (link, pid) in listeners {
+        let before = address_space(pid);
+        let claim = u32::try_from(MAX_FRAME).unwrap().to_be_bytes();
+        let open: Vec<_> = (0..CLAIMING_LINKS)
+            .map(|_| {
+                let mut s = open_link(link);
+                s.write_all(&claim).unwrap();
+                s
+            })
+            .collect();
+        sleep(Duration::from_millis(500));
+        let grown = address_space(pid).saturating_sub(before);
+        assert!(grown < 64 * 1024, "{link}: {grown} KiB for {} links", open.len());
+        // A length above the cap ends the link at once.
+        let (started, mut s) = (Instant::now(), open_link(link));
+        s.write_all(&u32::MAX.to_be_bytes()).unwrap();
+        let _ = s.read_to_end(&mut Vec::new());
+        assert!(started.elapsed() < Duration::from_secs(1), "{link}: {:?}", started.elapsed());
+    }
+}
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -70,6 +70,9 @@
 /// Size of the read buffer, in bytes. One system call reads the header and body of a short message.
 const READ_BUFFER: usize = 4 * 1024;
 
+/// Memory allocated for a frame before its bytes have arrived, in bytes.
+const MAX_UNREAD: usize = 64 * 1024;
+
 type BufferedSocket = BufReader<OwnedReadHalf>;
 
 /// The purpose of the last call on a link. Responses count for the purpose of the call before them.
@@ -138,8 +141,12 @@
     let mut head = [0; LENGTH_PREFIX_LEN];
     io.read_exact(&mut head).await?;
     let len = frame::parse_length(head, cap)?;
-    let mut buf = vec![0; len];
-    io.read_exact(&mut buf).await?;
+    let mut buf = Vec::with_capacity(len.min(MAX_UNREAD));
+    // Grows as bytes arrive, because a peer can claim more than it sends.
+    io.take(len as u64).read_to_end(&mut buf).await?;
+    if buf.len() < len {
+        return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+    }
     Ok(buf)
 }
 
