--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -1,11 +1,11 @@
 //! Startup of a control process.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::Request;
 use cypressfork_core::code::Code;
 use cypressfork_core::fleet::client_table::max_held_bytes;
 use cypressfork_core::fleet::contacts::GroupStatus;
@@ -26,12 +26,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
-use crate::api::{self, Api};
+use crate::api::{self, Api, Endpoint};
 use crate::dialect::Dialect;
 use crate::disk::{Disk, disk_failure};
 use crate::drain::Drain;
 use crate::fleet_view::FleetView;
 use crate::founding::maintain_membership;
+use crate::listener::Listener;
 use crate::machine::{ClockReading, GroupMember};
 use crate::native::Native;
 use crate::reserve::Reserve;
@@ -100,15 +101,18 @@
     let stop = Rc::<StopProgress>::default();
     let api = Rc::new(Api::new(group, local, stop.clone()));
     let mut exchanges = Vec::new();
-    for address in BTreeSet::from([f.listen, f.entry]) {
-        let api = api.clone();
+    for (address, kind) in f.listeners() {
+        let divisor = match kind {
+            Listener::Control | Listener::Shared => API_FILES_DIVISOR,
+            Listener::Directory => ENTRY_FILES_DIVISOR,
+        };
         let listener = listen(address).await?;
-        let divisor = if address == f.listen { API_FILES_DIVISOR } else { ENTRY_FILES_DIVISOR };
         let clients = clients.add_listener(bounds.connections(divisor));
         exchanges.push(clients.exchanges());
-        let (stop, limit) = (stop.clone(), api::body_limit::<D>);
+        let limit = move |req: &Request| api::body_limit::<D>(kind, req);
+        let (stop, endpoint) = (stop.clone(), Rc::new(Endpoint::new(api.clone(), kind)));
         actix_rt::spawn(serve_until_stopped(listener, clients, stop, limit, move |req| {
-            api::serve::<D>(api.clone(), req)
+            api::serve::<D>(endpoint.clone(), req)
         }));
     }
     let is_founder = f.found && seeds.iter().min() == Some(&own);
