The soak stops processes by series of signals

Cause: a stop of the soak was one TERM, and the check of planned stops excused a request beside any other disruption of the fleet within 4 s.

Half of the seeds now send up to four of TERM, INT, HUP and a TERM while the process stands still, 20 ms to 3 s after the first TERM, stop all processes in turn so that stops overlap, stop one as it starts, send HUP to running ones, and have streams that are in progress at most times.

The check asks for a whole response around the stop of any process. What excuses a cut is the deadline of the request, a replica of it that broke off, an unplanned fault of its gateway while it ran, or a replica at work 94 % into the stop. A request that no replica got counts if its connection stayed open for a second. A stop that ends before a gateway has served for stop_serve_s is found, too, and stops of control processes are checked.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -31,7 +31,7 @@
 pub const CALLER_TIMEOUT: Duration = Duration::from_millis(4_000);
 
 /// The timeout that a caller sends with each request, in milliseconds.
-const DEADLINE_MS: u64 = 3_000;
+pub const DEADLINE_MS: u64 = 3_000;
 
 /// Timeout of a query for gateway addresses.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -3,6 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
+use crate::check_stops::{
+    planned_stops_cut_no_requests, planned_stops_take_their_time, stop_description,
+};
 use crate::history::{
     AnnouncedLimit, Arrival, Change, Disruption, History, Kind, Outcome, ReplicaCutPeriod,
     ReplicaLife, Request, Timestamp,
@@ -27,6 +30,16 @@
     pub retry_window_ms: u64,
     /// Maximum duration of a planned stop, in milliseconds.
     pub stop_ms: u64,
+    /// Time for which a stopping gateway serves new requests, in milliseconds.
+    pub stop_serve_ms: u64,
+    /// Time from the request for a stop until a gateway may cut responses whose replicas are still at work, in
+    /// milliseconds.
+    pub stop_cut_ms: u64,
+    /// Time that callers allow for a response, in milliseconds.
+    pub deadline_ms: u64,
+    /// Time for which a gateway that closes an idle connection, or does not accept one, keeps it open at most, in
+    /// milliseconds. A request on a connection that stays open for longer was received.
+    pub received_ms: u64,
     /// Maximum time after the end of all faults until each gateway answers again, in milliseconds.
     pub recovery_ms: u64,
     /// Maximum time that a caller waits for an answer, in milliseconds.
@@ -103,6 +116,7 @@
     replicas_get_the_right_account,
     streams_are_in_order,
     no_new_requests_after_acked_drain,
+    planned_stops_take_their_time,
     planned_stops_cut_no_requests,
     reads_return_acknowledged_versions,
     gateway_versions_never_decrease,
@@ -127,7 +141,7 @@
     all
 }
 
-fn broken_promise(
+pub(crate) fn broken_promise(
     promise: &'static str,
     at: Timestamp,
     why: String,
@@ -151,7 +165,7 @@
 pub const REPLICA_CUT: &str = "partition from all replicas";
 
 /// Returns the ids of requests that a replica ran.
-fn executed_ids(h: &History) -> BTreeSet<&str> {
+pub(crate) fn executed_ids(h: &History) -> BTreeSet<&str> {
     h.arrivals.iter().filter(|a| a.run).map(|a| a.id.as_str()).collect()
 }
 
@@ -370,46 +384,6 @@
     all
 }
 
-/// Returns whether no disruption other than `stop` overlaps the period from `from` to `until`.
-fn is_undisturbed_except(h: &History, stop: &str, from: Timestamp, until: Timestamp) -> bool {
-    let others = h.disruptions.iter().filter(|d| d.what != stop);
-    !others.into_iter().any(|d| d.from <= until && d.until >= from)
-}
-
-/// Returns the description of the disruption recorded for a planned stop of a gateway.
-pub fn stop_description(gateway: usize) -> String {
-    format!("planned stop of gateway-{gateway}")
-}
-
-fn planned_stops_cut_no_requests(h: &History, b: &Bounds) -> Vec<BrokenPromise> {
-    let executed = executed_ids(h);
-    let mut all = Vec::new();
-    for s in &h.stops {
-        let name = stop_description(s.gateway);
-        let end = s.ended.unwrap_or(s.requested + b.stop_ms);
-        if end > s.requested + b.stop_ms {
-            let why = format!("the stop took {} ms", end - s.requested);
-            all.push(broken_promise(
-                "planned stop",
-                end,
-                why,
-                &[&format!("gateway-{}", s.gateway)],
-            ));
-        }
-        for r in h.requests.iter().filter(|r| r.gateway == s.gateway) {
-            let overlaps = r.sent <= end && r.ended >= s.requested;
-            let cut = matches!(r.outcome, Outcome::Cut { .. }) && executed.contains(r.id.as_str());
-            let undisturbed =
-                is_undisturbed_except(h, &name, r.sent.saturating_sub(b.undisturbed_ms), r.ended);
-            if overlaps && cut && undisturbed {
-                let why = format!("{} was cut by the {name}", r.id);
-                all.push(broken_promise("planned stop", r.ended, why, &[&r.id]));
-            }
-        }
-    }
-    all
-}
-
 fn reads_return_acknowledged_versions(h: &History, _: &Bounds) -> Vec<BrokenPromise> {
     let newest = |at: Timestamp| {
         let before = h.changes.iter().filter(|c| c.acked.is_some_and(|a| a <= at));
@@ -571,7 +545,7 @@
     let name = format!("Gateway({gateway})");
     let affects_gateway = |d: &Disruption| {
         d.what.contains(&name)
-            || d.what == stop_description(gateway)
+            || d.what == stop_description(&format!("gateway-{gateway}"))
             || matches!(d.what.as_str(), "KillAll" | "KillGateways" | "CutAllGateways" | "Reset")
             || d.what.starts_with("Delay(")
     };
--- a/crates/soak/src/command.rs
+++ b/crates/soak/src/command.rs
@@ -151,6 +151,8 @@
     );
     if let Some(first) = v.broken.first() {
         v.plan.steps.iter().for_each(|s| text.push_str(&format!("    {s}\n")));
+        let series = v.plan.series.iter().enumerate();
+        series.for_each(|(n, s)| text.push_str(&format!("    planned stop {n}: {s:?}\n")));
         v.broken.iter().take(MAX_LINES).for_each(|b| text.push_str(&format!("  {b}\n")));
         text.push_str(&log_lines(&v.dir, first));
         let large = if v.plan.size.gateways > 10 { " --large" } else { "" };
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -58,7 +58,7 @@
 pub const CONTROL_MEMORY_MB: u64 = 256;
 
 /// The part of a planned stop in which a gateway still serves requests, in seconds.
-const STOP_SERVE_S: u64 = 3;
+pub const STOP_SERVE_S: u64 = 3;
 
 /// Number of retries that the fleet may make in addition to the retry ratio.
 pub const RETRY_EXTRA: u64 = 10;
@@ -71,6 +71,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: RefCell<Option<Child>>,
+    started: Cell<Option<Instant>>,
     /// Whether a fault or planned stop is in progress for this process. No other one is applied meanwhile.
     pub busy: Cell<bool>,
 }
@@ -90,6 +91,7 @@
             .spawn()
             .map_err(io(format!("start {}", self.program.display())))?;
         *self.child.borrow_mut() = Some(child);
+        self.started.set(Some(Instant::now()));
         Ok(())
     }
 
@@ -135,14 +137,17 @@
         ended
     }
 
-    /// Sends `TERM` and waits for the exit. Kills the process if that takes too long.
-    pub async fn stop(&self) {
-        self.signal("TERM");
+    /// Returns the time since the start, or `None` if the process does not run.
+    pub fn uptime(&self) -> Option<Duration> {
+        self.child.borrow().as_ref().and(self.started.get()).map(|at| at.elapsed())
+    }
+
+    /// Waits for the exit of a process that is stopping, for a limited time.
+    pub async fn wait_for_exit(&self) {
         let until = Instant::now() + STOP_TIMEOUT;
         while !self.has_ended() && Instant::now() < until {
             sleep(EXIT_POLL_INTERVAL).await;
         }
-        self.kill();
     }
 }
 
@@ -257,6 +262,7 @@
             settings: file,
             log: self.dir.join(format!("{name}.log")),
             child: RefCell::new(None),
+            started: Cell::new(None),
             busy: Cell::new(false),
         })
     }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -191,15 +191,32 @@
     pub version: u64,
 }
 
-/// A planned stop of a gateway.
+/// A planned stop of a process.
 #[derive(Clone, Debug)]
 pub struct Stop {
-    /// The index of the gateway.
-    pub gateway: usize,
+    /// The name of the process.
+    pub process: String,
+    /// The index of the gateway, or `None` for a control process.
+    pub gateway: Option<usize>,
     /// When the stop was requested.
     pub requested: Timestamp,
-    /// When the process had exited, or `None` if that was not observed.
-    pub ended: Option<Timestamp>,
+    /// When the process had exited.
+    pub ended: Timestamp,
+    /// Time for which the process stood still meanwhile, in milliseconds.
+    pub suspended_ms: u64,
+    /// Whether the process had time to start before.
+    pub served: bool,
+}
+
+/// A period in which a replica broke off responses: it crashed or reset its connections.
+#[derive(Clone, Debug)]
+pub struct ReplicaBreak {
+    /// The id of the replica.
+    pub replica: String,
+    /// When it began.
+    pub from: Timestamp,
+    /// When it ended.
+    pub until: Timestamp,
 }
 
 /// The crash of a replica while it ran a poison request.
@@ -290,8 +307,10 @@
     pub failed_reads: Vec<FailedRead>,
     /// Document versions reported by gateways.
     pub version_reports: Vec<VersionReport>,
-    /// Planned stops of gateways.
+    /// Planned stops of processes.
     pub stops: Vec<Stop>,
+    /// Periods in which replicas broke off responses.
+    pub replica_breaks: Vec<ReplicaBreak>,
     /// Replicas that reported in heartbeats that they are draining.
     pub acked_drains: Vec<AckedDrain>,
     /// Crashes of replicas caused by poison requests.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,10 +4,12 @@
 //!
 //! A seed determines a [`plan`]. [`run`] executes it with [`fleet`] processes behind [`proxy`]s,
 //! simulated [`replica`]s, [`caller`]s and an [`operator`]. Their observations are recorded in a
-//! [`history`], which [`check`] evaluates.
+//! [`history`], which [`check`] evaluates. The series of [`signals`] of planned stops
+//! are drawn beside the plan, and [`check_stops`] has their checks.
 
 pub mod caller;
 pub mod check;
+pub mod check_stops;
 pub mod command;
 pub mod document;
 pub mod error;
@@ -19,5 +21,6 @@
 pub mod proxy;
 pub mod replica;
 pub mod run;
+pub mod signals;
 pub mod stutter;
 pub mod world;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,6 +5,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::signals::{self, Series, draw_series};
+
 /// Number of processes, replicas and callers of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -92,6 +94,41 @@
     KillGateways,
     /// Stops all gateways gracefully and restarts each after it has exited.
     StopGateways,
+    /// Stops all gateways gracefully, one after the other, and restarts each after it has exited.
+    StopGatewaysInTurn {
+        /// The gateway that is stopped first.
+        first: usize,
+        /// Time between two of them, in milliseconds. Their stops overlap.
+        interval: u64,
+    },
+    /// Stops all control processes gracefully, one after the other, and restarts each after it has exited.
+    StopControlsInTurn {
+        /// The control process that is stopped first.
+        first: usize,
+        /// Time between two of them, in milliseconds.
+        interval: u64,
+    },
+    /// Restarts a gateway gracefully, and once more while it starts.
+    StopGatewayAtStart {
+        /// The gateway.
+        gateway: usize,
+        /// Time from its start to the second stop, in milliseconds.
+        after: u64,
+    },
+    /// Restarts a control process gracefully, and once more while it starts.
+    StopControlAtStart {
+        /// The control process.
+        control: usize,
+        /// Time from its start to the second stop, in milliseconds.
+        after: u64,
+    },
+    /// Sends a process reload signals. Indexes of gateways follow those of control processes.
+    Reload {
+        /// The process.
+        process: usize,
+        /// Number of signals.
+        times: usize,
+    },
     /// Publishes a document with this number of additional routes.
     Grow(usize),
     /// Publishes this number of documents in quick succession.
@@ -255,6 +292,8 @@
     pub stutters: bool,
     /// The faults, ordered by start.
     pub steps: Vec<Step>,
+    /// What processes get during planned stops, which take the series in turn. Empty: nothing but one `TERM`.
+    pub series: Vec<Series>,
     /// Requests that crash their replicas.
     pub poisons: Vec<Poison>,
     /// Rate limits that replicas announce.
@@ -303,6 +342,7 @@
         steps.extend(draw_rejections(seed, millis));
         steps.extend(draw_silences(seed, &size, millis));
         steps.extend(draw_leaves_and_kills(seed, &size, millis));
+        steps.extend(signals::draw_steps(seed, &size, millis));
         steps.sort_by_key(|s| s.at);
         keep_first_emptied_disk(&mut steps);
         let limits = draw_limits(seed, millis);
@@ -317,6 +357,7 @@
             versions: draw_versions(seed),
             stutters: draw_stutters(seed),
             steps,
+            series: draw_series(seed),
             poisons,
             limits,
             retry_after_periods,
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -17,7 +17,8 @@
 use tokio::time::sleep;
 
 use crate::history::{
-    AckedDrain, AnnouncedDrain, AnnouncedLimit, Arrival, Backoff, PoisonCrash, ReplicaLife,
+    AckedDrain, AnnouncedDrain, AnnouncedLimit, Arrival, Backoff, PoisonCrash, ReplicaBreak,
+    ReplicaLife, Timestamp,
 };
 use crate::http::call;
 use crate::plan::{OpenConnections, RetryAfterPeriod};
@@ -43,7 +44,10 @@
 pub const MAX_EVENTS: u64 = 30;
 
 /// Interval between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+pub const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Interval between two events of a stream in runs whose streams are to be in progress at most times.
+pub const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Body of a request for a stream of [`MAX_EVENTS`] long events: more than kernels buffer on loopback, which is
 /// 4 MiB.
@@ -223,7 +227,7 @@
         let path = format!("/v1/replicas/{}", self.id);
         // The replica ends even if the deregistration fails.
         let _ = call(w.random_api(), Method::DELETE, &path, Bytes::new(), HEARTBEAT_TIMEOUT).await;
-        self.crash();
+        self.crash(&w);
     }
 
     /// Adds the drain header to a response if the replica announces its drain this way, and records it.
@@ -277,16 +281,26 @@
     }
 
     /// Resets all connections at intervals for `span`.
-    pub async fn reset_connections_for(&self, span: Duration) {
+    pub async fn reset_connections_for(&self, w: &World, span: Duration) {
+        self.record_break(w, span);
         for _ in 0..span.as_millis() / RESET_INTERVAL.as_millis() {
             sleep(RESET_INTERVAL).await;
             self.proxy.reset();
         }
     }
 
+    /// Records that it breaks off responses for `span` from now on.
+    fn record_break(&self, w: &World, span: Duration) {
+        let from = w.now();
+        let until = from + span.as_millis() as Timestamp;
+        let b = ReplicaBreak { replica: self.id.clone(), from, until };
+        w.history.borrow_mut().replica_breaks.push(b);
+    }
+
     /// Crashes at once. For about half of the replicas the port stays open for a short time after
     /// the connections are closed, as with a process that is slow to exit.
-    pub fn crash(self: &Rc<Self>) {
+    pub fn crash(self: &Rc<Self>, w: &World) {
+        self.record_break(w, EXIT_DELAY);
         for task in [self.heartbeat_task.take(), self.serve_task.take()].into_iter().flatten() {
             task.abort();
         }
@@ -318,7 +332,7 @@
         let path = format!("/v1/replicas/{}", self.id);
         // The replica ends even if the deregistration fails.
         let _ = call(w.random_api(), Method::DELETE, &path, Bytes::new(), HEARTBEAT_TIMEOUT).await;
-        self.crash();
+        self.crash(&w);
     }
 
     /// Sends no more heartbeats, and leaves at the control process with this API address. Returns whether that was
@@ -339,9 +353,9 @@
     }
 
     /// Goes on serving for a while, then crashes.
-    pub async fn serve_then_crash(self: Rc<Self>) {
+    pub async fn serve_then_crash(self: Rc<Self>, w: &World) {
         sleep(DRAIN_TIME).await;
-        self.crash();
+        self.crash(w);
     }
 
     /// Sends one heartbeat. Returns whether it was acknowledged.
@@ -488,7 +502,7 @@
     let at = w.now();
     w.history.borrow_mut().poison_crashes.push(PoisonCrash { poison, at });
     r.end_life(w);
-    r.crash();
+    r.crash(w);
 }
 
 /// The events of one stream.
@@ -504,7 +518,7 @@
 /// Sends the events after `last` of a stream and records how many were generated.
 async fn send_events(w: Rc<World>, id: String, last: u64, events: Events, tx: mpsc::Sender<Bytes>) {
     for n in last + 1..=events.last {
-        sleep(EVENT_INTERVAL).await;
+        sleep(w.event_interval.get()).await;
         {
             let mut h = w.history.borrow_mut();
             let generated = h.generated.entry(id.clone()).or_default();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,7 @@
 //! One soak run: starts a fleet, executes a plan on it and checks the promises.
 
+mod stops;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -16,21 +18,24 @@
 use tokio::time::{Instant, sleep};
 
 use crate::caller::{
-    CALLER_TIMEOUT, run_caller, run_prober, run_slow_callers, send_poison, send_recorded,
+    CALLER_TIMEOUT, DEADLINE_MS, run_caller, run_prober, run_slow_callers, send_poison,
+    send_recorded,
 };
-use crate::check::{Bounds, BrokenPromise, POISONED, REPLICA_CUT, check, stop_description};
+use crate::check::{Bounds, BrokenPromise, POISONED, REPLICA_CUT, check};
 use crate::document::ACCOUNTS;
 use crate::error::{Error, io};
 use crate::fleet::{
-    CONTROL_MEMORY_MB, Fleet, Process, Programs, RETRY_EXTRA, STOP_WITHIN_S, gateway_source,
+    CONTROL_MEMORY_MB, Fleet, Process, Programs, RETRY_EXTRA, STOP_SERVE_S, STOP_WITHIN_S,
+    gateway_source,
 };
-use crate::history::{Disruption, History, Kind, Outcome, ReplicaCutPeriod, Stop, Timestamp};
+use crate::history::{Disruption, History, Kind, Outcome, ReplicaCutPeriod, Timestamp};
 use crate::operator::{publish, read_version, read_version_forever, send_document, watch_gateway};
 use crate::plan::{
     ClientCrowd, Door, Fault, HeaderDrain, Plan, RateLimit, ReplicaCut, RetryAfterPeriod, Step,
 };
 use crate::proxy::{Cut, Side};
-use crate::replica::Replica;
+use crate::replica::{LONG_EVENT_INTERVAL, Replica};
+use crate::signals::Series;
 use crate::world::World;
 
 /// Time within which a new fleet must serve requests.
@@ -43,6 +48,9 @@
 /// milliseconds.
 const START_DISRUPTION_MS: u64 = 1_500;
 
+/// Percentage of the time of a stop after which a gateway may cut responses that are in progress.
+const STOP_CUT_PERCENT: u64 = 94;
+
 /// Time for which callers continue after recovery.
 const LOAD_AFTER_RECOVERY: Duration = Duration::from_secs(3);
 
@@ -128,6 +136,10 @@
         retry_extra: RETRY_EXTRA,
         retry_window_ms: 10_000,
         stop_ms: STOP_WITHIN_S * 1_000 + 1_000,
+        stop_serve_ms: STOP_SERVE_S * 1_000,
+        stop_cut_ms: STOP_WITHIN_S * 1_000 * STOP_CUT_PERCENT / 100,
+        deadline_ms: DEADLINE_MS,
+        received_ms: 1_000,
         recovery_ms: RECOVERY_LIMIT_MS,
         caller_timeout_ms: CALLER_TIMEOUT.as_millis() as u64,
         quarantine_ms: QUARANTINE_LIMIT_MS,
@@ -163,6 +175,10 @@
     talk: RefCell<Replicas>,
     board: RefCell<Replicas>,
     tasks: RefCell<Vec<AbortHandle>>,
+    /// What processes get during planned stops.
+    series: Vec<Series>,
+    /// Number of planned stops so far.
+    stops: Cell<usize>,
 }
 
 /// Executes a plan, with files of the fleet in `dir`, and checks the recorded history.
@@ -178,9 +194,20 @@
     let w = Rc::new(World::new(plan.seed, apis, gateways, operators));
     w.versions.set(plan.versions);
     w.stutters.set(plan.stutters);
+    if !plan.series.is_empty() {
+        w.event_interval.set(LONG_EVENT_INTERVAL);
+    }
     let replicas = |service| RefCell::new(Replicas { service, started: 0, running: Vec::new() });
     let (talk, board) = (replicas("talk"), replicas("board"));
-    let run = Rc::new(Run { w, fleet, talk, board, tasks: RefCell::default() });
+    let run = Rc::new(Run {
+        w,
+        fleet,
+        talk,
+        board,
+        tasks: RefCell::default(),
+        series: plan.series.clone(),
+        stops: Cell::new(0),
+    });
     run.start_fleet(&plan).await?;
     run.spawn_tasks(&plan);
     run.run_steps(&plan).await;
@@ -536,13 +563,32 @@
     async fn run_step(self: &Rc<Self>, s: Step) {
         let span = Duration::from_millis(s.span);
         let (controls, gateways) = (&self.fleet.controls, &self.fleet.gateways);
+        let gateway_processes: Vec<_> = gateways.iter().map(|g| &g.process).collect();
         match s.fault {
-            Fault::StopGateway(n) => return self.stop_gateway(n).await,
+            Fault::StopGateway(n) => return self.stop(&gateways[n].process).await,
+            Fault::StopControl(n) => return self.stop(&controls[n].process).await,
             Fault::StopGateways => {
-                let all = (0..gateways.len()).map(|n| self.stop_gateway(n));
+                let all = gateway_processes.into_iter().map(|p| self.stop(p));
                 futures_util::future::join_all(all).await;
                 return;
             }
+            Fault::StopGatewaysInTurn { first, interval } => {
+                return self.stop_in_turn(first, interval, gateway_processes).await;
+            }
+            Fault::StopControlsInTurn { first, interval } => {
+                let all = controls.iter().map(|c| &c.process).collect();
+                return self.stop_in_turn(first, interval, all).await;
+            }
+            Fault::StopGatewayAtStart { gateway, after } => {
+                return self.stop_at_start(&gateways[gateway].process, after).await;
+            }
+            Fault::StopControlAtStart { control, after } => {
+                return self.stop_at_start(&controls[control].process, after).await;
+            }
+            Fault::Reload { process, times } => {
+                let p = self.fleet.processes().nth(process).expect("a process of the fleet");
+                return stops::reload(p, times).await;
+            }
             Fault::Grow(extra_routes) => return self.grow(extra_routes).await,
             Fault::Storm(n) => return self.storm(n).await,
             Fault::Race => return self.race().await,
@@ -560,13 +606,10 @@
             Fault::KillControls => {
                 self.kill(controls.iter().map(|c| &c.process).collect(), None).await;
             }
-            Fault::KillGateways => {
-                self.kill(gateways.iter().map(|g| &g.process).collect(), None).await;
-            }
+            Fault::KillGateways => self.kill(gateway_processes, None).await,
             Fault::KillAll => self.kill(self.fleet.processes().collect(), None).await,
             Fault::PauseGateway(n) => self.pause(&gateways[n].process, span).await,
             Fault::PauseControl(n) => self.pause(&controls[n].process, span).await,
-            Fault::StopControl(n) => self.stop_control(n).await,
             Fault::CutGateway(n) => {
                 self.cut(both_ways(process_side("gateway", n), Side::All), span).await
             }
@@ -594,13 +637,19 @@
             Fault::LeaveBoard(n) => self.drain_by_heartbeat(&self.board, n).await,
             Fault::GreyTalk(n) => {
                 if let Some(r) = self.replica_at(&self.talk, n) {
-                    r.reset_connections_for(span).await;
+                    r.reset_connections_for(&self.w, span).await;
                 }
             }
             Fault::FullBoard(n) => self.reject_for(n, span).await,
             Fault::Reject { talk, percent } => self.reject_at_all(talk, percent, span).await,
             Fault::StopGateway(_)
+            | Fault::StopControl(_)
             | Fault::StopGateways
+            | Fault::StopGatewaysInTurn { .. }
+            | Fault::StopControlsInTurn { .. }
+            | Fault::StopGatewayAtStart { .. }
+            | Fault::StopControlAtStart { .. }
+            | Fault::Reload { .. }
             | Fault::Grow(_)
             | Fault::Storm(_)
             | Fault::Race => {}
@@ -637,11 +686,15 @@
 
     /// Starts a stopped process again and lets other steps use it.
     fn restart(&self, p: &Process) {
+        self.start_again(p);
+        p.busy.set(false);
+    }
+
+    fn start_again(&self, p: &Process) {
         if let Some(n) = self.fleet.gateways.iter().position(|g| g.process.name == p.name) {
             self.increment_incarnation(n);
         }
         p.start().expect("a program that ran can be started again");
-        p.busy.set(false);
     }
 
     /// Suspends a process for `span`, unless another step is using it.
@@ -655,35 +708,6 @@
         p.busy.set(false);
     }
 
-    async fn stop_control(&self, n: usize) {
-        let p = &self.fleet.controls[n].process;
-        if p.busy.replace(true) {
-            return;
-        }
-        p.stop().await;
-        self.restart(p);
-    }
-
-    async fn stop_gateway(&self, n: usize) {
-        let p = &self.fleet.gateways[n].process;
-        if p.busy.replace(true) {
-            return;
-        }
-        let requested = self.w.now();
-        p.stop().await;
-        let ended = self.w.now();
-        let d = Disruption {
-            what: stop_description(n),
-            from: requested,
-            until: ended + START_DISRUPTION_MS,
-        };
-        let mut h = self.w.history.borrow_mut();
-        h.stops.push(Stop { gateway: n, requested, ended: Some(ended) });
-        h.disruptions.push(d);
-        drop(h);
-        self.restart(p);
-    }
-
     async fn cut(&self, cuts: Vec<Cut>, span: Duration) {
         let id = self.fleet.net.cut(cuts);
         sleep(span).await;
@@ -705,7 +729,7 @@
     async fn crash(&self, all: &RefCell<Replicas>, n: usize) {
         let Some(removed) = self.remove_replica(all, n) else { return };
         removed.end_life(&self.w);
-        removed.crash();
+        removed.crash(&self.w);
         let restarted = self.restart_replica(all, removed.id.clone()).await;
         restarted.expect("a replica can be started");
     }
@@ -725,7 +749,7 @@
         if removed.announce_leave(&self.w, self.w.apis[control]).await {
             self.kill(vec![&self.fleet.controls[control].process], None).await;
         }
-        removed.serve_then_crash().await;
+        removed.serve_then_crash(&self.w).await;
     }
 
     fn remove_replica(&self, all: &RefCell<Replicas>, n: usize) -> Option<Rc<Replica>> {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use cypressfork_node::time::unix_time;
 use rand::rngs::SmallRng;
@@ -9,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::history::{History, Timestamp};
+use crate::replica::EVENT_INTERVAL;
 
 /// State that all tasks of one run share.
 pub struct World {
@@ -37,6 +39,8 @@
     pub versions: Cell<u64>,
     /// Whether replicas stutter.
     pub stutters: Cell<bool>,
+    /// Interval between two events of a stream.
+    pub event_interval: Cell<Duration>,
     /// Start time of the last replica, in milliseconds since the Unix epoch.
     born: Cell<u64>,
     rng: RefCell<SmallRng>,
@@ -65,6 +69,7 @@
             crashed: RefCell::default(),
             versions: Cell::new(1),
             stutters: Cell::new(false),
+            event_interval: Cell::new(EVENT_INTERVAL),
             born: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -4,11 +4,12 @@
 
 use std::collections::BTreeSet;
 
-use cypressfork_soak::check::{BrokenPromise, REPLICA_CUT, check, stop_description};
+use cypressfork_soak::check::{BrokenPromise, REPLICA_CUT, check};
+use cypressfork_soak::check_stops::stop_description;
 use cypressfork_soak::history::{
     AckedDrain, AnnouncedDrain, AnnouncedLimit, Arrival, Backoff, Change, Disruption, FailedRead,
-    History, Kind, Outcome, PoisonCrash, Read, ReplicaCutPeriod, ReplicaLife, Request, Resumption,
-    Stop, VersionReport,
+    History, Kind, Outcome, PoisonCrash, Read, ReplicaBreak, ReplicaCutPeriod, ReplicaLife,
+    Request, Resumption, Stop, VersionReport,
 };
 use cypressfork_soak::plan::{Fault, Plan};
 use cypressfork_soak::run::bounds;
@@ -40,6 +41,18 @@
     Arrival { id: id.to_owned(), service, replica, at, account, run: true }
 }
 
+/// Returns a stop of the gateway that the requests are sent to.
+fn stop_of_a_gateway() -> Stop {
+    Stop {
+        process: "gateway-0".to_owned(),
+        gateway: Some(0),
+        requested: 9_000,
+        ended: 12_000,
+        suspended_ms: 0,
+        served: true,
+    }
+}
+
 /// Returns a history with records of most kinds that breaks no promise.
 fn correct_history() -> History {
     let mut h = History {
@@ -65,13 +78,17 @@
             VersionReport { gateway: 0, incarnation: 1, at: 6_000, version: 2 },
             VersionReport { gateway: 0, incarnation: 2, at: 7_000, version: 1 },
         ],
-        stops: vec![Stop { gateway: 0, requested: 9_000, ended: Some(12_000) }],
+        stops: vec![stop_of_a_gateway()],
         acked_drains: vec![AckedDrain { replica: "talk-9".to_owned(), acked: 2_000 }],
         healed: 15_000,
         recovered_at: vec![Some(15_500)],
         ..History::default()
     };
-    h.disruptions.push(Disruption { what: stop_description(0), from: 9_000, until: 13_000 });
+    h.disruptions.push(Disruption {
+        what: stop_description("gateway-0"),
+        from: 9_000,
+        until: 13_000,
+    });
     h.generated.insert("s".to_owned(), 3);
     h.memory.insert("gateway-0".to_owned(), bounds().max_gateway_memory);
     h.memory.insert("control-0".to_owned(), bounds().max_control_memory);
@@ -116,8 +133,8 @@
 #[case::cut_by_a_stop("planned stop", |h: &mut History| {
     h.requests[1].outcome = Outcome::Cut { begun: false, events: Vec::new() };
 })]
-#[case::stop_too_long("planned stop", |h: &mut History| h.stops[0].ended = Some(40_000))]
-#[case::stop_without_end("planned stop", |h: &mut History| { h.stops[0].ended = Some(u64::MAX / 2); })]
+#[case::stop_too_long("planned stop", |h: &mut History| h.stops[0].ended = 40_000)]
+#[case::stop_without_end("planned stop", |h: &mut History| { h.stops[0].ended = u64::MAX / 2; })]
 #[case::older_version_read("configuration", |h: &mut History| h.reads[0].version = 1)]
 #[case::decreases_in_one_incarnation("configuration", |h: &mut History| h.version_reports[2].incarnation = 1)]
 #[case::not_in_force("configuration", |h: &mut History| {
@@ -147,6 +164,112 @@
     assert_eq!(broken_promises(&h), [promise]);
 }
 
+fn cut(events: &[u64]) -> Outcome {
+    Outcome::Cut { begun: !events.is_empty(), events: events.to_vec() }
+}
+
+fn disruption(what: &str, from: u64, until: u64) -> Disruption {
+    Disruption { what: what.to_owned(), from, until }
+}
+
+/// Makes `u` a request that no replica got and whose connection is closed after `after` milliseconds.
+fn close_unanswered(h: &mut History, after: u64) {
+    h.arrivals.remove(1);
+    h.requests[1].outcome = cut(&[]);
+    h.requests[1].ended = h.requests[1].sent + after;
+}
+
+/// Makes `s` a stream that is cut when the time of its gateway's stop is over, after its replica has sent `generated`
+/// of three events.
+fn cut_at_the_end_of_the_stop(h: &mut History, generated: u64) {
+    h.stops[0].ended = 16_600;
+    h.generated.insert("s".to_owned(), generated);
+    let s = &mut h.requests[0];
+    (s.sent, s.ended, s.outcome) = (15_000, 16_600, cut(&[1]));
+}
+
+/// Makes the stop end at the moment of a second signal, with a stream and an unsafe request in progress.
+fn end_at_the_second_signal(h: &mut History) {
+    h.stops[0].ended = 10_050;
+    h.generated.insert("s".to_owned(), 1);
+    h.requests[0].outcome = cut(&[1]);
+    h.requests[1].outcome = cut(&[]);
+}
+
+/// What a stop must not do, also beside faults that do not touch its gateway.
+#[rstest]
+#[case::ended_by_a_second_signal(end_at_the_second_signal)]
+#[case::too_short_for_new_requests(|h: &mut History| h.stops[0].ended = 11_999)]
+#[case::too_long_for_a_control_process(|h: &mut History| {
+    let (process, ended) = ("control-0".to_owned(), 19_000);
+    h.stops.push(Stop { process, gateway: None, ended, ..stop_of_a_gateway() });
+})]
+#[case::longer_than_it_stood_still(|h: &mut History| {
+    (h.stops[0].ended, h.stops[0].suspended_ms) = (18_401, 400);
+})]
+#[case::beside_kills_of_control_processes(|h: &mut History| {
+    h.requests[1].outcome = cut(&[]);
+    h.disruptions.push(disruption("KillControls", 9_900, 10_500));
+})]
+#[case::beside_a_kill_of_another_gateway(|h: &mut History| {
+    h.requests[1].outcome = cut(&[]);
+    h.disruptions.push(disruption("KillGateway(1)", 9_900, 10_500));
+})]
+#[case::beside_the_stop_of_another_gateway(|h: &mut History| {
+    h.requests[1].outcome = cut(&[]);
+    h.disruptions.push(disruption(&stop_description("gateway-1"), 9_900, 10_500));
+})]
+#[case::after_a_fault_of_its_own(|h: &mut History| {
+    h.requests[1].outcome = cut(&[]);
+    h.disruptions.push(disruption("PauseGateway(0)", 8_000, 9_999));
+})]
+#[case::at_a_gateway_that_relays(|h: &mut History| {
+    h.requests[0].gateway = 1;
+    h.requests[0].outcome = cut(&[1]);
+})]
+#[case::beside_the_crash_of_another_replica(|h: &mut History| {
+    h.requests[1].outcome = cut(&[]);
+    h.replica_breaks.push(ReplicaBreak { replica: "board-2".into(), from: 10_020, until: 10_040 });
+})]
+#[case::received_and_never_run(|h: &mut History| close_unanswered(h, 1_000))]
+#[case::cut_at_the_end_when_its_replica_was_done(|h: &mut History| cut_at_the_end_of_the_stop(h, 3))]
+fn a_stop_that_cuts_or_hurries_is_found(#[case] apply: fn(&mut History)) {
+    let mut h = correct_history();
+    apply(&mut h);
+    assert_eq!(broken_promises(&h), ["planned stop"]);
+}
+
+#[rstest]
+#[case::at_the_deadline(|h: &mut History| {
+    h.requests[1].outcome = cut(&[]);
+    h.requests[1].ended = 13_000;
+})]
+#[case::its_replica_crashed(|h: &mut History| {
+    h.requests[1].outcome = cut(&[]);
+    h.replica_breaks.push(ReplicaBreak { replica: "board-1".into(), from: 10_020, until: 10_040 });
+})]
+#[case::its_path_was_lost(|h: &mut History| {
+    h.requests[1].outcome = cut(&[]);
+    h.replica_cuts.push(ReplicaCutPeriod { gateways: vec![0], from: 10_020, until: 11_000 });
+})]
+#[case::its_gateway_was_killed(|h: &mut History| {
+    h.requests[1].outcome = cut(&[]);
+    h.disruptions.push(disruption("KillGateway(0)", 10_020, 11_000));
+})]
+#[case::still_running_at_the_end(|h: &mut History| cut_at_the_end_of_the_stop(h, 2))]
+#[case::closed_as_it_came(|h: &mut History| close_unanswered(h, 999))]
+#[case::standing_still(|h: &mut History| {
+    (h.stops[0].ended, h.stops[0].suspended_ms) = (18_400, 400);
+})]
+#[case::stopped_at_the_start(|h: &mut History| {
+    (h.stops[0].ended, h.stops[0].served) = (9_020, false);
+})]
+fn a_stop_may_cut_what_it_cannot_wait_for(#[case] apply: fn(&mut History)) {
+    let mut h = correct_history();
+    apply(&mut h);
+    assert_eq!(broken_promises(&h), [""; 0]);
+}
+
 /// Adds five requests a second for 20 s, and `retries` of them at the end of the last window.
 fn add_retries_at_a_steady_rate(h: &mut History, retries: usize) {
     let (first_ms, interval_ms, count) = (100, 200, 100);
@@ -234,6 +357,27 @@
     assert_eq!(broken_promises(&h), [""; 0]);
 }
 
+/// The signals of a seed come from a generator of their own: other faults are as they are without them.
+#[test]
+fn half_of_the_seeds_have_series_of_signals() {
+    let plans: Vec<_> = (0..200).map(|seed| Plan::draw(seed, 10_000, false)).collect();
+    let is_of_signals = |f: &Fault| {
+        let in_turn =
+            matches!(f, Fault::StopGatewaysInTurn { .. } | Fault::StopControlsInTurn { .. });
+        let at_start =
+            matches!(f, Fault::StopGatewayAtStart { .. } | Fault::StopControlAtStart { .. });
+        in_turn || at_start || matches!(f, Fault::Reload { .. })
+    };
+    let with_series = plans.iter().filter(|p| !p.series.is_empty());
+    assert!((80..=120).contains(&with_series.count()));
+    for p in &plans {
+        let drawn = p.steps.iter().filter(|s| is_of_signals(&s.fault)).count();
+        assert_eq!(drawn, if p.series.is_empty() { 0 } else { 4 });
+        assert_eq!(Plan::draw(p.seed, 10_000, false).series, p.series);
+        assert!(p.series.iter().flatten().all(|a| (20..=3_000).contains(&a.after)));
+    }
+}
+
 #[test]
 fn a_seed_always_gives_the_same_plan() {
     let plans: Vec<_> = (0..200).map(|seed| Plan::draw(seed, 10_000, false)).collect();
