--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use actix_http::{Request, Response};
+use bytes::Bytes;
 use cypressfork_core::code::Code;
 use cypressfork_core::command::{Answer as Committed, Command};
 use cypressfork_core::fleet::format;
 use cypressfork_core::fleet::registry::{Registration, ReplicaStatus};
 use cypressfork_core::query::{Query, Reply};
+use cypressfork_http::server::stop::{StopProgress, StopStage};
 use cypressfork_http::{Body, BodyLimit, Received};
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
@@ -17,7 +19,8 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::dialect::{Call, CallAnswer, Dialect, Incoming};
+use crate::dialect::{Call, CallAnswer, Dialect, Incoming, foreign_call};
+use crate::listener::{CallKind, ForeignCalls, Listener, excerpt};
 
 /// Time within which a document has to be committed.
 const PUBLISH_TIMEOUT: Duration = Duration::from_millis(3_500);
@@ -60,14 +63,30 @@
     pub group: GroupClient,
     /// Calls to be answered from the process's own state.
     pub local: mpsc::Sender<LocalCall>,
+    /// How far a planned stop has come.
+    pub stop: Rc<StopProgress>,
     /// Permits for calls that submit or read a document.
     documents: Semaphore,
 }
 
+/// A listener and the state of its requests.
+pub struct Endpoint {
+    api: Rc<Api>,
+    listener: Listener,
+    foreign: ForeignCalls,
+}
+
+impl Endpoint {
+    /// Returns a listener that has had no requests.
+    pub fn new(api: Rc<Api>, listener: Listener) -> Endpoint {
+        Endpoint { api, listener, foreign: ForeignCalls::default() }
+    }
+}
+
 impl Api {
     /// Returns the state of a process without calls.
-    pub fn new(group: GroupClient, local: mpsc::Sender<LocalCall>) -> Api {
-        Api { group, local, documents: Semaphore::new(MAX_DOCUMENT_CALLS) }
+    pub fn new(group: GroupClient, local: mpsc::Sender<LocalCall>, stop: Rc<StopProgress>) -> Api {
+        Api { group, local, stop, documents: Semaphore::new(MAX_DOCUMENT_CALLS) }
     }
 }
 
@@ -84,38 +103,56 @@
 /// Calls that submit or read a document at once; each holds several copies of it. Others wait.
 const MAX_DOCUMENT_CALLS: usize = 8;
 
-/// Returns how much of the body of a request is read in the dialect `D`.
-pub fn body_limit<D: Dialect>(req: &Request) -> BodyLimit {
-    match D::has_document(req.method(), req.path()) {
-        true => BodyLimit { bytes: MAX_DOCUMENT, copies: DOCUMENT_COPIES },
-        false => BodyLimit { bytes: MAX_BODY, copies: 0 },
+/// Returns how much of the body of a request is read in the dialect `D`: none if the listener does not take the call.
+pub fn body_limit<D: Dialect>(listener: Listener, req: &Request) -> BodyLimit {
+    match listener.find_call::<D>(req.method().as_str(), req.path()) {
+        Some((CallKind::Publish, _)) => BodyLimit { bytes: MAX_DOCUMENT, copies: DOCUMENT_COPIES },
+        Some(_) => BodyLimit { bytes: MAX_BODY, copies: 0 },
+        None => BodyLimit::NONE,
     }
 }
 
 /// Handles one request: reads it in the dialect `D`, carries out its call, and returns the response.
-pub async fn serve<D: Dialect>(api: Rc<Api>, req: Received) -> Response<Body> {
+pub async fn serve<D: Dialect>(endpoint: Rc<Endpoint>, req: Received) -> Response<Body> {
     let Received { head, body } = req;
     let answer = match body {
-        Ok(bytes) => {
-            let query = head.uri().query().unwrap_or_default();
-            let (method, path) = (head.method(), head.path());
-            match D::parse_call(&Incoming { method, path, query, body: &bytes }) {
-                Ok(call) => {
-                    drop(bytes);
-                    dispatch::<D>(&api, call).await
-                }
-                Err(refused) => refused,
-            }
-        }
+        Ok(bytes) => answer::<D>(&endpoint, &head, bytes).await,
         Err(code) => CallAnswer::Refused(code, "the body was not received".to_owned()),
     };
     if let CallAnswer::Refused(code, why) = &answer {
         counter!(metric::CALLS_REFUSED, "code" => code.number().to_string()).increment(1);
-        emit!(Event::CallRefused, code = code.number(), path = head.path(), why = why);
+        match code {
+            Code::CallForeign => endpoint.foreign.record(endpoint.listener, &head),
+            _ => {
+                let path = excerpt(head.path());
+                emit!(Event::CallRefused, code = code.number(), path = path, why = why);
+            }
+        }
     }
     D::encode_answer(answer)
 }
 
+/// Carries out the call of a request, if the listener takes it, and returns the answer.
+async fn answer<D: Dialect>(endpoint: &Endpoint, head: &Request, body: Bytes) -> CallAnswer {
+    let query = head.uri().query().unwrap_or_default();
+    let (method, path) = (head.method(), head.path());
+    let incoming = Incoming { method, path, query, body: &body };
+    let Some((kind, name)) = endpoint.listener.find_call::<D>(method.as_str(), path) else {
+        return foreign_call(&incoming);
+    };
+    match D::parse_kind(kind, name, &incoming) {
+        Ok(call) => {
+            drop(body);
+            tokio::select! {
+                biased;
+                answer = dispatch::<D>(&endpoint.api, call) => answer,
+                () = endpoint.api.stop.reached(StopStage::Ended) => cut_by_stop(),
+            }
+        }
+        Err(refused) => refused,
+    }
+}
+
 async fn dispatch<D: Dialect>(api: &Api, call: Call) -> CallAnswer {
     match call {
         Call::Publish(source) => publish::<D>(api, source).await,
@@ -210,6 +247,12 @@
     }
 }
 
+/// Returns the answer to a call that outlasts a planned stop. What it asked for may still be committed.
+fn cut_by_stop() -> CallAnswer {
+    let why = "this process stops; the group may still carry the call out";
+    CallAnswer::Refused(Code::NoQuorum, why.to_owned())
+}
+
 fn busy() -> CallAnswer {
     CallAnswer::Refused(Code::QueueFull, "too many calls wait".to_owned())
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,12 +3,14 @@
 mod api;
 pub mod dialect;
 pub mod disk;
+mod drain;
 pub mod feed_cache;
 pub mod fleet_view;
 mod founding;
 mod leader_tasks;
 mod leaderless;
 mod links;
+pub mod listener;
 pub mod machine;
 pub mod native;
 mod read;
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -80,6 +80,7 @@
     IdMissing = 1109, 400, "invalid_request_error", "a request marked not repeatable needs an Idempotency-Key";
     RouteUnknown = 1110, 404, "invalid_request_error", "no route has this host and path";
     RequestBad = 1111, 400, "invalid_request_error", "the request cannot be read";
+    CallForeign = 1112, 404, "invalid_request_error", "this address does not take this call";
     BudgetSpent = 1201, 429, "insufficient_quota", "the budget has too little left for this request";
     BudgetBusy = 1202, 429, "rate_limit_error", "the budget's tokens are being called back from elsewhere";
     BudgetUnreachable = 1203, 503, "rate_limit_error", "this site's share of the budget is used up and the control group is not in reach";
@@ -98,7 +99,7 @@
     UpstreamsResting = 1312, 503, "rate_limit_error", "the upstreams that could run it have asked for rest";
     OriginUnknown = 1313, 503, "server_error", "it is not known at which version of its upstreams this stream began";
     VersionGone = 1314, 503, "server_error", "no upstream of the version at which this stream began takes requests";
-    Stopping = 1315, 503, "server_error", "this gateway stops; another one may serve the request at once";
+    Stopping = 1315, 503, "server_error", "this process stops; another one may serve the request at once";
     ClaimUnreachable = 1401, 503, "server_error", "the request is marked not repeatable and the control group is not in reach to claim it";
     ClaimRunning = 1402, 409, "conflict_error", "a request with this id is running";
     ClaimUnknown = 1403, 409, "conflict_error", "a request with this id was started and its outcome is not known; it ran at most once";
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -22,10 +22,12 @@
 use crate::framing::FramingLimit;
 
 mod dial;
+mod joined;
 mod open_error;
 mod transport;
 
 pub use dial::dial;
+use joined::has_inner_status_line;
 pub use open_error::OpenError;
 pub use transport::Transport;
 
@@ -132,6 +134,12 @@
     codec: Option<Codec>,
     /// The connection has carried an earlier exchange.
     used: bool,
+    /// Bytes that answer no request on the connection have arrived.
+    has_shown_surplus: bool,
+    /// The first response on the connection, which can be no other's, has a status line in one of its fields.
+    names_status_lines: bool,
+    /// Maximum time without further bytes inside a head, if there is one.
+    max_head_pause: Option<Duration>,
     /// The request is HEAD.
     answers_head: bool,
     /// The current response has no body.
@@ -173,6 +181,9 @@
             buf: BytesMut::new(),
             codec: Some(Codec::Head(ClientCodec::default())),
             used: false,
+            has_shown_surplus: false,
+            names_status_lines: false,
+            max_head_pause: None,
             answers_head: false,
             has_no_body: false,
             until_close: false,
@@ -196,9 +207,27 @@
     /// Returns true if an idle connection has received no bytes, was not closed, and is within its idle
     /// timeout.
     pub fn is_fresh(&self, now: Instant) -> bool {
-        self.stream.is_silent()
-            && self.buf.is_empty()
-            && now.duration_since(self.idle_since) < self.idle_timeout
+        self.stream.is_silent() && self.buf.is_empty() && self.idle_for(now) < self.idle_timeout
+    }
+
+    /// Returns true if bytes have arrived since the end of the last response.
+    pub fn has_surplus(&self) -> bool {
+        self.is_between_messages() && (!self.buf.is_empty() || self.stream.has_unread())
+    }
+
+    /// Records that bytes on the connection answer no request, so that it is not reused.
+    pub fn mark_surplus(&mut self) {
+        self.has_shown_surplus = true;
+    }
+
+    /// Sets the maximum time without further bytes inside the next heads, until the connection is idle.
+    pub fn limit_head_pause(&mut self, max: Duration) {
+        self.max_head_pause = Some(max);
+    }
+
+    /// Returns how long the connection has been idle.
+    pub fn idle_for(&self, now: Instant) -> Duration {
+        now.duration_since(self.idle_since)
     }
 
     /// Waits until the server closes a connection on which no request was sent.
@@ -290,18 +319,33 @@
             let Some(Codec::Head(codec)) = &mut self.codec else {
                 return Err(protocol_error("out of step"));
             };
+            let has_inner_status_line = has_inner_status_line(&self.buf);
+            if has_inner_status_line && self.used && !self.names_status_lines {
+                return Err(protocol_error("a response begins inside the head of another one"));
+            }
             if let Some(head) = codec.decode(&mut self.buf).map_err(protocol_error)? {
+                self.names_status_lines |= has_inner_status_line;
                 return Ok(head);
             }
             if self.buf.len() > MAX_HEAD {
                 return Err(protocol_error("the head of the answer is too large"));
             }
-            if !self.fill().await? {
+            if !self.fill_head().await? {
                 return Err(closed("the connection closed before an answer"));
             }
         }
     }
 
+    /// Reads more bytes of a head. Returns false at the end of the connection.
+    async fn fill_head(&mut self) -> Result<bool, ExchangeError> {
+        match self.max_head_pause {
+            Some(max) if !self.buf.is_empty() => timeout(max, self.fill())
+                .await
+                .unwrap_or_else(|_| Err(protocol_error("the rest of a head does not arrive"))),
+            _ => self.fill().await,
+        }
+    }
+
     /// Returns whether the decoder expects a body after the head that it has returned.
     fn reads_body(&self) -> bool {
         let Some(Codec::Head(codec)) = &self.codec else { return false };
@@ -422,6 +466,7 @@
     /// Marks the connection as idle until the next exchange.
     pub fn mark_idle(&mut self, now: Instant) {
         self.used = true;
+        self.max_head_pause = None;
         // Frees the buffer, because many connections may be idle at once.
         self.buf = BytesMut::new();
         self.idle_since = now;
@@ -430,9 +475,13 @@
     /// Returns true if the last response was complete and the connection can carry another exchange. One that has
     /// carried HEAD cannot: a late second response to it would take the next response for its body.
     pub fn is_reusable(&self) -> bool {
-        let between_messages = matches!(self.codec, Some(Codec::Head(_)));
-        let is_complete = between_messages && self.buf.is_empty();
-        is_complete && !self.closes_after && !self.until_close && !self.answers_head
+        let is_complete = self.is_between_messages() && self.buf.is_empty();
+        let may_continue = !self.closes_after && !self.until_close && !self.answers_head;
+        is_complete && may_continue && !self.has_shown_surplus
+    }
+
+    fn is_between_messages(&self) -> bool {
+        matches!(self.codec, Some(Codec::Head(_)))
     }
 }
 
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 use cypressfork_node::event::Event;
 use cypressfork_node::metric;
 use metrics::counter;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
 use super::dial::Target;
 use super::dialect::{Dialect, ForwardHeaders};
@@ -34,7 +34,8 @@
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_SKIPPED_RESPONSES: usize = 4;
 
-/// Time in which the rest of a response to another request has to arrive if the request may be sent elsewhere.
+/// Time in which the rest of a response to another request, and each part of a head on a reused connection, has to arrive
+/// if the request may be sent elsewhere.
 const MAX_SKIP_TIME: Duration = Duration::from_millis(200);
 
 /// Time without a response after which the path to the replica is checked, unless other replicas respond.
@@ -81,7 +82,7 @@
     Silent(String),
     /// The response is invalid. The replica may have run the request.
     Broken(String),
-    /// The request's deadline passed.
+    /// The request's deadline passed, or a planned stop ended it.
     Late,
 }
 
@@ -231,18 +232,18 @@
         client: &mut Client,
         progress: &mut ResponseProgress,
     ) -> AttemptOutcome {
-        let until = self.request.deadline;
+        let request = self.request;
         // Returning early when the caller closes its connection drops the connection to the replica.
         // A head that was received is processed first: its backoff or rate limit affects other requests too.
         let result = tokio::select! {
             biased;
-            result = timeout_at(until, self.send_request::<D>(progress.events.last())) => result,
+            result = request.in_time(self.send_request::<D>(progress.events.last())) => result,
             () = client.closed() => return AttemptOutcome::Left,
         };
         let (connection, head) = match result {
-            Ok(Ok(started)) => started,
-            Ok(Err(outcome)) => return outcome,
-            Err(_) => return AttemptOutcome::Late,
+            Some(Ok(started)) => started,
+            Some(Err(outcome)) => return outcome,
+            None => return AttemptOutcome::Late,
         };
         self.time_to_first = Some(self.sent.elapsed());
         self.forward_response::<D>(client, progress, connection, head).await
@@ -414,8 +415,15 @@
         &self,
         mut connection: ReplicaConnection,
     ) -> Result<(ReplicaConnection, ResponseHead), AttemptOutcome> {
+        if self.is_reused && self.request.is_repeatable() {
+            connection.limit_head_pause(MAX_SKIP_TIME);
+        }
         for _ in 0..MAX_SKIPPED_RESPONSES {
-            let head = self.read_head(&mut connection).await?;
+            let head = self.read_head(&mut connection).await.inspect_err(|e| {
+                if self.is_reused && matches!(e, ExchangeError::Protocol(_)) {
+                    self.record_surplus();
+                }
+            })?;
             let (service, address) = (&self.request.service, self.choice.address);
             self.request.gw.dialer.record_response(service, address, &connection);
             let response = D::parse_response(&head);
@@ -440,6 +448,8 @@
                 return Ok((connection, head));
             }
             self.record_foreign_response(response.id);
+            self.record_surplus();
+            connection.mark_surplus();
             self.skip_foreign_body(&mut connection).await?;
         }
         Err(AttemptOutcome::Broken("the connection brings answers to other requests".to_owned()))
@@ -464,6 +474,11 @@
         }
     }
 
+    /// Records that the replica sends bytes that answer no request.
+    fn record_surplus(&self) {
+        self.request.gw.connections.record_surplus(Instant::now(), &self.request.service);
+    }
+
     /// Records a response to another request, with the id that it names.
     fn record_foreign_response(&self, found: Option<&str>) {
         let kind = if found.is_some() { "other_request" } else { "no_id" };
@@ -508,11 +523,11 @@
         }
         let held = self.request.gw.response_memory.register();
         let result = tokio::select! {
-            result = timeout_at(self.request.deadline, read_body(&mut connection, &held)) => result,
+            result = self.request.in_time(read_body(&mut connection, &held)) => result,
             () = client.closed() => return AttemptOutcome::Left,
         };
         let body = match result {
-            Ok(Ok(body)) => {
+            Some(Ok(body)) => {
                 let body = match connection.has_no_body() {
                     true => ResponseBody::Omitted(connection.content_length()),
                     false => ResponseBody::Whole(body),
@@ -531,9 +546,9 @@
                 );
                 body
             }
-            Ok(Err(_)) if not_run => return AttemptOutcome::NotRun,
-            Ok(Err(error)) => return error.into(),
-            Err(_) => return AttemptOutcome::Late,
+            Some(Err(_)) if not_run => return AttemptOutcome::NotRun,
+            Some(Err(error)) => return error.into(),
+            None => return AttemptOutcome::Late,
         };
         if not_run {
             return AttemptOutcome::NotRun;
--- a/crates/router/src/gateway/state.rs
+++ b/crates/router/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use cypressfork_core::unit::{Millis, Time};
 use cypressfork_http::client::OpenError;
 use cypressfork_http::server::output::CallerBuffers;
+use cypressfork_http::server::stop::StopProgress;
 use cypressfork_node::emit;
 use cypressfork_node::event::Event;
 use cypressfork_node::group::GroupClient;
@@ -52,7 +53,6 @@
 use super::rollouts::RolloutTracker;
 use super::settings::Settings;
 use super::share::Peers;
-use super::stop::StopProgress;
 use super::upstream::{ConnectionPool, ReplicaConnection};
 use super::witness::{LostConnections, record_replica_event};
 use crate::token_store::TokenStore;
@@ -599,7 +599,7 @@
     pub async fn connect(&self, to: &Target<'_>) -> Result<ReplicaConnection, OpenError> {
         if !self.dialer.may_reuse(to.address) {
             self.connections.close_all(to.address);
-        } else if let Some(c) = self.connections.take(Instant::now(), to.address) {
+        } else if let Some(c) = self.connections.take(Instant::now(), to.service, to.address) {
             return Ok(c);
         }
         self.open_connection(to).await
@@ -640,7 +640,7 @@
         let pools = self.pools.borrow();
         let current = pools.get(service).and_then(|p| p.get(address));
         if current.is_some_and(|r| r.upstream.vm.name == replica) {
-            self.connections.put(Instant::now(), address, c);
+            self.connections.put(Instant::now(), service, address, c);
         }
     }
 
