--- a/crates/cypressfork/tests/control_stops.rs
+++ b/crates/cypressfork/tests/control_stops.rs
@@ -71,7 +71,9 @@
             "{method} {path} HTTP/1.1\r\nHost: control\r\nContent-Length: {length}\r\n\r\n{body}"
         );
         let (first, rest) = text.split_at(text.len() - 1);
-        let mut stream = connect(f.controls[n].api);
+        let control = &f.controls[n];
+        let is_lookup = path == "/v1/entry";
+        let mut stream = connect(if is_lookup { control.entry } else { control.api });
         stream.write_all(first.as_bytes()).unwrap();
         Begun { stream, rest: rest.to_owned() }
     }
