--- a/review/standin-2/src/bin/directory.rs
+++ b/review/standin-2/src/bin/directory.rs
@@ -30,10 +30,17 @@
     fleet.start()?;
     let service = "{\"name\":\"board-live\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}";
     let tenant = "{\"name\":\"club\",\"apiKeys\":[\"key-of-the-club\"],\"priority\":1}";
-    let config = configuration(1, &[("clock-sync", "/clock/", "safe", "board-live", false)], service, tenant);
+    let config = configuration(
+        1,
+        &[("clock-sync", "/clock/", "safe", "board-live", false)],
+        service,
+        tenant,
+    );
     let all: Vec<usize> = (0..fleet.cores.len()).collect();
     thread::sleep(Duration::from_secs(2));
-    fleet.order("PUT", "/config", &config, &all).ok_or_else(|| std::io::Error::other("no configuration"))?;
+    fleet
+        .order("PUT", "/config", &config, &all)
+        .ok_or_else(|| std::io::Error::other("no configuration"))?;
     fleet.wait_ready()?;
     record.sleep_until(8.0);
     let mut dead = Vec::new();
@@ -52,13 +59,21 @@
         for zone in fleet.zones.clone() {
             for core in &fleet.cores {
                 let path = format!("/resolve?name=club.example&region=tas-north&zone={zone}");
-                let Ok(r) = call(core.at(DIRECTORY), "GET", &path, "", Duration::from_secs(1)) else { continue };
+                let Ok(r) = call(core.at(DIRECTORY), "GET", &path, "", Duration::from_secs(1))
+                else {
+                    continue;
+                };
                 let text = String::from_utf8_lossy(&r.body).into_owned();
-                let named: Vec<std::net::SocketAddr> = text.split('"').filter_map(|p| p.parse().ok()).collect();
-                let is_wrong = named.iter().any(|a| dead.contains(a)) && named.iter().any(|a| !dead.contains(a));
+                let named: Vec<std::net::SocketAddr> =
+                    text.split('"').filter_map(|p| p.parse().ok()).collect();
+                let is_wrong = named.iter().any(|a| dead.contains(a))
+                    && named.iter().any(|a| !dead.contains(a));
                 answers += 1;
                 wrong += usize::from(is_wrong);
-                record.line(&format!("{} answers a client of {zone}: {} {text}", core.name, r.status));
+                record.line(&format!(
+                    "{} answers a client of {zone}: {} {text}",
+                    core.name, r.status
+                ));
             }
         }
         thread::sleep(Duration::from_secs(1));
--- a/review/standin-2/src/bin/engine.rs
+++ b/review/standin-2/src/bin/engine.rs
@@ -47,7 +47,8 @@
     let head = loop {
         if let Some(at) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buf[..at]).into_owned();
-            let length = header(&head, "content-length").and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
+            let length =
+                header(&head, "content-length").and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
             if buf.len() >= at + 4 + length {
                 break head;
             }
@@ -60,11 +61,15 @@
     };
     let id = header(&head, "x-request-id").unwrap_or_default().to_owned();
     if header(&head, "x-expect-instance").is_some_and(|i| i != replica) {
-        let answer = format!("HTTP/1.1 421 Misdirected\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        let answer = format!(
+            "HTTP/1.1 421 Misdirected\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        );
         let _ = s.write_all(answer.as_bytes());
         return;
     }
-    let most: u64 = header(&head, "x-token-counts").and_then(|v| v.split(',').nth(1)?.trim().parse().ok()).unwrap_or(0);
+    let most: u64 = header(&head, "x-token-counts")
+        .and_then(|v| v.split(',').nth(1)?.trim().parse().ok())
+        .unwrap_or(0);
     let last: u64 = header(&head, "last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
     println!("{replica} runs {id} from event {}", last + 1);
     let head = format!(
--- a/review/standin-2/src/bin/evacuation.rs
+++ b/review/standin-2/src/bin/evacuation.rs
@@ -32,14 +32,28 @@
     fleet.start()?;
     let service = "{\"name\":\"board-live\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}";
     let tenant = "{\"name\":\"club\",\"apiKeys\":[\"key-of-the-club\"],\"priority\":1}";
-    let config = configuration(1, &[("clock-sync", "/clock/", "safe", "board-live", false)], service, tenant);
+    let config = configuration(
+        1,
+        &[("clock-sync", "/clock/", "safe", "board-live", false)],
+        service,
+        tenant,
+    );
     let all: Vec<usize> = (0..fleet.cores.len()).collect();
     thread::sleep(Duration::from_secs(2));
-    fleet.order("PUT", "/config", &config, &all).ok_or_else(|| std::io::Error::other("no configuration"))?;
+    fleet
+        .order("PUT", "/config", &config, &all)
+        .ok_or_else(|| std::io::Error::other("no configuration"))?;
     let runs = Runs::default();
     for (n, zone) in fleet.zones.clone().iter().enumerate() {
         for k in 0..2 {
-            Replica::start(&fleet, 100 + (n * 2 + k) as u8, "board-live", zone, Duration::from_millis(20), runs.clone())?;
+            Replica::start(
+                &fleet,
+                100 + (n * 2 + k) as u8,
+                "board-live",
+                zone,
+                Duration::from_millis(20),
+                runs.clone(),
+            )?;
         }
     }
     fleet.wait_ready()?;
--- a/review/standin-2/src/bin/grown.rs
+++ b/review/standin-2/src/bin/grown.rs
@@ -35,11 +35,16 @@
 
 fn config(version: u64, routes: usize) -> String {
     let names: Vec<_> = (0..routes).map(|n| (format!("r-{n:07}"), format!("/p{n:06}/"))).collect();
-    let routes: Vec<_> = names.iter().map(|(n, p)| (n.as_str(), p.as_str(), "safe", "board-live", false)).collect();
+    let routes: Vec<_> =
+        names.iter().map(|(n, p)| (n.as_str(), p.as_str(), "safe", "board-live", false)).collect();
     let service = "{\"name\":\"board-live\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}";
     let tenant = "{\"name\":\"club\",\"apiKeys\":[\"key-of-the-club\"],\"priority\":1}";
     // One of the routes gets another time-out with each version.
-    configuration(version, &routes, service, tenant).replacen("12000", &format!("{}", 10_000 + version), 1)
+    configuration(version, &routes, service, tenant).replacen(
+        "12000",
+        &format!("{}", 10_000 + version),
+        1,
+    )
 }
 
 fn version_of(body: &[u8]) -> Option<u64> {
@@ -54,14 +59,17 @@
     let all: Vec<usize> = (0..fleet.cores.len()).collect();
     thread::sleep(Duration::from_secs(2));
     let routes = if has_trouble() { ROUTES } else { 8 };
-    fleet.order("PUT", "/config", &config(1, 8), &all).ok_or_else(|| std::io::Error::other("no configuration"))?;
+    fleet
+        .order("PUT", "/config", &config(1, 8), &all)
+        .ok_or_else(|| std::io::Error::other("no configuration"))?;
     fleet.wait_ready()?;
     // The platform looks at the memory of each process, and starts again what has ended.
     let fleet = Arc::new(Mutex::new(fleet));
     let stop = Arc::new(AtomicBool::new(false));
     let ends = Arc::new(Mutex::new(0));
     let platform = {
-        let (fleet, stop, record, ends) = (fleet.clone(), stop.clone(), record.clone(), ends.clone());
+        let (fleet, stop, record, ends) =
+            (fleet.clone(), stop.clone(), record.clone(), ends.clone());
         thread::spawn(move || {
             let mut down: Vec<Option<f64>> = Vec::new();
             let mut shown = 0.0;
@@ -95,7 +103,8 @@
             }
         })
     };
-    let cores: Vec<_> = fleet.lock().unwrap().cores.iter().map(|m| (m.name.clone(), m.at(CONTROL))).collect();
+    let cores: Vec<_> =
+        fleet.lock().unwrap().cores.iter().map(|m| (m.name.clone(), m.at(CONTROL))).collect();
     let (mut acked, mut taken) = (1, 0);
     for version in 2..2 + CHANGES {
         if record.now() > END_S {
@@ -107,7 +116,10 @@
             let answer = call(*to, "PUT", "/config", &body, Duration::from_secs(2));
             let status = answer.as_ref().map_or(0, |r| r.status);
             if status != 200 || version % 20 == 0 {
-                record.line(&format!("operator sends version {version} ({} bytes) to {name}: {status}", body.len()));
+                record.line(&format!(
+                    "operator sends version {version} ({} bytes) to {name}: {status}",
+                    body.len()
+                ));
             }
             if status == 200 {
                 (acked, taken) = (version, taken + 1);
@@ -123,7 +135,10 @@
         let size: u64 = std::fs::read_dir(folder.join(format!("data-{name}")))
             .map(|d| d.flatten().filter_map(|f| f.metadata().ok()).map(|m| m.len()).sum())
             .unwrap_or(0);
-        record.line(&format!("the disk of {name} holds {:.1} MB (the machine's has {DISK_MB})", size as f64 / 1e6));
+        record.line(&format!(
+            "the disk of {name} holds {:.1} MB (the machine's has {DISK_MB})",
+            size as f64 / 1e6
+        ));
     }
     // Read back for five times `contactMs`.
     let until = record.now() + 5.0 * CONTACT_S;
@@ -131,7 +146,8 @@
     'reads: while record.now() < until {
         for (name, to) in &cores {
             let answer = call(*to, "GET", "/config", "", Duration::from_secs(2));
-            let found = answer.as_ref().ok().filter(|r| r.status == 200).and_then(|r| version_of(&r.body));
+            let found =
+                answer.as_ref().ok().filter(|r| r.status == 200).and_then(|r| version_of(&r.body));
             let status = answer.map_or_else(|e| e.to_string(), |r| r.status.to_string());
             record.line(&format!("read back at {name}: {status}, version {found:?}"));
             if found.is_some_and(|v| v >= acked) {
@@ -145,6 +161,8 @@
     drop(platform.join());
     let ends = *ends.lock().unwrap();
     println!("{taken} changes acknowledged; processes ended {ends} times; read back: {is_read}");
-    record.line(&format!("processes ended {ends} times; the newest configuration was read back: {is_read}"));
+    record.line(&format!(
+        "processes ended {ends} times; the newest configuration was read back: {is_read}"
+    ));
     Ok(if is_read { HELD } else { BROKEN })
 }
--- a/review/standin-2/src/bin/unframed.rs
+++ b/review/standin-2/src/bin/unframed.rs
@@ -43,16 +43,24 @@
     fleet.start()?;
     let service = "{\"name\":\"engine-talk\",\"healthPath\":\"/health\",\"maxConnections\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kvCapacityTokens\":418121,\"kvTokenBytes\":327680,\"linkMbps\":250000.0,\"stride\":3,\"models\":[{\"name\":\"m\"}]}}";
     let tenant = "{\"name\":\"club\",\"apiKeys\":[\"key-of-the-club\"],\"priority\":1,\"prepaid\":100000000}";
-    let config = configuration(1, &[("game-annotate", "/annotate/", "streaming", "engine-talk", true)], service, tenant);
+    let config = configuration(
+        1,
+        &[("game-annotate", "/annotate/", "streaming", "engine-talk", true)],
+        service,
+        tenant,
+    );
     let all: Vec<usize> = (0..fleet.cores.len()).collect();
     thread::sleep(Duration::from_secs(2));
-    fleet.order("PUT", "/config", &config, &all).ok_or_else(|| std::io::Error::other("no configuration"))?;
+    fleet
+        .order("PUT", "/config", &config, &all)
+        .ok_or_else(|| std::io::Error::other("no configuration"))?;
     let cores: Vec<_> = fleet.cores.iter().map(|m| m.at(CONTROL).to_string()).collect();
     let program = std::env::current_exe()?.with_file_name("engine");
     let mut engines = Vec::new();
     for n in 0..ENGINES {
         let name = format!("i-engine-{n}");
-        let address = SocketAddr::from((Ipv4Addr::new(127, fleet.net.0, fleet.net.1, 150 + n), REPLICA));
+        let address =
+            SocketAddr::from((Ipv4Addr::new(127, fleet.net.0, fleet.net.1, 150 + n), REPLICA));
         let out = File::create(fleet.dir.join(format!("{name}.log")))?;
         let zone = fleet.zones[usize::from(n) % 3].clone();
         let child = Command::new(&program)
@@ -95,11 +103,17 @@
     if has_trouble() {
         // The one that has the most streams under way; what it prints shows them.
         let under_way = |e: &Engine| {
-            let log = fs::read_to_string(fleet.dir.join(format!("{}.log", e.name))).unwrap_or_default();
-            log.matches(" runs ").count() - log.matches(" ends ").count().min(log.matches(" runs ").count())
+            let log =
+                fs::read_to_string(fleet.dir.join(format!("{}.log", e.name))).unwrap_or_default();
+            log.matches(" runs ").count()
+                - log.matches(" ends ").count().min(log.matches(" runs ").count())
         };
         let most = (0..engines.len()).max_by_key(|n| under_way(&engines[*n])).unwrap_or(0);
-        record.line(&format!("{} has {} streams under way", engines[most].name, under_way(&engines[most])));
+        record.line(&format!(
+            "{} has {} streams under way",
+            engines[most].name,
+            under_way(&engines[most])
+        ));
         let e = &mut engines[most];
         let _ = e.child.kill();
         let _ = e.child.wait();
@@ -113,9 +127,17 @@
         log.lines().for_each(|l| record.line(&format!("replica: {l}")));
     }
     let results = results.lock().unwrap();
-    let short: Vec<_> = results.iter().filter(|(_, s, complete, events)| *s == 200 && *complete && *events < EVENTS).collect();
-    let whole = results.iter().filter(|(_, s, complete, events)| *s == 200 && *complete && *events == EVENTS).count();
-    record.line(&format!("{whole} streams were whole; ended as complete before their last piece: {short:?}"));
+    let short: Vec<_> = results
+        .iter()
+        .filter(|(_, s, complete, events)| *s == 200 && *complete && *events < EVENTS)
+        .collect();
+    let whole = results
+        .iter()
+        .filter(|(_, s, complete, events)| *s == 200 && *complete && *events == EVENTS)
+        .count();
+    record.line(&format!(
+        "{whole} streams were whole; ended as complete before their last piece: {short:?}"
+    ));
     println!("{whole} whole, {} ended as complete before their last piece", short.len());
     Ok(match (whole, short.len()) {
         (0, _) => NOT_RUN,
--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -72,9 +72,20 @@
         let mut words = self.program.split(' ');
         let program = words.next().unwrap_or_default();
         let args: Vec<_> = words
-            .map(|w| if w == "/etc/cypressfork/boot.toml" { self.settings.display().to_string() } else { w.to_owned() })
+            .map(|w| {
+                if w == "/etc/cypressfork/boot.toml" {
+                    self.settings.display().to_string()
+                } else {
+                    w.to_owned()
+                }
+            })
             .collect();
-        let child = Command::new(program).args(args).stdin(Stdio::null()).stdout(out).stderr(err).spawn()?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(out)
+            .stderr(err)
+            .spawn()?;
         self.child = Some(child);
         self.starts += 1;
         Ok(())
@@ -87,7 +98,10 @@
     /// Sends a signal by its name without `SIG`.
     pub fn signal(&self, name: &str) -> bool {
         let Some(id) = self.id() else { return false };
-        Command::new("kill").args([&format!("-{name}"), &id.to_string()]).status().is_ok_and(|s| s.success())
+        Command::new("kill")
+            .args([&format!("-{name}"), &id.to_string()])
+            .status()
+            .is_ok_and(|s| s.success())
     }
 
     pub fn kill(&mut self) {
@@ -110,7 +124,9 @@
     pub fn memory_mb(&self) -> f64 {
         let Some(id) = self.id() else { return 0.0 };
         let text = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let kb = text.lines().find_map(|l| l.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB")?.trim().parse::<f64>().ok());
+        let kb = text.lines().find_map(|l| {
+            l.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB")?.trim().parse::<f64>().ok()
+        });
         kb.unwrap_or(0.0) / 1024.0
     }
 
@@ -181,7 +197,13 @@
 
 impl Default for Plan {
     fn default() -> Plan {
-        Plan { cores: vec![2, 2, 1], edges: vec![1, 1, 1], core_memory_mb: 256, edge_memory_mb: 110, heartbeat_ms: 1_200 }
+        Plan {
+            cores: vec![2, 2, 1],
+            edges: vec![1, 1, 1],
+            core_memory_mb: 256,
+            edge_memory_mb: 110,
+            heartbeat_ms: 1_200,
+        }
     }
 }
 
@@ -191,11 +213,13 @@
 /// Returns two parts of a loopback network 127.A.B.0 of which the ports in use here are free.
 fn free_net() -> Option<(u8, u8)> {
     let id = std::process::id();
-    (0..200).map(|n| (10 + ((id / 200 + n * 7) % 200) as u8, 1 + ((id + n) % 200) as u8)).find(|(a, b)| {
-        [INTERNAL.0, CONTROL, DIRECTORY, FRONT, READY, REPLICA, METRICS].iter().all(|port| {
-            TcpListener::bind((Ipv4Addr::new(127, *a, *b, 1), *port)).is_ok()
-        })
-    })
+    (0..200).map(|n| (10 + ((id / 200 + n * 7) % 200) as u8, 1 + ((id + n) % 200) as u8)).find(
+        |(a, b)| {
+            [INTERNAL.0, CONTROL, DIRECTORY, FRONT, READY, REPLICA, METRICS]
+                .iter()
+                .all(|port| TcpListener::bind((Ipv4Addr::new(127, *a, *b, 1), *port)).is_ok())
+        },
+    )
 }
 
 impl Fleet {
@@ -224,12 +248,14 @@
             if kind == "core" { fleet.cores.push(m) } else { fleet.edges.push(m) }
         };
         for zone in 0..ZONES.len() {
-            (1..=plan.cores[zone]).for_each(|n| add(&mut fleet, zone, "core", n, &commands.control));
+            (1..=plan.cores[zone])
+                .for_each(|n| add(&mut fleet, zone, "core", n, &commands.control));
         }
         for zone in 0..ZONES.len() {
             (1..=plan.edges[zone]).for_each(|n| add(&mut fleet, zone, "edge", n, &commands.router));
         }
-        let seeds: Vec<_> = fleet.cores.iter().take(3).map(|m| format!("\"{}\"", m.at(CONTROL))).collect();
+        let seeds: Vec<_> =
+            fleet.cores.iter().take(3).map(|m| format!("\"{}\"", m.at(CONTROL))).collect();
         let seeds = seeds.join(",");
         let zones = ZONES.map(|z| format!("\"{z}\": \"{REGION}\"")).join(",");
         let common = |m: &Machine| {
@@ -244,14 +270,26 @@
             let names = ZONES.map(|z| format!("\"{z}\"")).join(",");
             let text = format!(
                 "{}listen: \"{}\"\ndata_folder: \"{}\"\nmemory_mb: {}\nmax_files: 4096\nmetrics: \"{}\"\nreserve: false\nfleet:\n  listen: \"{}\"\n  entry: \"{}\"\n  replica_heartbeat_ms: {}\n  found: true\n  rollout_share: \n  data_centres: [{names}]\n",
-                common(m), m.at(INTERNAL.0), data.display(), plan.core_memory_mb, m.at(METRICS), m.at(CONTROL), m.at(DIRECTORY), plan.heartbeat_ms
+                common(m),
+                m.at(INTERNAL.0),
+                data.display(),
+                plan.core_memory_mb,
+                m.at(METRICS),
+                m.at(CONTROL),
+                m.at(DIRECTORY),
+                plan.heartbeat_ms
             );
             fs::write(&m.settings, text)?;
         }
         for m in &fleet.edges {
             let text = format!(
                 "{}listen: \"{}\"\nlink: \"{}\"\noperators: \"{}\"\nready_path: /ready\nmetrics: \"{}\"\nretry_ratio: 0.2\nretry_extra: 54\nretry_window_s: 10\nmemory_mb: {}\nmax_files: 4100\ncontracts: [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\"]\nlink_mbps: 1000.0\nstop_within_s: 8\nstop_serve_s: 2.5\n",
-                common(m), m.at(FRONT), m.at(INTERNAL.1), m.at(READY), m.at(METRICS), plan.edge_memory_mb
+                common(m),
+                m.at(FRONT),
+                m.at(INTERNAL.1),
+                m.at(READY),
+                m.at(METRICS),
+                plan.edge_memory_mb
             );
             fs::write(&m.settings, text)?;
         }
@@ -270,7 +308,10 @@
     pub fn wait_ready(&self) -> io::Result<()> {
         for m in &self.edges {
             let end = Instant::now() + Duration::from_secs(30);
-            while call(m.at(READY), "GET", "/ready", "", Duration::from_secs(1)).map_or(0, |r| r.status) != 200 {
+            while call(m.at(READY), "GET", "/ready", "", Duration::from_secs(1))
+                .map_or(0, |r| r.status)
+                != 200
+            {
                 if Instant::now() > end {
                     return Err(io::Error::other(format!("{} is not ready", m.name)));
                 }
@@ -284,10 +325,14 @@
     pub fn leader(&self) -> Option<usize> {
         let term_of = |m: &Machine| {
             let lines = m.log();
-            let last = lines.lines().rfind(|l| l.contains("this member became the leader"))?.to_owned();
+            let last =
+                lines.lines().rfind(|l| l.contains("this member became the leader"))?.to_owned();
             last.split("\"term\":\"").nth(1)?.split('"').next()?.parse::<u64>().ok()
         };
-        (0..self.cores.len()).filter_map(|n| Some((term_of(&self.cores[n])?, n))).max().map(|(_, n)| n)
+        (0..self.cores.len())
+            .filter_map(|n| Some((term_of(&self.cores[n])?, n)))
+            .max()
+            .map(|(_, n)| n)
     }
 
     /// Sends a call as an operator does: to the cores in the order `first`, and on to the next one after a second
@@ -296,11 +341,16 @@
         let mut pause = Duration::from_millis(50);
         for n in first.iter().cycle().take(24) {
             let m = &self.cores[*n];
-            self.record.line(&format!("operator sends {method} {path} ({} bytes) to {}", body.len(), m.name));
+            self.record.line(&format!(
+                "operator sends {method} {path} ({} bytes) to {}",
+                body.len(),
+                m.name
+            ));
             let within = Duration::from_secs(1) + Duration::from_micros(body.len() as u64 * 2);
             match call(m.at(CONTROL), method, path, body, within) {
                 Ok(r) => {
-                    self.record.line(&format!("{} answers {} to {method} {path}", m.name, r.status));
+                    self.record
+                        .line(&format!("{} answers {} to {method} {path}", m.name, r.status));
                     if r.status == 200 {
                         return Some(*n);
                     }
@@ -308,7 +358,9 @@
                         return None;
                     }
                 }
-                Err(e) => self.record.line(&format!("{} gives no answer to {method} {path}: {e}", m.name)),
+                Err(e) => {
+                    self.record.line(&format!("{} gives no answer to {method} {path}: {e}", m.name))
+                }
             }
             thread::sleep(pause);
             pause = (pause * 2).min(Duration::from_secs(1));
@@ -349,7 +401,13 @@
 }
 
 /// Sends a call on a new connection and returns its response.
-pub fn call(to: SocketAddr, method: &str, path: &str, body: &str, within: Duration) -> io::Result<Response> {
+pub fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    within: Duration,
+) -> io::Result<Response> {
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
         body.len()
@@ -446,26 +504,44 @@
 
 impl Replica {
     /// Starts a replica at `ip`. It sends its heartbeats to one core after the other.
-    pub fn start(fleet: &Fleet, host: u8, service: &str, zone: &str, work: Duration, runs: Runs) -> io::Result<Replica> {
-        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, fleet.net.0, fleet.net.1, host)), REPLICA);
+    pub fn start(
+        fleet: &Fleet,
+        host: u8,
+        service: &str,
+        zone: &str,
+        work: Duration,
+        runs: Runs,
+    ) -> io::Result<Replica> {
+        let address = SocketAddr::new(
+            IpAddr::V4(Ipv4Addr::new(127, fleet.net.0, fleet.net.1, host)),
+            REPLICA,
+        );
         let listener = TcpListener::bind(address)?;
         let id = format!("i-{service}-{host}");
         let record = fleet.record.clone();
         let (rid, rzone) = (id.clone(), zone.to_owned());
         thread::spawn(move || {
             for s in listener.incoming().flatten() {
-                let (record, runs, id, zone) = (record.clone(), runs.clone(), rid.clone(), rzone.clone());
+                let (record, runs, id, zone) =
+                    (record.clone(), runs.clone(), rid.clone(), rzone.clone());
                 thread::spawn(move || serve_replica(s, &record, &runs, &id, &zone, work));
             }
         });
-        let r = Replica { id, service: service.to_owned(), zone: zone.to_owned(), address, sequence: Arc::default() };
+        let r = Replica {
+            id,
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            address,
+            sequence: Arc::default(),
+        };
         r.beat_forever(fleet);
         Ok(r)
     }
 
     fn beat_forever(&self, fleet: &Fleet) {
         let cores: Vec<_> = fleet.cores.iter().map(|m| m.at(CONTROL)).collect();
-        let (id, service, address, zone) = (self.id.clone(), self.service.clone(), self.address, self.zone.clone());
+        let (id, service, address, zone) =
+            (self.id.clone(), self.service.clone(), self.address, self.zone.clone());
         let sequence = self.sequence.clone();
         thread::spawn(move || {
             let mut to = usize::from(address.to_string().len() as u8) % cores.len();
@@ -474,7 +550,13 @@
                 let body = format!(
                     "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{n}}}"
                 );
-                let answer = call(cores[to % cores.len()], "PUT", &format!("/replicas/{id}"), &body, Duration::from_secs(1));
+                let answer = call(
+                    cores[to % cores.len()],
+                    "PUT",
+                    &format!("/replicas/{id}"),
+                    &body,
+                    Duration::from_secs(1),
+                );
                 if !answer.is_ok_and(|r| (200..300).contains(&r.status)) {
                     to += 1;
                     thread::sleep(Duration::from_millis(100));
@@ -486,7 +568,14 @@
     }
 }
 
-fn serve_replica(mut s: TcpStream, record: &Record, runs: &Runs, replica: &str, zone: &str, work: Duration) {
+fn serve_replica(
+    mut s: TcpStream,
+    record: &Record,
+    runs: &Runs,
+    replica: &str,
+    zone: &str,
+    work: Duration,
+) {
     let _ = s.set_nodelay(true);
     let mut buf: Vec<u8> = Vec::new();
     loop {
@@ -499,7 +588,8 @@
             continue;
         };
         let head = String::from_utf8_lossy(&buf[..at]).into_owned();
-        let length = header(&head, "content-length").and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
+        let length =
+            header(&head, "content-length").and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
         if buf.len() < at + 4 + length {
             let mut part = [0; 16 * 1024];
             match s.read(&mut part) {
@@ -512,14 +602,22 @@
         let id = header(&head, "x-request-id").unwrap_or_default().to_owned();
         let expected = header(&head, "x-expect-instance").unwrap_or(replica);
         if expected != replica {
-            let answer = format!("HTTP/1.1 421 Misdirected\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            let answer = format!(
+                "HTTP/1.1 421 Misdirected\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
             if s.write_all(answer.as_bytes()).is_err() {
                 return;
             }
             continue;
         }
         record.line(&format!("{replica} in {zone} runs {id}"));
-        let run = Run { at: record.now(), replica: replica.to_owned(), zone: zone.to_owned(), id: id.clone(), head: head.clone() };
+        let run = Run {
+            at: record.now(),
+            replica: replica.to_owned(),
+            zone: zone.to_owned(),
+            id: id.clone(),
+            head: head.clone(),
+        };
         runs.lock().unwrap().push(run);
         thread::sleep(work);
         let answer = format!(
@@ -533,7 +631,12 @@
 
 /// Returns the version, services and routes of a small configuration as JSON. Each route is
 /// (name, prefix, kind, service, resume).
-pub fn configuration(version: u64, routes: &[(&str, &str, &str, &str, bool)], services: &str, tenants: &str) -> String {
+pub fn configuration(
+    version: u64,
+    routes: &[(&str, &str, &str, &str, bool)],
+    services: &str,
+    tenants: &str,
+) -> String {
     let route = |(name, prefix, kind, service, resume): &(&str, &str, &str, &str, bool)| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"club.example\",\"pathPrefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeoutMs\":12000,\"targetLatencyMs\":800,\"priority\":1,\"service\":\"{service}\",\"maxAttempts\":2,\"public\":false,\"sessionAffinity\":false,\"streamResume\":{resume},\"targetGapMs\":400}}"
